--- /dev/null
+++ b/src/http.tablestore/httptablestore.h
@@ -0,0 +1,38 @@
+/// \file
+/// Adapter of TableStore over HTTP with binary bodies.
+#pragma once
+
+#include "basilchute/tablestore.h"
+#include "libutil/eventloop.h"
+#include "libutil/httpclient.h"
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// Settings of an HttpTableStore.
+struct HttpTableStoreOptions {
+  /// HOST:PORT of the table service.
+  std::string Address;
+  milliseconds Timeout{2000};
+};
+
+/// The table service behind POST /store/scan and POST /store/commit.
+class HttpTableStore final : public TableStore {
+public:
+  /// Callbacks run on \p Loop.
+  HttpTableStore(HttpTableStoreOptions Options, HttpClient &Client,
+                 EventLoop &Loop)
+      : m_options(std::move(Options)), m_client(Client), m_loop(Loop) {}
+
+  void get(const std::string &Key, GetDone Done) override;
+  void scan(const std::string &Prefix, ScanDone Done) override;
+  void commit(Transaction Tx, CommitDone Done) override;
+
+private:
+  void read(const std::string &Prefix, bool Exact, ScanDone Done);
+
+  HttpTableStoreOptions m_options;
+  HttpClient &m_client;
+  EventLoop &m_loop;
+};
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/http.worker/httpworkerport.h
@@ -0,0 +1,27 @@
+/// \file
+/// Adapter of WorkerPort over HTTP with binary bodies.
+#pragma once
+
+#include "basilchute/workerport.h"
+#include "libutil/eventloop.h"
+#include "libutil/httpclient.h"
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// Workers behind POST /sync at their own addresses.
+class HttpWorkerPort final : public WorkerPort {
+public:
+  /// Callbacks run on \p Loop.
+  HttpWorkerPort(milliseconds Timeout, HttpClient &Client, EventLoop &Loop)
+      : m_timeout(Timeout), m_client(Client), m_loop(Loop) {}
+
+  void sync(const std::string &Address, WorkerSync Request,
+            SyncDone Done) override;
+
+private:
+  milliseconds m_timeout;
+  HttpClient &m_client;
+  EventLoop &m_loop;
+};
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/http.worker/workercodec.h
@@ -0,0 +1,15 @@
+/// \file
+/// Conversions of worker exchanges to and from the schema's messages.
+#pragma once
+
+#include "basilchute/workerport.h"
+#include "schema/basilchute.pb.h"
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+v1::WorkerSyncRequest encodeSync(const WorkerSync &From);
+WorkerSync decodeSync(const v1::WorkerSyncRequest &From);
+v1::WorkerSyncResponse encodeReport(const WorkerReport &From);
+WorkerReport decodeReport(const v1::WorkerSyncResponse &From);
+
+BASILCHUTE_NAMESPACE_END
--- a/src/include/basilchute/membership.h
+++ b/src/include/basilchute/membership.h
@@ -71,6 +71,8 @@
   bool mayExtendGrants() const;
   /// Processes that were not judged dead, this one included, by id.
   std::vector<Member> live() const;
+  /// All processes that have a row, dead ones included, by id.
+  std::vector<Member> known() const;
   /// Returns true if \p Id is neither dead nor unknown.
   bool isLive(const std::string &Id) const;
   /// Point after which \p Id surely extends no lease by itself, or none if its
--- a/src/include/basilchute/scheduler.h
+++ b/src/include/basilchute/scheduler.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "basilchute/clock.h"
+#include "basilchute/credits.h"
 #include "basilchute/hostlist.h"
 #include "basilchute/layout.h"
 #include "basilchute/membership.h"
@@ -61,6 +62,8 @@
   /// Waiting time after which urgent work may evict batch work.
   milliseconds EvictAfter{1500};
   milliseconds GroupCommitWindow{20};
+  /// Lending of the workers' slots to entry processes.
+  CreditLenderOptions Credits;
   /// Failed attempts after which a task is given up.
   uint32_t MaxFailures = 5;
   milliseconds FailureBackoff{500};
@@ -79,6 +82,48 @@
   std::string Worker;
   std::string Address;
   std::string FailureDomain;
+  bool operator==(const ReplicaRoute &) const = default;
+};
+
+/// Slots that an entry process holds and would like on one worker.
+struct CreditDemand {
+  std::string Worker;
+  uint32_t Held = 0;
+  uint32_t Wanted = 0;
+};
+
+/// Slots that an entry process may use on one worker.
+struct CreditGrant {
+  std::string Worker;
+  uint32_t Slots = 0;
+  /// Counted by the entry from when it asked.
+  milliseconds Lease{0};
+};
+
+/// Routes that an entry process has already.
+struct KnownRoutes {
+  std::string Shard;
+  uint64_t Epoch = 0;
+  uint64_t Version = 0;
+};
+
+/// What an entry process asks of a scheduler.
+struct EntryQuestion {
+  std::string Entry;
+  std::vector<CreditDemand> Demands;
+  std::vector<KnownRoutes> Known;
+};
+
+/// Routes and grants of one shard.
+struct ShardRoutes {
+  std::string Shard;
+  uint64_t Epoch = 0;
+  /// Changes with every change of the routes.
+  uint64_t Version = 0;
+  /// True if the entry has this version; the routes are left out then.
+  bool Unchanged = false;
+  std::vector<ReplicaRoute> Routes;
+  std::vector<CreditGrant> Grants;
 };
 
 /// A service whose replicas must run.
@@ -133,6 +178,8 @@
   void nudge(const std::vector<std::string> &Shards);
   /// Replicas in the owned shards that take requests now.
   std::vector<ReplicaRoute> routes() const;
+  /// Answers an entry process for all owned shards.
+  std::vector<ShardRoutes> answerEntry(const EntryQuestion &From);
   /// Names of the shards that are owned and loaded.
   std::vector<std::string> ownedShards() const;
   /// Says why \p Task is where it is; empty if no owned shard knows it.
--- a/src/libbasilchute/membership.cpp
+++ b/src/libbasilchute/membership.cpp
@@ -100,6 +100,13 @@
     return Out;
   }
 
+  std::vector<Member> known() const {
+    std::vector<Member> Out;
+    for (const auto &[Id, Each] : m_members)
+      Out.push_back(Each.Info);
+    return Out;
+  }
+
   bool isLive(const std::string &Id) const {
     auto Found = m_members.find(Id);
     return Found != m_members.end() && !Found->second.Dead;
@@ -263,6 +270,7 @@
 bool Membership::leaseValid() const { return m_impl->leaseValid(); }
 bool Membership::mayExtendGrants() const { return m_impl->mayExtendGrants(); }
 std::vector<Member> Membership::live() const { return m_impl->live(); }
+std::vector<Member> Membership::known() const { return m_impl->known(); }
 bool Membership::isLive(const std::string &Id) const {
   return m_impl->isLive(Id);
 }
--- a/src/libbasilchute/ownership.cpp
+++ b/src/libbasilchute/ownership.cpp
@@ -110,7 +110,8 @@
   Watched.Writing = true;
   ShardClaim Claim{.Shard = Shard,
                    .Epoch = Watched.Row.epoch() + 1,
-                   .InheritedHorizon = inheritedHorizon(Watched)};
+                   .InheritedHorizon = inheritedHorizon(Watched),
+                   .First = Watched.Version == 0};
   auto Left =
       std::chrono::ceil<milliseconds>(Claim.InheritedHorizon - m_time.now());
   v1::ShardRow Row;
--- a/src/libbasilchute/scheduler.cpp
+++ b/src/libbasilchute/scheduler.cpp
@@ -84,6 +84,16 @@
     return Out;
   }
 
+  std::vector<ShardRoutes> answerEntry(const EntryQuestion &From) {
+    std::vector<ShardRoutes> Out;
+    for (auto &[Shard, Keeper] : m_keepers) {
+      if (!Keeper->loaded() || Keeper->fencedOut())
+        continue;
+      Out.push_back(Keeper->answerEntry(From));
+    }
+    return Out;
+  }
+
   std::vector<std::string> ownedShards() const {
     std::vector<std::string> Out;
     for (const auto &[Shard, Keeper] : m_keepers)
@@ -209,6 +219,12 @@
     for (const auto &[Shard, Keeper] : m_keepers)
       Summaries.push_back(Keeper->summary());
     m_membership.publish(m_revision, std::move(Summaries));
+    std::set<std::string> Entries;
+    for (const Member &Each : m_membership.known())
+      if (Each.Role == MemberRole::Entry)
+        Entries.insert(Each.Id);
+    for (auto &[Shard, Keeper] : m_keepers)
+      Keeper->setEntries(Entries);
   }
 
   // A keeper that is to go is quiet before its shard is released, so that no
@@ -276,6 +292,9 @@
   m_impl->nudge(Shards);
 }
 std::vector<ReplicaRoute> Scheduler::routes() const { return m_impl->routes(); }
+std::vector<ShardRoutes> Scheduler::answerEntry(const EntryQuestion &From) {
+  return m_impl->answerEntry(From);
+}
 std::vector<std::string> Scheduler::ownedShards() const {
   return m_impl->ownedShards();
 }
--- a/src/libbasilchute/shardkeeper.cpp
+++ b/src/libbasilchute/shardkeeper.cpp
@@ -190,24 +190,6 @@
   return Longest;
 }
 
-void ShardKeeper::appendRoutes(std::vector<ReplicaRoute> &Out) const {
-  for (const auto &[Id, Entry] : m_book.tasks()) {
-    if (Entry.Row.service().empty() || !Entry.isPlaced() || !Entry.Confirmed)
-      continue;
-    if (Entry.Phase != StopPhase::None || Entry.Address.empty())
-      continue;
-    auto Link = m_links.find(Entry.Row.worker());
-    if (Link == m_links.end() || Link->second.Draining)
-      continue;
-    Out.push_back({.Service = Entry.Row.service(),
-                   .Team = Entry.Row.team(),
-                   .Task = Id,
-                   .Worker = Entry.Row.worker(),
-                   .Address = Entry.Address,
-                   .FailureDomain = Link->second.info().FailureDomain});
-  }
-}
-
 ShardSummary ShardKeeper::summary() const {
   ShardSummary Out{.Shard = m_claim.Shard};
   for (const auto &[Id, Link] : m_links) {
--- a/src/libbasilchute/shardkeeper.h
+++ b/src/libbasilchute/shardkeeper.h
@@ -20,6 +20,8 @@
   uint64_t Version = 0;
   /// Point after which no earlier owner extends a lease.
   TimePoint InheritedHorizon{};
+  /// True if the shard never had an owner.
+  bool First = false;
 };
 
 /// Ports and settings that all keepers of a scheduler share. \p Options outlive
@@ -60,6 +62,10 @@
   nanoseconds residualLease() const;
 
   void appendRoutes(std::vector<ReplicaRoute> &Out) const;
+  /// Answers an entry process; only of a loaded keeper.
+  ShardRoutes answerEntry(const EntryQuestion &From);
+  /// States which entry processes may hold credits of an earlier owner.
+  void setEntries(const std::set<std::string> &Entries);
   ShardSummary summary() const;
   std::vector<std::string> explain(const std::string &Task) const;
 
@@ -105,6 +111,10 @@
   void onFinal(const TaskEntry &Entry);
   void event(std::string_view Name, std::string_view Detail) const;
 
+  // Routes and credits (shardkeeper_routes.cpp).
+  void refreshRoutes();
+  CreditLender &lenderOf(const std::string &Worker);
+
   WorkerLink *linkOf(const std::string &Worker);
 
   KeeperContext m_context;
@@ -116,6 +126,13 @@
   std::optional<std::vector<v1::TaskRow>> m_wantedReplicas;
   std::optional<std::vector<Row>> m_loadedShares;
   std::optional<std::vector<Row>> m_loadedTasks;
+  std::map<std::string, CreditLender> m_lenders;
+  std::set<std::string> m_entries;
+  std::vector<ReplicaRoute> m_routes;
+  uint64_t m_routesVersion = 0;
+  TimePoint m_routesAt{};
+  /// Point at which all credits of earlier owners are over.
+  TimePoint m_creditsSettledAt{};
   /// Tasks whose planned stop is under way.
   std::set<std::string> m_stopping;
   TimePoint m_loadAt{};
