Credits reach every entry at start, and a draining entry returns its own

Cause: the load's p99 was 390 to 430 ms. Ruled out: the endpoints (queue time alone was high) and the drain (one run without it showed the same). The gauge of granted slots showed that the first entry to ask got all 72 slots and the other none until two polls later. The lost request at the drain met a port that closed while requests were still arriving. Change: a known borrower that has not asked counts as wanting an even share; unwanted slots are lent evenly; new routes are followed by a question at once; polls every 100 ms; a draining entry asks for nothing and closes its port only after 500 ms without a request; the load rests an entry that is not ready. Growing demand still waits for one poll of the holder.

--- a/src/basilchute-entry/entrydaemon.cpp
+++ b/src/basilchute-entry/entrydaemon.cpp
@@ -12,11 +12,12 @@
 namespace {
 
 constexpr milliseconds TickEvery{5};
-constexpr milliseconds PeerPollEvery{200};
+constexpr milliseconds PeerPollEvery{100};
 constexpr milliseconds PeerTimeout{1000};
 constexpr milliseconds HostPollEvery{1000};
 constexpr milliseconds NumbersEvery{500};
 constexpr milliseconds DrainPollEvery{20};
+constexpr milliseconds QuietBeforeClose{500};
 constexpr std::chrono::seconds LeavePatience{5};
 
 DispatcherOptions dispatcherOptions(const Settings &Values) {
@@ -286,9 +287,11 @@
   if (Peer.Role != MemberRole::Scheduler)
     return;
   std::vector<ShardRoutes> Routes = decodeRoutes(Message.route());
-  m_router.update(Routes, AskedAt);
+  bool Changed = m_router.update(Routes, AskedAt);
   m_router.noteOwner(Peer.PeerAddress, Routes);
   m_routesKnown = true;
+  if (Changed)
+    pollPeer(Peer);
 }
 
 void EntryDaemon::pollHosts() {
@@ -335,14 +338,25 @@
   Set("basilchute_entry_shed_total", Now.Shed);
   Set("basilchute_entry_queued", m_dispatcher.queued());
   Set("basilchute_entry_connections", m_callerServer->connections());
-  Set("basilchute_entry_endpoints", m_router.endpoints().size());
+  auto Endpoints = m_router.endpoints();
+  Set("basilchute_entry_endpoints", Endpoints.size());
+  std::map<std::string, uint32_t> Granted;
+  for (const auto &Each : Endpoints)
+    Granted[Each->Worker] = Each->Credits->granted();
+  uint64_t Slots = 0;
+  for (const auto &[Worker, Each] : Granted)
+    Slots += Each;
+  Set("basilchute_entry_granted_slots", Slots);
   Set("basilchute_config_revision", m_base.Feed.current().Revision);
 }
 
 bool EntryDaemon::finishRequests(milliseconds Limit) {
   TimePoint End = m_base.Time.now() + Limit;
   while (m_base.Time.now() < End) {
-    if (m_callerServer->inFlight() == 0 && m_dispatcher.pending() == 0)
+    // A request on its way while the port closes would be cut off, so the port
+    // closes only after the balancer has been quiet for a while.
+    bool Quiet = m_callerServer->quietFor() > QuietBeforeClose;
+    if (Quiet && m_callerServer->inFlight() == 0 && m_dispatcher.pending() == 0)
       return true;
     std::this_thread::sleep_for(DrainPollEvery);
   }
@@ -353,7 +367,10 @@
   m_draining = true;
   m_base.Ready = false;
   m_base.log("draining");
-  m_base.Loop.post([this] { m_membership->drain(); });
+  m_base.Loop.post([this] {
+    m_membership->drain();
+    m_router.stopBorrowing();
+  });
   m_callerServer->drain();
   std::this_thread::sleep_for(m_base.Values.duration("drain.delay_ms"));
   bool Clean =
--- a/src/basilchute-load/loadrun.cpp
+++ b/src/basilchute-load/loadrun.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr milliseconds OfferPause{20};
+constexpr milliseconds EntryRest{2000};
+constexpr size_t MaxFaults = 10;
 constexpr std::chrono::seconds ProgressEvery{1};
 
 /// One request through all its offers.
@@ -31,6 +33,7 @@
   explicit LoadRun(const LoadOptions &Options)
       : m_options(Options), m_random(Options.Arrivals.Seed),
         m_run(fmt::format("{:08x}", std::random_device{}())),
+        m_restsUntil(Options.Entries.size()),
         m_client({.Threads = Options.Threads}) {}
 
   LoadReport run() {
@@ -80,7 +83,7 @@
   }
 
   void offer(const std::shared_ptr<Sending> &Of) {
-    size_t Entry = m_nextEntry++ % m_options.Entries.size();
+    size_t Entry = chooseEntry();
     ++Of->Offers;
     ClientRequest Request{
         .Method = "POST",
@@ -96,12 +99,41 @@
         .Body = Of->Body,
         .Timeout = m_options.Deadline + milliseconds(2000),
         .NeverResend = !Of->Idempotent};
-    m_client.send(std::move(Request), [this, Of](Result<HttpResponse> Reply) {
-      onReply(Of, std::move(Reply));
-    });
+    m_client.send(std::move(Request),
+                  [this, Of, Entry](Result<HttpResponse> Reply) {
+                    onReply(Of, Entry, std::move(Reply));
+                  });
   }
 
-  void onReply(const std::shared_ptr<Sending> &Of, Result<HttpResponse> Reply) {
+  // Entries take turns; one that refused as a whole rests for a while, as it
+  // would behind a balancer.
+  size_t chooseEntry() {
+    int64_t Now = m_time.now().time_since_epoch().count();
+    size_t First = m_nextEntry++;
+    for (size_t I = 0; I < m_options.Entries.size(); ++I) {
+      size_t Entry = (First + I) % m_options.Entries.size();
+      if (m_restsUntil[Entry] <= Now)
+        return Entry;
+    }
+    return First % m_options.Entries.size();
+  }
+
+  void rest(size_t Entry) {
+    m_restsUntil[Entry] = (m_time.now() + EntryRest).time_since_epoch().count();
+  }
+
+  static bool isUnready(const Result<HttpResponse> &Reply) {
+    if (!Reply.has_value())
+      return Reply.error().Code == ResultCode::Unavailable;
+    const std::string *Code =
+        findHeader(Reply.value().Headers, "basilchute-code");
+    return Code && *Code == "not_ready";
+  }
+
+  void onReply(const std::shared_ptr<Sending> &Of, size_t Entry,
+               Result<HttpResponse> Reply) {
+    if (isUnready(Reply))
+      rest(Entry);
     bool NotRun = Reply.has_value()
                       ? isNotRun(Reply.value())
                       : Reply.error().Code == ResultCode::Unavailable;
@@ -131,18 +163,31 @@
     }
     if (!Reply.has_value() || Reply.value().Status != 200) {
       ++m_report.Lost;
+      noteFault(Of, Reply.has_value()
+                        ? fmt::format("status {}: {}", Reply.value().Status,
+                                      Reply.value().Body)
+                        : Reply.error().Message);
       return;
     }
     const std::string *Id =
         findHeader(Reply.value().Headers, "basilchute-request-id");
     if (Reply.value().Body != Of.Body || !Id || *Id != Of.Id) {
       ++m_report.Wrong;
+      noteFault(Of, fmt::format("answer of {} bytes for {}",
+                                Reply.value().Body.size(), Of.Body.size()));
       return;
     }
     ++m_report.Answered;
     m_report.Latencies.push_back(m_time.now() - Of.IntendedAt);
   }
 
+  void noteFault(const Sending &Of, std::string What) {
+    if (m_report.Faults.size() >= MaxFaults)
+      return;
+    m_report.Faults.push_back(
+        fmt::format("request {} after {} offers: {}", Of.Id, Of.Offers, What));
+  }
+
   const LoadOptions &m_options;
   SystemClock m_time;
   std::mt19937_64 m_random;
@@ -150,6 +195,8 @@
   std::mutex m_lock;
   LoadReport m_report;
   std::atomic<size_t> m_nextEntry{0};
+  /// Point on the clock until which each entry gets nothing.
+  std::vector<std::atomic<int64_t>> m_restsUntil;
   std::atomic<size_t> m_open{0};
   EventLoop m_loop;
   HttpClient m_client;
--- a/src/basilchute-load/loadrun.h
+++ b/src/basilchute-load/loadrun.h
@@ -43,6 +43,8 @@
   uint64_t Wrong = 0;
   /// Offers that were refused as not run, and offered again.
   uint64_t Refused = 0;
+  /// What happened to the first lost and wrong ones.
+  std::vector<std::string> Faults;
   /// Times from the intended sending to the whole answer, ascending.
   std::vector<nanoseconds> Latencies;
 
--- a/src/basilchute-load/main.cpp
+++ b/src/basilchute-load/main.cpp
@@ -80,6 +80,11 @@
              millis(Report.quantile(0.99)), millis(Report.quantile(0.999)));
 }
 
+void printFaults(const LoadReport &Report) {
+  for (const std::string &Each : Report.Faults)
+    fmt::print(stderr, "load: {}\n", Each);
+}
+
 void writeCsv(const std::string &File, const LoadReport &Report) {
   std::ofstream Out(File);
   Out << "quantile,latency_ms\n";
@@ -118,6 +123,7 @@
       }};
   LoadReport Report = runLoad(Options);
   printReport(Report);
+  printFaults(Report);
   if (!Values.text("load.csv").empty())
     writeCsv(Values.text("load.csv"), Report);
   bool Clean = Report.Lost == 0 && Report.Wrong == 0 && Report.NotRun == 0;
--- a/src/include/basilchute/credits.h
+++ b/src/include/basilchute/credits.h
@@ -56,6 +56,7 @@
     TimePoint Over{};
   };
 
+  uint32_t evenShare() const;
   uint32_t fairShare(const std::string &Borrower, TimePoint Now) const;
   void dropLapsed(TimePoint Now);
 
--- a/src/include/basilchute/router.h
+++ b/src/include/basilchute/router.h
@@ -89,13 +89,16 @@
   void finish(const EndpointPick &Of, AttemptOutcome How);
 
   /// Takes what an owner answered to a question sent at \p AskedAt. Answers of
-  /// a lower epoch than known are dropped.
-  void update(const std::vector<ShardRoutes> &Answer, TimePoint AskedAt);
+  /// a lower epoch than known are dropped. Returns true if the routes changed,
+  /// so that credits for new workers can be asked for at once.
+  bool update(const std::vector<ShardRoutes> &Answer, TimePoint AskedAt);
   /// Takes out all endpoints on \p Workers.
   void setLeaving(std::set<std::string> Workers);
   /// What is to be asked for, for workers of the shards last owned by the
   /// member at \p Address, or whose owner is not known.
   EntryQuestion question(const std::string &Entry, const std::string &Address);
+  /// Asks for no credits from now on, so that others get them.
+  void stopBorrowing();
   /// Notes that \p Address owns the shards of \p Answer.
   void noteOwner(const std::string &Address,
                  const std::vector<ShardRoutes> &Answer);
--- a/src/libbasilchute/credits.cpp
+++ b/src/libbasilchute/credits.cpp
@@ -30,22 +30,42 @@
   m_possibleHolders = Borrowers;
 }
 
-// Shares the slots out in turns of one, so that small wishes are met whole and
-// the rest is split evenly.
+uint32_t CreditLender::evenShare() const {
+  auto Known = static_cast<uint32_t>(m_possibleHolders.size());
+  return std::max<uint32_t>(m_options.Slots / std::max<uint32_t>(Known, 1), 1);
+}
+
+// Shares the slots out in turns of one: first up to what each wants, so that
+// small wishes are met whole, then the rest evenly, because a slot that nobody
+// holds helps nobody when load comes. A known borrower that has not asked yet
+// counts as wanting an even share, so that the first to ask does not take all.
 uint32_t CreditLender::fairShare(const std::string &Borrower,
                                  TimePoint Now) const {
+  std::map<std::string, uint32_t> Wishes;
+  for (const std::string &Each : m_possibleHolders)
+    if (!m_seen.contains(Each))
+      Wishes[Each] = evenShare();
+  std::set<std::string> Unwilling;
+  for (const auto &[Name, Each] : m_loans) {
+    Wishes[Name] = Now < Each.Over ? Each.Wanted : 0;
+    if (Wishes[Name] == 0)
+      Unwilling.insert(Name);
+  }
   std::map<std::string, uint32_t> Shares;
   uint32_t Left = m_options.Slots;
-  bool Given = true;
-  while (Left > 0 && Given) {
-    Given = false;
-    for (const auto &[Name, Each] : m_loans) {
-      uint32_t &Share = Shares[Name];
-      if (Left == 0 || Now >= Each.Over || Share >= Each.Wanted)
-        continue;
-      ++Share;
-      --Left;
-      Given = true;
+  for (bool BeyondWishes : {false, true}) {
+    bool Given = true;
+    while (Left > 0 && Given) {
+      Given = false;
+      for (const auto &[Name, Wish] : Wishes) {
+        uint32_t &Share = Shares[Name];
+        bool Takes = BeyondWishes ? !Unwilling.contains(Name) : Share < Wish;
+        if (Left == 0 || !Takes)
+          continue;
+        ++Share;
+        --Left;
+        Given = true;
+      }
     }
   }
   return Shares[Borrower];
--- a/src/libbasilchute/router.cpp
+++ b/src/libbasilchute/router.cpp
@@ -109,7 +109,7 @@
     At.FailuresInRow.store(0, std::memory_order_relaxed);
   }
 
-  void update(const std::vector<ShardRoutes> &Answer, TimePoint AskedAt) {
+  bool update(const std::vector<ShardRoutes> &Answer, TimePoint AskedAt) {
     bool Changed = false;
     for (const ShardRoutes &Each : Answer) {
       Shard &Known = m_shards[Each.Shard];
@@ -126,6 +126,7 @@
     }
     if (Changed)
       rebuild();
+    return Changed;
   }
 
   void setLeaving(std::set<std::string> Workers) {
@@ -149,11 +150,15 @@
     for (const std::string &Worker : Workers) {
       CreditPurse &Purse = *purseOf(Worker);
       Out.Demands.push_back(
-          {.Worker = Worker, .Held = Purse.held(), .Wanted = Purse.demand()});
+          {.Worker = Worker,
+           .Held = Purse.held(),
+           .Wanted = m_borrowing ? m_borrowing ? Purse.demand() : 0 : 0});
     }
     return Out;
   }
 
+  void stopBorrowing() { m_borrowing = false; }
+
   void noteOwner(const std::string &Address,
                  const std::vector<ShardRoutes> &Answer) {
     for (const ShardRoutes &Each : Answer) {
@@ -311,6 +316,7 @@
   std::map<std::string, std::shared_ptr<CreditPurse>> m_purses;
   std::map<std::string, std::weak_ptr<Endpoint>> m_endpoints;
   std::set<std::string> m_leaving;
+  bool m_borrowing = true;
 };
 
 Router::Router(RouterOptions Options, const Clock &Time)
@@ -326,8 +332,8 @@
 void Router::finish(const EndpointPick &Of, AttemptOutcome How) {
   m_impl->finish(Of, How);
 }
-void Router::update(const std::vector<ShardRoutes> &Answer, TimePoint AskedAt) {
-  m_impl->update(Answer, AskedAt);
+bool Router::update(const std::vector<ShardRoutes> &Answer, TimePoint AskedAt) {
+  return m_impl->update(Answer, AskedAt);
 }
 void Router::setLeaving(std::set<std::string> Workers) {
   m_impl->setLeaving(std::move(Workers));
@@ -336,6 +342,7 @@
                                const std::string &Address) {
   return m_impl->question(Entry, Address);
 }
+void Router::stopBorrowing() { m_impl->stopBorrowing(); }
 void Router::noteOwner(const std::string &Address,
                        const std::vector<ShardRoutes> &Answer) {
   m_impl->noteOwner(Address, Answer);
--- a/src/libutil/httpserver.cpp
+++ b/src/libutil/httpserver.cpp
@@ -30,6 +30,7 @@
   SystemClock Time;
   std::atomic<bool> Draining{false};
   std::atomic<size_t> InFlight{0};
+  std::atomic<int64_t> LastRequestNanos{0};
   std::mutex Lock;
   std::set<std::shared_ptr<Connection>> Connections;
 };
@@ -254,6 +255,7 @@
   HttpRequest Request = m_reader.take();
   m_busy = true;
   ++m_server.InFlight;
+  m_server.LastRequestNanos = m_server.Time.now().time_since_epoch().count();
   Responder Answer(std::make_shared<Responder::Target>(
       shared_from_this(), Request.KeepAlive, Request.Method == "HEAD"));
   Guard.unlock();
@@ -305,6 +307,11 @@
   void drain() { m_state->Draining = true; }
   size_t inFlight() const { return m_state->InFlight; }
 
+  nanoseconds quietFor() const {
+    return m_state->Time.now() -
+           TimePoint(nanoseconds(m_state->LastRequestNanos.load()));
+  }
+
   size_t connections() const {
     std::lock_guard Guard(m_state->Lock);
     return m_state->Connections.size();
@@ -357,6 +364,7 @@
 Result<std::string> HttpServer::start() { return m_impl->start(); }
 void HttpServer::drain() { m_impl->drain(); }
 size_t HttpServer::inFlight() const { return m_impl->inFlight(); }
+nanoseconds HttpServer::quietFor() const { return m_impl->quietFor(); }
 size_t HttpServer::connections() const { return m_impl->connections(); }
 void HttpServer::stop() { m_impl->stop(); }
 
--- a/src/libutil/httpserver.h
+++ b/src/libutil/httpserver.h
@@ -61,6 +61,8 @@
   void drain();
   /// Requests that were read and are not answered yet.
   size_t inFlight() const;
+  /// Time since the last request was read.
+  nanoseconds quietFor() const;
   /// Open connections.
   size_t connections() const;
   /// Stops listening and closes all connections.
