--- a/src/include/basilchute/committer.h
+++ b/src/include/basilchute/committer.h
@@ -22,6 +22,8 @@
   milliseconds RetryPause{300};
   /// Row that every transaction depends on, if any.
   std::optional<Check> Fence;
+  /// Test-only fault: see SchedulerFaults::RepeatBlindly.
+  bool RepeatBlindly = false;
 };
 
 /// Collects conditional writes into few transactions.
--- a/src/include/basilchute/scheduler.h
+++ b/src/include/basilchute/scheduler.h
@@ -37,6 +37,10 @@
   bool IgnoreHorizon = false;
   /// Places without checking the free room.
   bool SkipFit = false;
+  /// Does not count the leases that its own orders grant.
+  bool ForgetGrants = false;
+  /// Takes a write whose reply was lost as not done.
+  bool RepeatBlindly = false;
   /// Keeps the attempt number of a task that is placed again.
   bool ReuseAttempt = false;
 };
--- a/src/include/basilchute/workerport.h
+++ b/src/include/basilchute/workerport.h
@@ -44,7 +44,8 @@
 
 /// One exchange with a worker. Incarnation and stamp echo the worker's last
 /// report; without an incarnation the request only installs the epoch and asks
-/// for a report.
+/// for a report. A worker refuses orders of a lower epoch than it has seen, of
+/// another incarnation, and with a stamp that is too old or was used before.
 struct WorkerSync {
   std::string Worker;
   std::string Shard;
--- a/src/libbasilchute/committer.cpp
+++ b/src/libbasilchute/committer.cpp
@@ -88,6 +88,8 @@
     case ResultCode::Conflict:
       return onConflict(Reply.error());
     case ResultCode::OutcomeUnknown:
+      if (m_options.RepeatBlindly)
+        return requeue(m_options.RetryPause);
       return readBack();
     default:
       return requeue(m_options.RetryPause);
--- a/src/libbasilchute/router.cpp
+++ b/src/libbasilchute/router.cpp
@@ -152,7 +152,7 @@
       Out.Demands.push_back(
           {.Worker = Worker,
            .Held = Purse.held(),
-           .Wanted = m_borrowing ? m_borrowing ? Purse.demand() : 0 : 0});
+           .Wanted = m_borrowing ? Purse.demand() : 0});
     }
     return Out;
   }
--- a/src/libbasilchute/scheduler.cpp
+++ b/src/libbasilchute/scheduler.cpp
@@ -233,9 +233,9 @@
     std::vector<std::string> Released;
     for (auto &[Shard, Keeper] : m_keepers) {
       bool Unwanted = m_onDown || m_ownership.shouldRelease(Shard);
+      Keeper->setReleasing(Unwanted);
       if (!Unwanted)
         continue;
-      Keeper->beginRelease();
       bool Patient = m_onDown && m_time.now() - m_downSince > HandoverPatience;
       if (!Keeper->quiet() && !Patient)
         continue;
--- a/src/libbasilchute/shardkeeper.cpp
+++ b/src/libbasilchute/shardkeeper.cpp
@@ -1,6 +1,7 @@
 #include "libbasilchute/shardkeeper.h"
 
 #include <algorithm>
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -13,7 +14,8 @@
                                   const ShardClaim &Claim) {
   CommitterOptions Out{.WriterId = fmt::format("{}.{}.{}", Options.Self.Id,
                                                Claim.Shard, Claim.Epoch),
-                       .Window = Options.GroupCommitWindow};
+                       .Window = Options.GroupCommitWindow,
+                       .RepeatBlindly = Options.Faults.RepeatBlindly};
   if (!Options.Faults.SkipStoreFence)
     Out.Fence =
         Check{.Key = shardKey(Claim.Shard), .ExpectedVersion = Claim.Version};
@@ -220,6 +222,20 @@
     Out.push_back(fmt::format("placed on worker {}, {}", Row.worker(),
                               Entry.Confirmed ? "confirmed running there"
                                               : "not yet confirmed"));
+  auto Link = m_links.find(Row.worker());
+  if (Entry.isPlaced() && Link != m_links.end())
+    Out.push_back(fmt::format(
+        "worker {}: {}, epoch {}, {} since the last report",
+        Row.worker(), Link->second.Reachable ? "reachable" : "unreachable",
+        Link->second.Fenced ? "installed" : "not installed",
+        std::chrono::duration_cast<milliseconds>(
+            m_context.Time.now() - Link->second.LastReportAt)));
+  if (!m_context.MayStart())
+    Out.push_back("this scheduler's lease has lapsed, so it starts nothing");
+  if (m_releasing)
+    Out.push_back("the shard is being handed to another scheduler");
+  if (Entry.Writing)
+    Out.push_back("a change of the task's row is being written");
   if (!Entry.WaitReason.empty())
     Out.push_back(Entry.WaitReason);
   if (!Row.reason().empty())
--- a/src/libbasilchute/shardkeeper.h
+++ b/src/libbasilchute/shardkeeper.h
@@ -54,8 +54,9 @@
   bool loaded() const { return m_loaded; }
   /// True once another owner's epoch was met; the keeper does nothing more.
   bool fencedOut() const { return m_fencedOut; }
-  /// Stops taking decisions, so that the shard can be handed over.
-  void beginRelease() { m_releasing = true; }
+  /// Stops or goes on taking decisions; a shard that is handed over must be
+  /// quiet first.
+  void setReleasing(bool Releasing) { m_releasing = Releasing; }
   /// True once nothing of a released keeper is in flight.
   bool quiet() const;
   /// How long leases granted by this keeper may still run.
--- a/src/libbasilchute/shardkeeper_rows.cpp
+++ b/src/libbasilchute/shardkeeper_rows.cpp
@@ -80,21 +80,16 @@
   m_stopping.erase(Id);
   if (Entry.Version == 0)
     return m_book.erase(Id);
-  m_book.unqueue(Entry);
-  Entry.Writing = true;
-  m_committer.commit({Write{.Key = taskKey(m_claim.Shard, Id),
-                            .Remove = true,
-                            .ExpectedVersion = Entry.Version}},
-                     [Self = weak_from_this(), Id](Result<uint64_t> Reply) {
-                       auto Live = Self.lock();
-                       if (!Live)
-                         return;
-                       Live->m_fencedOut |= !Reply.has_value();
-                       Live->m_book.erase(Id);
-                       // The replica may have been wanted again meanwhile.
-                       if (Live->m_wantedReplicas)
-                         Live->updateReplicas(*Live->m_wantedReplicas);
-                     });
+  // The row stays, so that a replica of that name which is wanted again later
+  // goes on with higher attempts.
+  v1::TaskRow Row = Entry.Row;
+  Row.set_state(v1::TASK_CANCELLED);
+  Row.clear_worker();
+  commitTask(Entry, std::move(Row), [this](TaskEntry &) {
+    // The replica may have been wanted again meanwhile.
+    if (m_wantedReplicas)
+      updateReplicas(*m_wantedReplicas);
+  });
 }
 
 void ShardKeeper::finishShare(const std::string &Job) {
--- a/src/libbasilchute/shardkeeper_sync.cpp
+++ b/src/libbasilchute/shardkeeper_sync.cpp
@@ -51,7 +51,8 @@
     Request.Orders.push_back({.Kind = OrderKind::Stop, .Task = Each});
   for (const TaskAttempt &Each : Link.Forget)
     Request.Orders.push_back({.Kind = OrderKind::Forget, .Task = Each});
-  Link.noteGrant(Options.TaskLease, Options.ClockDriftPermille);
+  if (!Options.Faults.ForgetGrants)
+    Link.noteGrant(Options.TaskLease, Options.ClockDriftPermille);
 }
 
 // Orders follow from the task's state each time, so that a lost request needs
@@ -253,10 +254,9 @@
       Held.push_back(Task);
     for (const std::string &Task : Held) {
       TaskEntry *Entry = m_book.find(Task);
-      bool PlacedHere = Entry && Entry->isPlaced() && Entry->Row.worker() == Id;
-      if (!PlacedHere)
+      if (!Entry || !Entry->belongsTo(Id))
         Link.release(Task);
-      else if (!Entry->Writing)
+      else if (Entry->isPlaced() && !Entry->Writing)
         onMissing(Link, *Entry);
     }
     m_placeDirty = true;
--- a/src/libbasilchute/taskbook.cpp
+++ b/src/libbasilchute/taskbook.cpp
@@ -93,19 +93,31 @@
   std::set<std::string> Ids;
   for (const v1::TaskRow &Each : Wanted) {
     Ids.insert(Each.id());
-    if (find(Each.id()))
-      continue;
-    requeue(add(Each, Now), Now);
+    TaskEntry *Known = find(Each.id());
+    if (Known && Known->isFinal() && !Known->Writing)
+      revive(*Known, Each, Now);
+    if (!Known)
+      requeue(add(Each, Now), Now);
   }
   std::vector<std::string> Unwanted;
   for (auto &[Id, Entry] : m_tasks) {
-    if (Entry.Row.service().empty() || Ids.contains(Id))
+    if (Entry.Row.service().empty() || Ids.contains(Id) || Entry.isFinal())
       continue;
     Unwanted.push_back(Id);
   }
   return Unwanted;
 }
 
+void TaskBook::revive(TaskEntry &Entry, const v1::TaskRow &Wanted,
+                      TimePoint Now) {
+  uint32_t Attempt = Entry.Row.attempt();
+  Entry.Row = Wanted;
+  Entry.Row.set_attempt(Attempt);
+  Entry.Wanted = true;
+  Entry.Phase = StopPhase::None;
+  requeue(Entry, Now);
+}
+
 TaskEntry &TaskBook::add(v1::TaskRow Row, TimePoint Now) {
   std::string Id = Row.id();
   TaskEntry &Entry = m_tasks[Id];
--- a/src/libbasilchute/taskbook.h
+++ b/src/libbasilchute/taskbook.h
@@ -104,6 +104,8 @@
   void eraseShare(const std::string &Job);
 
 private:
+  /// Makes a replica that was given up wait again.
+  void revive(TaskEntry &Entry, const v1::TaskRow &Wanted, TimePoint Now);
   TaskEntry &add(v1::TaskRow Row, TimePoint Now);
   void expand(const ShareEntry &Share, TimePoint Now);
 
--- a/src/testing/testbed.cpp
+++ b/src/testing/testbed.cpp
@@ -13,12 +13,12 @@
   FakeTableStore(TestBed &Bed, size_t Node) : m_bed(Bed), m_node(Node) {}
 
   void get(const std::string &Key, GetDone Done) override {
-    read<std::optional<Row>>([this, Key] { return m_bed.tables().get(Key); },
+    read<std::optional<Row>>([Key](TestBed &Bed) { return Bed.tables().get(Key); },
                              std::move(Done));
   }
   void scan(const std::string &Prefix, ScanDone Done) override {
     read<std::vector<Row>>(
-        [this, Prefix] { return m_bed.tables().scan(Prefix); },
+        [Prefix](TestBed &Bed) { return Bed.tables().scan(Prefix); },
         std::move(Done));
   }
   void commit(Transaction Tx, CommitDone Done) override {
@@ -28,21 +28,22 @@
 private:
   TestNode &node() { return m_bed.nodes()[m_node]; }
 
+  // The node may start anew, with other adapters, before the reply.
   template <typename Value, typename Reader, typename Done>
   void read(Reader Read, Done Finished) {
     m_bed.noteRead();
-    m_bed.after(
-        m_bed.StoreDelay, [this, Read, Finished, Life = node().Life]() mutable {
-          if (node().Life != Life)
-            return;
-          Result<Value> Reply =
-              makeError(ResultCode::Unavailable, "table store unreachable");
-          if (m_bed.storeReachable(node()))
-            Reply = Read();
-          m_bed.deliver(node(), m_bed.StoreDelay, [Finished, Reply]() mutable {
-            Finished(std::move(Reply));
-          });
-        });
+    m_bed.after(m_bed.StoreDelay, [&Bed = m_bed, &Node = node(), Read, Finished,
+                                   Life = node().Life]() mutable {
+      if (Node.Life != Life)
+        return;
+      Result<Value> Reply =
+          makeError(ResultCode::Unavailable, "table store unreachable");
+      if (Bed.storeReachable(Node))
+        Reply = Read(Bed);
+      Bed.deliver(Node, Bed.StoreDelay, [Finished, Reply]() mutable {
+        Finished(std::move(Reply));
+      });
+    });
   }
 
   TestBed &m_bed;
--- a/src/testing/testbed.h
+++ b/src/testing/testbed.h
@@ -28,7 +28,6 @@
   const std::vector<std::string> &violations() const { return m_violations; }
   /// Starts of every task so far.
   const std::map<std::string, uint32_t> &starts() const { return m_starts; }
-  const std::map<std::string, uint32_t> &finishes() const { return m_finishes; }
 
 private:
   void violate(std::string What) { m_violations.push_back(std::move(What)); }
@@ -37,7 +36,8 @@
   std::set<TaskAttempt> m_started;
   std::set<std::string> m_resumed;
   std::map<std::string, uint32_t> m_starts;
-  std::map<std::string, uint32_t> m_finishes;
+  std::set<std::string> m_done;
+  std::set<std::string> m_lostSince;
   std::map<std::string, uint64_t> m_epochs;
   std::vector<std::string> m_violations;
 };
@@ -135,8 +135,9 @@
   uint64_t commits() const { return m_commits; }
   uint64_t storeReads() const { return m_reads; }
   MemoryTables &tables() { return m_tables; }
-  Oracle &oracle() { return m_oracle; }
+  const Oracle &oracle() const { return m_oracle; }
   std::vector<TestNode> &nodes() { return m_nodes; }
+  size_t nodeCount() const { return m_nodes.size(); }
   std::map<std::string, WorkerModel> &workers() { return m_workers; }
   std::vector<std::string> workerNames() const;
   /// True once the share of \p Job is finished.
@@ -145,7 +146,7 @@
   uint32_t runningReplicas(const std::string &Service);
   /// Shards that some live node owns.
   size_t ownedShards() const;
-  Layout layout() const { return m_layout; }
+  const Layout &layout() const { return m_layout; }
 
   // For the fakes.
   void after(milliseconds Delay, std::function<void()> Action);
--- a/src/testing/workermodel.h
+++ b/src/testing/workermodel.h
@@ -65,6 +65,9 @@
   std::string m_incarnation;
   uint64_t m_epoch = 0;
   milliseconds m_now{0};
+  milliseconds m_lastReported{0};
+  /// Newest stamp that orders were taken with; each is taken once.
+  milliseconds m_lastAccepted{-1};
   std::map<std::string, ModelTask> m_tasks;
 };
 
