A read of shares that arrives after a share ended starts nothing again

Change: the version that ended a share is kept until a read has shown it, and rows not newer than it are passed over. Conclusion: a read is as old as its sending, also from one's own store.

--- a/src/libbasilchute/shardkeeper_rows.cpp
+++ b/src/libbasilchute/shardkeeper_rows.cpp
@@ -122,7 +122,7 @@
                        if (!Live)
                          return;
                        if (Reply.has_value())
-                         return Live->m_book.eraseShare(Job);
+                         return Live->m_book.eraseShare(Job, Reply.value());
                        if (Reply.error().Code == ResultCode::StaleEpoch) {
                          Live->m_fencedOut = true;
                          return;
--- a/src/libbasilchute/taskbook.cpp
+++ b/src/libbasilchute/taskbook.cpp
@@ -56,7 +56,16 @@
   std::vector<std::string> Unwanted;
   for (const Row &Each : Shares) {
     Result<v1::ShareRow> Decoded = decodeRow<v1::ShareRow>(Each);
-    if (!Decoded.has_value() || Decoded.value().finished())
+    if (!Decoded.has_value())
+      continue;
+    const std::string &Job = Decoded.value().job();
+    if (Decoded.value().finished()) {
+      m_ended.erase(Job);
+      continue;
+    }
+    // A read that was sent before the share ended may arrive after.
+    auto Ended = m_ended.find(Job);
+    if (Ended != m_ended.end() && Each.Version <= Ended->second)
       continue;
     ShareEntry &Share = m_shares[Decoded.value().job()];
     if (Share.Version >= Each.Version)
@@ -170,7 +179,8 @@
   return Out;
 }
 
-void TaskBook::eraseShare(const std::string &Job) {
+void TaskBook::eraseShare(const std::string &Job, uint64_t Version) {
+  m_ended[Job] = Version;
   for (const std::string &Each : tasksOf(Job))
     erase(Each);
   m_shares.erase(Job);
--- a/src/libbasilchute/taskbook.h
+++ b/src/libbasilchute/taskbook.h
@@ -100,8 +100,9 @@
   ShareEntry *noteFinal(const TaskEntry &Entry);
   /// Ids of the tasks of \p Job that have a row.
   std::vector<std::string> tasksOf(const std::string &Job) const;
-  /// Removes a finished share with all its tasks.
-  void eraseShare(const std::string &Job);
+  /// Removes a share with all its tasks; its row says that it finished since
+  /// \p Version.
+  void eraseShare(const std::string &Job, uint64_t Version);
 
 private:
   /// Makes a replica that was given up wait again.
@@ -112,6 +113,8 @@
   std::map<std::string, TaskEntry> m_tasks;
   std::map<std::string, ShareEntry> m_shares;
   std::set<WaitKey> m_waiting;
+  /// Shares that ended, until a read has shown it, with their last version.
+  std::map<std::string, uint64_t> m_ended;
   uint64_t m_lastSequence = 0;
 };
 
