--- a/src/include/basilchute/committer.h
+++ b/src/include/basilchute/committer.h
@@ -22,8 +22,6 @@
   milliseconds RetryPause{300};
   /// Row that every transaction depends on, if any.
   std::optional<Check> Fence;
-  /// Test-only fault: see SchedulerFaults::RepeatBlindly.
-  bool RepeatBlindly = false;
 };
 
 /// Collects conditional writes into few transactions.
--- a/src/include/basilchute/scheduler.h
+++ b/src/include/basilchute/scheduler.h
@@ -21,7 +21,7 @@
 /// Deliberate faults that tests switch on to show that their checks find them.
 /// All are off in production.
 struct SchedulerFaults {
-  /// Decides for a worker before its epoch is installed there.
+  /// Sends every order with the same epoch.
   bool SkipFence = false;
   /// Counts leases as over as soon as a worker is unreachable.
   bool IgnoreLeases = false;
@@ -39,8 +39,6 @@
   bool SkipFit = false;
   /// Does not count the leases that its own orders grant.
   bool ForgetGrants = false;
-  /// Takes a write whose reply was lost as not done.
-  bool RepeatBlindly = false;
   /// Keeps the attempt number of a task that is placed again.
   bool ReuseAttempt = false;
 };
--- a/src/libbasilchute/committer.cpp
+++ b/src/libbasilchute/committer.cpp
@@ -88,8 +88,6 @@
     case ResultCode::Conflict:
       return onConflict(Reply.error());
     case ResultCode::OutcomeUnknown:
-      if (m_options.RepeatBlindly)
-        return requeue(m_options.RetryPause);
       return readBack();
     default:
       return requeue(m_options.RetryPause);
@@ -113,11 +111,8 @@
 
   // A conflict of several units says nothing of each, so each goes alone.
   void onConflict(const Error &Why) {
-    if (m_flight.size() > 1) {
-      for (Unit &Each : m_flight)
-        Each.Alone = true;
-      return requeue(milliseconds(0));
-    }
+    if (m_flight.size() > 1)
+      return requeueAlone(milliseconds(0));
     if (!m_flight.front().MaybeApplied)
       return failConflict(Why);
     m_conflict = Why;
@@ -154,7 +149,7 @@
 
   void onReadBack(Result<std::optional<Row>> Reply) {
     if (!Reply.has_value())
-      return requeue(m_options.RetryPause);
+      return requeueAlone(m_options.RetryPause);
     const Write &Probe = probeOf(m_flight.front());
     const std::optional<Row> &Found = Reply.value();
     if (Found && !Probe.Remove && Found->Writer == Probe.Writer)
@@ -166,15 +161,20 @@
       return failConflict(Why);
     }
     bool Unchanged = (Found ? Found->Version : 0) == Probe.ExpectedVersion;
-    if (m_flight.size() > 1 || Unchanged) {
-      for (Unit &Each : m_flight)
-        Each.Alone = true;
-      return requeue(m_options.RetryPause);
-    }
+    if (m_flight.size() > 1 || Unchanged)
+      return requeueAlone(m_options.RetryPause);
     failAll(makeError(ResultCode::Conflict,
                       fmt::format("row \"{}\" was changed", Probe.Key)));
   }
 
+  // What may have been applied must not share a transaction with anything else:
+  // its row would then speak for writes that it was never sent with.
+  void requeueAlone(milliseconds Pause) {
+    for (Unit &Each : m_flight)
+      Each.Alone = true;
+    requeue(Pause);
+  }
+
   void requeue(milliseconds Pause) {
     m_notBefore = m_time.now() + Pause;
     while (!m_flight.empty()) {
--- a/src/libbasilchute/router.cpp
+++ b/src/libbasilchute/router.cpp
@@ -149,10 +149,9 @@
     }
     for (const std::string &Worker : Workers) {
       CreditPurse &Purse = *purseOf(Worker);
-      Out.Demands.push_back(
-          {.Worker = Worker,
-           .Held = Purse.held(),
-           .Wanted = m_borrowing ? Purse.demand() : 0});
+      Out.Demands.push_back({.Worker = Worker,
+                             .Held = Purse.held(),
+                             .Wanted = m_borrowing ? Purse.demand() : 0});
     }
     return Out;
   }
--- a/src/libbasilchute/shardkeeper.cpp
+++ b/src/libbasilchute/shardkeeper.cpp
@@ -14,8 +14,7 @@
                                   const ShardClaim &Claim) {
   CommitterOptions Out{.WriterId = fmt::format("{}.{}.{}", Options.Self.Id,
                                                Claim.Shard, Claim.Epoch),
-                       .Window = Options.GroupCommitWindow,
-                       .RepeatBlindly = Options.Faults.RepeatBlindly};
+                       .Window = Options.GroupCommitWindow};
   if (!Options.Faults.SkipStoreFence)
     Out.Fence =
         Check{.Key = shardKey(Claim.Shard), .ExpectedVersion = Claim.Version};
@@ -225,11 +224,11 @@
   auto Link = m_links.find(Row.worker());
   if (Entry.isPlaced() && Link != m_links.end())
     Out.push_back(fmt::format(
-        "worker {}: {}, epoch {}, {} since the last report",
-        Row.worker(), Link->second.Reachable ? "reachable" : "unreachable",
+        "worker {}: {}, epoch {}, {} since the last report", Row.worker(),
+        Link->second.Reachable ? "reachable" : "unreachable",
         Link->second.Fenced ? "installed" : "not installed",
-        std::chrono::duration_cast<milliseconds>(
-            m_context.Time.now() - Link->second.LastReportAt)));
+        std::chrono::duration_cast<milliseconds>(m_context.Time.now() -
+                                                 Link->second.LastReportAt)));
   if (!m_context.MayStart())
     Out.push_back("this scheduler's lease has lapsed, so it starts nothing");
   if (m_releasing)
--- a/src/libbasilchute/shardkeeper_sync.cpp
+++ b/src/libbasilchute/shardkeeper_sync.cpp
@@ -21,9 +21,8 @@
   const SchedulerOptions &Options = m_context.Options;
   WorkerSync Request{.Worker = Link.info().Worker,
                      .Shard = m_claim.Shard,
-                     .Epoch = m_claim.Epoch};
-  bool MayDecide = Link.Fenced || Options.Faults.SkipFence;
-  if (MayDecide && m_context.MayExtendGrants())
+                     .Epoch = Options.Faults.SkipFence ? 1 : m_claim.Epoch};
+  if (Link.Fenced && m_context.MayExtendGrants())
     addOrders(Request, Link, Now);
   Link.SyncInFlight = true;
   Link.Urgent = false;
@@ -47,6 +46,10 @@
     if (Entry && Entry->belongsTo(Request.Worker))
       addTaskOrders(Request, *Entry);
   }
+  if (Options.Faults.ReleaseAtStopOrder)
+    for (const Order &Each : Request.Orders)
+      if (Each.Kind == OrderKind::Stop)
+        Link.release(Each.Task.Task);
   for (const TaskAttempt &Each : Link.Strays)
     Request.Orders.push_back({.Kind = OrderKind::Stop, .Task = Each});
   for (const TaskAttempt &Each : Link.Forget)
@@ -84,8 +87,6 @@
   if (Entry.Phase != StopPhase::Stop)
     return;
   Request.Orders.push_back({.Kind = OrderKind::Stop, .Task = Task});
-  if (m_context.Options.Faults.ReleaseAtStopOrder)
-    linkOf(Request.Worker)->release(Task.Task);
 }
 
 void ShardKeeper::onSync(const std::string &Worker,
--- a/src/libutil/httpclient_test.cpp
+++ b/src/libutil/httpclient_test.cpp
@@ -45,10 +45,11 @@
     // The first exchange leaves a connection that the server then closes on.
     Posts = 0;
     CHECK(sendOne(Client, {.Address = Server.address() + "/"}).has_value());
-    Result<HttpResponse> Reply = sendOne(Client, {.Method = "POST",
-                                                  .Address = Server.address() + "/",
-                                                  .Body = Body,
-                                                  .NeverResend = true});
+    Result<HttpResponse> Reply =
+        sendOne(Client, {.Method = "POST",
+                         .Address = Server.address() + "/",
+                         .Body = Body,
+                         .NeverResend = true});
     CHECK(Reply.has_value());
     CHECK(Posts == 1);
   }
@@ -105,10 +106,9 @@
   RawServer *Self = nullptr;
   RawServer Server([&](int Fd, int Number) {
     while (!Self->readRequest(Fd).empty())
-      RawServer::write(Fd, Number == 1
-                               ? Good + "HTTP/1.1 200 OK\r\n"
-                                        "Content-Length: 5\r\n\r\nstray"
-                               : Good);
+      RawServer::write(Fd, Number == 1 ? Good + "HTTP/1.1 200 OK\r\n"
+                                                "Content-Length: 5\r\n\r\nstray"
+                                       : Good);
   });
   Self = &Server;
   HttpClient Client({});
--- a/src/libutil/requestreader_test.cpp
+++ b/src/libutil/requestreader_test.cpp
@@ -58,7 +58,8 @@
 }
 
 TEST_CASE("two requests in one segment are read one after the other") {
-  std::string One = "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+  std::string One =
+      "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
   std::string Two = "GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
   RequestReader Reader(SmallLimits);
   size_t Used = 0;
@@ -75,8 +76,10 @@
   auto WithHead = [](std::string_view Lines) {
     return fmt::format("POST / HTTP/1.1\r\nHost: x\r\n{}\r\n", Lines);
   };
-  CHECK(statusOf(WithHead("Content-Length: 3\r\nContent-Length: 5\r\n")) == 400);
-  CHECK(statusOf(WithHead("Content-Length: 3\r\nContent-Length: 3\r\n")) == 400);
+  CHECK(statusOf(WithHead("Content-Length: 3\r\nContent-Length: 5\r\n")) ==
+        400);
+  CHECK(statusOf(WithHead("Content-Length: 3\r\nContent-Length: 3\r\n")) ==
+        400);
   CHECK(statusOf(WithHead("Content-Length: 3x\r\n")) == 400);
   CHECK(statusOf(WithHead("Content-Length: -3\r\n")) == 400);
   CHECK(statusOf(WithHead("Content-Length: +3\r\n")) == 400);
@@ -130,11 +133,13 @@
 }
 
 TEST_CASE("headers of one connection are stripped") {
-  std::vector<HttpHeader> Headers = {
-      {"Connection", "close, X-Own"}, {"X-Own", "1"},
-      {"Keep-Alive", "5"},            {"Content-Length", "3"},
-      {"Transfer-Encoding", "x"},     {"Cookie", "a"},
-      {"Cookie", "b"}};
+  std::vector<HttpHeader> Headers = {{"Connection", "close, X-Own"},
+                                     {"X-Own", "1"},
+                                     {"Keep-Alive", "5"},
+                                     {"Content-Length", "3"},
+                                     {"Transfer-Encoding", "x"},
+                                     {"Cookie", "a"},
+                                     {"Cookie", "b"}};
   stripHopByHop(Headers);
   REQUIRE(Headers.size() == 2);
   CHECK(Headers[0].Value == "a");
--- a/src/testing/fuzz_test.cpp
+++ b/src/testing/fuzz_test.cpp
@@ -31,9 +31,9 @@
 
 template <> struct Arbitrary<FuzzCommand> {
   static Gen<FuzzCommand> arbitrary() {
-    auto Kind = gen::map(
-        gen::inRange(0, static_cast<int>(FuzzKind::Count)),
-        [](int Number) { return static_cast<FuzzKind>(Number); });
+    auto Kind =
+        gen::map(gen::inRange(0, static_cast<int>(FuzzKind::Count)),
+                 [](int Number) { return static_cast<FuzzKind>(Number); });
     return gen::build<FuzzCommand>(
         gen::set(&FuzzCommand::Kind, Kind),
         gen::set(&FuzzCommand::A, gen::inRange<uint32_t>(0, 60)),
@@ -57,7 +57,6 @@
       {"skip_fit", &SchedulerFaults::SkipFit},
       {"reuse_attempt", &SchedulerFaults::ReuseAttempt},
       {"forget_grants", &SchedulerFaults::ForgetGrants},
-      {"repeat_blindly", &SchedulerFaults::RepeatBlindly},
   };
   return All;
 }
@@ -88,15 +87,16 @@
   if (std::getenv("BASILCHUTE_TRACE"))
     Trace = [](const std::string &Line) { fmt::print("{}\n", Line); };
   size_t Sessions = 0;
-  bool Good = rc::check(
-      "what must always hold does, whatever fails",
-      [&](const std::vector<FuzzCommand> &Commands) {
-        ++Sessions;
-        FuzzOutcome Outcome = runSession(bedOptions(), Commands, Trace);
-        if (Outcome.Violation)
-          RC_FAIL(fmt::format("after command {}: {}", Outcome.Step,
-                              *Outcome.Violation));
-      });
+  bool Good =
+      rc::check("what must always hold does, whatever fails",
+                [&](const std::vector<FuzzCommand> &Commands) {
+                  ++Sessions;
+                  FuzzOutcome Outcome =
+                      runSession(bedOptions(), Commands, Trace);
+                  if (Outcome.Violation)
+                    RC_FAIL(fmt::format("after command {}: {}", Outcome.Step,
+                                        *Outcome.Violation));
+                });
   fmt::print("{} sessions run\n", Sessions);
   fmt::print("{} passed, {} failed\n", Good ? 1 : 0, Good ? 0 : 1);
   return Good ? 0 : 1;
--- a/src/testing/fuzzplan.cpp
+++ b/src/testing/fuzzplan.cpp
@@ -11,14 +11,29 @@
 using namespace std::chrono_literals;
 
 constexpr std::array<std::string_view, static_cast<size_t>(FuzzKind::Count)>
-    Names = {"submit",           "submit_urgent", "cancel",
-             "configure",        "cordon",        "kill_node",
-             "start_node",       "pause_node",    "resume_node",
-             "restart_node",     "restart_worker", "kill_worker",
-             "revive_worker",    "cut_node_from_store",
-             "cut_node_from_worker", "store_down", "store_slow",
-             "lose_replies",     "worker_faults", "host_leaves",
-             "host_hidden",      "worker_fails",  "lose_domain",
+    Names = {"submit",
+             "submit_urgent",
+             "cancel",
+             "configure",
+             "cordon",
+             "kill_node",
+             "start_node",
+             "pause_node",
+             "resume_node",
+             "restart_node",
+             "restart_worker",
+             "kill_worker",
+             "revive_worker",
+             "cut_node_from_store",
+             "cut_node_from_worker",
+             "store_down",
+             "store_slow",
+             "lose_replies",
+             "worker_faults",
+             "host_leaves",
+             "host_hidden",
+             "worker_fails",
+             "lose_domain",
              "wait"};
 
 /// Every job finishes this long after the last fault: a dead owner's horizon,
@@ -45,8 +60,8 @@
         return {.Violation = Broken, .Step = I};
     }
     endFaults();
-    bool Finished = m_bed.runUntil(
-        [&] { return violation() || allFinished(); }, LivenessBound);
+    bool Finished = m_bed.runUntil([&] { return violation() || allFinished(); },
+                                   LivenessBound);
     if (auto Broken = violation())
       return {.Violation = Broken, .Step = Commands.size()};
     if (!Finished)
@@ -91,9 +106,7 @@
           trace(fmt::format("{}: {}", Node.Id, Each));
   }
 
-  size_t nodeIndex(uint32_t Number) const {
-    return Number % m_bed.nodeCount();
-  }
+  size_t nodeIndex(uint32_t Number) const { return Number % m_bed.nodeCount(); }
   std::string worker(uint32_t Number) const {
     std::vector<std::string> All = m_bed.workerNames();
     return All[Number % All.size()];
@@ -127,9 +140,9 @@
   }
 
   void cordon(const FuzzCommand &Command) {
-    m_bed.configure(++m_revision, {},
-                    {{.Worker = worker(Command.A),
-                      .Drain = Command.B % 2 == 0}});
+    m_bed.configure(
+        ++m_revision, {},
+        {{.Worker = worker(Command.A), .Drain = Command.B % 2 == 0}});
   }
 
   void loseDomain(uint32_t Number) {
--- a/src/testing/oracle.cpp
+++ b/src/testing/oracle.cpp
@@ -21,8 +21,7 @@
     return;
   if (!m_resumed.insert(Task.ResumedFrom + "@" + Id).second &&
       !m_lostSince.contains(Id))
-    violate(fmt::format("task {} resumes twice from {}", Id,
-                        Task.ResumedFrom));
+    violate(fmt::format("task {} resumes twice from {}", Id, Task.ResumedFrom));
   m_lostSince.erase(Id);
 }
 
--- a/src/testing/testbed.cpp
+++ b/src/testing/testbed.cpp
@@ -13,8 +13,8 @@
   FakeTableStore(TestBed &Bed, size_t Node) : m_bed(Bed), m_node(Node) {}
 
   void get(const std::string &Key, GetDone Done) override {
-    read<std::optional<Row>>([Key](TestBed &Bed) { return Bed.tables().get(Key); },
-                             std::move(Done));
+    read<std::optional<Row>>(
+        [Key](TestBed &Bed) { return Bed.tables().get(Key); }, std::move(Done));
   }
   void scan(const std::string &Prefix, ScanDone Done) override {
     read<std::vector<Row>>(
@@ -40,9 +40,8 @@
           makeError(ResultCode::Unavailable, "table store unreachable");
       if (Bed.storeReachable(Node))
         Reply = Read(Bed);
-      Bed.deliver(Node, Bed.StoreDelay, [Finished, Reply]() mutable {
-        Finished(std::move(Reply));
-      });
+      Bed.deliver(Node, Bed.StoreDelay,
+                  [Finished, Reply]() mutable { Finished(std::move(Reply)); });
     });
   }
 
