--- a/src/basilchute-entry/entrydaemon.cpp
+++ b/src/basilchute-entry/entrydaemon.cpp
@@ -194,6 +194,10 @@
     m_operators->start(*m_membership);
     m_base.Feed.OnChange = [this](const Configuration &Next) {
       m_base.log("config_applied", fmt::format("revision={}", Next.Revision));
+      std::set<std::string> Names;
+      for (const ServiceSpec &Each : Next.Services)
+        Names.insert(Each.Name);
+      m_router.setServices(std::move(Names));
     };
   });
   m_base.Loop.every(TickEvery, [this] { tick(); });
--- a/src/basilchute-sched/scheddaemon.cpp
+++ b/src/basilchute-sched/scheddaemon.cpp
@@ -86,6 +86,7 @@
               .GrantHorizon = Values.duration("owner.grant_horizon_ms")};
   Out.Division = layoutOf(Values);
   Out.Membership = membershipOptions(Values, Out.Self);
+  Out.ShardScanEvery = Out.Membership.ScanEvery;
   Out.TaskLease = Values.duration("task.lease_ms");
   Out.SyncEvery = Values.duration("task.sync_ms");
   Out.UnreachableAfter = 3 * Out.SyncEvery;
--- a/src/basilchute-standin/platform.cpp
+++ b/src/basilchute-standin/platform.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/// Time after which a leaving worker may get no new requests.
+constexpr milliseconds LeavingLimit{3000};
 constexpr std::string_view RequestIdHeader = "Basilchute-Request-Id";
 
 HttpResponse protoAnswer(const google::protobuf::Message &From) {
@@ -211,7 +213,7 @@
   if (Found == m_workers.end())
     return textAnswer(404, fmt::format("worker \"{}\" does not exist\n", Name));
   if (Action == "leave")
-    m_leaving.insert(Name);
+    m_leaving.emplace(Name, now());
   else if (Action == "stay")
     m_leaving.erase(Name);
   else if (Action == "die" || Action == "restart")
@@ -227,10 +229,12 @@
   std::string Out = fmt::format(
       "{{\"requests\":{},\"doubled\":{},\"task_starts\":{},"
       "\"task_finishes\":{},\"task_stops\":{},\"commits\":{},\"reads\":{},"
-      "\"most_requests_at_once\":{},\"violations\":{}}}\n",
+      "\"most_requests_at_once\":{},\"requests_at_leaving\":{},\"violations\":{"
+      "}}}\n",
       m_record.Requests, m_record.Doubled, m_record.TaskStarts,
       m_record.TaskFinishes, m_record.TaskStops, m_record.Commits,
-      m_record.Reads, m_record.MostRequestsAtOnce, m_record.Violations.size());
+      m_record.Reads, m_record.MostRequestsAtOnce, m_record.RequestsAtLeaving,
+      m_record.Violations.size());
   return {.Headers = {{"Content-Type", "application/json"}},
           .Body = std::move(Out)};
 }
@@ -290,6 +294,9 @@
     violate(fmt::format("worker {} answers {} requests at once", Name,
                         Of.InFlight));
   ++m_record.Requests;
+  auto Leaving = m_leaving.find(Name);
+  if (Leaving != m_leaving.end() && now() - Leaving->second >= LeavingLimit)
+    ++m_record.RequestsAtLeaving;
   if (const std::string *Id = findHeader(Request.Headers, RequestIdHeader)) {
     uint32_t Times = ++m_requestIds[*Id];
     const std::string *Mark =
--- a/src/basilchute-standin/platform.h
+++ b/src/basilchute-standin/platform.h
@@ -34,6 +34,9 @@
   uint64_t Commits = 0;
   uint64_t Reads = 0;
   uint32_t MostRequestsAtOnce = 0;
+  /// Requests that began three seconds or more after their worker was listed as
+  /// leaving.
+  uint64_t RequestsAtLeaving = 0;
   std::vector<std::string> Violations;
 };
 
@@ -86,7 +89,8 @@
   std::map<std::string, Worker> m_workers;
   std::map<std::string, std::set<std::string>> m_running;
   std::set<TaskAttempt> m_started;
-  std::set<std::string> m_leaving;
+  /// Leaving workers with the time since when they are.
+  std::map<std::string, milliseconds> m_leaving;
   std::map<std::string, uint32_t> m_requestIds;
   PlatformRecord m_record;
   bool m_storeDown = false;
--- a/src/include/basilchute/router.h
+++ b/src/include/basilchute/router.h
@@ -83,7 +83,7 @@
   /// there is another, or none if no slot is free.
   std::optional<EndpointPick> pick(std::string_view Service,
                                    const std::vector<std::string> &Avoid);
-  /// Returns true if \p Service has any endpoint.
+  /// Returns true if \p Service exists or has any endpoint.
   bool knows(std::string_view Service) const;
   /// Records how the attempt at \p Of ended.
   void finish(const EndpointPick &Of, AttemptOutcome How);
@@ -92,6 +92,9 @@
   /// a lower epoch than known are dropped. Returns true if the routes changed,
   /// so that credits for new workers can be asked for at once.
   bool update(const std::vector<ShardRoutes> &Answer, TimePoint AskedAt);
+  /// States which services exist, so that requests for one that has no endpoint
+  /// just now wait for it.
+  void setServices(std::set<std::string> Names);
   /// Takes out all endpoints on \p Workers.
   void setLeaving(std::set<std::string> Workers);
   /// What is to be asked for, for workers of the shards last owned by the
--- a/src/libbasilchute/configfeed.cpp
+++ b/src/libbasilchute/configfeed.cpp
@@ -242,10 +242,9 @@
   }
 
   void onWritten(uint64_t Revision, const Result<uint64_t> &Reply) {
-    if (Reply.has_value()) {
-      m_pollAt = {};
-      return finishChange(Revision);
-    }
+    // The change is in force here before its operator hears of it.
+    if (Reply.has_value())
+      return readAll([this, Revision](bool) { finishChange(Revision); });
     // A change without a base is made again on the newer revision.
     if (m_changes.front().Change.BaseRevision == 0 &&
         m_time.now() < m_changes.front().GiveUpAt)
--- a/src/libbasilchute/router.cpp
+++ b/src/libbasilchute/router.cpp
@@ -74,7 +74,7 @@
                                    const std::vector<std::string> &Avoid) {
     RcuSection Section;
     const auto *All = find(Service);
-    if (!All)
+    if (!All || All->empty())
       return std::nullopt;
     TimePoint Now = m_time.now();
     bool MayEject = ejectedPercent(*All, Now) <= m_options.MaxEjectedPercent;
@@ -129,6 +129,13 @@
     return Changed;
   }
 
+  void setServices(std::set<std::string> Names) {
+    if (Names == m_services)
+      return;
+    m_services = std::move(Names);
+    rebuild();
+  }
+
   void setLeaving(std::set<std::string> Workers) {
     if (Workers == m_leaving)
       return;
@@ -295,6 +302,8 @@
 
   void rebuild() {
     auto *Fresh = new RouteTable;
+    for (const std::string &Name : m_services)
+      Fresh->Services[Name];
     for (const auto &[Name, Each] : m_shards) {
       for (const ReplicaRoute &Route : Each.Routes) {
         if (m_leaving.contains(Route.Worker))
@@ -317,6 +326,7 @@
   std::map<std::string, std::shared_ptr<CreditPurse>> m_purses;
   std::map<std::string, std::weak_ptr<Endpoint>> m_endpoints;
   std::set<std::string> m_leaving;
+  std::set<std::string> m_services;
   bool m_borrowing = true;
 };
 
@@ -336,6 +346,9 @@
 bool Router::update(const std::vector<ShardRoutes> &Answer, TimePoint AskedAt) {
   return m_impl->update(Answer, AskedAt);
 }
+void Router::setServices(std::set<std::string> Names) {
+  m_impl->setServices(std::move(Names));
+}
 void Router::setLeaving(std::set<std::string> Workers) {
   m_impl->setLeaving(std::move(Workers));
 }
--- a/src/libdaemon/daemonbase.cpp
+++ b/src/libdaemon/daemonbase.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr milliseconds StoreRetryPause{500};
+/// Reads of the member rows within the time after which one counts as dead.
+constexpr int ScansPerTimeout = 5;
 
 } // namespace
 
@@ -30,7 +32,8 @@
 MembershipOptions membershipOptions(const Settings &Values, Member Self) {
   return {.Self = std::move(Self),
           .RenewEvery = Values.duration("member.renew_ms"),
-          .Timeout = Values.duration("member.timeout_ms")};
+          .Timeout = Values.duration("member.timeout_ms"),
+          .ScanEvery = Values.duration("member.timeout_ms") / ScansPerTimeout};
 }
 
 DaemonBase::DaemonBase(const Settings &Values, std::string Component)
@@ -97,6 +100,11 @@
 
 Status DaemonBase::listenStatus(HttpServerOptions Options) {
   Options.Listen = Values.text("status.listen");
+  Options.OnRefusal = [](int Status, const std::string &Reason) {
+    bool TooLarge = Status == 413 || Status == 431;
+    return connectError(makeError(
+        TooLarge ? ResultCode::TooLarge : ResultCode::InvalidArgument, Reason));
+  };
   StatusServer = std::make_unique<HttpServer>(
       std::move(Options), [this](const HttpRequest &Request, Responder Answer) {
         serveStatus(Request, std::move(Answer));
--- a/src/libutil/httpserver.cpp
+++ b/src/libutil/httpserver.cpp
@@ -141,6 +141,9 @@
     HttpResponse Answer{.Status = m_reader.badStatus(),
                         .Headers = {{"Content-Type", "text/plain"}},
                         .Body = m_reader.badReason() + "\n"};
+    if (m_server.Options.OnRefusal)
+      Answer = m_server.Options.OnRefusal(m_reader.badStatus(),
+                                          m_reader.badReason());
     write(encodeHead(Answer, false) + Answer.Body, true);
   }
 
--- a/src/libutil/httpserver.h
+++ b/src/libutil/httpserver.h
@@ -43,6 +43,9 @@
   milliseconds ReceiveTimeout{20000};
   /// Longest time that a connection may wait for its next request.
   milliseconds IdleTimeout{60000};
+  /// Makes the answer to a request that was refused while it was read; none
+  /// answers with plain text.
+  std::function<HttpResponse(int Status, const std::string &Reason)> OnRefusal;
 };
 
 /// Serves requests; one connection's requests are answered in order.
