Benchmark of the scheduler core at three sizes

Change: basilchute_bench drives the real core on fakes at 210, 420 and 840 workers with 31 tasks each: store traffic, processor time, bytes, memory, time without an owner, 120 starts/s, urgent starts.

--- /dev/null
+++ b/src/testing/bench.cpp
@@ -0,0 +1,232 @@
+// Measures the scheduler core at several sizes on fakes, one JSON line a value.
+//
+// Processor times are of the schedulers' own code alone; seconds are virtual
+// unless a name says otherwise.
+
+#include "basilchute/credits.h"
+#include "http.worker/workercodec.h"
+#include "testing/testbed.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <malloc.h>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint32_t Domains = 6;
+constexpr uint32_t Schedulers = 7;
+constexpr uint32_t TasksPerWorker = 31;
+/// Bytes of HTTP heads around one exchange, request and answer.
+constexpr size_t HeadBytes = 330;
+
+void emit(std::string_view Name, double Value, std::string_view Unit,
+          std::string_view Baseline) {
+  fmt::print("{{\"name\":\"{}\",\"value\":{:.6g},\"unit\":\"{}\","
+             "\"baseline\":\"{}\"}}\n",
+             Name, Value, Unit, Baseline);
+}
+
+TestBedOptions fleet(uint32_t Workers) {
+  uint32_t PerDomain = Workers / Domains;
+  return {.Schedulers = Schedulers,
+          .Domains = Domains,
+          .WorkersPerDomain = PerDomain,
+          .ShardsPerDomain = std::max<uint32_t>(1, PerDomain / 28),
+          .WorkerCapacity = {.Millicores = 32000, .MemoryMib = 125000},
+          .Tick = 20ms};
+}
+
+double seconds(nanoseconds Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+/// Fills the fleet with long tasks through one job a shard.
+std::vector<TestJob> fill(TestBed &Bed, uint32_t Workers) {
+  std::vector<TestJob> Jobs;
+  std::map<std::string, uint32_t> InShard;
+  for (const auto &[Name, Model] : Bed.workers())
+    ++InShard[Bed.layout().shardOf(Name, Model.info().FailureDomain)];
+  for (const auto &[Shard, Count] : InShard)
+    Jobs.push_back({.Name = "fill-" + std::to_string(Jobs.size()),
+                    .Shard = Shard,
+                    .Tasks = Count * TasksPerWorker,
+                    .Demand = {.Millicores = 1000, .MemoryMib = 3000},
+                    .Work = std::chrono::hours(10)});
+  for (const TestJob &Job : Jobs)
+    Bed.submit(Job);
+  Bed.runUntil(
+      [&] { return Bed.oracle().starts().size() >= Workers * TasksPerWorker; },
+      120s);
+  return Jobs;
+}
+
+/// Cost of standing still with a full fleet.
+void measureIdle(TestBed &Bed, uint32_t Workers, const std::string &Size) {
+  constexpr auto Span = 20s;
+  size_t Bytes = 0;
+  uint64_t Syncs = 0;
+  Bed.OnSync = [&](const WorkerSync &Request, const WorkerReport &Report) {
+    ++Syncs;
+    Bytes += encodeSync(Request).ByteSizeLong() +
+             encodeReport(Report).ByteSizeLong() + HeadBytes;
+  };
+  uint64_t Commits = Bed.commits();
+  uint64_t Reads = Bed.storeReads();
+  Bed.CoreTime = 0ns;
+  Bed.run(Span);
+  Bed.OnSync = {};
+  double Wall = seconds(Span);
+  emit("idle_store_commits_" + Size, (Bed.commits() - Commits) / Wall, "1/s",
+       "several hundred writes/s");
+  emit("idle_store_reads_" + Size, (Bed.storeReads() - Reads) / Wall, "1/s",
+       "2000 reads/s");
+  emit("idle_core_per_scheduler_" + Size,
+       100.0 * seconds(Bed.CoreTime) / Wall / Schedulers, "% of a core",
+       "1.9");
+  emit("worker_link_bytes_" + Size, Bytes / Wall / Workers, "B/s a worker",
+       "30000");
+  emit("worker_syncs_" + Size, Syncs / Wall, "1/s", "");
+}
+
+void measureMemory(TestBed &Bed, uint32_t Workers, const std::string &Size) {
+  size_t Before = mallinfo2().uordblks;
+  for (size_t I = 0; I < Bed.nodes().size(); ++I)
+    Bed.killNode(I);
+  size_t Freed = Before - mallinfo2().uordblks;
+  emit("sched_memory_" + Size, static_cast<double>(Freed) / Schedulers / 1048576,
+       "MiB a scheduler", "32");
+  emit("sched_memory_per_task_" + Size,
+       static_cast<double>(Freed) / (Workers * TasksPerWorker),
+       "B a task with its share of all else", "");
+}
+
+/// A scheduler dies under a full fleet.
+void measureTakeover(TestBed &Bed, const std::string &Size) {
+  size_t All = Bed.layout().shards().size();
+  Bed.killNode(0);
+  milliseconds Died = Bed.now();
+  Bed.CoreTime = 0ns;
+  Bed.runUntil([&] { return Bed.ownedShards() == All; }, 60s);
+  emit("without_owner_" + Size, seconds(Bed.now() - Died), "s", "6");
+  emit("takeover_core_" + Size, 1000 * seconds(Bed.CoreTime),
+       "ms of processor time, all schedulers", "");
+  Bed.startNode(0);
+  Bed.run(20s);
+}
+
+/// Short tasks at the target's peak rate.
+void measureRate(TestBed &Bed, uint32_t Workers, const std::string &Size) {
+  constexpr auto Span = 20s;
+  constexpr uint32_t JobsPerSecond = 4;
+  uint32_t TasksPerJob = std::max<uint32_t>(1, 30 * Workers / 840);
+  std::vector<std::string> Shards = Bed.layout().shards();
+  uint64_t Commits = Bed.commits();
+  uint64_t Reads = Bed.storeReads();
+  size_t Started = Bed.oracle().starts().size();
+  Bed.CoreTime = 0ns;
+  std::vector<TestJob> Jobs;
+  for (int Second = 0; Second < Span / 1s; ++Second) {
+    for (uint32_t I = 0; I < JobsPerSecond; ++I) {
+      Jobs.push_back({.Name = fmt::format("rate-{}-{}", Second, I),
+                      .Shard = Shards[Jobs.size() % Shards.size()],
+                      .Tasks = TasksPerJob,
+                      .Demand = {.Millicores = 100, .MemoryMib = 100},
+                      .Work = 1s});
+      Bed.submit(Jobs.back());
+    }
+    Bed.run(1s);
+  }
+  double Wall = seconds(Span);
+  double Starts =
+      static_cast<double>(Bed.oracle().starts().size() - Started) / Wall;
+  emit("starts_" + Size, Starts, "1/s", "120");
+  emit("busy_store_commits_" + Size, (Bed.commits() - Commits) / Wall, "1/s",
+       "several hundred writes/s");
+  emit("busy_store_reads_" + Size, (Bed.storeReads() - Reads) / Wall, "1/s",
+       "2000 reads/s");
+  emit("busy_core_per_scheduler_" + Size,
+       100.0 * seconds(Bed.CoreTime) / Wall / Schedulers, "% of a core",
+       "1.9");
+}
+
+/// An urgent task finds every worker of its shard full of batch work.
+void measureUrgent() {
+  std::vector<double> Starts;
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    TestBed Bed({.Seed = Seed});
+    Bed.run(3s);
+    Bed.submit({.Name = "batch",
+                .Shard = "a.0",
+                .Tasks = 24,
+                .Demand = {.Millicores = 1000, .MemoryMib = 1000},
+                .Work = 600s});
+    Bed.run(milliseconds(4000 + 37 * Seed));
+    milliseconds Asked = Bed.now();
+    Bed.submit({.Name = "urgent",
+                .Shard = "a.0",
+                .Demand = {.Millicores = 4000, .MemoryMib = 2000},
+                .Work = 1s,
+                .Urgent = true});
+    Bed.runUntil([&] { return Bed.oracle().starts().contains("urgent/0"); },
+                 60s);
+    Starts.push_back(seconds(Bed.now() - Asked));
+  }
+  std::sort(Starts.begin(), Starts.end());
+  emit("urgent_start_median", Starts[Starts.size() / 2], "s", "9.5");
+  emit("urgent_start_worst_of_20", Starts.back(), "s", "9.5");
+}
+
+/// Bytes and processor time of lending all slots of the fleet to seven entries.
+void measureCredits() {
+  constexpr uint32_t Workers = 840;
+  constexpr uint32_t Entries = 7;
+  std::vector<CreditLender> Lenders(Workers,
+                                    CreditLender(CreditLenderOptions{}, {}));
+  ManualClock Time;
+  auto Begin = std::chrono::steady_clock::now();
+  uint64_t Lends = 0;
+  for (int Round = 0; Round < 50; ++Round) {
+    for (uint32_t Entry = 0; Entry < Entries; ++Entry)
+      for (CreditLender &Each : Lenders) {
+        Each.lend(fmt::format("e{}", Entry), 1, 1 + Round % 3, Time.now());
+        ++Lends;
+      }
+    Time.advance(100ms);
+  }
+  auto Took = std::chrono::steady_clock::now() - Begin;
+  emit("credit_lend", static_cast<double>(Took.count()) / Lends, "ns", "");
+}
+
+} // namespace
+
+int main() {
+  for (uint32_t Workers : {210U, 420U, 840U}) {
+    std::string Size = std::to_string(Workers) + "w";
+    TestBed Bed(fleet(Workers));
+    Bed.run(5s);
+    Bed.CoreTime = 0ns;
+    uint64_t Commits = Bed.commits();
+    fill(Bed, Workers);
+    emit("fill_core_" + Size, 1e6 * seconds(Bed.CoreTime) /
+                                  (Workers * TasksPerWorker),
+         "us of processor time a placement", "");
+    emit("fill_commits_per_task_" + Size,
+         static_cast<double>(Bed.commits() - Commits) /
+             (Workers * TasksPerWorker),
+         "transactions a task", "2");
+    measureIdle(Bed, Workers, Size);
+    measureTakeover(Bed, Size);
+    measureRate(Bed, Workers, Size);
+    measureMemory(Bed, Workers, Size);
+    if (!Bed.oracle().violations().empty()) {
+      fmt::print(stderr, "{}\n", Bed.oracle().violations().front());
+      return 1;
+    }
+  }
+  measureUrgent();
+  measureCredits();
+  return 0;
+}
--- a/src/testing/testbed.cpp
+++ b/src/testing/testbed.cpp
@@ -3,6 +3,7 @@
 #include "libbasilchute/rows.h"
 
 #include <algorithm>
+#include <ctime>
 #include <fmt/format.h>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -220,7 +221,18 @@
   }
   for (TestNode &Each : m_nodes)
     if (Each.Core && !Each.Paused)
-      Each.Core->tick();
+      timed([&] { Each.Core->tick(); });
+}
+
+void TestBed::timed(const std::function<void()> &Action) {
+  auto Read = [] {
+    timespec Time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
+    return std::chrono::seconds(Time.tv_sec) + nanoseconds(Time.tv_nsec);
+  };
+  nanoseconds Before = Read();
+  Action();
+  CoreTime += Read() - Before;
 }
 
 void TestBed::advanceWorkers() {
@@ -234,13 +246,13 @@
 
 void TestBed::deliver(TestNode &Node, milliseconds Delay,
                       std::function<void()> Reply) {
-  after(Delay, [&Node, Life = Node.Life, Reply = std::move(Reply)] {
+  after(Delay, [this, &Node, Life = Node.Life, Reply = std::move(Reply)] {
     if (Node.Life != Life)
       return;
     if (Node.Paused)
       Node.Backlog.push_back(Reply);
     else
-      Reply();
+      timed(Reply);
   });
 }
 
@@ -298,6 +310,8 @@
     if (m_deadWorkers.contains(Worker))
       return;
     WorkerReport Report = m_workers.at(Worker).sync(Request, m_now);
+    if (OnSync)
+      OnSync(Request, Report);
     if (ReplyLost || Node.Life != Life)
       return;
     deliver(Node, NetworkDelay, [AnswerOnce, Report] { AnswerOnce(Report); });
--- a/src/testing/testbed.h
+++ b/src/testing/testbed.h
@@ -128,6 +128,10 @@
   /// Workers on which every start fails.
   std::set<std::string> FailingWorkers;
 
+  /// Processor time that the schedulers' own code took.
+  nanoseconds CoreTime{0};
+  /// Called with every exchange with a worker that arrives.
+  std::function<void(const WorkerSync &, const WorkerReport &)> OnSync;
   /// Called with one line for every event of a scheduler.
   std::function<void(const std::string &)> OnLine;
 
@@ -172,6 +176,7 @@
   void addWorkers();
   void step();
   void advanceWorkers();
+  void timed(const std::function<void()> &Action);
 
   TestBedOptions m_options;
   Layout m_layout;
