Placement looks at one view of the workers for all that waits

Change: links count their replicas; one view a round is kept up to date by each choice; replicas of one service are counted only for that service.

--- a/src/libbasilchute/layout.cpp
+++ b/src/libbasilchute/layout.cpp
@@ -62,6 +62,8 @@
       if (!Best || preference(Shard, Each) > preference(Shard, *Best))
         Best = &Each;
     }
+    if (!Best)
+      continue;
     Out[Shard] = Best->Id;
     ++Taken[Best->Id];
   }
--- a/src/libbasilchute/shardkeeper.cpp
+++ b/src/libbasilchute/shardkeeper.cpp
@@ -98,7 +98,7 @@
                                             m_claim.InheritedHorizon);
     if (New)
       Found->second.Listed = false;
-    Found->second.hold(Id, Entry.demand());
+    Found->second.hold(Id, Entry.demand(), !Entry.Row.service().empty());
   }
   if (m_wantedReplicas)
     updateReplicas(*m_wantedReplicas);
--- a/src/libbasilchute/shardkeeper.h
+++ b/src/libbasilchute/shardkeeper.h
@@ -90,8 +90,12 @@
 
   // Decisions (shardkeeper_decide.cpp).
   void placeWaiting(TimePoint Now);
-  bool place(TaskEntry &Entry, TimePoint Now);
-  std::vector<PlacementWorker> placementView(const TaskEntry &For);
+  bool place(TaskEntry &Entry, std::vector<PlacementWorker> &View,
+             TimePoint Now);
+  /// Workers that may take tasks, without the counts of one service.
+  std::vector<PlacementWorker> placementView() const;
+  void countReplicas(std::vector<PlacementWorker> &View,
+                     const std::string &Service);
   void planEviction(const TaskEntry &For);
   void stopPlanned(TaskEntry &Entry, bool Evicting, std::string_view Why);
   void advanceStops(TimePoint Now);
--- a/src/libbasilchute/shardkeeper_decide.cpp
+++ b/src/libbasilchute/shardkeeper_decide.cpp
@@ -23,9 +23,12 @@
     return;
   m_placeDirty = false;
   m_placeAt = Now + PlaceRetryEvery;
+  if (m_book.waiting().empty())
+    return;
   std::vector<std::string> Ready;
   for (const auto &[Class, Sequence, Id] : m_book.waiting())
     Ready.push_back(Id);
+  std::vector<PlacementWorker> View = placementView();
   // Within one class a demand that found no room need not be tried again.
   std::vector<std::pair<TaskClass, Resources>> NoRoom;
   for (const std::string &Id : Ready) {
@@ -35,7 +38,7 @@
     std::pair<TaskClass, Resources> Need{Entry->taskClass(), Entry->demand()};
     if (std::find(NoRoom.begin(), NoRoom.end(), Need) != NoRoom.end())
       continue;
-    if (place(*Entry, Now))
+    if (place(*Entry, View, Now))
       continue;
     NoRoom.push_back(Need);
     bool MayEvict = Need.first != TaskClass::Batch &&
@@ -45,34 +48,44 @@
   }
 }
 
-std::vector<PlacementWorker> ShardKeeper::placementView(const TaskEntry &For) {
+std::vector<PlacementWorker> ShardKeeper::placementView() const {
   std::vector<PlacementWorker> View;
-  std::map<std::string_view, uint32_t> SameInRack;
-  for (auto &[Id, Link] : m_links) {
+  for (const auto &[Id, Link] : m_links) {
     if (!mayTake(Link))
       continue;
-    PlacementWorker Each{.Id = Id,
-                         .Rack = Link.info().Rack,
-                         .Capacity = Link.info().Capacity,
-                         .Free = Link.free()};
-    for (const auto &[Task, Demand] : Link.holds()) {
+    auto Services = static_cast<uint32_t>(Link.serviceHolds());
+    View.push_back(
+        {.Id = Id,
+         .Rack = Link.info().Rack,
+         .Capacity = Link.info().Capacity,
+         .Free = Link.free(),
+         .Services = Services,
+         .Batch = static_cast<uint32_t>(Link.holds().size()) - Services});
+  }
+  return View;
+}
+
+void ShardKeeper::countReplicas(std::vector<PlacementWorker> &View,
+                                const std::string &Service) {
+  std::map<std::string_view, uint32_t> InRack;
+  for (PlacementWorker &Each : View) {
+    Each.SameService = 0;
+    for (const auto &[Task, Demand] :
+         m_links.at(std::string(Each.Id)).holds()) {
       const TaskEntry *Other = m_book.find(Task);
-      bool IsService = Other && !Other->Row.service().empty();
-      ++(IsService ? Each.Services : Each.Batch);
-      if (IsService && Other->Row.service() == For.Row.service())
-        ++Each.SameService;
+      Each.SameService += Other && Other->Row.service() == Service;
     }
-    SameInRack[Each.Rack] += Each.SameService;
-    View.push_back(Each);
+    InRack[Each.Rack] += Each.SameService;
   }
   for (PlacementWorker &Each : View)
-    Each.SameServiceInRack = SameInRack[Each.Rack];
-  return View;
+    Each.SameServiceInRack = InRack[Each.Rack];
 }
 
-bool ShardKeeper::place(TaskEntry &Entry, TimePoint Now) {
-  std::vector<PlacementWorker> View = placementView(Entry);
+bool ShardKeeper::place(TaskEntry &Entry, std::vector<PlacementWorker> &View,
+                        TimePoint Now) {
   const v1::TaskRow &Old = Entry.Row;
+  if (!Old.service().empty())
+    countReplicas(View, Old.service());
   PlacementTask Task{.Id = Old.id(),
                      .Service = Old.service(),
                      .WorkKind = Old.kind(),
@@ -91,7 +104,9 @@
   }
   Entry.WaitReason.clear();
   std::string Worker(View[*Choice].Id);
-  linkOf(Worker)->hold(Old.id(), Entry.demand());
+  linkOf(Worker)->hold(Old.id(), Entry.demand(), !Old.service().empty());
+  View[*Choice].Free -= Entry.demand();
+  ++(Old.service().empty() ? View[*Choice].Batch : View[*Choice].Services);
   v1::TaskRow Row = Old;
   Row.set_state(v1::TASK_PLACED);
   Row.set_worker(Worker);
--- a/src/libbasilchute/shardkeeper_sync.cpp
+++ b/src/libbasilchute/shardkeeper_sync.cpp
@@ -176,7 +176,7 @@
     Link.Strays.insert(Report.Task);
     Link.Urgent |= !Report.Stopping;
     if (!Link.holds().contains(Id))
-      Link.hold(Id, Report.Demand);
+      Link.hold(Id, Report.Demand, !Report.Address.empty());
     return;
   }
   Link.Forget.insert(Report.Task);
--- a/src/libbasilchute/workerlink.cpp
+++ b/src/libbasilchute/workerlink.cpp
@@ -4,8 +4,11 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
-void WorkerLink::hold(const std::string &Task, const Resources &Demand) {
+void WorkerLink::hold(const std::string &Task, const Resources &Demand,
+                      bool IsService) {
   release(Task);
+  if (IsService)
+    m_serviceHolds.insert(Task);
   m_holds[Task] = Demand;
   m_held += Demand;
 }
@@ -16,6 +19,7 @@
     return;
   m_held -= Found->second;
   m_holds.erase(Found);
+  m_serviceHolds.erase(Task);
 }
 
 void WorkerLink::noteGrant(nanoseconds Lease, int DriftPermille) {
--- a/src/libbasilchute/workerlink.h
+++ b/src/libbasilchute/workerlink.h
@@ -28,7 +28,9 @@
   void setInfo(Host Info) { m_info = std::move(Info); }
 
   /// Keeps room for \p Task; a repeat changes the amount.
-  void hold(const std::string &Task, const Resources &Demand);
+  void hold(const std::string &Task, const Resources &Demand, bool IsService);
+  /// Replicas of services among the holds.
+  size_t serviceHolds() const { return m_serviceHolds.size(); }
   /// Gives the room of \p Task back; no effect if none is held.
   void release(const std::string &Task);
   /// Tasks that room is held for.
@@ -72,6 +74,7 @@
 private:
   Host m_info;
   std::map<std::string, Resources> m_holds;
+  std::set<std::string> m_serviceHolds;
   Resources m_held;
   std::string m_incarnation;
   milliseconds m_stamp{0};
--- a/src/testing/bench.cpp
+++ b/src/testing/bench.cpp
@@ -84,8 +84,7 @@
   emit("idle_store_reads_" + Size, (Bed.storeReads() - Reads) / Wall, "1/s",
        "2000 reads/s");
   emit("idle_core_per_scheduler_" + Size,
-       100.0 * seconds(Bed.CoreTime) / Wall / Schedulers, "% of a core",
-       "1.9");
+       100.0 * seconds(Bed.CoreTime) / Wall / Schedulers, "% of a core", "1.9");
   emit("worker_link_bytes_" + Size, Bytes / Wall / Workers, "B/s a worker",
        "30000");
   emit("worker_syncs_" + Size, Syncs / Wall, "1/s", "");
@@ -96,8 +95,9 @@
   for (size_t I = 0; I < Bed.nodes().size(); ++I)
     Bed.killNode(I);
   size_t Freed = Before - mallinfo2().uordblks;
-  emit("sched_memory_" + Size, static_cast<double>(Freed) / Schedulers / 1048576,
-       "MiB a scheduler", "32");
+  emit("sched_memory_" + Size,
+       static_cast<double>(Freed) / Schedulers / 1048576, "MiB a scheduler",
+       "32");
   emit("sched_memory_per_task_" + Size,
        static_cast<double>(Freed) / (Workers * TasksPerWorker),
        "B a task with its share of all else", "");
@@ -148,8 +148,7 @@
   emit("busy_store_reads_" + Size, (Bed.storeReads() - Reads) / Wall, "1/s",
        "2000 reads/s");
   emit("busy_core_per_scheduler_" + Size,
-       100.0 * seconds(Bed.CoreTime) / Wall / Schedulers, "% of a core",
-       "1.9");
+       100.0 * seconds(Bed.CoreTime) / Wall / Schedulers, "% of a core", "1.9");
 }
 
 /// An urgent task finds every worker of its shard full of batch work.
@@ -210,8 +209,8 @@
     Bed.CoreTime = 0ns;
     uint64_t Commits = Bed.commits();
     fill(Bed, Workers);
-    emit("fill_core_" + Size, 1e6 * seconds(Bed.CoreTime) /
-                                  (Workers * TasksPerWorker),
+    emit("fill_core_" + Size,
+         1e6 * seconds(Bed.CoreTime) / (Workers * TasksPerWorker),
          "us of processor time a placement", "");
     emit("fill_commits_per_task_" + Size,
          static_cast<double>(Bed.commits() - Commits) /
--- a/src/testing/rawsocket.cpp
+++ b/src/testing/rawsocket.cpp
@@ -63,7 +63,8 @@
     : m_onConnection(std::move(OnConnection)),
       m_fd(socket(AF_INET, SOCK_STREAM, 0)) {
   sockaddr_in At = loopback(0);
-  bind(m_fd, reinterpret_cast<sockaddr *>(&At), sizeof(At));
+  if (bind(m_fd, reinterpret_cast<sockaddr *>(&At), sizeof(At)) != 0)
+    throw std::runtime_error("cannot bind a loopback port");
   listen(m_fd, 64);
   socklen_t Size = sizeof(At);
   getsockname(m_fd, reinterpret_cast<sockaddr *>(&At), &Size);
