--- /dev/null
+++ b/src/build-scripts/localcluster.py
@@ -0,0 +1,190 @@
+"""Starts the stand-in, schedulers and entries on loopback for demos and tests.
+
+Every process listens on a port that the kernel chooses and is ended by its id.
+"""
+
+import json
+import os
+import re
+import signal
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+STARTED = re.compile(r"event=started .*")
+
+
+class Process:
+    """One running program with its log file."""
+
+    def __init__(self, name, command, log_path):
+        self.name = name
+        self.log_path = log_path
+        with open(log_path, "wb") as log:
+            self.popen = subprocess.Popen(command, stderr=log, stdout=log)
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8", errors="replace") as log:
+            return log.read()
+
+    def fields(self, limit=20.0):
+        """Waits for the line that says the program started; returns its fields."""
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            found = STARTED.search(self.log())
+            if found:
+                return dict(pair.split("=", 1) for pair in found.group().split()
+                            if "=" in pair)
+            if self.popen.poll() is not None:
+                break
+            time.sleep(0.02)
+        raise RuntimeError(f"{self.name} did not start:\n{self.log()}")
+
+    def signal(self, number):
+        self.popen.send_signal(number)
+
+    def stop(self, limit=60.0):
+        """Ends the program in order; returns its exit code."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGTERM)
+        return self.popen.wait(limit)
+
+    def kill(self):
+        if self.popen.poll() is None:
+            self.popen.kill()
+        self.popen.wait()
+
+
+class LocalCluster:
+    """The whole system on one machine."""
+
+    def __init__(self, bin_dir, work_dir, domains=("a", "b", "c"),
+                 standin_settings=(), settings=()):
+        self.bin_dir = bin_dir
+        self.work_dir = work_dir
+        self.domains = list(domains)
+        self.settings = list(settings)
+        self.processes = []
+        self.entries = []
+        self.schedulers = []
+        os.makedirs(work_dir, exist_ok=True)
+        self.standin = self._start(
+            "standin", "basilchute-standin",
+            [f"fleet.failure_domains={json.dumps(self.domains)}",
+             *standin_settings])
+        self.platform = self.standin.fields()["platform"]
+
+    def _start(self, name, program, settings):
+        command = [os.path.join(self.bin_dir, program)]
+        for each in settings:
+            command += ["--set", each]
+        process = Process(name, command,
+                          os.path.join(self.work_dir, f"{name}.log"))
+        self.processes.append(process)
+        return process
+
+    def _daemon(self, name, program, domain):
+        return self._start(name, program, [
+            f"process.id={name}",
+            f"process.failure_domain={domain}",
+            f"cluster.failure_domains={json.dumps(self.domains)}",
+            f"platform.table_store={self.platform}",
+            f"platform.host_list={self.platform}",
+            *self.settings])
+
+    def start_scheduler(self, domain, settings=()):
+        name = f"sched{len(self.schedulers)}"
+        old = self.settings
+        self.settings = old + list(settings)
+        process = self._daemon(name, "basilchute-sched", domain)
+        self.settings = old
+        self.schedulers.append(process)
+        return process
+
+    def start_entry(self, domain, settings=()):
+        name = f"entry{len(self.entries)}"
+        old = self.settings
+        self.settings = old + list(settings)
+        process = self._daemon(name, "basilchute-entry", domain)
+        self.settings = old
+        self.entries.append(process)
+        return process
+
+    def callers(self):
+        return [each.fields()["callers"] for each in self.entries
+                if each.popen.poll() is None]
+
+    def operators(self):
+        return [each.fields()["operators"] for each in self.entries
+                if each.popen.poll() is None]
+
+    def ctl(self, *words, check=True):
+        """Runs basilchute-ctl against the running entries."""
+        command = [os.path.join(self.bin_dir, "basilchute-ctl"), "--set",
+                   f"ctl.entries={json.dumps(self.operators())}", *words]
+        done = subprocess.run(command, capture_output=True, text=True,
+                              check=False)
+        if check and done.returncode != 0:
+            raise RuntimeError(f"{' '.join(words)}: {done.stdout}{done.stderr}")
+        return done
+
+    def load_command(self, *settings):
+        command = [os.path.join(self.bin_dir, "basilchute-load"), "--set",
+                   f"load.entries={json.dumps(self.callers())}"]
+        for each in settings:
+            command += ["--set", each]
+        return command
+
+    def get(self, address, path, limit=5.0):
+        """Returns status and body of a GET."""
+        try:
+            with urllib.request.urlopen(f"http://{address}{path}",
+                                        timeout=limit) as answer:
+                return answer.status, answer.read().decode()
+        except urllib.error.HTTPError as fault:
+            return fault.code, fault.read().decode()
+
+    def record(self):
+        return json.loads(self.get(self.platform, "/record")[1])
+
+    def control(self, query):
+        status, body = self.get(self.platform, f"/control?{query}")
+        if status != 200:
+            raise RuntimeError(f"control {query}: {status} {body}")
+
+    def wait(self, what, condition, limit=60.0):
+        """Waits until the condition holds."""
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            if condition():
+                return
+            time.sleep(0.05)
+        raise RuntimeError(f"gave up waiting for {what}")
+
+    def wait_ready(self):
+        for address in self.operators():
+            self.wait(f"{address} to be ready",
+                      lambda a=address: self.get(a, "/readyz")[0] == 200)
+
+    def endpoints(self, address):
+        """Returns the number of endpoints that an entry knows."""
+        found = re.search(r"^basilchute_entry_endpoints (\d+)",
+                          self.get(address, "/metrics")[1], re.MULTILINE)
+        return int(found.group(1)) if found else 0
+
+    def wait_endpoints(self, count):
+        for address in self.operators():
+            self.wait(f"{count} endpoints at {address}",
+                      lambda a=address: self.endpoints(a) >= count)
+
+    def stop(self):
+        """Ends everything in order; returns the exit codes by name."""
+        codes = {}
+        for each in self.entries + self.schedulers + [self.standin]:
+            codes[each.name] = each.stop()
+        return codes
+
+    def kill(self):
+        for each in self.processes:
+            each.kill()
