The last write's continuation is attached without the connection's lock

A write that is done before its continuation is attached runs it at once, on the thread that holds the connection's lock and then waits for it for ever. Change: the continuation is attached after the lock is released; the thread sanitizer builds (Asio's fenced blocks are left out there). Conclusion: the hang needs an answer that closes its connection and a transport thread that is faster than the caller; it was not seen, only proved possible.

--- a/src/cmake/options.cmake
+++ b/src/cmake/options.cmake
@@ -13,6 +13,8 @@
 if(BASILCHUTE_SANITIZE)
   add_compile_options(-fsanitize=${BASILCHUTE_SANITIZE} -fno-omit-frame-pointer -g)
   add_link_options(-fsanitize=${BASILCHUTE_SANITIZE})
+  # ThreadSanitizer knows no bare fences.
+  add_compile_definitions(BOOST_ASIO_DISABLE_FENCED_BLOCK)
 endif()
 
 # Adds the warnings of the project's own code to a target.
--- a/src/libutil/httpserver.cpp
+++ b/src/libutil/httpserver.cpp
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <fmt/format.h>
 #include <mutex>
+#include <optional>
 #include <pistache/listener.h>
 #include <pistache/peer.h>
 #include <pistache/tcp.h>
@@ -64,6 +65,7 @@
     if (m_busy && m_input.size() > Limit)
       m_closeAfter = true;
     pump(Guard);
+    watchLastWrite(Guard);
   }
 
   void onClosed() {
@@ -85,6 +87,7 @@
     m_since = m_server.Time.now();
     write(std::move(Wire), !Keep);
     pump(Guard);
+    watchLastWrite(Guard);
   }
 
   /// Closes the connection if it waited too long for bytes.
@@ -159,6 +162,17 @@
     if (!CloseAfter)
       return;
     m_refused = true;
+    m_lastWrite.emplace(std::move(Sent));
+  }
+
+  // The continuation may run at once, on this thread, so the lock must not be
+  // held while it is attached. Call this last.
+  void watchLastWrite(std::unique_lock<std::mutex> &Guard) {
+    if (!m_lastWrite)
+      return;
+    Pistache::Async::Promise<ssize_t> Sent = std::move(*m_lastWrite);
+    m_lastWrite.reset();
+    Guard.unlock();
     Sent.then([Self = shared_from_this()](ssize_t) { Self->finishSending(); },
               Pistache::Async::IgnoreException);
   }
@@ -179,6 +193,8 @@
   RequestReader m_reader;
   std::string m_input;
   TimePoint m_since;
+  /// The write after which the connection closes.
+  std::optional<Pistache::Async::Promise<ssize_t>> m_lastWrite;
   bool m_pumping = false;
   bool m_busy = false;
   bool m_closed = false;
