--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 
 bench: build
 	@$(BUILD)/bin/basilchute_bench
+	@BUILD=$(BUILD) python3 src/build-scripts/requestbench.py
 
 # Measures the slopes and rewrites the table of docs/CAPACITY.md.
 capacity: build
--- a/src/basilchute-entry/entrydaemon.cpp
+++ b/src/basilchute-entry/entrydaemon.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr milliseconds TickEvery{5};
+constexpr milliseconds TickEvery{10};
 constexpr milliseconds PeerPollEvery{100};
 constexpr milliseconds PeerTimeout{1000};
 constexpr milliseconds HostPollEvery{1000};
--- a/src/basilchute-sched/main.cpp
+++ b/src/basilchute-sched/main.cpp
@@ -21,7 +21,7 @@
     logEvent(LogLevel::Error, "sched", "start_failed",
              fmt::format("message=\"{}\"", Started.error().Message),
              Started.error().Code);
-    return static_cast<int>(ExitCode::BindFailed);
+    return static_cast<int>(exitCodeOf(Started.error().Code));
   }
   waitForSignal();
   Daemon.stop();
--- a/src/basilchute-sched/scheddaemon.cpp
+++ b/src/basilchute-sched/scheddaemon.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr milliseconds TickEvery{10};
+constexpr milliseconds TickEvery{20};
 constexpr milliseconds NumbersEvery{500};
 constexpr milliseconds WorkerTimeout{2000};
 constexpr std::chrono::seconds LeavePatience{10};
--- a/src/libutil/program.cpp
+++ b/src/libutil/program.cpp
@@ -144,6 +144,13 @@
   return std::nullopt;
 }
 
+ExitCode exitCodeOf(ResultCode Why) {
+  if (Why == ResultCode::SettingsInvalid)
+    return ExitCode::SettingsInvalid;
+  return Why == ResultCode::BindFailed ? ExitCode::BindFailed
+                                       : ExitCode::Failure;
+}
+
 void blockSignals() {
   std::signal(SIGPIPE, SIG_IGN);
   sigset_t Set;
--- a/src/libutil/program.h
+++ b/src/libutil/program.h
@@ -59,6 +59,9 @@
                                         Settings &Values,
                                         ProgramArguments *Rest = nullptr);
 
+/// Returns the exit code of a daemon that did not start for \p Why.
+ExitCode exitCodeOf(ResultCode Why);
+
 /// Blocks SIGTERM and SIGINT in this and all later threads and ignores SIGPIPE.
 /// Call it first.
 void blockSignals();
