--- a/src/libutil/program.cpp
+++ b/src/libutil/program.cpp
@@ -23,6 +23,7 @@
       "override one setting, as KEY=VALUE");
   Add("check", "check the settings, print every fault, and exit");
   Add("print-settings", "print the effective settings and exit");
+  Add("settings-table", "print all settings as a Markdown table and exit");
   for (const ExtraOption &Each : Info.Extras) {
     if (Each.TakesValue)
       Add(Each.Name.c_str(),
@@ -122,6 +123,10 @@
     fmt::print("{} {}\n", Info.Name, versionText());
     return ExitCode::Success;
   }
+  if (Given.count("settings-table")) {
+    fmt::print("{}", Values.table());
+    return ExitCode::Success;
+  }
   std::vector<SettingError> Errors = readSettings(Given, Values);
   if (!Errors.empty()) {
     printErrors(Errors);
--- a/src/libutil/settings.cpp
+++ b/src/libutil/settings.cpp
@@ -201,6 +201,17 @@
   return milliseconds(integer(Key));
 }
 
+std::string Settings::table() const {
+  std::string Out = "| key | default | meaning |\n|---|---|---|\n";
+  for (const SettingSpec &Each : m_specs)
+    Out += fmt::format("| `{}` | {} | {} |\n", Each.Key,
+                       Each.Required
+                           ? "required"
+                           : fmt::format("`{}`", formatSetting(Each.Default)),
+                       Each.Help);
+  return Out;
+}
+
 std::string Settings::dump() const {
   std::string Out;
   for (const auto &[Key, Value] : m_values)
--- a/src/libutil/settings.h
+++ b/src/libutil/settings.h
@@ -61,6 +61,8 @@
   milliseconds duration(const std::string &Key) const;
   /// All settings as TOML, in the order of their keys.
   std::string dump() const;
+  /// All known settings as a Markdown table.
+  std::string table() const;
   const std::vector<SettingSpec> &specs() const { return m_specs; }
 
 private:
