Batch work that finds no room moves to a shard that has some

Cause: a job's tasks stayed in the shard that they were submitted to; with its domain lost, or its shard full, they waited while others stood idle. Change: after 8 s of waiting the end of a share moves in one transaction, with the rows of tasks that ran before; guided by the room in the owners' member rows.

--- a/src/include/basilchute/scheduler.h
+++ b/src/include/basilchute/scheduler.h
@@ -63,6 +63,8 @@
   milliseconds CheckpointPatience{5000};
   /// Waiting time after which urgent work may evict batch work.
   milliseconds EvictAfter{1500};
+  /// Waiting time after which a batch task moves to a shard that has room.
+  milliseconds MoveAfter{8000};
   milliseconds GroupCommitWindow{20};
   /// Lending of the workers' slots to entry processes.
   CreditLenderOptions Credits;
--- a/src/libbasilchute/jobstore.cpp
+++ b/src/libbasilchute/jobstore.cpp
@@ -85,7 +85,8 @@
 struct JobStore::Reading {
   v1::JobRow Job;
   std::vector<v1::ShareRow> Shares;
-  std::vector<uint64_t> ShareVersions;
+  /// Key and version of each share's row.
+  std::vector<Check> ShareRows;
   std::vector<v1::TaskRow> Tasks;
 };
 
@@ -108,8 +109,9 @@
   Writes.push_back(
       {.Key = jobKey(Job.name()), .Value = Row.SerializeAsString()});
   for (const JobShare &Each : Shares)
-    Writes.push_back({.Key = shareKey(Each.Shard, Job.name()),
-                      .Value = shareOf(Job, Each).SerializeAsString()});
+    Writes.push_back(
+        {.Key = shareKey(Each.Shard, shareName(Job.name(), Each.First)),
+         .Value = shareOf(Job, Each).SerializeAsString()});
   m_committer.commit(std::move(Writes),
                      [this, Row, Finished](const Result<uint64_t> &Reply) {
                        onSubmitted(Row, Reply, Finished);
@@ -172,20 +174,21 @@
         Into->Tasks.push_back(Task.value());
     readShard(Into, Index + 1, Finished);
   };
-  m_store.get(shareKey(Shard, Into->Job.name()),
-              [this, Into, Prefix, Finished,
-               OnTasks](const Result<std::optional<Row>> &Found) {
-                if (!Found.has_value())
-                  return Finished(Found.error());
-                if (Found.value()) {
-                  auto Share = decodeRow<v1::ShareRow>(*Found.value());
-                  if (Share.has_value()) {
-                    Into->Shares.push_back(Share.value());
-                    Into->ShareVersions.push_back(Found.value()->Version);
-                  }
-                }
-                m_store.scan(Prefix, OnTasks);
-              });
+  m_store.scan(jobSharePrefix(Shard, Into->Job.name()),
+               [this, Into, Prefix, Finished,
+                OnTasks](const Result<std::vector<Row>> &Rows) {
+                 if (!Rows.has_value())
+                   return Finished(Rows.error());
+                 for (const Row &Each : Rows.value()) {
+                   auto Share = decodeRow<v1::ShareRow>(Each);
+                   if (!Share.has_value())
+                     continue;
+                   Into->Shares.push_back(Share.value());
+                   Into->ShareRows.push_back(
+                       {.Key = Each.Key, .ExpectedVersion = Each.Version});
+                 }
+                 m_store.scan(Prefix, OnTasks);
+               });
 }
 
 void JobStore::status(const std::string &Job, StatusDone Finished) {
@@ -237,9 +240,9 @@
       if (Share.finished() || Share.cancelled())
         continue;
       Share.set_cancelled(true);
-      Writes.push_back({.Key = shareKey(Shards[I], Job),
+      Writes.push_back({.Key = From.ShareRows[I].Key,
                         .Value = Share.SerializeAsString(),
-                        .ExpectedVersion = From.ShareVersions[I]});
+                        .ExpectedVersion = From.ShareRows[I].ExpectedVersion});
     }
     if (Writes.empty())
       return Finished(Shards);
--- a/src/libbasilchute/rows.cpp
+++ b/src/libbasilchute/rows.cpp
@@ -18,8 +18,14 @@
 std::string sharePrefix(std::string_view Shard) {
   return fmt::format("share/{}/", Shard);
 }
-std::string shareKey(std::string_view Shard, std::string_view Job) {
-  return fmt::format("share/{}/{}", Shard, Job);
+std::string shareName(std::string_view Job, uint32_t First) {
+  return fmt::format("{}.{}", Job, First);
+}
+std::string shareKey(std::string_view Shard, std::string_view Share) {
+  return fmt::format("share/{}/{}", Shard, Share);
+}
+std::string jobSharePrefix(std::string_view Shard, std::string_view Job) {
+  return fmt::format("share/{}/{}.", Shard, Job);
 }
 std::string taskPrefix(std::string_view Shard) {
   return fmt::format("task/{}/", Shard);
--- a/src/libbasilchute/rows.h
+++ b/src/libbasilchute/rows.h
@@ -26,8 +26,12 @@
 std::string shardKey(std::string_view Shard);
 /// Prefix of a shard's shares of jobs.
 std::string sharePrefix(std::string_view Shard);
-/// Row of one job's share in a shard.
-std::string shareKey(std::string_view Shard, std::string_view Job);
+/// Name of the share of \p Job that begins with task \p First.
+std::string shareName(std::string_view Job, uint32_t First);
+/// Row of one share in a shard.
+std::string shareKey(std::string_view Shard, std::string_view Share);
+/// Prefix of all shares of one job in a shard.
+std::string jobSharePrefix(std::string_view Shard, std::string_view Job);
 /// Prefix of a shard's task rows.
 std::string taskPrefix(std::string_view Shard);
 /// Row of one task; \p Task is JOB/INDEX.
--- a/src/libbasilchute/scheduler.cpp
+++ b/src/libbasilchute/scheduler.cpp
@@ -223,8 +223,13 @@
     for (const Member &Each : m_membership.known())
       if (Each.Role == MemberRole::Entry)
         Entries.insert(Each.Id);
-    for (auto &[Shard, Keeper] : m_keepers)
+    std::vector<ShardSummary> All;
+    for (const Member &Each : m_membership.live())
+      All.insert(All.end(), Each.Shards.begin(), Each.Shards.end());
+    for (auto &[Shard, Keeper] : m_keepers) {
       Keeper->setEntries(Entries);
+      Keeper->setSummaries(All);
+    }
   }
 
   // A keeper that is to go is quiet before its shard is released, so that no
--- a/src/libbasilchute/shardkeeper.cpp
+++ b/src/libbasilchute/shardkeeper.cpp
@@ -53,6 +53,7 @@
   drainWorkers();
   advanceStops(Now);
   placeWaiting(Now);
+  moveWaiting(Now);
   syncDueWorkers(Now);
 }
 
@@ -125,11 +126,11 @@
           if (TaskEntry *Entry = Live->m_book.find(Each))
             Live->dropUnwanted(*Entry);
         std::vector<std::string> Complete;
-        for (const auto &[Job, Share] : Live->m_book.shares())
+        for (const auto &[Name, Share] : Live->m_book.shares())
           if (Share.FinalTasks >= Share.Row.count())
-            Complete.push_back(Job);
-        for (const std::string &Job : Complete)
-          Live->finishShare(Job);
+            Complete.push_back(Name);
+        for (const std::string &Name : Complete)
+          Live->finishShare(Name);
         Live->m_placeDirty = true;
       });
 }
--- a/src/libbasilchute/shardkeeper.h
+++ b/src/libbasilchute/shardkeeper.h
@@ -49,6 +49,10 @@
   void updateReplicas(const std::vector<v1::TaskRow> &Wanted);
   void updateCordons(const std::vector<WorkerCordon> &Cordons);
   void pollSharesSoon() { m_pollSharesAt = {}; }
+  /// Takes what other shards' owners say of their room.
+  void setSummaries(std::vector<ShardSummary> All) {
+    m_summaries = std::move(All);
+  }
 
   const ShardClaim &claim() const { return m_claim; }
   bool loaded() const { return m_loaded; }
@@ -112,10 +116,21 @@
   void returnToWaiting(TaskEntry &Entry, v1::TaskRow Row);
   void becomeFinal(TaskEntry &Entry, v1::TaskRow Row);
   void removeReplica(TaskEntry &Entry);
-  void finishShare(const std::string &Job);
+  void finishShare(const std::string &Name);
+  void onShareConflict(const std::string &Name, const Error &Why);
   void onFinal(const TaskEntry &Entry);
   void event(std::string_view Name, std::string_view Detail) const;
 
+  // Moves to other shards (shardkeeper_move.cpp).
+  const ShardSummary *roomElsewhere(const Resources &Demand) const;
+  void moveWaiting(TimePoint Now);
+  void beginMove(MovableTail Tail, const std::string &To);
+  void writeMove(const MovableTail &Tail, const std::string &To,
+                 const std::optional<Row> &Job);
+  static void addJobWrite(std::vector<Write> &Writes, const std::string &To,
+                          const std::optional<Row> &Job);
+  void endMove(const MovableTail &Tail, const Result<uint64_t> &Reply);
+
   // Routes and credits (shardkeeper_routes.cpp).
   void refreshRoutes();
   CreditLender &lenderOf(const std::string &Worker);
@@ -143,6 +158,10 @@
   TimePoint m_loadAt{};
   TimePoint m_pollSharesAt{};
   TimePoint m_placeAt{};
+  TimePoint m_moveAt{};
+  std::vector<ShardSummary> m_summaries;
+  /// True while a move to another shard is being written.
+  bool m_moving = false;
   bool m_loading = false;
   bool m_loaded = false;
   bool m_polling = false;
--- a/src/libbasilchute/shardkeeper_rows.cpp
+++ b/src/libbasilchute/shardkeeper_rows.cpp
@@ -72,7 +72,7 @@
 
 void ShardKeeper::onFinal(const TaskEntry &Entry) {
   if (ShareEntry *Share = m_book.noteFinal(Entry))
-    finishShare(Share->Row.job());
+    finishShare(Share->name());
 }
 
 void ShardKeeper::removeReplica(TaskEntry &Entry) {
@@ -92,15 +92,15 @@
   });
 }
 
-void ShardKeeper::finishShare(const std::string &Job) {
-  ShareEntry &Share = m_book.shares().at(Job);
+void ShardKeeper::finishShare(const std::string &Name) {
+  ShareEntry &Share = m_book.shares().at(Name);
   if (Share.Writing)
     return;
   Share.Writing = true;
   v1::ShareRow Row = Share.Row;
   Row.set_finished(true);
   std::vector<Write> Writes(1);
-  for (const std::string &Id : m_book.tasksOf(Job)) {
+  for (const std::string &Id : TaskBook::tasksOf(Share)) {
     const TaskEntry &Task = *m_book.find(Id);
     Row.set_done(Row.done() + (Task.Row.state() == v1::TASK_DONE));
     Row.set_failed(Row.failed() + (Task.Row.state() == v1::TASK_FAILED));
@@ -113,25 +113,31 @@
                       .Remove = true,
                       .ExpectedVersion = Task.Version});
   }
-  Writes[0] = {.Key = shareKey(m_claim.Shard, Job),
+  Writes[0] = {.Key = shareKey(m_claim.Shard, Name),
                .Value = Row.SerializeAsString(),
                .ExpectedVersion = Share.Version};
   m_committer.commit(std::move(Writes),
-                     [Self = weak_from_this(), Job](Result<uint64_t> Reply) {
+                     [Self = weak_from_this(), Name](Result<uint64_t> Reply) {
                        auto Live = Self.lock();
                        if (!Live)
                          return;
                        if (Reply.has_value())
-                         return Live->m_book.eraseShare(Job, Reply.value());
-                       if (Reply.error().Code == ResultCode::StaleEpoch) {
-                         Live->m_fencedOut = true;
-                         return;
-                       }
-                       // An operator's cancellation came between; read the
-                       // share again.
-                       Live->m_book.shares().at(Job).Writing = false;
-                       Live->pollSharesSoon();
+                         return Live->m_book.eraseShare(Name, Reply.value());
+                       Live->onShareConflict(Name, Reply.error());
                      });
 }
 
+// An operator's cancellation came between; the share is read again.
+void ShardKeeper::onShareConflict(const std::string &Name, const Error &Why) {
+  if (Why.Code == ResultCode::StaleEpoch) {
+    m_fencedOut = true;
+    return;
+  }
+  m_book.shares().at(Name).Writing = false;
+  for (const std::string &Id : TaskBook::tasksOf(m_book.shares().at(Name)))
+    if (TaskEntry *Entry = m_book.find(Id); Entry && !Entry->isPlaced())
+      m_book.requeue(*Entry, m_context.Time.now());
+  pollSharesSoon();
+}
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/taskbook.cpp
+++ b/src/libbasilchute/taskbook.cpp
@@ -1,5 +1,6 @@
 #include "libbasilchute/taskbook.h"
 
+#include <cstdlib>
 #include <fmt/format.h>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -58,17 +59,18 @@
     Result<v1::ShareRow> Decoded = decodeRow<v1::ShareRow>(Each);
     if (!Decoded.has_value())
       continue;
-    const std::string &Job = Decoded.value().job();
-    if (Decoded.value().finished()) {
-      m_ended.erase(Job);
-      continue;
-    }
+    std::string Name =
+        shareName(Decoded.value().job(), Decoded.value().first());
     // A read that was sent before the share ended may arrive after.
-    auto Ended = m_ended.find(Job);
+    auto Ended = m_ended.find(Name);
     if (Ended != m_ended.end() && Each.Version <= Ended->second)
       continue;
-    ShareEntry &Share = m_shares[Decoded.value().job()];
-    if (Share.Version >= Each.Version)
+    m_ended.erase(Name);
+    if (Decoded.value().finished())
+      continue;
+    ShareEntry &Share = m_shares[Name];
+    // A share being written may show its own change before the reply does.
+    if (Share.Version >= Each.Version || Share.Writing)
       continue;
     bool New = Share.Version == 0;
     Share.Row = Decoded.value();
@@ -84,15 +86,14 @@
   return Unwanted;
 }
 
-void TaskBook::expand(const ShareEntry &Share, TimePoint Now) {
+void TaskBook::expand(ShareEntry &Share, TimePoint Now) {
   for (uint32_t I = 0; I < Share.Row.count(); ++I) {
     v1::TaskRow Fresh = rowOfShare(Share.Row, Share.Row.first() + I);
-    if (TaskEntry *Known = find(Fresh.id())) {
-      if (Known->isFinal())
-        noteFinal(*Known);
-      continue;
-    }
-    requeue(add(std::move(Fresh), Now), Now);
+    TaskEntry *Known = find(Fresh.id());
+    if (!Known)
+      requeue(add(std::move(Fresh), Now), Now);
+    else if (Known->isFinal())
+      ++Share.FinalTasks;
   }
 }
 
@@ -161,29 +162,75 @@
   m_tasks.erase(Found);
 }
 
+ShareEntry *TaskBook::shareOf(const TaskEntry &Entry) {
+  const std::string &Id = Entry.Row.id();
+  if (Entry.Row.job().empty())
+    return nullptr;
+  auto Index = static_cast<uint32_t>(
+      std::strtoul(Id.c_str() + Id.rfind('/') + 1, nullptr, 10));
+  std::string Prefix = Entry.Row.job() + ".";
+  for (auto It = m_shares.lower_bound(Prefix);
+       It != m_shares.end() && It->first.starts_with(Prefix); ++It) {
+    const v1::ShareRow &Row = It->second.Row;
+    if (Index >= Row.first() && Index < Row.first() + Row.count())
+      return &It->second;
+  }
+  return nullptr;
+}
+
 ShareEntry *TaskBook::noteFinal(const TaskEntry &Entry) {
-  auto Found = m_shares.find(Entry.Row.job());
-  if (Entry.Row.job().empty() || Found == m_shares.end())
+  ShareEntry *Share = shareOf(Entry);
+  if (!Share)
     return nullptr;
-  ShareEntry &Share = Found->second;
-  ++Share.FinalTasks;
-  return Share.FinalTasks >= Share.Row.count() ? &Share : nullptr;
+  ++Share->FinalTasks;
+  return Share->FinalTasks >= Share->Row.count() ? Share : nullptr;
 }
 
-std::vector<std::string> TaskBook::tasksOf(const std::string &Job) const {
+std::vector<std::string> TaskBook::tasksOf(const ShareEntry &Share) {
   std::vector<std::string> Out;
-  std::string Prefix = Job + "/";
-  for (auto It = m_tasks.lower_bound(Prefix);
-       It != m_tasks.end() && It->first.starts_with(Prefix); ++It)
-    Out.push_back(It->first);
+  for (uint32_t I = 0; I < Share.Row.count(); ++I)
+    Out.push_back(fmt::format("{}/{}", Share.Row.job(), Share.Row.first() + I));
+  return Out;
+}
+
+MovableTail TaskBook::movableTail(const TaskEntry &Entry, size_t Limit) {
+  MovableTail Out;
+  ShareEntry *Share = shareOf(Entry);
+  if (!Share || Share->Writing || Share->Row.cancelled())
+    return Out;
+  Out.Share = Share->name();
+  std::vector<std::string> All = tasksOf(*Share);
+  while (!All.empty() && Out.Tasks.size() < Limit) {
+    const TaskEntry *Last = find(All.back());
+    bool Waits = Last && Last->Row.state() == v1::TASK_PENDING &&
+                 !Last->Writing && Last->Wanted;
+    if (!Waits)
+      break;
+    Out.Tasks.push_back(std::move(All.back()));
+    All.pop_back();
+  }
   return Out;
 }
 
-void TaskBook::eraseShare(const std::string &Job, uint64_t Version) {
-  m_ended[Job] = Version;
-  for (const std::string &Each : tasksOf(Job))
+void TaskBook::eraseShare(const std::string &Share, uint64_t Version) {
+  auto Found = m_shares.find(Share);
+  if (Found == m_shares.end())
+    return;
+  m_ended[Share] = Version;
+  for (const std::string &Each : tasksOf(Found->second))
     erase(Each);
-  m_shares.erase(Job);
+  m_shares.erase(Found);
+}
+
+void TaskBook::cutShare(const std::string &Share, uint32_t Count,
+                        uint64_t Version) {
+  ShareEntry &Entry = m_shares.at(Share);
+  std::vector<std::string> All = tasksOf(Entry);
+  for (uint32_t I = 0; I < Count; ++I)
+    erase(All[All.size() - 1 - I]);
+  Entry.Row.set_count(Entry.Row.count() - Count);
+  Entry.Version = Version;
+  Entry.Writing = false;
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/taskbook.h
+++ b/src/libbasilchute/taskbook.h
@@ -65,6 +65,14 @@
   uint64_t Version = 0;
   bool Writing = false;
   uint32_t FinalTasks = 0;
+
+  std::string name() const { return shareName(Row.job(), Row.first()); }
+};
+
+/// Waiting tasks at the end of a share that may move to another shard.
+struct MovableTail {
+  std::string Share;
+  std::vector<std::string> Tasks;
 };
 
 /// All tasks and shares of one shard. Entries are stable in memory until they
@@ -98,17 +106,24 @@
   void erase(const std::string &Task);
   /// Counts a task that became final; returns its share once all are final.
   ShareEntry *noteFinal(const TaskEntry &Entry);
-  /// Ids of the tasks of \p Job that have a row.
-  std::vector<std::string> tasksOf(const std::string &Job) const;
-  /// Removes a share with all its tasks; its row says that it finished since
+  /// Ids of the tasks of \p Share, in their order.
+  static std::vector<std::string> tasksOf(const ShareEntry &Share);
+  /// Returns the longest run of waiting tasks at the end of the share that
+  /// \p Entry belongs to, at most \p Limit; empty if the share is being
+  /// written or its last task does not wait.
+  MovableTail movableTail(const TaskEntry &Entry, size_t Limit);
+  /// Removes a share with all its tasks; its row says that it ended with
   /// \p Version.
-  void eraseShare(const std::string &Job, uint64_t Version);
+  void eraseShare(const std::string &Share, uint64_t Version);
+  /// Removes the last \p Count tasks of a share, whose row has \p Version now.
+  void cutShare(const std::string &Share, uint32_t Count, uint64_t Version);
 
 private:
   /// Makes a replica that was given up wait again.
   void revive(TaskEntry &Entry, const v1::TaskRow &Wanted, TimePoint Now);
   TaskEntry &add(v1::TaskRow Row, TimePoint Now);
-  void expand(const ShareEntry &Share, TimePoint Now);
+  void expand(ShareEntry &Share, TimePoint Now);
+  ShareEntry *shareOf(const TaskEntry &Entry);
 
   std::map<std::string, TaskEntry> m_tasks;
   std::map<std::string, ShareEntry> m_shares;
--- a/src/testing/scheduler_test.cpp
+++ b/src/testing/scheduler_test.cpp
@@ -263,3 +263,30 @@
   Bed.run(60s);
   requireClean(Bed);
 }
+
+TEST_CASE("waiting and interrupted tasks move to a shard that has room") {
+  TestBed Bed({});
+  Bed.run(3s);
+  TestJob Job{.Name = "cuts", .Shard = "a.0", .Tasks = 40, .Work = 20s};
+  Bed.submit(Job);
+  Bed.run(5s);
+  // Domain a is lost for good; its owner lives elsewhere.
+  for (const std::string &Worker : Bed.workerNames())
+    if (Worker.starts_with("a-"))
+      Bed.setWorkerDead(Worker, true);
+  CHECK(Bed.runUntil([&] { return Bed.jobFinished(Job); }, 120s));
+  CHECK(Bed.tables().scan("share/a.0/").empty());
+  requireClean(Bed);
+}
+
+TEST_CASE("a job that was moved is cancelled whole") {
+  TestBed Bed({});
+  Bed.run(3s);
+  TestJob Job{.Name = "cuts", .Shard = "a.0", .Tasks = 60, .Work = 600s};
+  Bed.submit(Job);
+  Bed.run(25s);
+  CHECK(Bed.tables().scan("share/").size() > 1);
+  Bed.cancel(Job);
+  CHECK(Bed.runUntil([&] { return Bed.jobFinished(Job); }, 30s));
+  requireClean(Bed);
+}
--- a/src/testing/testbed.cpp
+++ b/src/testing/testbed.cpp
@@ -84,6 +84,7 @@
   m_layout.ShardsPerDomain = m_options.ShardsPerDomain;
   m_tables.OnWrite = [this](const Write &What, uint64_t) {
     m_oracle.onWrite(What);
+    noteShare(What);
   };
   addWorkers();
   m_nodes.resize(m_options.Schedulers);
@@ -349,22 +350,38 @@
   Share.set_work_ms(Job.Work.count());
   Share.set_urgent(Job.Urgent);
   Share.set_count(Job.Tasks);
-  (void)m_tables.commit({.Writes = {{.Key = shareKey(Job.Shard, Job.Name),
-                                     .Value = Share.SerializeAsString()}}});
+  (void)m_tables.commit(
+      {.Writes = {{.Key = shareKey(Job.Shard, shareName(Job.Name, 0)),
+                   .Value = Share.SerializeAsString()}}});
   for (TestNode &Each : m_nodes)
     if (Each.Core && !Each.Paused)
       Each.Core->nudge({Job.Shard});
 }
 
 void TestBed::cancel(const TestJob &Job) {
-  std::optional<Row> Found = m_tables.get(shareKey(Job.Shard, Job.Name));
-  v1::ShareRow Share;
-  if (!Found || !Share.ParseFromString(Found->Value) || Share.finished())
+  auto Shares = m_shares[Job.Name];
+  for (const auto &[Key, Known] : Shares) {
+    std::optional<Row> Found = m_tables.get(Key);
+    v1::ShareRow Share;
+    if (!Found || !Share.ParseFromString(Found->Value) || Share.finished())
+      continue;
+    Share.set_cancelled(true);
+    (void)m_tables.commit({.Writes = {{.Key = Found->Key,
+                                       .Value = Share.SerializeAsString(),
+                                       .ExpectedVersion = Found->Version}}});
+  }
+}
+
+void TestBed::noteShare(const Write &What) {
+  if (!What.Key.starts_with("share/"))
     return;
-  Share.set_cancelled(true);
-  (void)m_tables.commit({.Writes = {{.Key = Found->Key,
-                                     .Value = Share.SerializeAsString(),
-                                     .ExpectedVersion = Found->Version}}});
+  size_t Begin = What.Key.rfind('/') + 1;
+  std::string Job = What.Key.substr(Begin, What.Key.rfind('.') - Begin);
+  v1::ShareRow Share;
+  if (What.Remove || !Share.ParseFromString(What.Value))
+    m_shares[Job].erase(What.Key);
+  else
+    m_shares[Job][What.Key] = {Share.finished(), Share.count()};
 }
 
 void TestBed::configure(uint64_t Revision, std::vector<ServiceSpec> Services,
@@ -375,9 +392,16 @@
 }
 
 bool TestBed::jobFinished(const TestJob &Job) const {
-  std::optional<Row> Found = m_tables.get(shareKey(Job.Shard, Job.Name));
-  v1::ShareRow Share;
-  return Found && Share.ParseFromString(Found->Value) && Share.finished();
+  auto Found = m_shares.find(Job.Name);
+  if (Found == m_shares.end())
+    return false;
+  uint32_t Tasks = 0;
+  for (const auto &[Key, Share] : Found->second) {
+    if (!Share.first)
+      return false;
+    Tasks += Share.second;
+  }
+  return Tasks == Job.Tasks;
 }
 
 uint32_t TestBed::runningReplicas(const std::string &Service) {
--- a/src/testing/testbed.h
+++ b/src/testing/testbed.h
@@ -173,6 +173,7 @@
     }
   };
 
+  void noteShare(const Write &What);
   void addWorkers();
   void step();
   void advanceWorkers();
@@ -185,6 +186,9 @@
   std::mt19937_64 m_random;
   MemoryTables m_tables;
   Oracle m_oracle;
+  /// Shares of each job by key, as the store holds them.
+  std::map<std::string, std::map<std::string, std::pair<bool, uint32_t>>>
+      m_shares;
   std::map<std::string, WorkerModel> m_workers;
   std::set<std::string> m_deadWorkers;
   std::vector<TestNode> m_nodes;
