--- a/src/libbasilchute/credits_test.cpp
+++ b/src/libbasilchute/credits_test.cpp
@@ -110,7 +110,7 @@
   B = Lender.lend("b", B, 7, Time.now());
   A = Lender.lend("a", A, 1, Time.now());
   CHECK(A == 1);
-  A = Lender.lend("a", A, 1, Time.now());
+  Lender.lend("a", A, 1, Time.now());
   CHECK(Lender.lend("b", B, 7, Time.now()) == 7);
 }
 
--- a/src/libbasilchute/shardkeeper.cpp
+++ b/src/libbasilchute/shardkeeper.cpp
@@ -86,7 +86,8 @@
 void ShardKeeper::onLoaded() {
   TimePoint Now = m_context.Time.now();
   m_loaded = true;
-  m_book.load(*m_loadedShares, *m_loadedTasks, Now);
+  std::vector<std::string> Unwanted =
+      m_book.load(*m_loadedShares, *m_loadedTasks, Now);
   m_loadedShares.reset();
   m_loadedTasks.reset();
   // Room of placed tasks is held from the start, also on unlisted workers.
@@ -101,6 +102,7 @@
       Found->second.Listed = false;
     Found->second.hold(Id, Entry.demand(), !Entry.Row.service().empty());
   }
+  dropUnwanted(Unwanted);
   if (m_wantedReplicas)
     updateReplicas(*m_wantedReplicas);
   pollShares();
@@ -121,10 +123,7 @@
         if (!Rows.has_value())
           return;
         TimePoint Now = Live->m_context.Time.now();
-        for (const std::string &Each :
-             Live->m_book.updateShares(Rows.value(), Now))
-          if (TaskEntry *Entry = Live->m_book.find(Each))
-            Live->dropUnwanted(*Entry);
+        Live->dropUnwanted(Live->m_book.updateShares(Rows.value(), Now));
         std::vector<std::string> Complete;
         for (const auto &[Name, Share] : Live->m_book.shares())
           if (Share.FinalTasks >= Share.Row.count())
@@ -166,13 +165,17 @@
   m_placeDirty = true;
 }
 
+void ShardKeeper::dropUnwanted(const std::vector<std::string> &Tasks) {
+  for (const std::string &Each : Tasks)
+    if (TaskEntry *Entry = m_book.find(Each))
+      dropUnwanted(*Entry);
+}
+
 void ShardKeeper::updateReplicas(const std::vector<v1::TaskRow> &Wanted) {
   m_wantedReplicas = Wanted;
   if (!m_loaded)
     return;
-  for (const std::string &Each :
-       m_book.updateReplicas(Wanted, m_context.Time.now()))
-    dropUnwanted(*m_book.find(Each));
+  dropUnwanted(m_book.updateReplicas(Wanted, m_context.Time.now()));
   m_placeDirty = true;
 }
 
--- a/src/libbasilchute/shardkeeper.h
+++ b/src/libbasilchute/shardkeeper.h
@@ -106,6 +106,7 @@
   void advanceStop(TaskEntry &Entry, TimePoint Now);
   void drainWorkers();
   void dropUnwanted(TaskEntry &Entry);
+  void dropUnwanted(const std::vector<std::string> &Tasks);
 
   // Rows (shardkeeper_rows.cpp).
   void commitTask(TaskEntry &Entry, v1::TaskRow Row,
--- a/src/libbasilchute/taskbook.cpp
+++ b/src/libbasilchute/taskbook.cpp
@@ -37,8 +37,9 @@
 
 } // namespace
 
-void TaskBook::load(const std::vector<Row> &Shares,
-                    const std::vector<Row> &Tasks, TimePoint Now) {
+std::vector<std::string> TaskBook::load(const std::vector<Row> &Shares,
+                                        const std::vector<Row> &Tasks,
+                                        TimePoint Now) {
   for (const Row &Each : Tasks) {
     Result<v1::TaskRow> Decoded = decodeRow<v1::TaskRow>(Each);
     if (!Decoded.has_value())
@@ -49,7 +50,7 @@
     Entry.StartSent = Entry.isPlaced();
     requeue(Entry, Now);
   }
-  updateShares(Shares, Now);
+  return updateShares(Shares, Now);
 }
 
 std::vector<std::string> TaskBook::updateShares(const std::vector<Row> &Shares,
--- a/src/libbasilchute/taskbook.h
+++ b/src/libbasilchute/taskbook.h
@@ -81,9 +81,10 @@
 public:
   using WaitKey = std::tuple<TaskClass, uint64_t, std::string>;
 
-  /// Takes over the rows of a shard, as read after its claim.
-  void load(const std::vector<Row> &Shares, const std::vector<Row> &Tasks,
-            TimePoint Now);
+  /// Takes over the rows of a shard, as read after its claim; returns ids of
+  /// tasks that are not wanted any more.
+  std::vector<std::string> load(const std::vector<Row> &Shares,
+                                const std::vector<Row> &Tasks, TimePoint Now);
   /// Adds or updates shares from a later read; returns ids of tasks that are no
   /// longer wanted.
   std::vector<std::string> updateShares(const std::vector<Row> &Shares,
--- a/src/testing/scheduler_test.cpp
+++ b/src/testing/scheduler_test.cpp
@@ -290,3 +290,23 @@
   CHECK(Bed.runUntil([&] { return Bed.jobFinished(Job); }, 30s));
   requireClean(Bed);
 }
+
+TEST_CASE("a cancelled job stays cancelled through a takeover") {
+  TestBed Bed({});
+  Bed.run(3s);
+  TestJob Job{.Name = "cuts", .Shard = "a.0", .Tasks = 3, .Work = 600s};
+  Bed.submit(Job);
+  Bed.run(3s);
+  // The cancellation is written while nobody can act on it.
+  for (size_t I = 0; I < Bed.nodes().size(); ++I)
+    Bed.killNode(I);
+  Bed.cancel(Job);
+  for (const std::string &Worker : Bed.workerNames())
+    Bed.restartWorker(Worker);
+  for (size_t I = 0; I < Bed.nodes().size(); ++I)
+    Bed.startNode(I);
+  CHECK(Bed.runUntil([&] { return Bed.jobFinished(Job); }, 120s));
+  for (const auto &[Task, Starts] : Bed.oracle().starts())
+    CHECK(Starts == 1);
+  requireClean(Bed);
+}
