--- a/src/libbasilchute/shardkeeper.cpp
+++ b/src/libbasilchute/shardkeeper.cpp
@@ -119,21 +119,47 @@
         auto Live = Self.lock();
         if (!Live)
           return;
-        Live->m_polling = false;
-        if (!Rows.has_value())
+        if (!Rows.has_value()) {
+          Live->m_polling = false;
           return;
-        TimePoint Now = Live->m_context.Time.now();
-        Live->dropUnwanted(Live->m_book.updateShares(Rows.value(), Now));
-        std::vector<std::string> Complete;
-        for (const auto &[Name, Share] : Live->m_book.shares())
-          if (Share.FinalTasks >= Share.Row.count())
-            Complete.push_back(Name);
-        for (const std::string &Name : Complete)
-          Live->finishShare(Name);
-        Live->m_placeDirty = true;
+        }
+        Live->onShares(std::move(Rows.value()));
       });
 }
 
+// Tasks that came from another shard bring rows, which tell of their attempts.
+void ShardKeeper::onShares(std::vector<Row> Shares) {
+  std::vector<v1::ShareRow> ToAdopt = m_book.sharesToAdopt(Shares);
+  if (ToAdopt.empty())
+    return applyShares(Shares);
+  m_context.Store.scan(
+      taskPrefix(m_claim.Shard),
+      [Self = weak_from_this(), Shares = std::move(Shares),
+       ToAdopt = std::move(ToAdopt)](Result<std::vector<Row>> Tasks) {
+        auto Live = Self.lock();
+        if (!Live)
+          return;
+        if (!Tasks.has_value()) {
+          Live->m_polling = false;
+          return;
+        }
+        Live->m_book.adopt(ToAdopt, Tasks.value(), Live->m_context.Time.now());
+        Live->applyShares(Shares);
+      });
+}
+
+void ShardKeeper::applyShares(const std::vector<Row> &Shares) {
+  m_polling = false;
+  dropUnwanted(m_book.updateShares(Shares, m_context.Time.now()));
+  std::vector<std::string> Complete;
+  for (const auto &[Name, Share] : m_book.shares())
+    if (Share.FinalTasks >= Share.Row.count())
+      Complete.push_back(Name);
+  for (const std::string &Name : Complete)
+    finishShare(Name);
+  m_placeDirty = true;
+}
+
 void ShardKeeper::updateHosts(const std::vector<Host> &Hosts) {
   for (auto &[Id, Link] : m_links)
     Link.Listed = false;
--- a/src/libbasilchute/shardkeeper.h
+++ b/src/libbasilchute/shardkeeper.h
@@ -78,6 +78,8 @@
   void load();
   void onLoaded();
   void pollShares();
+  void onShares(std::vector<Row> Shares);
+  void applyShares(const std::vector<Row> &Shares);
 
   // Exchanges with workers (shardkeeper_sync.cpp).
   void syncDueWorkers(TimePoint Now);
--- a/src/libbasilchute/shardkeeper_move.cpp
+++ b/src/libbasilchute/shardkeeper_move.cpp
@@ -76,6 +76,8 @@
   v1::ShareRow Moved = Share.Row;
   Moved.set_first(Share.Row.first() + Kept.count());
   Moved.set_count(Count);
+  for (const std::string &Id : Tail.Tasks)
+    Moved.set_has_rows(Moved.has_rows() || m_book.find(Id)->Version != 0);
   std::vector<Write> Writes = {
       {.Key = shareKey(To, shareName(Moved.job(), Moved.first())),
        .Value = Moved.SerializeAsString()},
--- a/src/libbasilchute/taskbook.cpp
+++ b/src/libbasilchute/taskbook.cpp
@@ -44,11 +44,7 @@
     Result<v1::TaskRow> Decoded = decodeRow<v1::TaskRow>(Each);
     if (!Decoded.has_value())
       continue;
-    TaskEntry &Entry = add(Decoded.value(), Now);
-    Entry.Version = Each.Version;
-    // The former owner may have started what its row says is placed.
-    Entry.StartSent = Entry.isPlaced();
-    requeue(Entry, Now);
+    addRow(Each, Decoded.value(), Now);
   }
   return updateShares(Shares, Now);
 }
@@ -62,9 +58,7 @@
       continue;
     std::string Name =
         shareName(Decoded.value().job(), Decoded.value().first());
-    // A read that was sent before the share ended may arrive after.
-    auto Ended = m_ended.find(Name);
-    if (Ended != m_ended.end() && Each.Version <= Ended->second)
+    if (hasEnded(Name, Each))
       continue;
     m_ended.erase(Name);
     if (Decoded.value().finished())
@@ -87,6 +81,51 @@
   return Unwanted;
 }
 
+void TaskBook::addRow(const Row &From, const v1::TaskRow &Task, TimePoint Now) {
+  TaskEntry &Entry = add(Task, Now);
+  Entry.Version = From.Version;
+  // The former owner may have started what its row says is placed.
+  Entry.StartSent = Entry.isPlaced();
+  requeue(Entry, Now);
+}
+
+// A read that was sent before the share ended may arrive after.
+bool TaskBook::hasEnded(const std::string &Share, const Row &From) const {
+  auto Ended = m_ended.find(Share);
+  return Ended != m_ended.end() && From.Version <= Ended->second;
+}
+
+std::vector<v1::ShareRow>
+TaskBook::sharesToAdopt(const std::vector<Row> &Shares) const {
+  std::vector<v1::ShareRow> Out;
+  for (const Row &Each : Shares) {
+    Result<v1::ShareRow> Share = decodeRow<v1::ShareRow>(Each);
+    if (!Share.has_value() || Share.value().finished() ||
+        !Share.value().has_rows())
+      continue;
+    std::string Name = shareName(Share.value().job(), Share.value().first());
+    if (m_shares.contains(Name) || hasEnded(Name, Each))
+      continue;
+    Out.push_back(Share.value());
+  }
+  return Out;
+}
+
+void TaskBook::adopt(const std::vector<v1::ShareRow> &Shares,
+                     const std::vector<Row> &Tasks, TimePoint Now) {
+  std::set<std::string> Ids;
+  for (const v1::ShareRow &Each : Shares)
+    for (const std::string &Id : tasksOf({.Row = Each}))
+      Ids.insert(Id);
+  for (const Row &Each : Tasks) {
+    Result<v1::TaskRow> Task = decodeRow<v1::TaskRow>(Each);
+    bool Adopted = Task.has_value() && Ids.contains(Task.value().id()) &&
+                   !find(Task.value().id());
+    if (Adopted)
+      addRow(Each, Task.value(), Now);
+  }
+}
+
 void TaskBook::expand(ShareEntry &Share, TimePoint Now) {
   for (uint32_t I = 0; I < Share.Row.count(); ++I) {
     v1::TaskRow Fresh = rowOfShare(Share.Row, Share.Row.first() + I);
--- a/src/libbasilchute/taskbook.h
+++ b/src/libbasilchute/taskbook.h
@@ -85,6 +85,12 @@
   /// tasks that are not wanted any more.
   std::vector<std::string> load(const std::vector<Row> &Shares,
                                 const std::vector<Row> &Tasks, TimePoint Now);
+  /// Returns the shares of a later read that are new here and whose tasks have
+  /// rows, which must be adopted first.
+  std::vector<v1::ShareRow> sharesToAdopt(const std::vector<Row> &Shares) const;
+  /// Takes over the rows of the tasks of \p Shares out of \p Tasks.
+  void adopt(const std::vector<v1::ShareRow> &Shares,
+             const std::vector<Row> &Tasks, TimePoint Now);
   /// Adds or updates shares from a later read; returns ids of tasks that are no
   /// longer wanted.
   std::vector<std::string> updateShares(const std::vector<Row> &Shares,
@@ -123,6 +129,9 @@
   /// Makes a replica that was given up wait again.
   void revive(TaskEntry &Entry, const v1::TaskRow &Wanted, TimePoint Now);
   TaskEntry &add(v1::TaskRow Row, TimePoint Now);
+  void addRow(const Row &From, const v1::TaskRow &Task, TimePoint Now);
+  /// True if \p From is not newer than the end of the share of that name.
+  bool hasEnded(const std::string &Share, const Row &From) const;
   void expand(ShareEntry &Share, TimePoint Now);
   ShareEntry *shareOf(const TaskEntry &Entry);
 
--- a/src/testing/scheduler_test.cpp
+++ b/src/testing/scheduler_test.cpp
@@ -276,6 +276,9 @@
       Bed.setWorkerDead(Worker, true);
   CHECK(Bed.runUntil([&] { return Bed.jobFinished(Job); }, 120s));
   CHECK(Bed.tables().scan("share/a.0/").empty());
+  // The new owners knew the rows that came along.
+  for (TestNode &Each : Bed.nodes())
+    CHECK(Each.Core->counters().FencedOut == 0);
   requireClean(Bed);
 }
 
