--- a/src/build-scripts/localcluster.py
+++ b/src/build-scripts/localcluster.py
@@ -84,30 +84,24 @@
         self.processes.append(process)
         return process
 
-    def _daemon(self, name, program, domain):
+    def _daemon(self, name, program, domain, settings):
         return self._start(name, program, [
             f"process.id={name}",
             f"process.failure_domain={domain}",
             f"cluster.failure_domains={json.dumps(self.domains)}",
             f"platform.table_store={self.platform}",
             f"platform.host_list={self.platform}",
-            *self.settings])
+            *self.settings, *settings])
 
     def start_scheduler(self, domain, settings=()):
-        name = f"sched{len(self.schedulers)}"
-        old = self.settings
-        self.settings = old + list(settings)
-        process = self._daemon(name, "basilchute-sched", domain)
-        self.settings = old
+        process = self._daemon(f"sched{len(self.schedulers)}",
+                               "basilchute-sched", domain, settings)
         self.schedulers.append(process)
         return process
 
     def start_entry(self, domain, settings=()):
-        name = f"entry{len(self.entries)}"
-        old = self.settings
-        self.settings = old + list(settings)
-        process = self._daemon(name, "basilchute-entry", domain)
-        self.settings = old
+        process = self._daemon(f"entry{len(self.entries)}",
+                               "basilchute-entry", domain, settings)
         self.entries.append(process)
         return process
 
