Numbering a job's shares is written once

Cause: dividing a job by room and dividing it evenly ended in the same loop. Change: both call one function. Conclusion: no behaviour changed.

--- a/src/libbasilchute/jobstore.cpp
+++ b/src/libbasilchute/jobstore.cpp
@@ -8,11 +8,8 @@
 
 namespace {
 
-std::vector<JobShare> evenShares(const std::string &Job, uint32_t Tasks,
-                                 const Layout &Over) {
-  std::map<std::string, uint32_t> Counts;
-  for (uint32_t I = 0; I < Tasks; ++I)
-    ++Counts[Over.homeOf(Job, I)];
+/// Gives each shard the next run of task numbers.
+std::vector<JobShare> numbered(const std::map<std::string, uint32_t> &Counts) {
   std::vector<JobShare> Out;
   uint32_t First = 0;
   for (const auto &[Shard, Count] : Counts) {
@@ -22,6 +19,14 @@
   return Out;
 }
 
+std::vector<JobShare> evenShares(const std::string &Job, uint32_t Tasks,
+                                 const Layout &Over) {
+  std::map<std::string, uint32_t> Counts;
+  for (uint32_t I = 0; I < Tasks; ++I)
+    ++Counts[Over.homeOf(Job, I)];
+  return numbered(Counts);
+}
+
 v1::ShareRow shareOf(const v1::SubmitJobRequest &Job, const JobShare &Part) {
   v1::ShareRow Out;
   Out.set_job(Job.name());
@@ -73,13 +78,7 @@
     Best->second -= Demand.Millicores;
     ++Counts[Best->first];
   }
-  std::vector<JobShare> Out;
-  uint32_t First = 0;
-  for (const auto &[Shard, Count] : Counts) {
-    Out.push_back({.Shard = Shard, .First = First, .Count = Count});
-    First += Count;
-  }
-  return Out;
+  return numbered(Counts);
 }
 
 struct JobStore::Reading {
