--- /dev/null
+++ b/src/include/basilchute/jobshard.h
@@ -0,0 +1,96 @@
+/// \file
+/// Owner of one shard: its jobs, its workers, and what runs where.
+#pragma once
+
+#include "basilchute/job.h"
+#include "basilchute/rowstore.h"
+#include "basilchute/taskworker.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// Settings of a JobShard.
+struct JobShardOptions {
+  int Shard = 0;
+  /// Version of the shard's owner row; workers refuse lower ones.
+  uint64_t Epoch = 0;
+  /// Time for which a look extends the runs on a worker.
+  milliseconds Lease{6000};
+  /// Time that a start order stays valid.
+  milliseconds StartLease{2500};
+  /// Longest time that a look waits at the worker.
+  milliseconds LookWait{1500};
+  /// The same on a worker where latency is watched.
+  milliseconds WatchWait{500};
+  /// Least time between two looks at one worker.
+  milliseconds LookPause{120};
+  /// Time over which ends are gathered into one commit.
+  milliseconds CommitPause{40};
+  /// Time after which what the previous owner started on a worker that cannot
+  /// be reached has surely ended.
+  milliseconds WriteOff{12000};
+  /// Returns whether this host may still give orders; asked before each one.
+  std::function<bool()> MayAct;
+  /// Receives one line for each decision: event and key=value fields.
+  std::function<void(std::string_view, std::string_view)> Log;
+};
+
+/// Counts of one shard since it was taken.
+struct JobShardCounts {
+  uint64_t Starts = 0;
+  uint64_t Looks = 0;
+  uint64_t Commits = 0;
+  uint64_t EndsDone = 0;
+  uint64_t EndsOther = 0;
+  uint64_t Unanswered = 0;
+};
+
+/// Runs the jobs of one shard on the shard's workers.
+///
+/// Not safe for several threads. Give it its workers and queues, call load()
+/// once and tick() every few tens of milliseconds; everything else happens in
+/// the callbacks of the ports.
+class JobShard {
+public:
+  JobShard(JobShardOptions Options, RowStore &Store, TaskWorkers &Workers,
+           const Clock &Time);
+  /// Gives up the shard. Answers that are still under way are ignored.
+  ~JobShard();
+  JobShard(const JobShard &) = delete;
+  JobShard &operator=(const JobShard &) = delete;
+
+  /// Reads the shard's rows and begins to look at the workers.
+  void load();
+  /// Replaces the list of workers: \p Own are this shard's, \p Fleet are all.
+  void setWorkers(std::vector<WorkerEntry> Own, std::vector<WorkerEntry> Fleet);
+  /// Replaces the queues.
+  void setQueues(std::shared_ptr<const JobQueues> Queues);
+  /// Does what has become due.
+  void tick();
+  /// Stops giving orders, so that another host may take the shard.
+  void retire();
+
+  /// Returns the state that is stored for \p Job, or none if the shard does not
+  /// know the job (yet).
+  std::optional<JobState> state(const std::string &Job) const;
+  /// Jobs without a started task, by queue.
+  std::map<std::string, int> pending() const;
+  /// True once all rows are read and all workers are looked at.
+  bool isSettled() const;
+  /// True once another owner was met; the shard gives no orders any more.
+  bool isLost() const;
+  const JobShardCounts &counts() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/hostcluster.cpp
@@ -0,0 +1,546 @@
+#include "basilchute/hostcluster.h"
+
+#include "basilchute/shardplan.h"
+#include "libbasilchute/jobrows.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <optional>
+#include <set>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+namespace {
+
+constexpr milliseconds FeedWait{1000};
+/// Readings in a row that must show a row standing still.
+constexpr int StillReadings = 3;
+/// Readings in a row that must ask for the same hand-over.
+constexpr int SteadyPlans = 2;
+/// Rows of hosts that stood still for this long are removed.
+constexpr std::chrono::seconds ForgetHostAfter{60};
+constexpr size_t MaxAssignmentsPerCommit = MaxRowsPerCommit / 2;
+
+/// Another host, as its row shows it.
+struct SeenHost {
+  HostRecord Record;
+  uint64_t Version = 0;
+  /// When the row was last seen to change.
+  TimePoint ChangedAt{};
+  /// Readings since then.
+  int Still = 0;
+};
+
+/// A shard's owner row.
+struct SeenShard {
+  std::string Owner;
+  uint64_t Version = 0;
+  bool Known = false;
+  /// This host has been told that it owns the shard, with this epoch.
+  uint64_t HeldEpoch = 0;
+  bool Writing = false;
+  int WantedElsewhere = 0;
+};
+
+} // namespace
+
+class HostCluster::Impl
+    : public std::enable_shared_from_this<HostCluster::Impl> {
+public:
+  Impl(HostClusterOptions Options, RowStore &Store, const Clock &Time)
+      : m_options(std::move(Options)), m_store(Store), m_time(Time),
+        m_shards(static_cast<size_t>(m_options.Shards)) {}
+
+  void start() {
+    followShards(0);
+    readAssignments("", 0);
+    tick();
+  }
+
+  void tick() {
+    TimePoint Now = m_time.now();
+    if (!m_beating && Now >= m_nextBeat)
+      beat();
+    if (!m_polling && Now >= m_nextPoll)
+      readHosts("");
+    assign();
+  }
+
+  void leave() {
+    m_leaving = true;
+    beat();
+    act();
+  }
+
+  void removeSelf() {
+    RowCommit Commit;
+    Commit.Changes.push_back(
+        {.Place = hostPlace(m_options.HostId), .Remove = true});
+    m_store.commit(std::move(Commit), [](const Result<uint64_t> &) {});
+  }
+
+  void doubt(int Shard) { readShard(Shard); }
+
+  void setFleet(const std::vector<WorkerEntry> &Fleet) {
+    m_fleet = Fleet;
+    assign();
+  }
+
+  bool mayAct() const {
+    return m_renewed && m_time.now() < *m_renewed + m_options.Horizon;
+  }
+
+  int shardOf(const std::string &Worker) const {
+    auto Found = m_assignments.find(Worker);
+    return Found == m_assignments.end() ? -1 : Found->second;
+  }
+
+  int pendingElsewhere(const std::string &Queue) const {
+    int Out = 0;
+    for (const auto &[Id, Host] : m_hosts) {
+      auto Found = Host.Record.Pending.find(Queue);
+      if (Id == m_options.HostId || !isAlive(Host) ||
+          Found == Host.Record.Pending.end())
+        continue;
+      Out += Found->second;
+    }
+    return Out;
+  }
+
+  int owned() const {
+    return static_cast<int>(
+        std::count_if(m_shards.begin(), m_shards.end(),
+                      [](const SeenShard &S) { return S.HeldEpoch != 0; }));
+  }
+
+private:
+  void log(std::string_view Event, std::string_view Fields) const {
+    if (m_options.Log)
+      m_options.Log(Event, Fields);
+  }
+
+  void beat() {
+    TimePoint Now = m_time.now();
+    m_nextBeat = Now + m_options.BeatEvery;
+    m_beating = true;
+    HostRecord Record{.Weight = m_options.Weight,
+                      .Beat = ++m_beat,
+                      .Leaving = m_leaving};
+    if (m_options.Pending)
+      Record.Pending = m_options.Pending();
+    RowCommit Commit;
+    Commit.Changes.push_back(
+        {.Place = hostPlace(m_options.HostId), .Value = encodeHost(Record)});
+    m_store.commit(std::move(Commit),
+                   [Weak = weak_from_this(), Now](const Result<uint64_t> &Ok) {
+                     auto Self = Weak.lock();
+                     if (!Self)
+                       return;
+                     Self->m_beating = false;
+                     if (Ok.has_value())
+                       Self->onRenewed(Now);
+                   });
+  }
+
+  void onRenewed(TimePoint Sent) {
+    if (!m_renewed || Sent > *m_renewed)
+      m_renewed = Sent;
+  }
+
+  void readHosts(const std::string &From) {
+    m_polling = true;
+    m_nextPoll = m_time.now() + m_options.BeatEvery;
+    if (From.empty())
+      m_present.clear();
+    m_store.read(
+        {.Table = HostTable, .Part = "", .From = From},
+        [Weak = weak_from_this()](Result<RowPage> Answer) {
+          auto Self = Weak.lock();
+          if (!Self)
+            return;
+          if (!Answer.has_value()) {
+            Self->m_polling = false;
+            return;
+          }
+          for (const PlacedRow &Row : Answer.value().Rows)
+            Self->onHostRow(Row);
+          if (Answer.value().HasMore && !Answer.value().Rows.empty()) {
+            Self->readHosts(Answer.value().Rows.back().Place.Key + '\x01');
+            return;
+          }
+          Self->m_polling = false;
+          Self->onHostsRead();
+        });
+  }
+
+  void onHostRow(const PlacedRow &Row) {
+    const std::string &Id = Row.Place.Key;
+    m_present.insert(Id);
+    Result<HostRecord> Record = decodeHost(Row.Value);
+    if (!Record.has_value()) {
+      log("bad_row", fmt::format("table={} key={} message=\"{}\"", HostTable,
+                                 Id, Record.error().Message));
+      return;
+    }
+    SeenHost &Host = m_hosts[Id];
+    if (Host.Version == Row.Version)
+      return;
+    bool New = Host.Version == 0;
+    Host.Record = Record.value();
+    Host.Version = Row.Version;
+    Host.ChangedAt = m_time.now();
+    Host.Still = 0;
+    if (New)
+      log("host_seen", fmt::format("host={} weight={}", Id,
+                                   Host.Record.Weight));
+  }
+
+  void onHostsRead() {
+    TimePoint Now = m_time.now();
+    // Nobody can renew while the store is away: after a gap in the readings
+    // all rows get their time anew.
+    bool Gap = Now > m_lastRead + m_options.BeatEvery * 2;
+    m_lastRead = Now;
+    for (auto Each = m_hosts.begin(); Each != m_hosts.end();) {
+      SeenHost &Host = Each->second;
+      if (!m_present.count(Each->first)) {
+        Each = m_hosts.erase(Each);
+        continue;
+      }
+      if (Gap) {
+        Host.ChangedAt = Now;
+        Host.Still = 0;
+      }
+      ++Host.Still;
+      ++Each;
+    }
+    ++m_readings;
+    act();
+  }
+
+  bool isAlive(const SeenHost &Host) const {
+    return m_time.now() < Host.ChangedAt + m_options.Timeout ||
+           Host.Still < StillReadings;
+  }
+
+  std::vector<PlanHost> plannable() const {
+    std::vector<PlanHost> Out;
+    for (const auto &[Id, Host] : m_hosts)
+      if (isAlive(Host) && !Host.Record.Leaving &&
+          !(m_leaving && Id == m_options.HostId))
+        Out.push_back({.Id = Id, .Weight = Host.Record.Weight});
+    return Out;
+  }
+
+  void act() {
+    if (m_readings < StillReadings && !m_leaving)
+      return;
+    std::vector<std::string> Owners;
+    for (const SeenShard &Each : m_shards)
+      Owners.push_back(Each.Owner);
+    std::vector<std::string> Plan = planShards(plannable(), Owners);
+    if (Plan.empty())
+      return;
+    for (size_t Shard = 0; Shard < m_shards.size(); ++Shard)
+      actOn(static_cast<int>(Shard), Plan[Shard]);
+  }
+
+  void actOn(int Shard, const std::string &Target) {
+    SeenShard &Row = m_shards[static_cast<size_t>(Shard)];
+    if (!Row.Known || Row.Writing)
+      return;
+    bool Mine = Row.Owner == m_options.HostId;
+    if (!Mine && Target == m_options.HostId && Row.Owner != Target) {
+      // A live owner hands over by itself.
+      auto Present = m_hosts.find(Row.Owner);
+      if (Present != m_hosts.end() && isAlive(Present->second) &&
+          !Present->second.Record.Leaving)
+        return;
+      writeOwner(Shard, m_options.HostId);
+      return;
+    }
+    if (!Mine || Target == m_options.HostId) {
+      Row.WantedElsewhere = 0;
+      return;
+    }
+    if (++Row.WantedElsewhere < SteadyPlans && !m_leaving)
+      return;
+    disown(Shard);
+    writeOwner(Shard, Target);
+  }
+
+  void disown(int Shard) {
+    SeenShard &Row = m_shards[static_cast<size_t>(Shard)];
+    if (Row.HeldEpoch == 0)
+      return;
+    Row.HeldEpoch = 0;
+    log("shard_released", fmt::format("shard={}", Shard));
+    if (m_options.OnDisowned)
+      m_options.OnDisowned(Shard);
+  }
+
+  void writeOwner(int Shard, const std::string &Owner) {
+    SeenShard &Row = m_shards[static_cast<size_t>(Shard)];
+    Row.Writing = true;
+    log("shard_claim", fmt::format("shard={} from={} to={}", Shard,
+                                   Row.Owner.empty() ? "-" : Row.Owner, Owner));
+    RowPlace Place = shardOwnerPlace(Shard);
+    RowCommit Commit;
+    Commit.Conditions.push_back({.Place = Place, .Version = Row.Version});
+    Commit.Changes.push_back(
+        {.Place = Place, .Value = encodeShardOwner(Owner)});
+    m_store.commit(std::move(Commit),
+                   [Weak = weak_from_this(), Shard,
+                    Owner](const Result<uint64_t> &Answer) {
+                     auto Self = Weak.lock();
+                     if (!Self)
+                       return;
+                     Self->m_shards[static_cast<size_t>(Shard)].Writing = false;
+                     if (Answer.has_value())
+                       Self->onOwner(Shard, Owner, Answer.value());
+                     else
+                       Self->readShard(Shard);
+                   });
+  }
+
+  void onOwner(int Shard, const std::string &Owner, uint64_t Version) {
+    SeenShard &Row = m_shards[static_cast<size_t>(Shard)];
+    Row.Known = true;
+    if (Version < Row.Version)
+      return;
+    Row.Owner = Owner;
+    Row.Version = Version;
+    if (Row.HeldEpoch != 0 && Row.HeldEpoch != Version)
+      disown(Shard);
+    bool Mine = Owner == m_options.HostId && !m_leaving;
+    if (!Mine || Row.HeldEpoch != 0)
+      return;
+    Row.HeldEpoch = Version;
+    log("shard_owned", fmt::format("shard={} epoch={}", Shard, Version));
+    if (m_options.OnOwned)
+      m_options.OnOwned(Shard, Version);
+  }
+
+  void readShard(int Shard) {
+    RowPlace Place = shardOwnerPlace(Shard);
+    m_store.read({.Table = Place.Table, .Part = Place.Part},
+                 [Weak = weak_from_this(), Shard](Result<RowPage> Answer) {
+                   auto Self = Weak.lock();
+                   if (!Self)
+                     return;
+                   if (!Answer.has_value()) {
+                     Self->readShard(Shard);
+                     return;
+                   }
+                   Self->onShardRead(Shard, Answer.value());
+                 });
+  }
+
+  void onShardRead(int Shard, const RowPage &Page) {
+    SeenShard &Row = m_shards[static_cast<size_t>(Shard)];
+    Row.Known = true;
+    for (const PlacedRow &Each : Page.Rows)
+      onShardRow(Each);
+  }
+
+  void onShardRow(const PlacedRow &Row) {
+    for (int Shard = 0; Shard < m_options.Shards; ++Shard) {
+      if (Row.Place.Part != shardPart(Shard) || Row.Removed)
+        continue;
+      Result<std::string> Owner = decodeShardOwner(Row.Value);
+      if (!Owner.has_value()) {
+        log("bad_row", fmt::format("table={} part={} message=\"{}\"",
+                                   ShardTable, Row.Place.Part,
+                                   Owner.error().Message));
+        return;
+      }
+      onOwner(Shard, Owner.value(), Row.Version);
+    }
+  }
+
+  // Version zero asks for a reading of all shards first.
+  void followShards(uint64_t From) {
+    if (From == 0) {
+      m_store.read({.Table = ShardTable, .Part = shardPart(0)},
+                   [Weak = weak_from_this()](Result<RowPage> Answer) {
+                     auto Self = Weak.lock();
+                     if (!Self)
+                       return;
+                     if (!Answer.has_value()) {
+                       Self->followShards(0);
+                       return;
+                     }
+                     for (int Each = 0; Each < Self->m_options.Shards; ++Each)
+                       Self->readShard(Each);
+                     Self->followShards(std::max<uint64_t>(
+                         Answer.value().Version, 1));
+                   });
+      return;
+    }
+    m_store.feed(ShardTable, From, FeedWait,
+                 [Weak = weak_from_this(), From](Result<RowPage> Answer) {
+                   auto Self = Weak.lock();
+                   if (!Self)
+                     return;
+                   if (Answer.has_value()) {
+                     for (const PlacedRow &Row : Answer.value().Rows)
+                       Self->onShardRow(Row);
+                     Self->followShards(std::max(From, Answer.value().Version));
+                     return;
+                   }
+                   bool Gone = Answer.error().Code == ResultCode::NotFound;
+                   Self->followShards(Gone ? 0 : From);
+                 });
+  }
+
+  void readAssignments(const std::string &Key, uint64_t From) {
+    m_store.read({.Table = AssignmentTable, .Part = "", .From = Key},
+                 [Weak = weak_from_this(), Key, From](Result<RowPage> Answer) {
+                   auto Self = Weak.lock();
+                   if (!Self)
+                     return;
+                   if (!Answer.has_value()) {
+                     Self->readAssignments(Key, From);
+                     return;
+                   }
+                   RowPage &Page = Answer.value();
+                   uint64_t First = From ? From
+                                         : std::max<uint64_t>(Page.Version, 1);
+                   Self->onAssignmentRows(Page.Rows);
+                   if (Page.HasMore && !Page.Rows.empty()) {
+                     Self->readAssignments(
+                         Page.Rows.back().Place.Key + '\x01', First);
+                     return;
+                   }
+                   Self->m_assignmentsRead = true;
+                   Self->followAssignments(First);
+                 });
+  }
+
+  void followAssignments(uint64_t From) {
+    m_store.feed(AssignmentTable, From, FeedWait,
+                 [Weak = weak_from_this(), From](Result<RowPage> Answer) {
+                   auto Self = Weak.lock();
+                   if (!Self)
+                     return;
+                   if (Answer.has_value()) {
+                     Self->onAssignmentRows(Answer.value().Rows);
+                     Self->followAssignments(
+                         std::max(From, Answer.value().Version));
+                     return;
+                   }
+                   if (Answer.error().Code == ResultCode::NotFound)
+                     Self->readAssignments("", 0);
+                   else
+                     Self->followAssignments(From);
+                 });
+  }
+
+  void onAssignmentRows(const std::vector<PlacedRow> &Rows) {
+    bool Changed = false;
+    for (const PlacedRow &Row : Rows) {
+      int Shard = Row.Value.empty() ? -1 : std::atoi(Row.Value.c_str());
+      if (Row.Removed || Shard < 0 || Shard >= m_options.Shards)
+        continue;
+      m_assignments[Row.Place.Key] = Shard;
+      Changed = true;
+    }
+    if (Changed && m_options.OnAssigned)
+      m_options.OnAssigned();
+  }
+
+  // The first live host gives workers without a shard to the shard with the
+  // least capacity; the condition settles races.
+  void assign() {
+    bool First = !m_hosts.empty() && !m_leaving;
+    for (const auto &[Id, Host] : m_hosts) {
+      if (!isAlive(Host) || Host.Record.Leaving)
+        continue;
+      First = Id == m_options.HostId;
+      break;
+    }
+    if (!First || m_assigning || !m_assignmentsRead || m_readings < 2)
+      return;
+    std::map<std::string, std::vector<int64_t>> Capacity;
+    std::vector<const WorkerEntry *> Fresh;
+    for (const WorkerEntry &Each : m_fleet) {
+      std::vector<int64_t> &Of = Capacity[Each.Service];
+      Of.resize(m_shards.size());
+      int Shard = shardOf(Each.Id);
+      if (Shard < 0)
+        Fresh.push_back(&Each);
+      else
+        Of[static_cast<size_t>(Shard)] += Each.Capacity.Millicores;
+    }
+    if (Fresh.empty())
+      return;
+    RowCommit Commit;
+    std::vector<PlacedRow> Rows;
+    for (const WorkerEntry *Each : Fresh) {
+      if (Rows.size() == MaxAssignmentsPerCommit)
+        break;
+      std::vector<int64_t> &Of = Capacity[Each->Service];
+      auto Least = std::min_element(Of.begin(), Of.end());
+      *Least += std::max<int64_t>(Each->Capacity.Millicores, 1);
+      RowPlace Place = assignmentPlace(Each->Id);
+      std::string Value = fmt::format("{}", Least - Of.begin());
+      Commit.Conditions.push_back({.Place = Place, .Version = 0});
+      Commit.Changes.push_back({.Place = Place, .Value = Value});
+      Rows.push_back({.Place = Place, .Value = Value});
+    }
+    m_assigning = true;
+    m_store.commit(std::move(Commit),
+                   [Weak = weak_from_this(),
+                    Rows](const Result<uint64_t> &Answer) {
+                     auto Self = Weak.lock();
+                     if (!Self)
+                       return;
+                     Self->m_assigning = false;
+                     if (Answer.has_value())
+                       Self->onAssignmentRows(Rows);
+                   });
+  }
+
+  HostClusterOptions m_options;
+  RowStore &m_store;
+  const Clock &m_time;
+  std::map<std::string, SeenHost> m_hosts;
+  std::set<std::string> m_present;
+  std::vector<SeenShard> m_shards;
+  std::map<std::string, int> m_assignments;
+  std::vector<WorkerEntry> m_fleet;
+  std::optional<TimePoint> m_renewed;
+  uint64_t m_beat = 0;
+  TimePoint m_nextBeat{};
+  TimePoint m_nextPoll{};
+  TimePoint m_lastRead{};
+  int m_readings = 0;
+  bool m_beating = false;
+  bool m_polling = false;
+  bool m_assigning = false;
+  bool m_assignmentsRead = false;
+  bool m_leaving = false;
+};
+
+HostCluster::HostCluster(HostClusterOptions Options, RowStore &Store,
+                         const Clock &Time)
+    : m_impl(std::make_shared<Impl>(std::move(Options), Store, Time)) {}
+HostCluster::~HostCluster() = default;
+void HostCluster::start() { m_impl->start(); }
+void HostCluster::tick() { m_impl->tick(); }
+void HostCluster::leave() { m_impl->leave(); }
+void HostCluster::removeSelf() { m_impl->removeSelf(); }
+void HostCluster::doubt(int Shard) { m_impl->doubt(Shard); }
+void HostCluster::setFleet(const std::vector<WorkerEntry> &Fleet) {
+  m_impl->setFleet(Fleet);
+}
+bool HostCluster::mayAct() const { return m_impl->mayAct(); }
+int HostCluster::shardOf(const std::string &Worker) const {
+  return m_impl->shardOf(Worker);
+}
+int HostCluster::pendingElsewhere(const std::string &Queue) const {
+  return m_impl->pendingElsewhere(Queue);
+}
+int HostCluster::owned() const { return m_impl->owned(); }
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/jobentry.h
@@ -0,0 +1,83 @@
+/// \file
+/// One job and its tasks, as the owner of its shard sees them.
+#pragma once
+
+#include "basilchute/clock.h"
+#include "basilchute/job.h"
+#include "basilchute/taskworker.h"
+#include "libbasilchute/jobrows.h"
+
+#include <string>
+#include <vector>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// Where a task is.
+enum class TaskPhase { Waiting, Placed, Done };
+
+/// One task of a job.
+struct TaskState {
+  TaskPhase Phase = TaskPhase::Waiting;
+  /// Highest run that was used.
+  int Run = 0;
+  int FailedRuns = 0;
+  /// Highest run whose end is counted.
+  int CountedRun = 0;
+  std::string Checkpoint;
+  /// Worker of the present run, or of the last one.
+  std::string Worker;
+  /// The task is not started before this.
+  TimePoint NotBefore{};
+};
+
+/// A job with its tasks by position.
+class JobEntry {
+public:
+  /// \p Version is that of the stored progress row.
+  JobEntry(Job Spec, uint64_t Version, TimePoint Seen);
+
+  const Job Spec;
+  JobState State = JobState::Queued;
+  /// State in the progress row.
+  JobState StoredState = JobState::Queued;
+  /// Version of the progress row.
+  uint64_t RowVersion;
+  TimePoint Seen;
+  std::vector<TaskState> Tasks;
+
+  /// Takes over what is stored; unknown positions are ignored. Run numbers
+  /// start at \p RunGap above the stored ones, because the previous owner may
+  /// have used some that were not stored.
+  void restore(const JobProgress &Stored, int RunGap);
+  /// Returns what is to be stored.
+  JobProgress progress() const;
+  /// Returns the position of \p Name, or -1 if the job has no such task.
+  int positionOf(const TaskName &Name) const;
+  TaskName nameOf(int Position) const;
+  const JobStep &stepOf(int Position) const;
+  /// Returns true if all tasks of the steps before have ended done.
+  bool isReady(int Position) const;
+  /// Time since 1970 at which the task's occurrence is due; zero if it has no
+  /// time.
+  milliseconds dueAt(int Position) const;
+  /// Marks the task done.
+  void finish(int Position);
+  /// Returns true if every task is done.
+  bool allDone() const { return m_left == 0; }
+  /// Returns true once a task has been started.
+  bool hasStarted() const { return m_started; }
+  void noteStarted() { m_started = true; }
+
+private:
+  size_t groupOf(int Position) const;
+
+  int m_perOccurrence = 0;
+  std::vector<int> m_stepOf;
+  std::vector<int> m_stepStart;
+  /// Tasks that are not done, by occurrence and step.
+  std::vector<int> m_groupLeft;
+  int m_left = 0;
+  bool m_started = false;
+};
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/jobrows.cpp
@@ -0,0 +1,221 @@
+#include "libbasilchute/jobrows.h"
+
+#include "schema/jobs.pb.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+namespace {
+
+constexpr std::string_view CancelSuffix = ".cancel";
+constexpr int RowFormat = 1;
+
+Error badRow(const char *Kind) {
+  return makeError(ResultCode::InvalidArgument,
+                   fmt::format("the row does not hold a {}", Kind));
+}
+
+void storeStep(const JobStep &From, v1::StoredJobStep &To) {
+  To.set_count(From.Count);
+  To.set_millicores(From.Demand.Millicores);
+  To.set_memory_mib(From.Demand.MemoryMib);
+  To.set_accelerators(From.Demand.Accelerators);
+  To.set_estimate_ms(From.Estimate.count());
+  for (int Each : From.After)
+    To.add_after(Each);
+  To.set_checkpointing(From.Checkpointing);
+  To.set_gang(From.Gang);
+  To.set_rack_sensitive(From.RackSensitive);
+  To.set_speculative(From.Speculative);
+  To.set_long_running(From.LongRunning);
+  To.set_fills(From.Fills);
+  To.set_required_label(From.RequiredLabel);
+  To.set_data_rack(From.DataRack);
+  To.set_image(From.Image);
+  To.set_max_per_worker(From.MaxPerWorker);
+  To.set_tail_target_ms(From.TailTarget.count());
+  To.set_miss_budget(From.MissBudget);
+}
+
+JobStep loadStep(const v1::StoredJobStep &From) {
+  return {.Count = From.count(),
+          .Demand = {.Millicores = From.millicores(),
+                     .MemoryMib = From.memory_mib(),
+                     .Accelerators = From.accelerators()},
+          .Estimate = milliseconds(From.estimate_ms()),
+          .After = {From.after().begin(), From.after().end()},
+          .Checkpointing = From.checkpointing(),
+          .Gang = From.gang(),
+          .RackSensitive = From.rack_sensitive(),
+          .Speculative = From.speculative(),
+          .LongRunning = From.long_running(),
+          .Fills = From.fills(),
+          .RequiredLabel = From.required_label(),
+          .DataRack = From.data_rack(),
+          .Image = From.image(),
+          .MaxPerWorker = From.max_per_worker(),
+          .TailTarget = milliseconds(From.tail_target_ms()),
+          .MissBudget = From.miss_budget()};
+}
+
+} // namespace
+
+std::string_view jobStateName(JobState State) {
+  switch (State) {
+  case JobState::Queued:
+    return "queued";
+  case JobState::Running:
+    return "running";
+  case JobState::Completed:
+    return "completed";
+  case JobState::Failed:
+    return "failed";
+  case JobState::Cancelled:
+    return "cancelled";
+  }
+  return "unknown";
+}
+
+std::string shardPart(int Shard) { return fmt::format("shard-{}", Shard); }
+std::string jobTable(int Shard) { return fmt::format("jobs-{}", Shard); }
+
+RowPlace jobPlace(int Shard, const std::string &Job) {
+  return {.Table = jobTable(Shard), .Part = shardPart(Shard), .Key = Job};
+}
+
+RowPlace cancelPlace(int Shard, const std::string &Job) {
+  return {.Table = jobTable(Shard),
+          .Part = shardPart(Shard),
+          .Key = Job + std::string(CancelSuffix)};
+}
+
+RowPlace progressPlace(int Shard, const std::string &Job) {
+  return {.Table = ProgressTable, .Part = shardPart(Shard), .Key = Job};
+}
+
+RowPlace shardOwnerPlace(int Shard) {
+  return {.Table = ShardTable, .Part = shardPart(Shard), .Key = "owner"};
+}
+
+RowPlace hostPlace(const std::string &Host) {
+  return {.Table = HostTable, .Part = "", .Key = Host};
+}
+
+RowPlace assignmentPlace(const std::string &Worker) {
+  return {.Table = AssignmentTable, .Part = "", .Key = Worker};
+}
+
+std::pair<std::string, bool> parseJobKey(const std::string &Key) {
+  if (!Key.ends_with(CancelSuffix))
+    return {Key, false};
+  return {Key.substr(0, Key.size() - CancelSuffix.size()), true};
+}
+
+int shardOfJob(const std::string &Job, int Shards) {
+  uint64_t Hash = XXH64(Job.data(), Job.size(), 0);
+  return static_cast<int>(Hash % static_cast<uint64_t>(Shards));
+}
+
+std::string encodeJob(const Job &Value) {
+  v1::StoredJob Out;
+  Out.set_id(Value.Id);
+  Out.set_queue(Value.Queue);
+  Out.set_payload(Value.Payload);
+  for (const JobStep &Each : Value.Steps)
+    storeStep(Each, *Out.add_steps());
+  Out.set_repetitions(Value.Repetitions);
+  Out.set_first_run_ms(Value.FirstRun.count());
+  Out.set_interval_ms(Value.Interval.count());
+  return Out.SerializeAsString();
+}
+
+Result<Job> decodeJob(const std::string &Bytes) {
+  v1::StoredJob From;
+  if (!From.ParseFromString(Bytes) || From.id().empty())
+    return badRow("job");
+  Job Out{.Id = From.id(),
+          .Queue = From.queue(),
+          .Payload = From.payload(),
+          .Repetitions = From.repetitions(),
+          .FirstRun = milliseconds(From.first_run_ms()),
+          .Interval = milliseconds(From.interval_ms())};
+  for (const v1::StoredJobStep &Each : From.steps())
+    Out.Steps.push_back(loadStep(Each));
+  return Out;
+}
+
+std::string encodeProgress(const JobProgress &Value) {
+  v1::StoredProgress Out;
+  Out.set_format(RowFormat);
+  Out.set_state(static_cast<int>(Value.State));
+  for (const TaskProgress &Each : Value.Tasks) {
+    v1::StoredTask &To = *Out.add_tasks();
+    To.set_position(Each.Position);
+    To.set_run(Each.Run);
+    To.set_failed_runs(Each.FailedRuns);
+    To.set_done(Each.Done);
+    To.set_checkpoint(Each.Checkpoint);
+    To.set_counted_run(Each.CountedRun);
+  }
+  return Out.SerializeAsString();
+}
+
+Result<JobProgress> decodeProgress(const std::string &Bytes) {
+  v1::StoredProgress From;
+  bool Known = From.ParseFromString(Bytes) && From.state() >= 0 &&
+               From.state() <= static_cast<int>(JobState::Cancelled);
+  if (!Known)
+    return badRow("progress");
+  JobProgress Out{.State = static_cast<JobState>(From.state())};
+  for (const v1::StoredTask &Each : From.tasks())
+    Out.Tasks.push_back({.Position = Each.position(),
+                         .Run = Each.run(),
+                         .FailedRuns = Each.failed_runs(),
+                         .Done = Each.done(),
+                         .Checkpoint = Each.checkpoint(),
+                         .CountedRun = Each.counted_run()});
+  return Out;
+}
+
+std::string encodeHost(const HostRecord &Value) {
+  v1::StoredHost Out;
+  Out.set_weight(Value.Weight);
+  Out.set_beat(Value.Beat);
+  Out.set_leaving(Value.Leaving);
+  for (const auto &[Queue, Count] : Value.Pending) {
+    v1::StoredQueueCount &To = *Out.add_pending();
+    To.set_queue(Queue);
+    To.set_pending(Count);
+  }
+  return Out.SerializeAsString();
+}
+
+Result<HostRecord> decodeHost(const std::string &Bytes) {
+  v1::StoredHost From;
+  if (!From.ParseFromString(Bytes) || From.weight() <= 0)
+    return badRow("host");
+  HostRecord Out{.Weight = From.weight(),
+                 .Beat = From.beat(),
+                 .Leaving = From.leaving()};
+  for (const v1::StoredQueueCount &Each : From.pending())
+    Out.Pending[Each.queue()] = Each.pending();
+  return Out;
+}
+
+std::string encodeShardOwner(const std::string &Host) {
+  v1::StoredShardOwner Out;
+  Out.set_format(RowFormat);
+  Out.set_host(Host);
+  return Out.SerializeAsString();
+}
+
+Result<std::string> decodeShardOwner(const std::string &Bytes) {
+  v1::StoredShardOwner From;
+  if (!From.ParseFromString(Bytes))
+    return badRow("shard owner");
+  return From.host();
+}
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/jobrows.h
@@ -0,0 +1,76 @@
+/// \file
+/// The rows that jobs, shards and hosts leave in the store.
+#pragma once
+
+#include "basilchute/job.h"
+#include "basilchute/result.h"
+#include "basilchute/rowstore.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// What is stored of a task that was started at least once.
+struct TaskProgress {
+  /// Position among the job's tasks, by occurrence, step and index.
+  int Position = 0;
+  int Run = 0;
+  int FailedRuns = 0;
+  bool Done = false;
+  std::string Checkpoint;
+  /// Highest run whose end is counted.
+  int CountedRun = 0;
+};
+
+/// What is stored of a job's progress.
+struct JobProgress {
+  JobState State = JobState::Queued;
+  std::vector<TaskProgress> Tasks;
+};
+
+/// What a host says of itself.
+struct HostRecord {
+  /// Share of the shards that it can carry, relative to others.
+  int Weight = 1;
+  /// Grows with each renewal.
+  uint64_t Beat = 0;
+  bool Leaving = false;
+  /// Jobs without a started task, by queue, in the shards of this host.
+  std::map<std::string, int> Pending;
+};
+
+/// Names of tables and parts.
+std::string shardPart(int Shard);
+RowPlace jobPlace(int Shard, const std::string &Job);
+RowPlace cancelPlace(int Shard, const std::string &Job);
+RowPlace progressPlace(int Shard, const std::string &Job);
+RowPlace shardOwnerPlace(int Shard);
+RowPlace hostPlace(const std::string &Host);
+RowPlace assignmentPlace(const std::string &Worker);
+/// Table of a shard's accepted jobs and their cancellations.
+std::string jobTable(int Shard);
+inline constexpr const char *ProgressTable = "progress";
+inline constexpr const char *ShardTable = "shards";
+inline constexpr const char *HostTable = "hosts";
+inline constexpr const char *AssignmentTable = "assignments";
+
+/// Returns the job that a key of a job table belongs to, and whether the row
+/// is its cancellation.
+std::pair<std::string, bool> parseJobKey(const std::string &Key);
+
+/// The shard that a job belongs to, a function of its id alone.
+int shardOfJob(const std::string &Job, int Shards);
+
+std::string encodeJob(const Job &Value);
+/// Fails with InvalidArgument if \p Bytes are not a job.
+Result<Job> decodeJob(const std::string &Bytes);
+std::string encodeProgress(const JobProgress &Value);
+Result<JobProgress> decodeProgress(const std::string &Bytes);
+std::string encodeHost(const HostRecord &Value);
+Result<HostRecord> decodeHost(const std::string &Bytes);
+std::string encodeShardOwner(const std::string &Host);
+Result<std::string> decodeShardOwner(const std::string &Bytes);
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/jobshard.cpp
@@ -0,0 +1,436 @@
+#include "libbasilchute/jobshard_impl.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+namespace {
+
+constexpr milliseconds FeedWait{1000};
+constexpr milliseconds RetryPause{150};
+/// Run numbers that a previous owner may have used without storing them.
+constexpr int RunGap = 64;
+/// Each job of a commit takes a condition and a write; the owner's row takes
+/// one more condition.
+constexpr size_t MaxJobsPerCommit = (MaxRowsPerCommit - 1) / 2;
+
+} // namespace
+
+JobShard::Impl::Impl(JobShardOptions Options, RowStore &Store,
+                     TaskWorkers &Workers, const Clock &Time)
+    : m_options(std::move(Options)), m_store(Store), m_workers(Workers),
+      m_time(Time), m_taken(Time.now()) {}
+
+void JobShard::Impl::log(std::string_view Event,
+                         std::string_view Fields) const {
+  if (m_options.Log)
+    m_options.Log(Event, Fields);
+}
+
+bool JobShard::Impl::mayAct() const {
+  return m_loaded && !m_lost && !m_retired &&
+         (!m_options.MayAct || m_options.MayAct());
+}
+
+void JobShard::Impl::lose(std::string_view Why) {
+  if (m_lost)
+    return;
+  m_lost = true;
+  log("shard_lost", fmt::format("shard={} epoch={} why={}", m_options.Shard,
+                                m_options.Epoch, Why));
+}
+
+void JobShard::Impl::load() { readJobs("", 0, true); }
+
+void JobShard::Impl::readJobs(const std::string &From, uint64_t FeedFrom,
+                              bool WithProgress) {
+  RowRange Range{.Table = jobTable(m_options.Shard),
+                 .Part = shardPart(m_options.Shard),
+                 .From = From};
+  m_store.read(Range, [Weak = weak_from_this(), From, FeedFrom,
+                       WithProgress](Result<RowPage> Answer) {
+    auto Self = Weak.lock();
+    if (!Self || Self->m_lost)
+      return;
+    if (!Answer.has_value()) {
+      Self->m_commitNotBefore = Self->m_time.now() + RetryPause;
+      Self->readJobs(From, FeedFrom, WithProgress);
+      return;
+    }
+    RowPage &Page = Answer.value();
+    uint64_t First = FeedFrom ? FeedFrom : Page.Version;
+    for (PlacedRow &Row : Page.Rows) {
+      if (WithProgress)
+        Self->m_loadedJobs.push_back(Row);
+      else
+        Self->onJobRow(Row);
+    }
+    if (Page.HasMore && !Page.Rows.empty()) {
+      std::string Next = Page.Rows.back().Place.Key + '\x01';
+      Self->readJobs(Next, First, WithProgress);
+      return;
+    }
+    Self->m_feedFrom = First;
+    if (WithProgress)
+      Self->readProgress("");
+    else
+      Self->followJobs();
+  });
+}
+
+void JobShard::Impl::readProgress(const std::string &From) {
+  RowRange Range{.Table = ProgressTable,
+                 .Part = shardPart(m_options.Shard),
+                 .From = From};
+  m_store.read(Range, [Weak = weak_from_this(), From](Result<RowPage> Answer) {
+    auto Self = Weak.lock();
+    if (!Self || Self->m_lost)
+      return;
+    if (!Answer.has_value()) {
+      Self->readProgress(From);
+      return;
+    }
+    RowPage &Page = Answer.value();
+    for (PlacedRow &Row : Page.Rows)
+      Self->m_loadedProgress[Row.Place.Key] = Row;
+    if (Page.HasMore && !Page.Rows.empty()) {
+      Self->readProgress(Page.Rows.back().Place.Key + '\x01');
+      return;
+    }
+    Self->finishLoad();
+  });
+}
+
+void JobShard::Impl::finishLoad() {
+  m_loaded = true;
+  for (const PlacedRow &Row : m_loadedJobs)
+    onJobRow(Row);
+  log("shard_loaded",
+      fmt::format("shard={} epoch={} jobs={} took_ms={}", m_options.Shard,
+                  m_options.Epoch, m_jobs.size(),
+                  (m_time.now() - m_taken) / milliseconds(1)));
+  m_loadedJobs.clear();
+  m_loadedProgress.clear();
+  followJobs();
+  lookAround();
+}
+
+void JobShard::Impl::followJobs() {
+  m_store.feed(jobTable(m_options.Shard), m_feedFrom, FeedWait,
+               [Weak = weak_from_this()](Result<RowPage> Answer) {
+                 auto Self = Weak.lock();
+                 if (!Self || Self->m_lost)
+                   return;
+                 if (Answer.has_value()) {
+                   for (const PlacedRow &Row : Answer.value().Rows)
+                     Self->onJobRow(Row);
+                   Self->m_feedFrom =
+                       std::max(Self->m_feedFrom, Answer.value().Version);
+                   Self->followJobs();
+                   Self->place();
+                   return;
+                 }
+                 if (Answer.error().Code == ResultCode::NotFound)
+                   Self->readJobs("", 0, false);
+                 else
+                   Self->followJobs();
+               });
+}
+
+void JobShard::Impl::onJobRow(const PlacedRow &Row) {
+  if (Row.Removed)
+    return;
+  auto [Id, IsCancel] = parseJobKey(Row.Place.Key);
+  if (IsCancel) {
+    m_cancelled.insert(Id);
+    cancelJob(Id);
+    return;
+  }
+  if (m_jobs.count(Id))
+    return;
+  Result<Job> Spec = decodeJob(Row.Value);
+  if (!Spec.has_value()) {
+    log("bad_row", fmt::format("table={} key={} message=\"{}\"",
+                               Row.Place.Table, Row.Place.Key,
+                               Spec.error().Message));
+    return;
+  }
+  auto Stored = m_loadedProgress.find(Id);
+  if (Stored == m_loadedProgress.end()) {
+    addJob(Spec.value(), Row.Version, nullptr);
+  } else {
+    Result<JobProgress> Progress = decodeProgress(Stored->second.Value);
+    if (!Progress.has_value()) {
+      log("bad_row", fmt::format("table={} key={} message=\"{}\"",
+                                 ProgressTable, Id, Progress.error().Message));
+      return;
+    }
+    addJob(Spec.value(), Stored->second.Version, &Progress.value());
+  }
+  if (m_cancelled.count(Id))
+    cancelJob(Id);
+}
+
+void JobShard::Impl::addJob(const Job &Spec, uint64_t Version,
+                            const JobProgress *Stored) {
+  auto Added =
+      m_jobs.try_emplace(Spec.Id, Spec, Version, m_time.now()).first;
+  JobEntry &Entry = Added->second;
+  if (Stored)
+    Entry.restore(*Stored, RunGap);
+  if (isFinal(Entry.State))
+    return;
+  if (!Stored)
+    log("job_seen", fmt::format("job={} queue={} shard={}", Spec.Id, Spec.Queue,
+                                m_options.Shard));
+  queueReady(Entry);
+}
+
+void JobShard::Impl::cancelJob(const std::string &Id) {
+  JobEntry *Entry = find(Id);
+  if (!Entry || isFinal(Entry->State))
+    return;
+  endJob(*Entry, JobState::Cancelled, "cancelled");
+}
+
+void JobShard::Impl::endJob(JobEntry &Of, JobState State,
+                            std::string_view Why) {
+  Of.State = State;
+  markDirty(Of);
+  for (int Position = 0; Position < static_cast<int>(Of.Tasks.size());
+       ++Position)
+    m_waiting.erase(waitKey(Of, Position));
+  if (State != JobState::Completed)
+    stopAll(Of);
+  log("job_ended", fmt::format("job={} queue={} state={} why={} age_ms={}",
+                               Of.Spec.Id, Of.Spec.Queue, jobStateName(State),
+                               Why, (m_time.now() - Of.Seen) / milliseconds(1)));
+}
+
+JobEntry *JobShard::Impl::find(const std::string &Id) {
+  auto Found = m_jobs.find(Id);
+  return Found == m_jobs.end() ? nullptr : &Found->second;
+}
+
+const JobQueue *JobShard::Impl::queueOf(const JobEntry &Of) const {
+  auto Found = m_queues.find(Of.Spec.Queue);
+  return Found == m_queues.end() ? nullptr : &Found->second;
+}
+
+void JobShard::Impl::markDirty(JobEntry &Of) {
+  if (m_dirty.empty())
+    m_commitNotBefore =
+        std::max(m_commitNotBefore, m_time.now() + m_options.CommitPause);
+  m_dirty.insert(Of.Spec.Id);
+}
+
+void JobShard::Impl::commit() {
+  bool EndsLeft = std::any_of(m_slots.begin(), m_slots.end(), [](auto &Each) {
+    return Each.second.SeenEnds > Each.second.StoredEnds;
+  });
+  if (m_committing || m_lost || m_time.now() < m_commitNotBefore)
+    return;
+  if (m_dirty.empty() && !EndsLeft)
+    return;
+  std::map<std::string, uint64_t> Ends;
+  for (const auto &[Id, Slot] : m_slots)
+    Ends[Id] = Slot.SeenEnds;
+  if (m_dirty.empty()) {
+    onCommitted({}, Ends, m_options.Epoch);
+    return;
+  }
+  RowCommit Commit;
+  Commit.Conditions.push_back(
+      {.Place = shardOwnerPlace(m_options.Shard), .Version = m_options.Epoch});
+  std::map<std::string, JobState> Jobs;
+  for (const std::string &Id : m_dirty) {
+    // What does not fit waits, and so do the ends of this round.
+    if (Jobs.size() == MaxJobsPerCommit) {
+      Ends.clear();
+      break;
+    }
+    JobEntry &Each = *find(Id);
+    RowPlace Place = progressPlace(m_options.Shard, Id);
+    Commit.Conditions.push_back({.Place = Place, .Version = Each.RowVersion});
+    Commit.Changes.push_back(
+        {.Place = Place, .Value = encodeProgress(Each.progress())});
+    Jobs.emplace(Id, Each.State);
+  }
+  for (const auto &[Id, State] : Jobs)
+    m_dirty.erase(Id);
+  m_committing = true;
+  ++m_counts.Commits;
+  m_store.commit(std::move(Commit), [Weak = weak_from_this(), Jobs,
+                                     Ends](Result<uint64_t> Answer) {
+    if (auto Self = Weak.lock())
+      Self->onCommitted(Jobs, Ends, std::move(Answer));
+  });
+}
+
+void JobShard::Impl::onCommitted(const std::map<std::string, JobState> &Jobs,
+                                 const std::map<std::string, uint64_t> &Ends,
+                                 Result<uint64_t> Answer) {
+  m_committing = false;
+  if (!Answer.has_value()) {
+    for (const auto &[Id, State] : Jobs)
+      markDirty(*find(Id));
+    m_commitNotBefore = m_time.now() + RetryPause;
+    log("commit_failed",
+        fmt::format("shard={} jobs={} code={} message=\"{}\"", m_options.Shard,
+                    Jobs.size(), resultCodeName(Answer.error().Code),
+                    Answer.error().Message));
+    if (Answer.error().Code == ResultCode::Conflict)
+      recheck();
+    return;
+  }
+  for (const auto &[Id, State] : Jobs) {
+    JobEntry &Each = *find(Id);
+    Each.RowVersion = Answer.value();
+    Each.StoredState = State;
+  }
+  for (const auto &[Id, Number] : Ends) {
+    auto Slot = m_slots.find(Id);
+    if (Slot == m_slots.end())
+      continue;
+    // A reborn worker counts its ends anew.
+    uint64_t Stored = std::min(Number, Slot->second.SeenEnds);
+    Slot->second.StoredEnds = std::max(Slot->second.StoredEnds, Stored);
+  }
+  lookAround();
+}
+
+// A conflict is either a new owner, or an earlier commit of this owner whose
+// answer was lost and that took effect after all.
+void JobShard::Impl::recheck() {
+  m_committing = true;
+  RowPlace Place = shardOwnerPlace(m_options.Shard);
+  RowRange Range{.Table = Place.Table, .Part = Place.Part, .From = Place.Key};
+  m_store.read(Range, [Weak = weak_from_this()](Result<RowPage> Answer) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    if (!Answer.has_value()) {
+      Self->m_committing = false;
+      return;
+    }
+    const std::vector<PlacedRow> &Rows = Answer.value().Rows;
+    if (Rows.empty() || Rows.front().Version != Self->m_options.Epoch) {
+      Self->m_committing = false;
+      Self->lose("conflict");
+      return;
+    }
+    Self->recheckNext({Self->m_dirty.begin(), Self->m_dirty.end()});
+  });
+}
+
+void JobShard::Impl::recheckNext(std::vector<std::string> Jobs) {
+  if (Jobs.empty()) {
+    m_committing = false;
+    return;
+  }
+  std::string Id = Jobs.back();
+  Jobs.pop_back();
+  RowPlace Place = progressPlace(m_options.Shard, Id);
+  RowRange Range{.Table = Place.Table,
+                 .Part = Place.Part,
+                 .From = Id,
+                 .To = Id + '\x01'};
+  m_store.read(Range,
+               [Weak = weak_from_this(), Id, Jobs](Result<RowPage> Answer) {
+                 auto Self = Weak.lock();
+                 if (!Self)
+                   return;
+                 if (Answer.has_value() && !Answer.value().Rows.empty())
+                   Self->find(Id)->RowVersion =
+                       Answer.value().Rows.front().Version;
+                 Self->recheckNext(Jobs);
+               });
+}
+
+void JobShard::Impl::setQueues(std::shared_ptr<const JobQueues> Queues) {
+  for (const auto &[Name, Queue] : *Queues)
+    m_queues[Name] = Queue;
+  // Priorities may have changed.
+  m_waiting.clear();
+  for (auto &[Id, Entry] : m_jobs)
+    queueReady(Entry);
+  place();
+}
+
+void JobShard::Impl::setWorkers(std::vector<WorkerEntry> Own,
+                                std::vector<WorkerEntry> Fleet) {
+  m_fleet = std::move(Fleet);
+  for (auto &[Id, Slot] : m_slots)
+    Slot.Listed = false;
+  for (WorkerEntry &Each : Own) {
+    auto [Found, Added] = m_slots.try_emplace(Each.Id, Each);
+    WorkerSlot &Slot = Found->second;
+    Slot.Listed = true;
+    // The address of a reborn worker may differ.
+    Slot.Entry = Each;
+  }
+  lookAround();
+  place();
+}
+
+void JobShard::Impl::tick() {
+  if (!m_loaded || m_lost)
+    return;
+  dropGoneSlots();
+  lookAround();
+  commit();
+  place();
+}
+
+std::optional<JobState> JobShard::Impl::state(const std::string &Job) const {
+  auto Found = m_jobs.find(Job);
+  if (Found == m_jobs.end())
+    return std::nullopt;
+  return Found->second.StoredState;
+}
+
+std::map<std::string, int> JobShard::Impl::pending() const {
+  std::map<std::string, int> Out;
+  for (const auto &[Id, Entry] : m_jobs)
+    if (!isFinal(Entry.State) && !Entry.hasStarted())
+      ++Out[Entry.Spec.Queue];
+  return Out;
+}
+
+bool JobShard::Impl::isSettled() const {
+  if (!m_loaded)
+    return false;
+  if (m_time.now() > m_taken + m_options.WriteOff)
+    return true;
+  return std::all_of(m_slots.begin(), m_slots.end(), [](const auto &Each) {
+    return Each.second.Fenced || !Each.second.Listed;
+  });
+}
+
+JobShard::JobShard(JobShardOptions Options, RowStore &Store,
+                   TaskWorkers &Workers, const Clock &Time)
+    : m_impl(std::make_shared<Impl>(std::move(Options), Store, Workers, Time)) {
+}
+JobShard::~JobShard() = default;
+void JobShard::load() { m_impl->load(); }
+void JobShard::setWorkers(std::vector<WorkerEntry> Own,
+                          std::vector<WorkerEntry> Fleet) {
+  m_impl->setWorkers(std::move(Own), std::move(Fleet));
+}
+void JobShard::setQueues(std::shared_ptr<const JobQueues> Queues) {
+  m_impl->setQueues(std::move(Queues));
+}
+void JobShard::tick() { m_impl->tick(); }
+void JobShard::retire() { m_impl->retire(); }
+std::optional<JobState> JobShard::state(const std::string &Job) const {
+  return m_impl->state(Job);
+}
+std::map<std::string, int> JobShard::pending() const {
+  return m_impl->pending();
+}
+bool JobShard::isSettled() const { return m_impl->isSettled(); }
+bool JobShard::isLost() const { return m_impl->isLost(); }
+const JobShardCounts &JobShard::counts() const { return m_impl->counts(); }
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/jobshard_impl.h
@@ -0,0 +1,123 @@
+/// \file
+/// The parts of JobShard; jobshard.cpp holds rows, jobshard_look.cpp what
+/// workers say, jobshard_place.cpp what they are told.
+#pragma once
+
+#include "basilchute/jobshard.h"
+#include "libbasilchute/jobentry.h"
+#include "libbasilchute/workerslot.h"
+
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+class JobShard::Impl : public std::enable_shared_from_this<JobShard::Impl> {
+public:
+  Impl(JobShardOptions Options, RowStore &Store, TaskWorkers &Workers,
+       const Clock &Time);
+
+  // Rows.
+  void load();
+  void tick();
+  void setWorkers(std::vector<WorkerEntry> Own, std::vector<WorkerEntry> Fleet);
+  void setQueues(std::shared_ptr<const JobQueues> Queues);
+  void retire() { m_retired = true; }
+  std::optional<JobState> state(const std::string &Job) const;
+  std::map<std::string, int> pending() const;
+  bool isSettled() const;
+  bool isLost() const { return m_lost; }
+  const JobShardCounts &counts() const { return m_counts; }
+
+private:
+  /// Order in which waiting tasks are served.
+  using WaitKey = std::tuple<int, TimePoint, std::string, int>;
+  using Slots = std::map<std::string, WorkerSlot>;
+
+  // Rows.
+  void readJobs(const std::string &From, uint64_t FeedFrom, bool WithProgress);
+  void readProgress(const std::string &From);
+  void finishLoad();
+  void followJobs();
+  void onJobRow(const PlacedRow &Row);
+  void addJob(const Job &Spec, uint64_t Version, const JobProgress *Stored);
+  void cancelJob(const std::string &Id);
+  void endJob(JobEntry &Of, JobState State, std::string_view Why);
+  void markDirty(JobEntry &Of);
+  void commit();
+  void onCommitted(const std::map<std::string, JobState> &Jobs,
+                   const std::map<std::string, uint64_t> &Ends,
+                   Result<uint64_t> Answer);
+  void recheck();
+  void recheckNext(std::vector<std::string> Jobs);
+  void lose(std::string_view Why);
+  void log(std::string_view Event, std::string_view Fields) const;
+  JobEntry *find(const std::string &Id);
+  const JobQueue *queueOf(const JobEntry &Of) const;
+  bool mayAct() const;
+
+  // What workers say.
+  void lookAround();
+  void look(WorkerSlot &At);
+  milliseconds waitAt(const WorkerSlot &At) const;
+  void onLook(const std::string &Worker, TimePoint Sent,
+              Result<LookReply> Answer);
+  void onMissedLook(WorkerSlot &At, const Error &Why);
+  void onEnd(WorkerSlot &At, const EndedTask &Ended);
+  void onCurrentEnd(JobEntry &Of, int Position, const WorkerSlot &At,
+                    const EndedTask &Ended);
+  void countFailure(JobEntry &Of, int Position, const EndedTask &Ended);
+  void noteHealth(WorkerSlot &At, RunEnd End);
+  void onRunning(WorkerSlot &At, const RunningTask &Run);
+  void adopt(WorkerSlot &At, const RunningTask &Run);
+  void dropMissing(WorkerSlot &At, const LookReply &Reply, TimePoint Sent);
+  void loseRuns(WorkerSlot &At, std::string_view Why);
+  void release(WorkerSlot &At, const RunKey &Key, std::string_view Why);
+  void dropGoneSlots();
+
+  // What workers are told.
+  void place();
+  bool placeOne(JobEntry &Of, int Position);
+  bool isAllowed(const WorkerSlot &At, const JobEntry &Of, int Position) const;
+  bool canEverFit(const JobEntry &Of, int Position) const;
+  int countOnWorker(const WorkerSlot &At, const JobEntry &Of,
+                    int Position) const;
+  double cost(const WorkerSlot &At, const JobEntry &Of, int Position) const;
+  void start(WorkerSlot &At, JobEntry &Of, int Position);
+  void onStart(const std::string &Worker, const RunKey &Key,
+               Result<StartReply> Answer);
+  void stop(WorkerSlot &At, const RunKey &Key);
+  void stopAll(const JobEntry &Of);
+  void setWaiting(JobEntry &Of, int Position, milliseconds Delay);
+  void queueReady(JobEntry &Of);
+  WaitKey waitKey(const JobEntry &Of, int Position) const;
+  void pace(WorkerSlot &At);
+  void sendPace(WorkerSlot &At, const RunKey &Key, int Percent);
+
+  JobShardOptions m_options;
+  RowStore &m_store;
+  TaskWorkers &m_workers;
+  const Clock &m_time;
+  JobShardCounts m_counts;
+  std::unordered_map<std::string, JobEntry> m_jobs;
+  /// Read from the store, until loading is done.
+  std::vector<PlacedRow> m_loadedJobs;
+  std::set<std::string> m_cancelled;
+  std::map<std::string, PlacedRow> m_loadedProgress;
+  Slots m_slots;
+  std::vector<WorkerEntry> m_fleet;
+  /// Every queue that was ever configured; jobs outlive their queue.
+  JobQueues m_queues;
+  std::set<WaitKey> m_waiting;
+  std::set<std::string> m_dirty;
+  uint64_t m_feedFrom = 0;
+  bool m_loaded = false;
+  bool m_lost = false;
+  bool m_retired = false;
+  bool m_committing = false;
+  TimePoint m_commitNotBefore{};
+  TimePoint m_taken;
+};
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -0,0 +1,333 @@
+#include "libbasilchute/jobshard_impl.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+namespace {
+
+/// A worker that has not answered for this long gets no starts.
+constexpr milliseconds FreshEnough{2600};
+constexpr milliseconds RefusedPause{250};
+constexpr milliseconds UnansweredPause{1000};
+/// A job is told to be impossible after this, once the list of workers had
+/// time to arrive.
+constexpr milliseconds ImpossibleAfter{300};
+/// Cost of a rack that makes the task run slower, in units of load.
+constexpr double FarRackCost = 1.0;
+/// Cost of a worker whose fill runs are slowed.
+constexpr double SlowedCost = 2.0;
+/// Cost of a worker where the same task failed or was lost before.
+constexpr double SameWorkerCost = 3.0;
+
+/// Parts of a task's tail target at which fill runs are slowed and sped up.
+constexpr double SlowAbove = 0.75;
+constexpr double SpeedBelow = 0.5;
+constexpr milliseconds SlowPause{350};
+constexpr milliseconds SpeedPause{1000};
+constexpr int SpeedStep = 15;
+constexpr int LeastPace = 12;
+
+} // namespace
+
+JobShard::Impl::WaitKey JobShard::Impl::waitKey(const JobEntry &Of,
+                                                int Position) const {
+  const JobQueue *Queue = queueOf(Of);
+  return {Queue ? Queue->Priority : 0, Of.Seen, Of.Spec.Id, Position};
+}
+
+void JobShard::Impl::queueReady(JobEntry &Of) {
+  if (isFinal(Of.State))
+    return;
+  for (int Position = 0; Position < static_cast<int>(Of.Tasks.size());
+       ++Position) {
+    const TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
+    if (Task.Phase == TaskPhase::Waiting && Of.isReady(Position))
+      m_waiting.insert(waitKey(Of, Position));
+  }
+}
+
+void JobShard::Impl::setWaiting(JobEntry &Of, int Position,
+                                milliseconds Delay) {
+  TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
+  Task.Phase = TaskPhase::Waiting;
+  Task.NotBefore = m_time.now() + Delay;
+  if (!isFinal(Of.State))
+    m_waiting.insert(waitKey(Of, Position));
+}
+
+void JobShard::Impl::place() {
+  if (!mayAct() || !isSettled() || m_waiting.empty())
+    return;
+  TimePoint Now = m_time.now();
+  std::vector<WaitKey> Waiting(m_waiting.begin(), m_waiting.end());
+  // Tasks of one step are alike: if one finds no room, the others do not.
+  std::set<std::pair<std::string, int>> Hopeless;
+  for (const WaitKey &Key : Waiting) {
+    int Position = std::get<3>(Key);
+    JobEntry *Of = find(std::get<2>(Key));
+    if (!Of || isFinal(Of->State) || !m_waiting.count(Key))
+      continue;
+    TaskState &Task = Of->Tasks[static_cast<size_t>(Position)];
+    if (Task.NotBefore > Now)
+      continue;
+    std::pair<std::string, int> Step{Of->Spec.Id, Of->nameOf(Position).Step};
+    if (Hopeless.count(Step))
+      continue;
+    if (!placeOne(*Of, Position))
+      Hopeless.insert(Step);
+  }
+}
+
+bool JobShard::Impl::placeOne(JobEntry &Of, int Position) {
+  WorkerSlot *Best = nullptr;
+  double BestCost = 0;
+  for (auto &[Id, Slot] : m_slots) {
+    if (!isAllowed(Slot, Of, Position))
+      continue;
+    double Cost = cost(Slot, Of, Position);
+    if (Best && Cost >= BestCost)
+      continue;
+    Best = &Slot;
+    BestCost = Cost;
+  }
+  if (Best) {
+    start(*Best, Of, Position);
+    return true;
+  }
+  bool Old = m_time.now() > Of.Seen + ImpossibleAfter;
+  if (Old && queueOf(Of) && !m_fleet.empty() && !canEverFit(Of, Position))
+    endJob(Of, JobState::Failed, "fits_no_worker");
+  return false;
+}
+
+bool JobShard::Impl::isAllowed(const WorkerSlot &At, const JobEntry &Of,
+                               int Position) const {
+  const JobQueue *Queue = queueOf(Of);
+  const JobStep &Step = Of.stepOf(Position);
+  TimePoint Now = m_time.now();
+  bool Usable = Queue && At.Fenced && At.Listed && !At.Entry.Draining &&
+                At.Entry.Service == Queue->Service && At.MissedLooks == 0 &&
+                Now >= At.NoStartBefore && Now < At.LastAnswer + FreshEnough;
+  if (!Usable)
+    return false;
+  if (!Step.RequiredLabel.empty() && !At.hasLabel(Step.RequiredLabel))
+    return false;
+  if (!Step.reserved().fits(At.room()))
+    return false;
+  return Step.MaxPerWorker == 0 ||
+         countOnWorker(At, Of, Position) < Step.MaxPerWorker;
+}
+
+int JobShard::Impl::countOnWorker(const WorkerSlot &At, const JobEntry &Of,
+                                  int Position) const {
+  TaskName Name = Of.nameOf(Position);
+  return static_cast<int>(
+      std::count_if(At.Held.begin(), At.Held.end(), [&](const auto &Each) {
+        const TaskName &Other = Each.first.first;
+        return Other.Job == Name.Job && Other.Occurrence == Name.Occurrence &&
+               Other.Step == Name.Step;
+      }));
+}
+
+bool JobShard::Impl::canEverFit(const JobEntry &Of, int Position) const {
+  const JobQueue *Queue = queueOf(Of);
+  const JobStep &Step = Of.stepOf(Position);
+  return std::any_of(
+      m_fleet.begin(), m_fleet.end(), [&](const WorkerEntry &Each) {
+        bool Labelled = Step.RequiredLabel.empty() ||
+                        std::find(Each.Labels.begin(), Each.Labels.end(),
+                                  Step.RequiredLabel) != Each.Labels.end();
+        return Each.Service == Queue->Service && Labelled &&
+               Step.reserved().fits(Each.Capacity);
+      });
+}
+
+double JobShard::Impl::cost(const WorkerSlot &At, const JobEntry &Of,
+                            int Position) const {
+  const JobStep &Step = Of.stepOf(Position);
+  const TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
+  double Out = At.load();
+  if (!Step.DataRack.empty() && !At.hasLabel(Step.DataRack))
+    Out += FarRackCost;
+  if (Step.Fills && At.FillPace < 100)
+    Out += SlowedCost * (100 - At.FillPace) / 100.0;
+  if (Task.Worker == At.Entry.Id && Task.Run > 0)
+    Out += SameWorkerCost;
+  return Out;
+}
+
+void JobShard::Impl::start(WorkerSlot &At, JobEntry &Of, int Position) {
+  TimePoint Now = m_time.now();
+  TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
+  const JobStep &Step = Of.stepOf(Position);
+  m_waiting.erase(waitKey(Of, Position));
+  Task.Phase = TaskPhase::Placed;
+  ++Task.Run;
+  Task.Worker = At.Entry.Id;
+  RunKey Key{Of.nameOf(Position), Task.Run};
+  HeldRun Held{.Phase = RunPhase::Starting,
+               .Reserved = Step.reserved(),
+               .FillMillicores = Step.Fills ? Step.Demand.Millicores : 0,
+               .TailTarget = Step.TailTarget,
+               .StartUntil = At.clockAt(Now) + m_options.StartLease,
+               .Confirmed = Now,
+               .Moved = Now};
+  At.Held.emplace(Key, Held);
+  At.LeaseEnd = std::max(At.LeaseEnd, Now + m_options.StartLease * 2);
+  if (!Of.hasStarted()) {
+    Of.noteStarted();
+    Of.State = JobState::Running;
+    markDirty(Of);
+    log("job_started",
+        fmt::format("job={} queue={} waited_ms={} worker={}", Of.Spec.Id,
+                    Of.Spec.Queue, (Now - Of.Seen) / milliseconds(1),
+                    At.Entry.Id));
+  }
+  ++m_counts.Starts;
+  StartOrder Order{.Task = Key.first,
+                   .Run = Key.second,
+                   .Payload = Of.Spec.Payload,
+                   .LeaseUntil = Held.StartUntil,
+                   .Epoch = m_options.Epoch,
+                   .Checkpoint = Step.Checkpointing ? Task.Checkpoint : ""};
+  m_workers.start(At.Entry, std::move(Order),
+                  [Weak = weak_from_this(), Id = At.Entry.Id,
+                   Key](Result<StartReply> Answer) {
+                    if (auto Self = Weak.lock())
+                      Self->onStart(Id, Key, std::move(Answer));
+                  });
+}
+
+void JobShard::Impl::onStart(const std::string &Worker, const RunKey &Key,
+                             Result<StartReply> Answer) {
+  auto Slot = m_slots.find(Worker);
+  if (Slot == m_slots.end())
+    return;
+  WorkerSlot &At = Slot->second;
+  auto Found = At.Held.find(Key);
+  if (Found == At.Held.end())
+    return;
+  HeldRun &Held = Found->second;
+  TimePoint Now = m_time.now();
+  if (Answer.has_value() && Answer.value().Outcome == StartOutcome::Started) {
+    if (Held.Phase == RunPhase::Starting || Held.Phase == RunPhase::Unsure)
+      Held.Phase = RunPhase::Running;
+    Held.Confirmed = Now;
+    if (Held.FillMillicores > 0 && At.FillPace < 100 &&
+        Held.Phase == RunPhase::Running)
+      sendPace(At, Key, At.FillPace);
+    return;
+  }
+  bool Unsure = !Answer.has_value() &&
+                Answer.error().Code != ResultCode::Unavailable;
+  if (Unsure) {
+    ++m_counts.Unanswered;
+    if (Held.Phase == RunPhase::Starting)
+      Held.Phase = RunPhase::Unsure;
+    At.NoStartBefore = std::max(At.NoStartBefore, Now + UnansweredPause);
+    log("start_unanswered",
+        fmt::format("job={} step={} index={} run={} worker={} message=\"{}\"",
+                    Key.first.Job, Key.first.Step, Key.first.Index, Key.second,
+                    Worker, Answer.error().Message));
+    return;
+  }
+  At.NoStartBefore = std::max(At.NoStartBefore, Now + RefusedPause);
+  At.NextLook = Now;
+  log("start_refused",
+      fmt::format("job={} step={} index={} run={} worker={} outcome={}",
+                  Key.first.Job, Key.first.Step, Key.first.Index, Key.second,
+                  Worker,
+                  Answer.has_value()
+                      ? static_cast<int>(Answer.value().Outcome)
+                      : -1));
+  bool Fenced = Answer.has_value() &&
+                Answer.value().Outcome == StartOutcome::Fenced;
+  release(At, Key, "start_refused");
+  if (Fenced)
+    lose("fenced");
+  else
+    place();
+}
+
+void JobShard::Impl::stop(WorkerSlot &At, const RunKey &Key) {
+  auto Found = At.Held.find(Key);
+  if (Found == At.Held.end() || !mayAct())
+    return;
+  // A run that may still be started stays unsure: the stop bars it, and its
+  // lease says when it surely never comes.
+  if (Found->second.Phase == RunPhase::Running)
+    Found->second.Phase = RunPhase::Stopping;
+  Found->second.StopSent = m_time.now();
+  m_workers.stop(At.Entry,
+                 {.Task = Key.first, .Run = Key.second,
+                  .Epoch = m_options.Epoch},
+                 [](const Status &) {});
+}
+
+void JobShard::Impl::stopAll(const JobEntry &Of) {
+  for (auto &[Id, Slot] : m_slots) {
+    std::vector<RunKey> Keys;
+    for (const auto &[Key, Run] : Slot.Held)
+      if (Key.first.Job == Of.Spec.Id)
+        Keys.push_back(Key);
+    for (const RunKey &Key : Keys)
+      stop(Slot, Key);
+  }
+}
+
+// Fill runs are slowed quickly and sped up slowly, by the worst tail of the
+// tasks that they disturb.
+void JobShard::Impl::pace(WorkerSlot &At) {
+  double Worst = 0;
+  bool HasFill = false;
+  for (const auto &[Key, Run] : At.Held) {
+    HasFill |= Run.FillMillicores > 0;
+    if (Run.TailTarget.count() > 0 && Run.Percent == 100)
+      Worst = std::max(Worst, static_cast<double>(Run.Usage) /
+                                  static_cast<double>(Run.TailTarget.count()));
+  }
+  TimePoint Now = m_time.now();
+  int Next = At.FillPace;
+  if (!HasFill)
+    Next = 100;
+  else if (Worst > SlowAbove && Now > At.PaceChanged + SlowPause)
+    Next = At.FillPace <= LeastPace ? 0 : At.FillPace / 2;
+  else if (Worst < SpeedBelow && Now > At.PaceChanged + SpeedPause)
+    Next = std::min(100, At.FillPace + SpeedStep);
+  if (Next != At.FillPace) {
+    At.FillPace = Next;
+    At.PaceChanged = Now;
+  }
+  for (auto &[Key, Run] : At.Held)
+    if (Run.FillMillicores > 0 && Run.Phase == RunPhase::Running &&
+        Run.Pace != At.FillPace)
+      sendPace(At, Key, At.FillPace);
+}
+
+void JobShard::Impl::sendPace(WorkerSlot &At, const RunKey &Key, int Percent) {
+  if (!mayAct())
+    return;
+  At.Held.at(Key).Pace = Percent;
+  m_workers.pace(At.Entry,
+                 {.Task = Key.first,
+                  .Run = Key.second,
+                  .Percent = Percent,
+                  .Epoch = m_options.Epoch},
+                 [Weak = weak_from_this(), Id = At.Entry.Id,
+                  Key](const Status &Answer) {
+                   auto Self = Weak.lock();
+                   if (!Self || Answer.has_value())
+                     return;
+                   // Sent again after the next look.
+                   auto Slot = Self->m_slots.find(Id);
+                   if (Slot == Self->m_slots.end())
+                     return;
+                   auto Found = Slot->second.Held.find(Key);
+                   if (Found != Slot->second.Held.end())
+                     Found->second.Pace = -1;
+                 });
+}
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/workerslot.cpp
@@ -0,0 +1,73 @@
+#include "libbasilchute/workerslot.h"
+
+#include <algorithm>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+namespace {
+
+/// Part of a reservation that serving tasks use on average.
+constexpr double ReservedUse = 0.6;
+
+} // namespace
+
+std::string_view runEndName(RunEnd End) {
+  switch (End) {
+  case RunEnd::Done:
+    return "done";
+  case RunEnd::Failed:
+    return "failed";
+  case RunEnd::Stopped:
+    return "stopped";
+  case RunEnd::Lapsed:
+    return "lapsed";
+  case RunEnd::Broken:
+    return "broken";
+  case RunEnd::Alone:
+    return "alone";
+  }
+  return "unknown";
+}
+
+void WorkerSlot::setClock(milliseconds Clock, TimePoint Now) {
+  m_clock = Clock;
+  m_clockAt = Now;
+}
+
+milliseconds WorkerSlot::clockAt(TimePoint Now) const {
+  return m_clock + std::chrono::duration_cast<milliseconds>(Now - m_clockAt);
+}
+
+Resources WorkerSlot::room() const {
+  Resources Out = Entry.Capacity;
+  for (const auto &[Key, Run] : Held)
+    Out -= Run.Reserved;
+  return Out;
+}
+
+double WorkerSlot::load() const {
+  double Used = 0;
+  for (const auto &[Key, Run] : Held)
+    Used += ReservedUse * static_cast<double>(Run.Reserved.Millicores) +
+            static_cast<double>(Run.FillMillicores);
+  auto Capacity = static_cast<double>(
+      std::max<int64_t>(Entry.Capacity.Millicores, 1));
+  return Used / Capacity;
+}
+
+bool WorkerSlot::hasLabel(const std::string &Label) const {
+  return std::find(Entry.Labels.begin(), Entry.Labels.end(), Label) !=
+         Entry.Labels.end();
+}
+
+void WorkerSlot::forgetLife() {
+  Held.clear();
+  SeenEnds = 0;
+  StoredEnds = 0;
+  NotedEnds = 0;
+  Fenced = false;
+  FailuresInARow = 0;
+  FillPace = 100;
+}
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/workerslot.h
@@ -0,0 +1,99 @@
+/// \file
+/// One worker of a shard: its clock, its lists, and the room on it.
+#pragma once
+
+#include "basilchute/clock.h"
+#include "basilchute/taskworker.h"
+
+#include <map>
+#include <optional>
+#include <utility>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// What is known of a run that takes room on a worker.
+enum class RunPhase {
+  /// Ordered, not answered.
+  Starting,
+  /// The order had no answer; it may still be carried out.
+  Unsure,
+  Running,
+  Stopping,
+};
+
+/// A run that takes room on a worker.
+struct HeldRun {
+  RunPhase Phase = RunPhase::Starting;
+  Resources Reserved;
+  /// Millicores that the run takes from what others leave; zero for others.
+  int64_t FillMillicores = 0;
+  /// Bound on its users' tail latency; zero for none.
+  milliseconds TailTarget{0};
+  /// On the worker's clock: an order not carried out by then never is.
+  milliseconds StartUntil{0};
+  /// When the run was last known to be there.
+  TimePoint Confirmed{};
+  int Percent = 0;
+  int64_t Usage = 0;
+  /// Share at which it was told to work.
+  int Pace = 100;
+  /// When its progress last changed.
+  TimePoint Moved{};
+  /// When a stop was last sent.
+  TimePoint StopSent{};
+};
+
+/// Name and number of a run.
+using RunKey = std::pair<TaskName, int>;
+
+/// A worker of the shard.
+class WorkerSlot {
+public:
+  explicit WorkerSlot(WorkerEntry Entry) : Entry(std::move(Entry)) {}
+
+  WorkerEntry Entry;
+  /// Still in the platform's list.
+  bool Listed = true;
+  /// It has answered a look with this owner's epoch.
+  bool Fenced = false;
+  bool Looking = false;
+  TimePoint NextLook{};
+  TimePoint LastAnswer{};
+  /// Looks in a row that had no answer.
+  int MissedLooks = 0;
+  milliseconds Born{0};
+  /// Ends up to this number were taken into account ...
+  uint64_t SeenEnds = 0;
+  /// ... and up to this one are stored.
+  uint64_t StoredEnds = 0;
+  /// ... and were told to the worker.
+  uint64_t NotedEnds = 0;
+  std::map<RunKey, HeldRun> Held;
+  /// No starts before this.
+  TimePoint NoStartBefore{};
+  int FailuresInARow = 0;
+  /// No run can outlive this unless a later look extends it.
+  TimePoint LeaseEnd{};
+  /// Serving runs are or were over their target: fill runs are slowed.
+  int FillPace = 100;
+  TimePoint PaceChanged{};
+
+  /// Takes the worker's clock from an answer that arrived at \p Now.
+  void setClock(milliseconds Clock, TimePoint Now);
+  /// Returns the worker's clock at \p Now; at most 2% of the time since the
+  /// last answer ahead.
+  milliseconds clockAt(TimePoint Now) const;
+  /// Room that no held run takes.
+  Resources room() const;
+  /// Processor that held runs reserve or fill, relative to the capacity.
+  double load() const;
+  bool hasLabel(const std::string &Label) const;
+  /// Forgets everything that belongs to one life of the worker.
+  void forgetLife();
+
+private:
+  milliseconds m_clock{0};
+  TimePoint m_clockAt{};
+};
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libjobhost/jobhost.h
@@ -0,0 +1,73 @@
+/// \file
+/// One entry host: takes jobs for all shards and owns some of them.
+#pragma once
+
+#include "basilchute/hostcluster.h"
+#include "basilchute/jobdesk.h"
+#include "basilchute/jobshard.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// Settings of a JobHost.
+struct JobHostOptions {
+  /// Unique for each start of the process.
+  std::string HostId;
+  /// Capacity relative to other hosts.
+  int Weight = 1;
+  /// Number of shards; the same on all hosts.
+  int Shards = 1;
+  /// Longest lease that a worker grants.
+  milliseconds MaxLease{6000};
+  /// Runs a function on the host's loop after a delay.
+  std::function<void(milliseconds, std::function<void()>)> After;
+  std::function<void(std::string_view, std::string_view)> Log;
+};
+
+/// Ties the desk, the cluster and the owned shards together. Not safe for
+/// several threads.
+class JobHost {
+public:
+  JobHost(JobHostOptions Options, RowStore &Store, TaskWorkers &Workers,
+          const Clock &Time);
+
+  void start() { m_cluster.start(); }
+  void tick();
+  /// Replaces the list of all workers.
+  void setFleet(std::vector<WorkerEntry> Fleet);
+  /// Replaces the queues.
+  void setQueues(std::shared_ptr<const JobQueues> Queues);
+  /// Hands over everything that this host owns.
+  void leave() { m_cluster.leave(); }
+  /// Removes the host's row.
+  void finish() { m_cluster.removeSelf(); }
+
+  JobDesk &desk() { return m_desk; }
+  /// Jobs without a started task in \p Queue, over all hosts.
+  int pending(const std::string &Queue) const;
+  /// Counts over all shards owned now.
+  JobShardCounts counts() const;
+  int ownedShards() const { return static_cast<int>(m_shards.size()); }
+
+private:
+  void own(int Shard, uint64_t Epoch);
+  void giveWorkers(int Shard);
+  std::map<std::string, int> ownPending() const;
+  std::optional<JobState> localState(const std::string &Job) const;
+  HostClusterOptions clusterOptions();
+
+  JobHostOptions m_options;
+  RowStore &m_store;
+  TaskWorkers &m_workers;
+  const Clock &m_time;
+  std::map<int, std::unique_ptr<JobShard>> m_shards;
+  std::vector<WorkerEntry> m_fleet;
+  std::shared_ptr<const JobQueues> m_queues;
+  HostCluster m_cluster;
+  JobDesk m_desk;
+};
+
+BASILCHUTE_NAMESPACE_END
--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -190,6 +190,8 @@
     cds_wfcq_init(&m_head, &m_tail);
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS,
                       m_options.MaxIdleConnections);
+    curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      m_options.MaxConnectionsPerAddress);
     m_thread = std::thread([this] { loop(); });
   }
 
--- a/src/libutil/httpclient.h
+++ b/src/libutil/httpclient.h
@@ -32,6 +32,9 @@
   size_t MaxBodyBytes = 64 * 1024 * 1024;
   /// Kept connections of one thread.
   long MaxIdleConnections = 256;
+  /// Connections of one thread to one address; more requests wait for one.
+  /// Zero sets no limit.
+  long MaxConnectionsPerAddress = 0;
   /// Kept connections older than this are not used again.
   std::chrono::seconds MaxIdleTime{20};
 };
