--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -28,6 +28,8 @@
   std::string Worker;
   /// The task is not started before this.
   TimePoint NotBefore{};
+  /// When the task became ready, or was put back.
+  TimePoint WaitingSince{};
 };
 
 /// A job with its tasks by position.
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -3,6 +3,7 @@
 /// workers say, jobshard_place.cpp what they are told.
 #pragma once
 
+#include "basilchute/interference.h"
 #include "basilchute/jobshard.h"
 #include "libbasilchute/jobentry.h"
 #include "libbasilchute/workerslot.h"
@@ -83,6 +84,9 @@
   bool canEverFit(const JobEntry &Of, int Position) const;
   int countOnWorker(const WorkerSlot &At, const JobEntry &Of,
                     int Position) const;
+  double ratioWith(const WorkerSlot &At, const JobStep &Step) const;
+  bool isWorthwhile(const WorkerSlot &At, const JobEntry &Of,
+                    int Position) const;
   double cost(const WorkerSlot &At, const JobEntry &Of, int Position) const;
   void start(WorkerSlot &At, JobEntry &Of, int Position);
   void onStart(const std::string &Worker, const RunKey &Key,
@@ -92,6 +96,7 @@
   void setWaiting(JobEntry &Of, int Position, milliseconds Delay);
   void queueReady(JobEntry &Of);
   WaitKey waitKey(const JobEntry &Of, int Position) const;
+  void learn(WorkerSlot &At);
   void pace(WorkerSlot &At);
   void sendPace(WorkerSlot &At, const RunKey &Key, int Percent);
 
@@ -109,6 +114,7 @@
   std::vector<WorkerEntry> m_fleet;
   /// Every queue that was ever configured; jobs outlive their queue.
   JobQueues m_queues;
+  InterferenceModel m_harm;
   std::set<WaitKey> m_waiting;
   std::set<std::string> m_dirty;
   uint64_t m_feedFrom = 0;
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -107,6 +107,7 @@
   for (const RunningTask &Each : Reply.Running)
     onRunning(At, Each);
   dropMissing(At, Reply, Sent);
+  learn(At);
   pace(At);
   At.NextLook = First ? Now : std::max(Now, Sent + m_options.LookPause);
   lookAround();
@@ -267,6 +268,9 @@
     Held.Moved = Now;
   Held.Percent = Run.Percent;
   Held.Usage = Run.Usage;
+  bool Over = Held.TailTarget.count() > 0 && Held.Percent == 100 &&
+              Run.Usage > Held.TailTarget.count();
+  Held.Over = Over ? Held.Over + 1 : 0;
   JobEntry *Of = find(Run.Task.Job);
   int Position = Of ? Of->positionOf(Run.Task) : -1;
   if (Position < 0 || Run.Checkpoint.empty())
@@ -294,6 +298,7 @@
     Held.Reserved = Step.reserved();
     Held.FillMillicores = Step.Fills ? Step.Demand.Millicores : 0;
     Held.TailTarget = Step.TailTarget;
+    Held.Image = Step.Image;
     TaskState &Task = Of->Tasks[static_cast<size_t>(Position)];
     Wanted = !isFinal(Of->State) && Task.Phase == TaskPhase::Waiting &&
              Run.Run > Task.CountedRun;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -16,18 +16,21 @@
 constexpr milliseconds ImpossibleAfter{300};
 /// Cost of a rack that makes the task run slower, in units of load.
 constexpr double FarRackCost = 1.0;
-/// Cost of a worker whose fill runs are slowed.
-constexpr double SlowedCost = 2.0;
+/// Cost of the part of a tail target that a fill task is expected to take beyond
+/// what is left.
+constexpr double HarmCost = 8.0;
+constexpr double HarmAbove = 0.70;
+/// A fill task waits rather than join a worker where it would have to stop ...
+constexpr double MostExpectedRatio = 0.9;
+/// ... or where as much work is present as this part of the worker ...
+constexpr double MostFillLoad = 1.25;
+/// ... but no longer than this.
+constexpr milliseconds FillPatience{2000};
 /// Cost of a worker where the same task failed or was lost before.
 constexpr double SameWorkerCost = 3.0;
 
-/// Parts of a task's tail target at which fill runs are slowed and sped up.
-constexpr double SlowAbove = 0.75;
-constexpr double SpeedBelow = 0.5;
-constexpr milliseconds SlowPause{350};
-constexpr milliseconds SpeedPause{1000};
-constexpr int SpeedStep = 15;
-constexpr int LeastPace = 12;
+/// A change of pace shows in the measurements after this.
+constexpr milliseconds PacePause{420};
 
 } // namespace
 
@@ -43,8 +46,11 @@
   for (int Position = 0; Position < static_cast<int>(Of.Tasks.size());
        ++Position) {
     const TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
-    if (Task.Phase == TaskPhase::Waiting && Of.isReady(Position))
-      m_waiting.insert(waitKey(Of, Position));
+    if (Task.Phase != TaskPhase::Waiting || !Of.isReady(Position))
+      continue;
+    bool New = m_waiting.insert(waitKey(Of, Position)).second;
+    if (New)
+      Of.Tasks[static_cast<size_t>(Position)].WaitingSince = m_time.now();
   }
 }
 
@@ -53,6 +59,7 @@
   TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
   Task.Phase = TaskPhase::Waiting;
   Task.NotBefore = m_time.now() + Delay;
+  Task.WaitingSince = m_time.now();
   if (!isFinal(Of.State))
     m_waiting.insert(waitKey(Of, Position));
 }
@@ -82,10 +89,14 @@
 
 bool JobShard::Impl::placeOne(JobEntry &Of, int Position) {
   WorkerSlot *Best = nullptr;
+  bool Allowed = false;
   double BestCost = 0;
   for (auto &[Id, Slot] : m_slots) {
     if (!isAllowed(Slot, Of, Position))
       continue;
+    Allowed = true;
+    if (!isWorthwhile(Slot, Of, Position))
+      continue;
     double Cost = cost(Slot, Of, Position);
     if (Best && Cost >= BestCost)
       continue;
@@ -97,7 +108,7 @@
     return true;
   }
   bool Old = m_time.now() > Of.Seen + ImpossibleAfter;
-  if (Old && queueOf(Of) && !m_fleet.empty() && !canEverFit(Of, Position))
+  if (Old && !Allowed && queueOf(Of) && !m_fleet.empty() && !canEverFit(Of, Position))
     endJob(Of, JobState::Failed, "fits_no_worker");
   return false;
 }
@@ -144,6 +155,22 @@
       });
 }
 
+double JobShard::Impl::ratioWith(const WorkerSlot &At,
+                                 const JobStep &Step) const {
+  double Share = static_cast<double>(Step.Demand.Millicores) /
+                 static_cast<double>(At.Entry.Capacity.Millicores);
+  return expectedRatio(At.serving(), Step.Image, Share, m_harm);
+}
+
+bool JobShard::Impl::isWorthwhile(const WorkerSlot &At, const JobEntry &Of,
+                                  int Position) const {
+  const JobStep &Step = Of.stepOf(Position);
+  const TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
+  if (!Step.Fills || m_time.now() > Task.WaitingSince + FillPatience)
+    return true;
+  return At.load() < MostFillLoad && ratioWith(At, Step) < MostExpectedRatio;
+}
+
 double JobShard::Impl::cost(const WorkerSlot &At, const JobEntry &Of,
                             int Position) const {
   const JobStep &Step = Of.stepOf(Position);
@@ -151,8 +178,13 @@
   double Out = At.load();
   if (!Step.DataRack.empty() && !At.hasLabel(Step.DataRack))
     Out += FarRackCost;
-  if (Step.Fills && At.FillPace < 100)
-    Out += SlowedCost * (100 - At.FillPace) / 100.0;
+  // Serving tasks are packed, so that some workers have none and can run the
+  // fill tasks that would disturb them.
+  if (Step.TailTarget.count() > 0)
+    Out = -At.load();
+  if (Step.Fills)
+    Out += HarmCost *
+           std::max(0.0, ratioWith(At, Step) - HarmAbove);
   if (Task.Worker == At.Entry.Id && Task.Run > 0)
     Out += SameWorkerCost;
   return Out;
@@ -173,6 +205,7 @@
                .TailTarget = Step.TailTarget,
                .StartUntil = At.clockAt(Now) + m_options.StartLease,
                .Confirmed = Now,
+               .Image = Step.Image,
                .Moved = Now};
   At.Held.emplace(Key, Held);
   At.LeaseEnd = std::max(At.LeaseEnd, Now + m_options.StartLease * 2);
@@ -215,9 +248,6 @@
     if (Held.Phase == RunPhase::Starting || Held.Phase == RunPhase::Unsure)
       Held.Phase = RunPhase::Running;
     Held.Confirmed = Now;
-    if (Held.FillMillicores > 0 && At.FillPace < 100 &&
-        Held.Phase == RunPhase::Running)
-      sendPace(At, Key, At.FillPace);
     return;
   }
   bool Unsure = !Answer.has_value() &&
@@ -277,33 +307,40 @@
   }
 }
 
-// Fill runs are slowed quickly and sped up slowly, by the worst tail of the
-// tasks that they disturb.
+void JobShard::Impl::learn(WorkerSlot &At) {
+  std::vector<ServingLoad> Serving = At.serving();
+  if (Serving.empty())
+    return;
+  std::map<std::string, double> Shares = At.fillShares();
+  for (const ServingLoad &Each : Serving)
+    m_harm.observe(Each.Image, Each.Ratio, Shares);
+}
+
 void JobShard::Impl::pace(WorkerSlot &At) {
-  double Worst = 0;
-  bool HasFill = false;
+  TimePoint Now = m_time.now();
+  if (Now < At.PaceChanged + PacePause)
+    return;
+  std::vector<FillLoad> Fills;
+  std::vector<RunKey> Keys;
+  auto Capacity = static_cast<double>(At.Entry.Capacity.Millicores);
   for (const auto &[Key, Run] : At.Held) {
-    HasFill |= Run.FillMillicores > 0;
-    if (Run.TailTarget.count() > 0 && Run.Percent == 100)
-      Worst = std::max(Worst, static_cast<double>(Run.Usage) /
-                                  static_cast<double>(Run.TailTarget.count()));
+    if (Run.FillMillicores == 0 || Run.Phase != RunPhase::Running)
+      continue;
+    Fills.push_back(
+        {.Image = Run.Image,
+         .Pace = Run.Pace,
+         .FullShare = static_cast<double>(Run.FillMillicores) / Capacity});
+    Keys.push_back(Key);
   }
-  TimePoint Now = m_time.now();
-  int Next = At.FillPace;
-  if (!HasFill)
-    Next = 100;
-  else if (Worst > SlowAbove && Now > At.PaceChanged + SlowPause)
-    Next = At.FillPace <= LeastPace ? 0 : At.FillPace / 2;
-  else if (Worst < SpeedBelow && Now > At.PaceChanged + SpeedPause)
-    Next = std::min(100, At.FillPace + SpeedStep);
-  if (Next != At.FillPace) {
-    At.FillPace = Next;
+  if (Fills.empty())
+    return;
+  std::vector<int> Paces = planPaces(At.serving(), Fills, m_harm);
+  for (size_t Each = 0; Each < Keys.size(); ++Each) {
+    if (Paces[Each] == Fills[Each].Pace)
+      continue;
     At.PaceChanged = Now;
+    sendPace(At, Keys[Each], Paces[Each]);
   }
-  for (auto &[Key, Run] : At.Held)
-    if (Run.FillMillicores > 0 && Run.Phase == RunPhase::Running &&
-        Run.Pace != At.FillPace)
-      sendPace(At, Key, At.FillPace);
 }
 
 void JobShard::Impl::sendPace(WorkerSlot &At, const RunKey &Key, int Percent) {
@@ -320,13 +357,13 @@
                    auto Self = Weak.lock();
                    if (!Self || Answer.has_value())
                      return;
-                   // Sent again after the next look.
+                   // What the run works at is unknown; it is told anew.
                    auto Slot = Self->m_slots.find(Id);
                    if (Slot == Self->m_slots.end())
                      return;
                    auto Found = Slot->second.Held.find(Key);
                    if (Found != Slot->second.Held.end())
-                     Found->second.Pace = -1;
+                     Found->second.Pace = 100;
                  });
 }
 
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Part of a reservation that serving tasks use on average.
-constexpr double ReservedUse = 0.6;
+constexpr double ReservedUse = 0.5;
 
 } // namespace
 
@@ -67,7 +67,29 @@
   NotedEnds = 0;
   Fenced = false;
   FailuresInARow = 0;
-  FillPace = 100;
+}
+
+std::vector<ServingLoad> WorkerSlot::serving() const {
+  std::vector<ServingLoad> Out;
+  for (const auto &[Key, Run] : Held) {
+    if (Run.TailTarget.count() == 0 || Run.Percent < 100)
+      continue;
+    double Target = static_cast<double>(Run.TailTarget.count());
+    Out.push_back({.Image = Run.Image,
+                   .Ratio = static_cast<double>(Run.Usage) / Target,
+                   .Over = Run.Over});
+  }
+  return Out;
+}
+
+std::map<std::string, double> WorkerSlot::fillShares() const {
+  std::map<std::string, double> Out;
+  auto Capacity =
+      static_cast<double>(std::max<int64_t>(Entry.Capacity.Millicores, 1));
+  for (const auto &[Key, Run] : Held)
+    if (Run.FillMillicores > 0)
+      Out[Run.Image] += static_cast<double>(Run.Usage) / Capacity;
+  return Out;
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "basilchute/clock.h"
+#include "basilchute/pacing.h"
 #include "basilchute/taskworker.h"
 
 #include <map>
@@ -35,6 +36,10 @@
   TimePoint Confirmed{};
   int Percent = 0;
   int64_t Usage = 0;
+  /// What the run's task runs.
+  std::string Image;
+  /// Measurements in a row of a tail above the target.
+  int Over = 0;
   /// Share at which it was told to work.
   int Pace = 100;
   /// When its progress last changed.
@@ -74,8 +79,7 @@
   int FailuresInARow = 0;
   /// No run can outlive this unless a later look extends it.
   TimePoint LeaseEnd{};
-  /// Serving runs are or were over their target: fill runs are slowed.
-  int FillPace = 100;
+  /// When fill runs were last slowed or sped up.
   TimePoint PaceChanged{};
 
   /// Takes the worker's clock from an answer that arrived at \p Now.
@@ -88,6 +92,10 @@
   /// Processor that held runs reserve or fill, relative to the capacity.
   double load() const;
   bool hasLabel(const std::string &Label) const;
+  /// Serving runs that are at work.
+  std::vector<ServingLoad> serving() const;
+  /// Part of the worker that each fill image uses, by the last measurement.
+  std::map<std::string, double> fillShares() const;
   /// Forgets everything that belongs to one life of the worker.
   void forgetLife();
 
