Placing is bounded and weighed on cached figures

Change: rounds at most each 15 ms, over spots that are made once a round and kept true; a round ends after 40 steps without a place; images are small numbers. Ruled out: the takeover itself (3.3 s to claim, 0.3 s to load).

--- a/src/include/basilchute/interference.h
+++ b/src/include/basilchute/interference.h
@@ -4,12 +4,18 @@
 
 #include "basilchute/namespace.h"
 
-#include <map>
 #include <memory>
-#include <string>
+#include <utility>
+#include <vector>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+/// Kind of task, a small number that the caller gives to each image.
+using TaskKind = int;
+
+/// Part of a worker, 0 to 1, that the fill tasks of each kind use.
+using FillShares = std::vector<std::pair<TaskKind, double>>;
+
 /// Settings of an InterferenceModel.
 struct InterferenceOptions {
   /// Rise of tail over target for a fill task on a whole worker, assumed before
@@ -26,7 +32,7 @@
 /// target, as a base plus a slope for each kind of fill task times the share of
 /// the worker that it uses. Fitted by recursive least squares.
 ///
-/// Kinds are the images that tasks run. Not safe for several threads.
+/// Not safe for several threads.
 class InterferenceModel {
 public:
   explicit InterferenceModel(InterferenceOptions Options = {});
@@ -34,14 +40,12 @@
   InterferenceModel(const InterferenceModel &) = delete;
   InterferenceModel &operator=(const InterferenceModel &) = delete;
 
-  /// Takes one measurement: \p Ratio is tail over target of a task of image
-  /// \p Serving; \p FillShares is what each fill image used of the worker, 0 to
-  /// 1.
-  void observe(const std::string &Serving, double Ratio,
-               const std::map<std::string, double> &FillShares);
+  /// Takes one measurement: \p Ratio is tail over target of a task of kind
+  /// \p Serving while fill tasks used \p Shares of its worker.
+  void observe(TaskKind Serving, double Ratio, const FillShares &Shares);
   /// Returns the rise of the ratio of \p Serving if \p Fill used the whole
   /// worker; never negative.
-  double slope(const std::string &Serving, const std::string &Fill) const;
+  double slope(TaskKind Serving, TaskKind Fill) const;
 
 private:
   class Impl;
--- a/src/include/basilchute/pacing.h
+++ b/src/include/basilchute/pacing.h
@@ -5,7 +5,6 @@
 
 #include "basilchute/interference.h"
 
-#include <string>
 #include <vector>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -26,7 +25,7 @@
 
 /// A serving task on the worker.
 struct ServingLoad {
-  std::string Image;
+  TaskKind Kind = 0;
   /// Tail over target, measured just now.
   double Ratio = 0;
   /// Measurements in a row above the target.
@@ -35,7 +34,7 @@
 
 /// A fill task on the worker.
 struct FillLoad {
-  std::string Image;
+  TaskKind Kind = 0;
   /// Share at which it works now, 0 to 100.
   int Pace = 100;
   /// Part of the worker that it uses at full pace.
@@ -50,9 +49,9 @@
                            const PacingOptions &Options = {});
 
 /// Returns the worst tail over target that is expected on the worker if a fill
-/// task of \p Image with \p Share of it joins.
+/// task of \p Kind with \p Share of it joins.
 double expectedRatio(const std::vector<ServingLoad> &Serving,
-                     const std::string &Image, double Share,
+                     TaskKind Kind, double Share,
                      const InterferenceModel &Model);
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/interference.cpp
+++ b/src/libbasilchute/interference.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// Fill images that are told apart; later ones share the last place.
+/// Fill kinds that are told apart; more share places.
 constexpr size_t MaxFills = 15;
-/// One place for the base, one for each fill image.
+/// One place for the base, one for each fill kind.
 constexpr size_t Places = MaxFills + 1;
 constexpr double BaseVariance = 1.0;
 constexpr double SlopeVariance = 30.0;
@@ -20,7 +20,7 @@
 
 using Vector = std::array<double, Places>;
 
-/// Recursive least squares of one serving image.
+/// Recursive least squares of one serving kind.
 struct Fit {
   Vector Coefficients{};
   std::array<Vector, Places> Covariance{};
@@ -59,50 +59,42 @@
 public:
   explicit Impl(InterferenceOptions Options) : m_options(Options) {}
 
-  size_t placeOf(const std::string &Fill) {
-    auto Found = m_places.find(Fill);
-    if (Found != m_places.end())
-      return Found->second;
-    size_t Place = std::min(m_places.size() + 1, MaxFills);
-    m_places.emplace(Fill, Place);
-    return Place;
+  static size_t placeOf(TaskKind Fill) {
+    return 1 + static_cast<size_t>(Fill) % MaxFills;
   }
 
-  void observe(const std::string &Serving, double Ratio,
-               const std::map<std::string, double> &FillShares) {
+  void observe(TaskKind Serving, double Ratio, const FillShares &Shares) {
     Vector X{};
     X[0] = 1;
-    for (const auto &[Fill, Share] : FillShares)
+    for (const auto &[Fill, Share] : Shares)
       X[placeOf(Fill)] += Share;
-    Fit &Of = m_fits.try_emplace(Serving, m_options.PriorSlope).first->second;
-    Of.update(X, std::min(Ratio, m_options.HighestRatio),
-              m_options.Forgetting);
+    auto Index = static_cast<size_t>(Serving);
+    if (Index >= m_fits.size())
+      m_fits.resize(Index + 1, Fit(m_options.PriorSlope));
+    m_fits[Index].update(X, std::min(Ratio, m_options.HighestRatio),
+                         m_options.Forgetting);
   }
 
-  double slope(const std::string &Serving, const std::string &Fill) const {
-    auto Of = m_fits.find(Serving);
-    auto Place = m_places.find(Fill);
-    if (Of == m_fits.end() || Place == m_places.end())
+  double slope(TaskKind Serving, TaskKind Fill) const {
+    auto Index = static_cast<size_t>(Serving);
+    if (Index >= m_fits.size())
       return m_options.PriorSlope;
-    return std::max(0.0, Of->second.Coefficients[Place->second]);
+    return std::max(0.0, m_fits[Index].Coefficients[placeOf(Fill)]);
   }
 
 private:
   InterferenceOptions m_options;
-  std::map<std::string, Fit> m_fits;
-  std::map<std::string, size_t> m_places;
+  std::vector<Fit> m_fits;
 };
 
 InterferenceModel::InterferenceModel(InterferenceOptions Options)
     : m_impl(std::make_unique<Impl>(Options)) {}
 InterferenceModel::~InterferenceModel() = default;
-void InterferenceModel::observe(
-    const std::string &Serving, double Ratio,
-    const std::map<std::string, double> &FillShares) {
-  m_impl->observe(Serving, Ratio, FillShares);
+void InterferenceModel::observe(TaskKind Serving, double Ratio,
+                                const FillShares &Shares) {
+  m_impl->observe(Serving, Ratio, Shares);
 }
-double InterferenceModel::slope(const std::string &Serving,
-                                const std::string &Fill) const {
+double InterferenceModel::slope(TaskKind Serving, TaskKind Fill) const {
   return m_impl->slope(Serving, Fill);
 }
 
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -46,6 +46,8 @@
   uint64_t RowVersion;
   TimePoint Seen;
   std::vector<TaskState> Tasks;
+  /// Kind of each step's tasks.
+  std::vector<int> Kinds;
 
   /// Takes over what is stored; unknown positions are ignored. Run numbers
   /// start at \p RunGap above the stored ones, because the previous owner may
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -177,6 +177,8 @@
   auto Added =
       m_jobs.try_emplace(Spec.Id, Spec, Version, m_time.now()).first;
   JobEntry &Entry = Added->second;
+  for (const JobStep &Each : Spec.Steps)
+    Entry.Kinds.push_back(kindOf(Each.Image));
   if (Stored)
     Entry.restore(*Stored, RunGap);
   if (isFinal(Entry.State))
@@ -187,6 +189,11 @@
   queueReady(Entry);
 }
 
+TaskKind JobShard::Impl::kindOf(const std::string &Image) {
+  auto Next = static_cast<TaskKind>(m_kinds.size());
+  return m_kinds.try_emplace(Image, Next).first->second;
+}
+
 void JobShard::Impl::cancelJob(const std::string &Id) {
   JobEntry *Entry = find(Id);
   if (!Entry || isFinal(Entry->State))
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -35,6 +35,13 @@
   /// Order in which waiting tasks are served.
   using WaitKey = std::tuple<int, TimePoint, std::string, int>;
   using Slots = std::map<std::string, WorkerSlot>;
+  /// A usable worker while tasks are placed.
+  struct Spot {
+    WorkerSlot *Slot;
+    Resources Room;
+    double Load;
+    std::vector<ServingLoad> Serving;
+  };
 
   // Rows.
   void readJobs(const std::string &From, uint64_t FeedFrom, bool WithProgress);
@@ -43,6 +50,7 @@
   void followJobs();
   void onJobRow(const PlacedRow &Row);
   void addJob(const Job &Spec, uint64_t Version, const JobProgress *Stored);
+  TaskKind kindOf(const std::string &Image);
   void cancelJob(const std::string &Id);
   void endJob(JobEntry &Of, JobState State, std::string_view Why);
   void markDirty(JobEntry &Of);
@@ -79,15 +87,18 @@
 
   // What workers are told.
   void place();
-  bool placeOne(JobEntry &Of, int Position);
-  bool isAllowed(const WorkerSlot &At, const JobEntry &Of, int Position) const;
+  std::vector<Spot> spots();
+  bool placeOne(std::vector<Spot> &Spots, JobEntry &Of, int Position);
+  bool isAllowed(const Spot &At, const JobEntry &Of, int Position) const;
   bool canEverFit(const JobEntry &Of, int Position) const;
   int countOnWorker(const WorkerSlot &At, const JobEntry &Of,
                     int Position) const;
-  double ratioWith(const WorkerSlot &At, const JobStep &Step) const;
-  bool isWorthwhile(const WorkerSlot &At, const JobEntry &Of,
-                    int Position) const;
-  double cost(const WorkerSlot &At, const JobEntry &Of, int Position) const;
+  bool isWorthwhile(const Spot &At, const JobEntry &Of, int Position,
+                    double Ratio) const;
+  double cost(const Spot &At, const JobEntry &Of, int Position,
+              double Ratio) const;
+  double ratioWith(const Spot &At, const JobEntry &Of, int Position) const;
+  void take(Spot &At, const JobEntry &Of, int Position);
   void start(WorkerSlot &At, JobEntry &Of, int Position);
   void onStart(const std::string &Worker, const RunKey &Key,
                Result<StartReply> Answer);
@@ -115,6 +126,7 @@
   /// Every queue that was ever configured; jobs outlive their queue.
   JobQueues m_queues;
   InterferenceModel m_harm;
+  std::map<std::string, TaskKind> m_kinds;
   std::set<WaitKey> m_waiting;
   std::set<std::string> m_dirty;
   uint64_t m_feedFrom = 0;
@@ -122,6 +134,7 @@
   bool m_lost = false;
   bool m_retired = false;
   bool m_committing = false;
+  TimePoint m_nextPlace{};
   TimePoint m_commitNotBefore{};
   TimePoint m_taken;
 };
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -298,7 +298,7 @@
     Held.Reserved = Step.reserved();
     Held.FillMillicores = Step.Fills ? Step.Demand.Millicores : 0;
     Held.TailTarget = Step.TailTarget;
-    Held.Image = Step.Image;
+    Held.Kind = Of->Kinds[static_cast<size_t>(Run.Task.Step)];
     TaskState &Task = Of->Tasks[static_cast<size_t>(Position)];
     Wanted = !isFinal(Of->State) && Task.Phase == TaskPhase::Waiting &&
              Run.Run > Task.CountedRun;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -11,6 +11,10 @@
 constexpr milliseconds FreshEnough{2600};
 constexpr milliseconds RefusedPause{250};
 constexpr milliseconds UnansweredPause{1000};
+/// Time between two rounds of placing, and steps without a place after which a
+/// round ends.
+constexpr milliseconds PlacePause{15};
+constexpr size_t MostHopelessSteps = 40;
 /// A job is told to be impossible after this, once the list of workers had
 /// time to arrive.
 constexpr milliseconds ImpossibleAfter{300};
@@ -64,14 +68,20 @@
     m_waiting.insert(waitKey(Of, Position));
 }
 
+// Placing is bounded, since every step that waits is weighed against every
+// worker: what is left waits for the next round.
 void JobShard::Impl::place() {
-  if (!mayAct() || !isSettled() || m_waiting.empty())
-    return;
   TimePoint Now = m_time.now();
+  if (m_waiting.empty() || Now < m_nextPlace || !mayAct() || !isSettled())
+    return;
+  m_nextPlace = Now + PlacePause;
+  std::vector<Spot> Spots = spots();
   std::vector<WaitKey> Waiting(m_waiting.begin(), m_waiting.end());
   // Tasks of one step are alike: if one finds no room, the others do not.
   std::set<std::pair<std::string, int>> Hopeless;
   for (const WaitKey &Key : Waiting) {
+    if (Hopeless.size() >= MostHopelessSteps)
+      return;
     int Position = std::get<3>(Key);
     JobEntry *Of = find(std::get<2>(Key));
     if (!Of || isFinal(Of->State) || !m_waiting.count(Key))
@@ -82,53 +92,83 @@
     std::pair<std::string, int> Step{Of->Spec.Id, Of->nameOf(Position).Step};
     if (Hopeless.count(Step))
       continue;
-    if (!placeOne(*Of, Position))
+    if (!placeOne(Spots, *Of, Position))
       Hopeless.insert(Step);
   }
 }
 
-bool JobShard::Impl::placeOne(JobEntry &Of, int Position) {
-  WorkerSlot *Best = nullptr;
+std::vector<JobShard::Impl::Spot> JobShard::Impl::spots() {
+  TimePoint Now = m_time.now();
+  std::vector<Spot> Out;
+  for (auto &[Id, At] : m_slots) {
+    bool Usable = At.Fenced && At.Listed && !At.Entry.Draining &&
+                  At.MissedLooks == 0 && Now >= At.NoStartBefore &&
+                  Now < At.LastAnswer + FreshEnough;
+    if (Usable)
+      Out.push_back({.Slot = &At,
+                     .Room = At.room(),
+                     .Load = At.load(),
+                     .Serving = At.serving()});
+  }
+  return Out;
+}
+
+bool JobShard::Impl::placeOne(std::vector<Spot> &Spots, JobEntry &Of,
+                              int Position) {
+  Spot *Best = nullptr;
   bool Allowed = false;
   double BestCost = 0;
-  for (auto &[Id, Slot] : m_slots) {
-    if (!isAllowed(Slot, Of, Position))
+  for (Spot &Each : Spots) {
+    if (!isAllowed(Each, Of, Position))
       continue;
     Allowed = true;
-    if (!isWorthwhile(Slot, Of, Position))
+    double Ratio = ratioWith(Each, Of, Position);
+    if (!isWorthwhile(Each, Of, Position, Ratio))
       continue;
-    double Cost = cost(Slot, Of, Position);
+    double Cost = cost(Each, Of, Position, Ratio);
     if (Best && Cost >= BestCost)
       continue;
-    Best = &Slot;
+    Best = &Each;
     BestCost = Cost;
   }
   if (Best) {
-    start(*Best, Of, Position);
+    take(*Best, Of, Position);
+    start(*Best->Slot, Of, Position);
     return true;
   }
   bool Old = m_time.now() > Of.Seen + ImpossibleAfter;
-  if (Old && !Allowed && queueOf(Of) && !m_fleet.empty() && !canEverFit(Of, Position))
+  if (Old && !Allowed && queueOf(Of) && !m_fleet.empty() &&
+      !canEverFit(Of, Position))
     endJob(Of, JobState::Failed, "fits_no_worker");
   return false;
 }
 
-bool JobShard::Impl::isAllowed(const WorkerSlot &At, const JobEntry &Of,
+// Keeps the spot true for the tasks that are placed after this one.
+void JobShard::Impl::take(Spot &At, const JobEntry &Of, int Position) {
+  const JobStep &Step = Of.stepOf(Position);
+  auto Capacity = static_cast<double>(At.Slot->Entry.Capacity.Millicores);
+  double Share = static_cast<double>(Step.Demand.Millicores) / Capacity;
+  At.Room -= Step.reserved();
+  At.Load += Step.Fills ? Share : Share / 2;
+  if (!Step.Fills)
+    return;
+  TaskKind Kind = Of.Kinds[static_cast<size_t>(Of.nameOf(Position).Step)];
+  for (ServingLoad &Each : At.Serving)
+    Each.Ratio += m_harm.slope(Each.Kind, Kind) * Share;
+}
+
+bool JobShard::Impl::isAllowed(const Spot &At, const JobEntry &Of,
                                int Position) const {
   const JobQueue *Queue = queueOf(Of);
   const JobStep &Step = Of.stepOf(Position);
-  TimePoint Now = m_time.now();
-  bool Usable = Queue && At.Fenced && At.Listed && !At.Entry.Draining &&
-                At.Entry.Service == Queue->Service && At.MissedLooks == 0 &&
-                Now >= At.NoStartBefore && Now < At.LastAnswer + FreshEnough;
-  if (!Usable)
+  if (!Queue || At.Slot->Entry.Service != Queue->Service)
     return false;
-  if (!Step.RequiredLabel.empty() && !At.hasLabel(Step.RequiredLabel))
+  if (!Step.RequiredLabel.empty() && !At.Slot->hasLabel(Step.RequiredLabel))
     return false;
-  if (!Step.reserved().fits(At.room()))
+  if (!Step.reserved().fits(At.Room))
     return false;
   return Step.MaxPerWorker == 0 ||
-         countOnWorker(At, Of, Position) < Step.MaxPerWorker;
+         countOnWorker(*At.Slot, Of, Position) < Step.MaxPerWorker;
 }
 
 int JobShard::Impl::countOnWorker(const WorkerSlot &At, const JobEntry &Of,
@@ -155,37 +195,38 @@
       });
 }
 
-double JobShard::Impl::ratioWith(const WorkerSlot &At,
-                                 const JobStep &Step) const {
+double JobShard::Impl::ratioWith(const Spot &At, const JobEntry &Of,
+                                 int Position) const {
+  const JobStep &Step = Of.stepOf(Position);
+  if (!Step.Fills)
+    return 0;
   double Share = static_cast<double>(Step.Demand.Millicores) /
-                 static_cast<double>(At.Entry.Capacity.Millicores);
-  return expectedRatio(At.serving(), Step.Image, Share, m_harm);
+                 static_cast<double>(At.Slot->Entry.Capacity.Millicores);
+  TaskKind Kind = Of.Kinds[static_cast<size_t>(Of.nameOf(Position).Step)];
+  return expectedRatio(At.Serving, Kind, Share, m_harm);
 }
 
-bool JobShard::Impl::isWorthwhile(const WorkerSlot &At, const JobEntry &Of,
-                                  int Position) const {
-  const JobStep &Step = Of.stepOf(Position);
+bool JobShard::Impl::isWorthwhile(const Spot &At, const JobEntry &Of,
+                                  int Position, double Ratio) const {
   const TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
-  if (!Step.Fills || m_time.now() > Task.WaitingSince + FillPatience)
+  if (!Of.stepOf(Position).Fills ||
+      m_time.now() > Task.WaitingSince + FillPatience)
     return true;
-  return At.load() < MostFillLoad && ratioWith(At, Step) < MostExpectedRatio;
+  return At.Load < MostFillLoad && Ratio < MostExpectedRatio;
 }
 
-double JobShard::Impl::cost(const WorkerSlot &At, const JobEntry &Of,
-                            int Position) const {
+double JobShard::Impl::cost(const Spot &At, const JobEntry &Of, int Position,
+                            double Ratio) const {
   const JobStep &Step = Of.stepOf(Position);
   const TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
-  double Out = At.load();
-  if (!Step.DataRack.empty() && !At.hasLabel(Step.DataRack))
-    Out += FarRackCost;
   // Serving tasks are packed, so that some workers have none and can run the
   // fill tasks that would disturb them.
-  if (Step.TailTarget.count() > 0)
-    Out = -At.load();
+  double Out = Step.TailTarget.count() > 0 ? -At.Load : At.Load;
   if (Step.Fills)
-    Out += HarmCost *
-           std::max(0.0, ratioWith(At, Step) - HarmAbove);
-  if (Task.Worker == At.Entry.Id && Task.Run > 0)
+    Out += HarmCost * std::max(0.0, Ratio - HarmAbove);
+  if (!Step.DataRack.empty() && !At.Slot->hasLabel(Step.DataRack))
+    Out += FarRackCost;
+  if (Task.Worker == At.Slot->Entry.Id && Task.Run > 0)
     Out += SameWorkerCost;
   return Out;
 }
@@ -205,7 +246,7 @@
                .TailTarget = Step.TailTarget,
                .StartUntil = At.clockAt(Now) + m_options.StartLease,
                .Confirmed = Now,
-               .Image = Step.Image,
+               .Kind = Of.Kinds[static_cast<size_t>(Key.first.Step)],
                .Moved = Now};
   At.Held.emplace(Key, Held);
   At.LeaseEnd = std::max(At.LeaseEnd, Now + m_options.StartLease * 2);
@@ -311,9 +352,9 @@
   std::vector<ServingLoad> Serving = At.serving();
   if (Serving.empty())
     return;
-  std::map<std::string, double> Shares = At.fillShares();
+  FillShares Shares = At.fillShares();
   for (const ServingLoad &Each : Serving)
-    m_harm.observe(Each.Image, Each.Ratio, Shares);
+    m_harm.observe(Each.Kind, Each.Ratio, Shares);
 }
 
 void JobShard::Impl::pace(WorkerSlot &At) {
@@ -327,7 +368,7 @@
     if (Run.FillMillicores == 0 || Run.Phase != RunPhase::Running)
       continue;
     Fills.push_back(
-        {.Image = Run.Image,
+        {.Kind = Run.Kind,
          .Pace = Run.Pace,
          .FullShare = static_cast<double>(Run.FillMillicores) / Capacity});
     Keys.push_back(Key);
--- a/src/libbasilchute/pacing.cpp
+++ b/src/libbasilchute/pacing.cpp
@@ -15,7 +15,7 @@
 /// Effect of one fill task at full pace on one serving task.
 double effect(const ServingLoad &On, const FillLoad &Of,
               const InterferenceModel &Model) {
-  return Model.slope(On.Image, Of.Image) * Of.FullShare;
+  return Model.slope(On.Kind, Of.Kind) * Of.FullShare;
 }
 
 void slow(const ServingLoad &Hurt, const std::vector<FillLoad> &Fills,
@@ -104,12 +104,12 @@
 }
 
 double expectedRatio(const std::vector<ServingLoad> &Serving,
-                     const std::string &Image, double Share,
+                     TaskKind Kind, double Share,
                      const InterferenceModel &Model) {
   double Out = 0;
   for (const ServingLoad &Each : Serving)
     Out = std::max(Out,
-                   Each.Ratio + Model.slope(Each.Image, Image) * Share);
+                   Each.Ratio + Model.slope(Each.Kind, Kind) * Share);
   return Out;
 }
 
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -75,20 +75,20 @@
     if (Run.TailTarget.count() == 0 || Run.Percent < 100)
       continue;
     double Target = static_cast<double>(Run.TailTarget.count());
-    Out.push_back({.Image = Run.Image,
+    Out.push_back({.Kind = Run.Kind,
                    .Ratio = static_cast<double>(Run.Usage) / Target,
                    .Over = Run.Over});
   }
   return Out;
 }
 
-std::map<std::string, double> WorkerSlot::fillShares() const {
-  std::map<std::string, double> Out;
+FillShares WorkerSlot::fillShares() const {
+  FillShares Out;
   auto Capacity =
       static_cast<double>(std::max<int64_t>(Entry.Capacity.Millicores, 1));
   for (const auto &[Key, Run] : Held)
     if (Run.FillMillicores > 0)
-      Out[Run.Image] += static_cast<double>(Run.Usage) / Capacity;
+      Out.push_back({Run.Kind, static_cast<double>(Run.Usage) / Capacity});
   return Out;
 }
 
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -36,8 +36,8 @@
   TimePoint Confirmed{};
   int Percent = 0;
   int64_t Usage = 0;
-  /// What the run's task runs.
-  std::string Image;
+  /// Kind of the run's task.
+  TaskKind Kind = 0;
   /// Measurements in a row of a tail above the target.
   int Over = 0;
   /// Share at which it was told to work.
@@ -94,8 +94,8 @@
   bool hasLabel(const std::string &Label) const;
   /// Serving runs that are at work.
   std::vector<ServingLoad> serving() const;
-  /// Part of the worker that each fill image uses, by the last measurement.
-  std::map<std::string, double> fillShares() const;
+  /// Part of the worker that fill runs use, by the last measurement.
+  FillShares fillShares() const;
   /// Forgets everything that belongs to one life of the worker.
   void forgetLife();
 
