Room is kept for long tasks, shards report pending jobs, takeovers are faster

Change: long-running tasks are placed first and have room kept for them; they leave draining workers; an owner reports each shard with its epoch, and without a living owner the count is refused; a new process removes its former row; rows are renewed each 500 ms and count as dead after 1.7 s (2.6 s before).

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -15,9 +15,21 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+/// What the owner of a shard says of it.
+struct ShardReport {
+  uint64_t Epoch = 0;
+  /// Jobs without a started task, by queue.
+  std::map<std::string, int> Pending;
+};
+
+/// Stands between a host's name and the suffix in its id.
+inline constexpr char HostIdSeparator = '~';
+
 /// Settings of a HostCluster.
 struct HostClusterOptions {
-  /// Unique for each start of the process.
+  /// Name of the host. One process runs on each.
+  std::string HostName;
+  /// HostName with a suffix that is unique for each start of the process.
   std::string HostId;
   /// Capacity relative to other hosts.
   int Weight = 1;
@@ -25,9 +37,9 @@
   int Shards = 1;
   /// Time between two renewals of the host's row, and between two readings of
   /// all hosts' rows.
-  milliseconds BeatEvery{800};
+  milliseconds BeatEvery{500};
   /// A host whose row stood still for this long counts as dead.
-  milliseconds Timeout{2600};
+  milliseconds Timeout{1700};
   /// Time after the last renewal for which this host may give orders. A taker
   /// of its shards waits at least as long for workers that it cannot reach.
   milliseconds Horizon{7000};
@@ -37,8 +49,8 @@
   std::function<void(int Shard)> OnDisowned;
   /// The assignment of workers to shards has changed.
   std::function<void()> OnAssigned;
-  /// Returns what the host's row says of its queues.
-  std::function<std::map<std::string, int>()> Pending;
+  /// Returns what the host's row says of its shards.
+  std::function<std::map<int, ShardReport>()> Report;
   std::function<void(std::string_view, std::string_view)> Log;
 };
 
@@ -70,8 +82,9 @@
   bool mayAct() const;
   /// Shard of \p Worker, or -1 if it has none yet.
   int shardOf(const std::string &Worker) const;
-  /// Jobs without a started task in \p Queue, as the other hosts say.
-  int pendingElsewhere(const std::string &Queue) const;
+  /// Returns what the owner of \p Shard said of it lately, or null if it has no
+  /// owner that lives and has read it.
+  const ShardReport *report(int Shard) const;
   /// Shards that this host owns.
   int owned() const;
 
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -82,6 +82,9 @@
   std::optional<JobState> state(const std::string &Job) const;
   /// Jobs without a started task, by queue.
   std::map<std::string, int> pending() const;
+  /// True once all rows are read.
+  bool isLoaded() const;
+  uint64_t epoch() const;
   /// True once all rows are read and all workers are looked at.
   bool isSettled() const;
   /// True once another owner was met; the shard gives no orders any more.
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -13,12 +13,12 @@
 namespace {
 
 constexpr milliseconds FeedWait{1000};
+/// Renewals that may be under way at once, when answers are lost.
+constexpr int MostBeats = 4;
 /// Readings in a row that must show a row standing still.
 constexpr int StillReadings = 3;
 /// Readings in a row that must ask for the same hand-over.
 constexpr int SteadyPlans = 2;
-/// Rows of hosts that stood still for this long are removed.
-constexpr std::chrono::seconds ForgetHostAfter{60};
 constexpr size_t MaxAssignmentsPerCommit = MaxRowsPerCommit / 2;
 
 /// Another host, as its row shows it.
@@ -59,7 +59,7 @@
 
   void tick() {
     TimePoint Now = m_time.now();
-    if (!m_beating && Now >= m_nextBeat)
+    if (m_beating < MostBeats && Now >= m_nextBeat)
       beat();
     if (!m_polling && Now >= m_nextPoll)
       readHosts("");
@@ -95,16 +95,15 @@
     return Found == m_assignments.end() ? -1 : Found->second;
   }
 
-  int pendingElsewhere(const std::string &Queue) const {
-    int Out = 0;
-    for (const auto &[Id, Host] : m_hosts) {
-      auto Found = Host.Record.Pending.find(Queue);
-      if (Id == m_options.HostId || !isAlive(Host) ||
-          Found == Host.Record.Pending.end())
-        continue;
-      Out += Found->second;
-    }
-    return Out;
+  const ShardReport *report(int Shard) const {
+    const SeenShard &Row = m_shards[static_cast<size_t>(Shard)];
+    auto Owner = m_hosts.find(Row.Owner);
+    if (Owner == m_hosts.end() || !isAlive(Owner->second))
+      return nullptr;
+    auto Found = Owner->second.Record.Shards.find(Shard);
+    bool Present = Found != Owner->second.Record.Shards.end() &&
+                   Found->second.Epoch == Row.Version;
+    return Present ? &Found->second : nullptr;
   }
 
   int owned() const {
@@ -122,12 +121,12 @@
   void beat() {
     TimePoint Now = m_time.now();
     m_nextBeat = Now + m_options.BeatEvery;
-    m_beating = true;
+    ++m_beating;
     HostRecord Record{.Weight = m_options.Weight,
                       .Beat = ++m_beat,
                       .Leaving = m_leaving};
-    if (m_options.Pending)
-      Record.Pending = m_options.Pending();
+    if (m_options.Report)
+      Record.Shards = m_options.Report();
     RowCommit Commit;
     Commit.Changes.push_back(
         {.Place = hostPlace(m_options.HostId), .Value = encodeHost(Record)});
@@ -136,7 +135,7 @@
                      auto Self = Weak.lock();
                      if (!Self)
                        return;
-                     Self->m_beating = false;
+                     --Self->m_beating;
                      if (Ok.has_value())
                        Self->onRenewed(Now);
                    });
@@ -214,10 +213,30 @@
       ++Host.Still;
       ++Each;
     }
+    if (m_readings == 0)
+      removeFormerSelves();
     ++m_readings;
     act();
   }
 
+  // Earlier processes of this host are dead for certain; without their rows the
+  // others need not wait to see it.
+  void removeFormerSelves() {
+    for (auto Each = m_hosts.begin(); Each != m_hosts.end();) {
+      const std::string &Id = Each->first;
+      if (Id == m_options.HostId ||
+          !Id.starts_with(m_options.HostName + HostIdSeparator)) {
+        ++Each;
+        continue;
+      }
+      log("former_self_removed", fmt::format("host={}", Id));
+      RowCommit Commit;
+      Commit.Changes.push_back({.Place = hostPlace(Id), .Remove = true});
+      m_store.commit(std::move(Commit), [](const Result<uint64_t> &) {});
+      Each = m_hosts.erase(Each);
+    }
+  }
+
   bool isAlive(const SeenHost &Host) const {
     return m_time.now() < Host.ChangedAt + m_options.Timeout ||
            Host.Still < StillReadings;
@@ -515,7 +534,8 @@
   TimePoint m_nextPoll{};
   TimePoint m_lastRead{};
   int m_readings = 0;
-  bool m_beating = false;
+  /// Renewals under way.
+  int m_beating = 0;
   bool m_polling = false;
   bool m_assigning = false;
   bool m_assignmentsRead = false;
@@ -538,8 +558,8 @@
 int HostCluster::shardOf(const std::string &Worker) const {
   return m_impl->shardOf(Worker);
 }
-int HostCluster::pendingElsewhere(const std::string &Queue) const {
-  return m_impl->pendingElsewhere(Queue);
+const ShardReport *HostCluster::report(int Shard) const {
+  return m_impl->report(Shard);
 }
 int HostCluster::owned() const { return m_impl->owned(); }
 
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -184,10 +184,15 @@
   Out.set_weight(Value.Weight);
   Out.set_beat(Value.Beat);
   Out.set_leaving(Value.Leaving);
-  for (const auto &[Queue, Count] : Value.Pending) {
-    v1::StoredQueueCount &To = *Out.add_pending();
-    To.set_queue(Queue);
-    To.set_pending(Count);
+  for (const auto &[Shard, Report] : Value.Shards) {
+    v1::StoredShardCount &To = *Out.add_shards();
+    To.set_shard(Shard);
+    To.set_epoch(Report.Epoch);
+    for (const auto &[Queue, Count] : Report.Pending) {
+      v1::StoredQueueCount &Of = *To.add_queues();
+      Of.set_queue(Queue);
+      Of.set_pending(Count);
+    }
   }
   return Out.SerializeAsString();
 }
@@ -199,8 +204,12 @@
   HostRecord Out{.Weight = From.weight(),
                  .Beat = From.beat(),
                  .Leaving = From.leaving()};
-  for (const v1::StoredQueueCount &Each : From.pending())
-    Out.Pending[Each.queue()] = Each.pending();
+  for (const v1::StoredShardCount &Each : From.shards()) {
+    ShardReport &Report = Out.Shards[Each.shard()];
+    Report.Epoch = Each.epoch();
+    for (const v1::StoredQueueCount &Of : Each.queues())
+      Report.Pending[Of.queue()] = Of.pending();
+  }
   return Out;
 }
 
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -2,6 +2,7 @@
 /// The rows that jobs, shards and hosts leave in the store.
 #pragma once
 
+#include "basilchute/hostcluster.h"
 #include "basilchute/job.h"
 #include "basilchute/result.h"
 #include "basilchute/rowstore.h"
@@ -37,8 +38,8 @@
   /// Grows with each renewal.
   uint64_t Beat = 0;
   bool Leaving = false;
-  /// Jobs without a started task, by queue, in the shards of this host.
-  std::map<std::string, int> Pending;
+  /// Of the shards that this host owns and has read.
+  std::map<int, ShardReport> Shards;
 };
 
 /// Names of tables and parts.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -385,6 +385,7 @@
   if (!m_loaded || m_lost)
     return;
   dropGoneSlots();
+  evacuate();
   lookAround();
   commit();
   place();
@@ -436,6 +437,8 @@
 std::map<std::string, int> JobShard::pending() const {
   return m_impl->pending();
 }
+bool JobShard::isLoaded() const { return m_impl->isLoaded(); }
+uint64_t JobShard::epoch() const { return m_impl->epoch(); }
 bool JobShard::isSettled() const { return m_impl->isSettled(); }
 bool JobShard::isLost() const { return m_impl->isLost(); }
 const JobShardCounts &JobShard::counts() const { return m_impl->counts(); }
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -27,13 +27,15 @@
   void retire() { m_retired = true; }
   std::optional<JobState> state(const std::string &Job) const;
   std::map<std::string, int> pending() const;
+  bool isLoaded() const { return m_loaded; }
+  uint64_t epoch() const { return m_options.Epoch; }
   bool isSettled() const;
   bool isLost() const { return m_lost; }
   const JobShardCounts &counts() const { return m_counts; }
 
 private:
   /// Order in which waiting tasks are served.
-  using WaitKey = std::tuple<int, TimePoint, std::string, int>;
+  using WaitKey = std::tuple<bool, int, TimePoint, std::string, int>;
   using Slots = std::map<std::string, WorkerSlot>;
   /// A usable worker while tasks are placed.
   struct Spot {
@@ -99,6 +101,8 @@
               double Ratio) const;
   double ratioWith(const Spot &At, const JobEntry &Of, int Position) const;
   void take(Spot &At, const JobEntry &Of, int Position);
+  void keepRoom(std::vector<Spot> &Spots, const JobEntry &Of, int Position);
+  void evacuate();
   void start(WorkerSlot &At, JobEntry &Of, int Position);
   void onStart(const std::string &Worker, const RunKey &Key,
                Result<StartReply> Answer);
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -133,8 +133,10 @@
     At.forgetLife();
     return;
   }
-  if (Now > At.LeaseEnd)
-    loseRuns(At, "lease_over");
+  // A worker that drained and left has ended its runs.
+  bool Left = At.Entry.Draining && !At.Listed;
+  if (Left || Now > At.LeaseEnd)
+    loseRuns(At, Left ? "worker_left" : "lease_over");
 }
 
 void JobShard::Impl::loseRuns(WorkerSlot &At, std::string_view Why) {
@@ -296,6 +298,7 @@
   if (Position >= 0) {
     const JobStep &Step = Of->stepOf(Position);
     Held.Reserved = Step.reserved();
+    Held.LongRunning = Step.LongRunning;
     Held.FillMillicores = Step.Fills ? Step.Demand.Millicores : 0;
     Held.TailTarget = Step.TailTarget;
     Held.Kind = Of->Kinds[static_cast<size_t>(Run.Task.Step)];
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -15,6 +15,8 @@
 /// round ends.
 constexpr milliseconds PlacePause{15};
 constexpr size_t MostHopelessSteps = 40;
+/// A task that found no room for this long has room kept for it.
+constexpr milliseconds KeepRoomAfter{400};
 /// A job is told to be impossible after this, once the list of workers had
 /// time to arrive.
 constexpr milliseconds ImpossibleAfter{300};
@@ -41,7 +43,9 @@
 JobShard::Impl::WaitKey JobShard::Impl::waitKey(const JobEntry &Of,
                                                 int Position) const {
   const JobQueue *Queue = queueOf(Of);
-  return {Queue ? Queue->Priority : 0, Of.Seen, Of.Spec.Id, Position};
+  // Long-running tasks come first: they are few, large, and owed all the time.
+  return {!Of.stepOf(Position).LongRunning, Queue ? Queue->Priority : 0,
+          Of.Seen, Of.Spec.Id, Position};
 }
 
 void JobShard::Impl::queueReady(JobEntry &Of) {
@@ -82,8 +86,8 @@
   for (const WaitKey &Key : Waiting) {
     if (Hopeless.size() >= MostHopelessSteps)
       return;
-    int Position = std::get<3>(Key);
-    JobEntry *Of = find(std::get<2>(Key));
+    int Position = std::get<4>(Key);
+    JobEntry *Of = find(std::get<3>(Key));
     if (!Of || isFinal(Of->State) || !m_waiting.count(Key))
       continue;
     TaskState &Task = Of->Tasks[static_cast<size_t>(Position)];
@@ -92,8 +96,11 @@
     std::pair<std::string, int> Step{Of->Spec.Id, Of->nameOf(Position).Step};
     if (Hopeless.count(Step))
       continue;
-    if (!placeOne(Spots, *Of, Position))
-      Hopeless.insert(Step);
+    if (placeOne(Spots, *Of, Position))
+      continue;
+    Hopeless.insert(Step);
+    if (Now > Task.WaitingSince + KeepRoomAfter)
+      keepRoom(Spots, *Of, Position);
   }
 }
 
@@ -143,6 +150,63 @@
   return false;
 }
 
+// Smaller tasks would take the room that becomes free on every worker; a large
+// one that has waited gets the next room on the worker where the most is free.
+void JobShard::Impl::keepRoom(std::vector<Spot> &Spots, const JobEntry &Of,
+                              int Position) {
+  const JobStep &Step = Of.stepOf(Position);
+  if (Step.Fills)
+    return;
+  Spot *Best = nullptr;
+  for (Spot &Each : Spots) {
+    const JobQueue *Queue = queueOf(Of);
+    const WorkerEntry &Entry = Each.Slot->Entry;
+    bool Possible =
+        Queue && Entry.Service == Queue->Service &&
+        Step.reserved().fits(Entry.Capacity) &&
+        (Step.RequiredLabel.empty() ||
+         Each.Slot->hasLabel(Step.RequiredLabel)) &&
+        (Step.MaxPerWorker == 0 ||
+         countOnWorker(*Each.Slot, Of, Position) < Step.MaxPerWorker);
+    if (Possible && (!Best || Each.Slot->movableRoom().Millicores >
+                                  Best->Slot->movableRoom().Millicores))
+      Best = &Each;
+  }
+  if (Best)
+    Best->Room.Millicores = 0;
+}
+
+// Long-running tasks leave a draining worker while it still runs, as far as
+// there is room elsewhere.
+void JobShard::Impl::evacuate() {
+  if (!mayAct() || !isSettled())
+    return;
+  std::vector<Spot> Spots;
+  for (auto &[Id, At] : m_slots) {
+    if (!At.Entry.Draining)
+      continue;
+    if (Spots.empty())
+      Spots = spots();
+    std::vector<RunKey> Keys;
+    for (const auto &[Key, Run] : At.Held)
+      if (Run.Phase == RunPhase::Running)
+        Keys.push_back(Key);
+    for (const RunKey &Key : Keys) {
+      JobEntry *Of = find(Key.first.Job);
+      int Position = Of ? Of->positionOf(Key.first) : -1;
+      if (Position < 0 || !Of->stepOf(Position).LongRunning)
+        continue;
+      auto Free = std::find_if(Spots.begin(), Spots.end(), [&](const Spot &S) {
+        return isAllowed(S, *Of, Position);
+      });
+      if (Free == Spots.end())
+        continue;
+      take(*Free, *Of, Position);
+      stop(At, Key);
+    }
+  }
+}
+
 // Keeps the spot true for the tasks that are placed after this one.
 void JobShard::Impl::take(Spot &At, const JobEntry &Of, int Position) {
   const JobStep &Step = Of.stepOf(Position);
@@ -242,6 +306,7 @@
   RunKey Key{Of.nameOf(Position), Task.Run};
   HeldRun Held{.Phase = RunPhase::Starting,
                .Reserved = Step.reserved(),
+               .LongRunning = Step.LongRunning,
                .FillMillicores = Step.Fills ? Step.Demand.Millicores : 0,
                .TailTarget = Step.TailTarget,
                .StartUntil = At.clockAt(Now) + m_options.StartLease,
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -45,6 +45,14 @@
   return Out;
 }
 
+Resources WorkerSlot::movableRoom() const {
+  Resources Out = Entry.Capacity;
+  for (const auto &[Key, Run] : Held)
+    if (Run.LongRunning)
+      Out -= Run.Reserved;
+  return Out;
+}
+
 double WorkerSlot::load() const {
   double Used = 0;
   for (const auto &[Key, Run] : Held)
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -26,6 +26,8 @@
 struct HeldRun {
   RunPhase Phase = RunPhase::Starting;
   Resources Reserved;
+  /// It runs until its job is cancelled.
+  bool LongRunning = false;
   /// Millicores that the run takes from what others leave; zero for others.
   int64_t FillMillicores = 0;
   /// Bound on its users' tail latency; zero for none.
@@ -89,6 +91,8 @@
   milliseconds clockAt(TimePoint Now) const;
   /// Room that no held run takes.
   Resources room() const;
+  /// Room that no long-running run takes: it is or becomes free.
+  Resources movableRoom() const;
   /// Processor that held runs reserve or fill, relative to the capacity.
   double load() const;
   bool hasLabel(const std::string &Label) const;
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -28,7 +28,8 @@
              Store, Time) {}
 
 HostClusterOptions JobHost::clusterOptions() {
-  return {.HostId = m_options.HostId,
+  return {.HostName = m_options.HostName,
+          .HostId = m_options.HostName + HostIdSeparator + m_options.StartId,
           .Weight = m_options.Weight,
           .Shards = m_options.Shards,
           .OnOwned = [this](int Shard, uint64_t Epoch) { own(Shard, Epoch); },
@@ -38,7 +39,7 @@
                 for (const auto &[Shard, Owner] : m_shards)
                   giveWorkers(Shard);
               },
-          .Pending = [this] { return ownPending(); },
+          .Report = [this] { return reports(); },
           .Log = m_options.Log};
 }
 
@@ -88,19 +89,27 @@
     Owner->setQueues(m_queues);
 }
 
-std::map<std::string, int> JobHost::ownPending() const {
-  std::map<std::string, int> Out;
+std::map<int, ShardReport> JobHost::reports() const {
+  std::map<int, ShardReport> Out;
   for (const auto &[Shard, Owner] : m_shards)
-    for (const auto &[Queue, Count] : Owner->pending())
-      Out[Queue] += Count;
+    if (Owner->isLoaded() && !Owner->isLost())
+      Out[Shard] = {.Epoch = Owner->epoch(), .Pending = Owner->pending()};
   return Out;
 }
 
-int JobHost::pending(const std::string &Queue) const {
-  std::map<std::string, int> Own = ownPending();
-  auto Found = Own.find(Queue);
-  int Here = Found == Own.end() ? 0 : Found->second;
-  return Here + m_cluster.pendingElsewhere(Queue);
+std::optional<int> JobHost::pending(const std::string &Queue) const {
+  std::map<int, ShardReport> Own = reports();
+  int Out = 0;
+  for (int Shard = 0; Shard < m_options.Shards; ++Shard) {
+    auto Here = Own.find(Shard);
+    const ShardReport *Report =
+        Here == Own.end() ? m_cluster.report(Shard) : &Here->second;
+    if (!Report)
+      return std::nullopt;
+    auto Found = Report->Pending.find(Queue);
+    Out += Found == Report->Pending.end() ? 0 : Found->second;
+  }
+  return Out;
 }
 
 std::optional<JobState> JobHost::localState(const std::string &Job) const {
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -14,8 +14,10 @@
 
 /// Settings of a JobHost.
 struct JobHostOptions {
-  /// Unique for each start of the process.
-  std::string HostId;
+  /// Name of the host.
+  std::string HostName;
+  /// Makes the host's id unique for each start of the process.
+  std::string StartId;
   /// Capacity relative to other hosts.
   int Weight = 1;
   /// Number of shards; the same on all hosts.
@@ -46,8 +48,9 @@
   void finish() { m_cluster.removeSelf(); }
 
   JobDesk &desk() { return m_desk; }
-  /// Jobs without a started task in \p Queue, over all hosts.
-  int pending(const std::string &Queue) const;
+  /// Jobs without a started task in \p Queue, over all shards; none while a
+  /// shard has no owner that could say.
+  std::optional<int> pending(const std::string &Queue) const;
   /// Counts over all shards owned now.
   JobShardCounts counts() const;
   int ownedShards() const { return static_cast<int>(m_shards.size()); }
@@ -55,7 +58,7 @@
 private:
   void own(int Shard, uint64_t Epoch);
   void giveWorkers(int Shard);
-  std::map<std::string, int> ownPending() const;
+  std::map<int, ShardReport> reports() const;
   std::optional<JobState> localState(const std::string &Job) const;
   HostClusterOptions clusterOptions();
 
