Waiting jobs are ranked by lateness and work left; stalled fill runs move

Change: rank by kind of room, lateness against the objective, priority and work left; checkpointed fill runs that stand still move to a worker where they may run; failed runs are kept as a set.

--- a/src/include/basilchute/job.h
+++ b/src/include/basilchute/job.h
@@ -82,6 +82,9 @@
   milliseconds FirstRun{0};
   /// Time between two occurrences.
   milliseconds Interval{0};
+  /// When the job was taken, since 1970; by a clock that may jump, so only good
+  /// for an order.
+  milliseconds Accepted{0};
 
   /// Returns how often the steps run.
   int occurrences() const { return Repetitions > 0 ? Repetitions : 1; }
--- a/src/include/basilchute/jobdesk.h
+++ b/src/include/basilchute/jobdesk.h
@@ -17,6 +17,8 @@
   int Shards = 1;
   /// Runs a function after a delay.
   std::function<void(milliseconds, std::function<void()>)> After;
+  /// Returns the time since 1970.
+  std::function<milliseconds()> WallTime;
   /// Returns the state of a job whose shard this host owns; none if unknown.
   std::function<std::optional<JobState>(const std::string &)> LocalState;
 };
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -38,6 +38,8 @@
   milliseconds WriteOff{12000};
   /// Returns whether this host may still give orders; asked before each one.
   std::function<bool()> MayAct;
+  /// Returns the time since 1970.
+  std::function<milliseconds()> WallTime;
   /// Receives one line for each decision: event and key=value fields.
   std::function<void(std::string_view, std::string_view)> Log;
 };
--- a/src/libbasilchute/jobdesk.cpp
+++ b/src/libbasilchute/jobdesk.cpp
@@ -89,8 +89,10 @@
     auto Write = std::make_shared<Writing>();
     RowPlace Place = jobPlace(Shard, Value.Id);
     RowPlace Progress = progressPlace(Shard, Value.Id);
+    Job Stored = Value;
+    Stored.Accepted = m_options.WallTime();
     Write->Commit.Conditions = {{.Place = Place}, {.Place = Progress}};
-    Write->Commit.Changes = {{.Place = Place, .Value = encodeJob(Value)},
+    Write->Commit.Changes = {{.Place = Place, .Value = encodeJob(Stored)},
                              {.Place = Progress,
                               .Value = encodeProgress(JobProgress{})}};
     Write->Deadline = Deadline;
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -31,9 +31,8 @@
       continue;
     TaskState &Task = Tasks[static_cast<size_t>(Each.Position)];
     Task.Run = Each.Run + RunGap;
-    Task.FailedRuns = Each.FailedRuns;
+    Task.FailedRuns = {Each.FailedRuns.begin(), Each.FailedRuns.end()};
     Task.Checkpoint = Each.Checkpoint;
-    Task.CountedRun = Each.CountedRun;
     m_started = true;
     if (Each.Done)
       finish(Each.Position);
@@ -48,10 +47,10 @@
       continue;
     Out.Tasks.push_back({.Position = static_cast<int>(Position),
                          .Run = Each.Run,
-                         .FailedRuns = Each.FailedRuns,
+                         .FailedRuns = {Each.FailedRuns.begin(),
+                                        Each.FailedRuns.end()},
                          .Done = Each.Phase == TaskPhase::Done,
-                         .Checkpoint = Each.Checkpoint,
-                         .CountedRun = Each.CountedRun});
+                         .Checkpoint = Each.Checkpoint});
   }
   return Out;
 }
@@ -103,6 +102,36 @@
   return Spec.FirstRun + Spec.Interval * (Position / m_perOccurrence);
 }
 
+bool JobEntry::hasPlaced() const {
+  return std::any_of(Tasks.begin(), Tasks.end(), [](const TaskState &Each) {
+    return Each.Phase == TaskPhase::Placed;
+  });
+}
+
+milliseconds JobEntry::longestChain() const {
+  std::vector<milliseconds> Ends;
+  milliseconds Out{0};
+  for (const JobStep &Each : Spec.Steps) {
+    milliseconds Start{0};
+    for (int Before : Each.After)
+      Start = std::max(Start, Ends[static_cast<size_t>(Before)]);
+    Ends.push_back(Start + Each.Estimate);
+    Out = std::max(Out, Ends.back());
+  }
+  return Out;
+}
+
+double JobEntry::workLeft() const {
+  double Out = 0;
+  for (size_t Group = 0; Group < m_groupLeft.size(); ++Group) {
+    const JobStep &Step = Spec.Steps[Group % Spec.Steps.size()];
+    Out += static_cast<double>(m_groupLeft[Group]) *
+           static_cast<double>(Step.Demand.Millicores) *
+           static_cast<double>(Step.Estimate.count()) / 1000;
+  }
+  return Out;
+}
+
 void JobEntry::finish(int Position) {
   TaskState &Task = Tasks[static_cast<size_t>(Position)];
   if (Task.Phase == TaskPhase::Done)
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -7,6 +7,7 @@
 #include "basilchute/taskworker.h"
 #include "libbasilchute/jobrows.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,9 +21,9 @@
   TaskPhase Phase = TaskPhase::Waiting;
   /// Highest run that was used.
   int Run = 0;
-  int FailedRuns = 0;
-  /// Highest run whose end is counted.
-  int CountedRun = 0;
+  /// Runs that ended failed. An end can be seen twice, by two owners, and in
+  /// any order, from two workers.
+  std::set<int> FailedRuns;
   std::string Checkpoint;
   /// Worker of the present run, or of the last one.
   std::string Worker;
@@ -64,10 +65,16 @@
   /// Time since 1970 at which the task's occurrence is due; zero if it has no
   /// time.
   milliseconds dueAt(int Position) const;
+  /// Returns true if a task is placed now.
+  bool hasPlaced() const;
   /// Marks the task done.
   void finish(int Position);
   /// Returns true if every task is done.
   bool allDone() const { return m_left == 0; }
+  /// Time that the longest chain of steps takes, by the submitter's estimates.
+  milliseconds longestChain() const;
+  /// Millicores times seconds that are left, by the submitter's estimates.
+  double workLeft() const;
   /// Returns true once a task has been started.
   bool hasStarted() const { return m_started; }
   void noteStarted() { m_started = true; }
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -128,6 +128,7 @@
   Out.set_repetitions(Value.Repetitions);
   Out.set_first_run_ms(Value.FirstRun.count());
   Out.set_interval_ms(Value.Interval.count());
+  Out.set_accepted_ms(Value.Accepted.count());
   return Out.SerializeAsString();
 }
 
@@ -140,7 +141,8 @@
           .Payload = From.payload(),
           .Repetitions = From.repetitions(),
           .FirstRun = milliseconds(From.first_run_ms()),
-          .Interval = milliseconds(From.interval_ms())};
+          .Interval = milliseconds(From.interval_ms()),
+          .Accepted = milliseconds(From.accepted_ms())};
   for (const v1::StoredJobStep &Each : From.steps())
     Out.Steps.push_back(loadStep(Each));
   return Out;
@@ -154,10 +156,10 @@
     v1::StoredTask &To = *Out.add_tasks();
     To.set_position(Each.Position);
     To.set_run(Each.Run);
-    To.set_failed_runs(Each.FailedRuns);
+    for (int Run : Each.FailedRuns)
+      To.add_failed_runs(Run);
     To.set_done(Each.Done);
     To.set_checkpoint(Each.Checkpoint);
-    To.set_counted_run(Each.CountedRun);
   }
   return Out.SerializeAsString();
 }
@@ -172,10 +174,10 @@
   for (const v1::StoredTask &Each : From.tasks())
     Out.Tasks.push_back({.Position = Each.position(),
                          .Run = Each.run(),
-                         .FailedRuns = Each.failed_runs(),
+                         .FailedRuns = {Each.failed_runs().begin(),
+                                        Each.failed_runs().end()},
                          .Done = Each.done(),
-                         .Checkpoint = Each.checkpoint(),
-                         .CountedRun = Each.counted_run()});
+                         .Checkpoint = Each.checkpoint()});
   return Out;
 }
 
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -18,11 +18,9 @@
   /// Position among the job's tasks, by occurrence, step and index.
   int Position = 0;
   int Run = 0;
-  int FailedRuns = 0;
+  std::vector<int> FailedRuns;
   bool Done = false;
   std::string Checkpoint;
-  /// Highest run whose end is counted.
-  int CountedRun = 0;
 };
 
 /// What is stored of a job's progress.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds RetryPause{150};
 /// Run numbers that a previous owner may have used without storing them.
 constexpr int RunGap = 64;
+/// Clocks that differ by more say nothing about a job's age.
+constexpr milliseconds MostAge{600000};
 /// Each job of a commit takes a condition and a write; the owner's row takes
 /// one more condition.
 constexpr size_t MaxJobsPerCommit = (MaxRowsPerCommit - 1) / 2;
@@ -179,8 +181,12 @@
   JobEntry &Entry = Added->second;
   for (const JobStep &Each : Spec.Steps)
     Entry.Kinds.push_back(kindOf(Each.Image));
-  if (Stored)
+  if (Stored) {
     Entry.restore(*Stored, RunGap);
+    if (m_options.WallTime)
+      Entry.Seen -= std::clamp(m_options.WallTime() - Spec.Accepted,
+                               milliseconds(0), MostAge);
+  }
   if (isFinal(Entry.State))
     return;
   if (!Stored)
@@ -205,9 +211,7 @@
                             std::string_view Why) {
   Of.State = State;
   markDirty(Of);
-  for (int Position = 0; Position < static_cast<int>(Of.Tasks.size());
-       ++Position)
-    m_waiting.erase(waitKey(Of, Position));
+  m_waiting.erase(Of.Spec.Id);
   if (State != JobState::Completed)
     stopAll(Of);
   log("job_ended", fmt::format("job={} queue={} state={} why={} age_ms={}",
@@ -358,8 +362,6 @@
 void JobShard::Impl::setQueues(std::shared_ptr<const JobQueues> Queues) {
   for (const auto &[Name, Queue] : *Queues)
     m_queues[Name] = Queue;
-  // Priorities may have changed.
-  m_waiting.clear();
   for (auto &[Id, Entry] : m_jobs)
     queueReady(Entry);
   place();
@@ -386,6 +388,7 @@
     return;
   dropGoneSlots();
   evacuate();
+  relocate();
   lookAround();
   commit();
   place();
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -34,8 +34,9 @@
   const JobShardCounts &counts() const { return m_counts; }
 
 private:
-  /// Order in which waiting tasks are served.
-  using WaitKey = std::tuple<bool, int, TimePoint, std::string, int>;
+  /// Order in which waiting jobs are served: kind of room, lateness, priority,
+  /// and work that is left.
+  using Rank = std::tuple<int, int, int, double>;
   using Slots = std::map<std::string, WorkerSlot>;
   /// A usable worker while tasks are placed.
   struct Spot {
@@ -90,13 +91,13 @@
   // What workers are told.
   void place();
   std::vector<Spot> spots();
+  bool isRoomy(const std::vector<Spot> &Spots) const;
   bool placeOne(std::vector<Spot> &Spots, JobEntry &Of, int Position);
   bool isAllowed(const Spot &At, const JobEntry &Of, int Position) const;
   bool canEverFit(const JobEntry &Of, int Position) const;
   int countOnWorker(const WorkerSlot &At, const JobEntry &Of,
                     int Position) const;
-  bool isWorthwhile(const Spot &At, const JobEntry &Of, int Position,
-                    double Ratio) const;
+  bool isWorthwhile(const Spot &At, const JobStep &Step, double Ratio) const;
   double cost(const Spot &At, const JobEntry &Of, int Position,
               double Ratio) const;
   double ratioWith(const Spot &At, const JobEntry &Of, int Position) const;
@@ -110,7 +111,10 @@
   void stopAll(const JobEntry &Of);
   void setWaiting(JobEntry &Of, int Position, milliseconds Delay);
   void queueReady(JobEntry &Of);
-  WaitKey waitKey(const JobEntry &Of, int Position) const;
+  void dropWaiting(const JobEntry &Of, int Position);
+  Rank rankOf(const JobEntry &Of) const;
+  int latenessOf(const JobEntry &Of) const;
+  void relocate();
   void learn(WorkerSlot &At);
   void pace(WorkerSlot &At);
   void sendPace(WorkerSlot &At, const RunKey &Key, int Percent);
@@ -131,7 +135,8 @@
   JobQueues m_queues;
   InterferenceModel m_harm;
   std::map<std::string, TaskKind> m_kinds;
-  std::set<WaitKey> m_waiting;
+  /// Positions of the tasks that could be started, by job.
+  std::map<std::string, std::set<int>> m_waiting;
   std::set<std::string> m_dirty;
   uint64_t m_feedFrom = 0;
   bool m_loaded = false;
@@ -139,7 +144,10 @@
   bool m_retired = false;
   bool m_committing = false;
   TimePoint m_nextPlace{};
+  TimePoint m_nextRelocate{};
   TimePoint m_commitNotBefore{};
+  /// So little is used that no task may wait for a better place.
+  bool m_roomy = false;
   TimePoint m_taken;
 };
 
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -184,7 +184,7 @@
   else
     ++m_counts.EndsOther;
   TaskState &Task = Of->Tasks[static_cast<size_t>(Position)];
-  if (!Ended.Checkpoint.empty() && Ended.Run >= Task.CountedRun &&
+  if (!Ended.Checkpoint.empty() && Ended.Run >= Task.Run &&
       Of->stepOf(Position).Checkpointing)
     Task.Checkpoint = Ended.Checkpoint;
   if (isFinal(Of->State) || Task.Phase == TaskPhase::Done)
@@ -199,12 +199,10 @@
   const JobStep &Step = Of.stepOf(Position);
   bool Current = Task.Phase == TaskPhase::Waiting ||
                  (Task.Run == Ended.Run && Task.Worker == At.Entry.Id);
-  bool Counted = Ended.Run <= Task.CountedRun;
-  Task.CountedRun = std::max(Task.CountedRun, Ended.Run);
   Task.Run = std::max(Task.Run, Ended.Run);
   markDirty(Of);
   if (Ended.End == RunEnd::Done && !Step.LongRunning) {
-    m_waiting.erase(waitKey(Of, Position));
+    dropWaiting(Of, Position);
     Of.noteStarted();
     Of.finish(Position);
     if (Of.allDone())
@@ -217,7 +215,8 @@
       fmt::format("job={} step={} index={} run={} worker={} how={}",
                   Of.Spec.Id, Ended.Task.Step, Ended.Task.Index, Ended.Run,
                   At.Entry.Id, runEndName(Ended.End)));
-  if (Ended.End == RunEnd::Failed && !Counted) {
+  if (Ended.End == RunEnd::Failed &&
+      Task.FailedRuns.insert(Ended.Run).second) {
     countFailure(Of, Position, Ended);
     if (isFinal(Of.State))
       return;
@@ -230,14 +229,13 @@
 void JobShard::Impl::countFailure(JobEntry &Of, int Position,
                                   const EndedTask &Ended) {
   TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
-  ++Task.FailedRuns;
   const JobQueue *Queue = queueOf(Of);
   if (!Queue || Of.stepOf(Position).LongRunning)
     return;
-  if (Task.FailedRuns >= Queue->MaxAttempts)
+  if (static_cast<int>(Task.FailedRuns.size()) >= Queue->MaxAttempts)
     endJob(Of, JobState::Failed,
            fmt::format("task {}.{} failed {} times", Ended.Task.Step,
-                       Ended.Task.Index, Task.FailedRuns));
+                       Ended.Task.Index, Task.FailedRuns.size()));
 }
 
 void JobShard::Impl::noteHealth(WorkerSlot &At, RunEnd End) {
@@ -304,9 +302,9 @@
     Held.Kind = Of->Kinds[static_cast<size_t>(Run.Task.Step)];
     TaskState &Task = Of->Tasks[static_cast<size_t>(Position)];
     Wanted = !isFinal(Of->State) && Task.Phase == TaskPhase::Waiting &&
-             Run.Run > Task.CountedRun;
+             !Task.FailedRuns.count(Run.Run);
     if (Wanted) {
-      m_waiting.erase(waitKey(*Of, Position));
+      dropWaiting(*Of, Position);
       Task.Phase = TaskPhase::Placed;
       Task.Run = Run.Run;
       Task.Worker = At.Entry.Id;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -27,11 +27,22 @@
 constexpr double HarmCost = 8.0;
 constexpr double HarmAbove = 0.70;
 /// A fill task waits rather than join a worker where it would have to stop ...
-constexpr double MostExpectedRatio = 0.9;
+constexpr double MostExpectedRatio = 0.85;
+/// A run is moved only where this much more is left.
+constexpr double HarmMargin = 0.15;
 /// ... or where as much work is present as this part of the worker ...
-constexpr double MostFillLoad = 1.25;
-/// ... but no longer than this.
-constexpr milliseconds FillPatience{2000};
+constexpr double MostFillLoad = 1.1;
+/// A fill run that is all but stopped moves to a better worker after this.
+constexpr milliseconds StalledAfter{1500};
+constexpr int StalledPace = 25;
+constexpr milliseconds RelocatePause{400};
+constexpr int MostRelocations = 6;
+/// The longest task of a step takes this many times the estimate of one.
+constexpr double WidthFactor = 1.5;
+constexpr milliseconds LeastChain{200};
+/// A job is worth nothing after this many times its objective.
+constexpr int LateFactor = 3;
+constexpr double BegunFactor = 0.5;
 /// Cost of a worker where the same task failed or was lost before.
 constexpr double SameWorkerCost = 3.0;
 
@@ -40,12 +51,43 @@
 
 } // namespace
 
-JobShard::Impl::WaitKey JobShard::Impl::waitKey(const JobEntry &Of,
-                                                int Position) const {
+void JobShard::Impl::dropWaiting(const JobEntry &Of, int Position) {
+  auto Found = m_waiting.find(Of.Spec.Id);
+  if (Found == m_waiting.end())
+    return;
+  Found->second.erase(Position);
+  if (Found->second.empty())
+    m_waiting.erase(Found);
+}
+
+// 0: can still end in time; 1: late, but worth something; 2: worth nothing.
+int JobShard::Impl::latenessOf(const JobEntry &Of) const {
   const JobQueue *Queue = queueOf(Of);
+  if (!Queue || Of.Spec.Repetitions > 0)
+    return 0;
+  auto Chain = std::chrono::duration_cast<milliseconds>(
+      std::max(Of.longestChain(), LeastChain) * WidthFactor);
+  auto Objective = std::chrono::duration_cast<milliseconds>(
+                       Chain * Queue->SlackFactor) +
+                   Queue->TargetDuration;
+  auto Age = m_time.now() - Of.Seen;
+  if (Age < Objective)
+    return 0;
+  return Age < LateFactor * Objective ? 1 : 2;
+}
+
+JobShard::Impl::Rank JobShard::Impl::rankOf(const JobEntry &Of) const {
+  const JobQueue *Queue = queueOf(Of);
+  const JobStep &First = Of.Spec.Steps.front();
+  int Priority = Queue ? Queue->Priority : 0;
   // Long-running tasks come first: they are few, large, and owed all the time.
-  return {!Of.stepOf(Position).LongRunning, Queue ? Queue->Priority : 0,
-          Of.Seen, Of.Spec.Id, Position};
+  if (First.LongRunning)
+    return {0, 0, Priority, 0};
+  double Work = Of.workLeft();
+  // What is begun is finished first, so that not all jobs are half done.
+  if (Of.hasStarted())
+    Work *= BegunFactor;
+  return {First.Fills ? 2 : 1, latenessOf(Of), Priority, Work};
 }
 
 void JobShard::Impl::queueReady(JobEntry &Of) {
@@ -56,7 +98,7 @@
     const TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
     if (Task.Phase != TaskPhase::Waiting || !Of.isReady(Position))
       continue;
-    bool New = m_waiting.insert(waitKey(Of, Position)).second;
+    bool New = m_waiting[Of.Spec.Id].insert(Position).second;
     if (New)
       Of.Tasks[static_cast<size_t>(Position)].WaitingSince = m_time.now();
   }
@@ -69,7 +111,7 @@
   Task.NotBefore = m_time.now() + Delay;
   Task.WaitingSince = m_time.now();
   if (!isFinal(Of.State))
-    m_waiting.insert(waitKey(Of, Position));
+    m_waiting[Of.Spec.Id].insert(Position);
 }
 
 // Placing is bounded, since every step that waits is weighed against every
@@ -80,30 +122,46 @@
     return;
   m_nextPlace = Now + PlacePause;
   std::vector<Spot> Spots = spots();
-  std::vector<WaitKey> Waiting(m_waiting.begin(), m_waiting.end());
-  // Tasks of one step are alike: if one finds no room, the others do not.
-  std::set<std::pair<std::string, int>> Hopeless;
-  for (const WaitKey &Key : Waiting) {
-    if (Hopeless.size() >= MostHopelessSteps)
+  m_roomy = isRoomy(Spots);
+  std::vector<std::pair<Rank, std::string>> Jobs;
+  for (const auto &[Id, Positions] : m_waiting)
+    Jobs.push_back({rankOf(*find(Id)), Id});
+  std::sort(Jobs.begin(), Jobs.end());
+  size_t HopelessSteps = 0;
+  for (const auto &[Rank, Id] : Jobs) {
+    JobEntry &Of = *find(Id);
+    std::set<int> Positions = m_waiting[Id];
+    // Tasks of one step are alike: if one finds no room, the others do not.
+    std::set<int> Hopeless;
+    for (int Position : Positions) {
+      TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
+      int Step = Of.nameOf(Position).Step;
+      if (isFinal(Of.State))
+        break;
+      if (Task.NotBefore > Now || Hopeless.count(Step))
+        continue;
+      if (placeOne(Spots, Of, Position))
+        continue;
+      Hopeless.insert(Step);
+      if (Now > Task.WaitingSince + KeepRoomAfter)
+        keepRoom(Spots, Of, Position);
+    }
+    HopelessSteps += Hopeless.size();
+    if (HopelessSteps >= MostHopelessSteps)
       return;
-    int Position = std::get<4>(Key);
-    JobEntry *Of = find(std::get<3>(Key));
-    if (!Of || isFinal(Of->State) || !m_waiting.count(Key))
-      continue;
-    TaskState &Task = Of->Tasks[static_cast<size_t>(Position)];
-    if (Task.NotBefore > Now)
-      continue;
-    std::pair<std::string, int> Step{Of->Spec.Id, Of->nameOf(Position).Step};
-    if (Hopeless.count(Step))
-      continue;
-    if (placeOne(Spots, *Of, Position))
-      continue;
-    Hopeless.insert(Step);
-    if (Now > Task.WaitingSince + KeepRoomAfter)
-      keepRoom(Spots, *Of, Position);
   }
 }
 
+bool JobShard::Impl::isRoomy(const std::vector<Spot> &Spots) const {
+  int64_t Free = 0;
+  int64_t Total = 0;
+  for (const Spot &Each : Spots) {
+    Free += Each.Room.Millicores;
+    Total += Each.Slot->Entry.Capacity.Millicores;
+  }
+  return Free * 2 > Total;
+}
+
 std::vector<JobShard::Impl::Spot> JobShard::Impl::spots() {
   TimePoint Now = m_time.now();
   std::vector<Spot> Out;
@@ -130,7 +188,7 @@
       continue;
     Allowed = true;
     double Ratio = ratioWith(Each, Of, Position);
-    if (!isWorthwhile(Each, Of, Position, Ratio))
+    if (!isWorthwhile(Each, Of.stepOf(Position), Ratio))
       continue;
     double Cost = cost(Each, Of, Position, Ratio);
     if (Best && Cost >= BestCost)
@@ -150,6 +208,43 @@
   return false;
 }
 
+// Saved progress is not lost by a move, and a worker that serves latency-critical
+// tasks may stay busy for long.
+void JobShard::Impl::relocate() {
+  TimePoint Now = m_time.now();
+  if (Now < m_nextRelocate || !mayAct() || !isSettled())
+    return;
+  m_nextRelocate = Now + RelocatePause;
+  std::vector<Spot> Spots;
+  int Moved = 0;
+  for (auto &[Id, At] : m_slots) {
+    std::vector<RunKey> Stalled;
+    for (const auto &[Key, Run] : At.Held)
+      if (Run.FillMillicores > 0 && Run.Phase == RunPhase::Running &&
+          Run.Pace <= StalledPace && Now > Run.PacedAt + StalledAfter)
+        Stalled.push_back(Key);
+    for (const RunKey &Key : Stalled) {
+      JobEntry *Of = find(Key.first.Job);
+      int Position = Of ? Of->positionOf(Key.first) : -1;
+      if (Position < 0 || !Of->stepOf(Position).Checkpointing)
+        continue;
+      if (Spots.empty())
+        Spots = spots();
+      auto Better = std::find_if(Spots.begin(), Spots.end(), [&](Spot &Each) {
+        return Each.Slot != &At && isAllowed(Each, *Of, Position) &&
+               isWorthwhile(Each, Of->stepOf(Position),
+                            ratioWith(Each, *Of, Position) + HarmMargin);
+      });
+      if (Better == Spots.end())
+        continue;
+      take(*Better, *Of, Position);
+      stop(At, Key);
+      if (++Moved == MostRelocations)
+        return;
+    }
+  }
+}
+
 // Smaller tasks would take the room that becomes free on every worker; a large
 // one that has waited gets the next room on the worker where the most is free.
 void JobShard::Impl::keepRoom(std::vector<Spot> &Spots, const JobEntry &Of,
@@ -270,11 +365,9 @@
   return expectedRatio(At.Serving, Kind, Share, m_harm);
 }
 
-bool JobShard::Impl::isWorthwhile(const Spot &At, const JobEntry &Of,
-                                  int Position, double Ratio) const {
-  const TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
-  if (!Of.stepOf(Position).Fills ||
-      m_time.now() > Task.WaitingSince + FillPatience)
+bool JobShard::Impl::isWorthwhile(const Spot &At, const JobStep &Step,
+                                  double Ratio) const {
+  if (!Step.Fills || m_roomy)
     return true;
   return At.Load < MostFillLoad && Ratio < MostExpectedRatio;
 }
@@ -299,7 +392,7 @@
   TimePoint Now = m_time.now();
   TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
   const JobStep &Step = Of.stepOf(Position);
-  m_waiting.erase(waitKey(Of, Position));
+  dropWaiting(Of, Position);
   Task.Phase = TaskPhase::Placed;
   ++Task.Run;
   Task.Worker = At.Entry.Id;
@@ -453,6 +546,7 @@
   if (!mayAct())
     return;
   At.Held.at(Key).Pace = Percent;
+  At.Held.at(Key).PacedAt = m_time.now();
   m_workers.pace(At.Entry,
                  {.Task = Key.first,
                   .Run = Key.second,
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -44,6 +44,8 @@
   int Over = 0;
   /// Share at which it was told to work.
   int Pace = 100;
+  /// When it was told to work at that share.
+  TimePoint PacedAt{};
   /// When its progress last changed.
   TimePoint Moved{};
   /// When a stop was last sent.
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -23,6 +23,7 @@
       m_cluster(clusterOptions(), Store, Time),
       m_desk({.Shards = m_options.Shards,
               .After = m_options.After,
+              .WallTime = m_options.WallTime,
               .LocalState =
                   [this](const std::string &Job) { return localState(Job); }},
              Store, Time) {}
@@ -50,6 +51,7 @@
   Options.WriteOff = Cluster.Horizon + Options.Lease + WriteOffMargin -
                      Cluster.Timeout;
   Options.MayAct = [this] { return m_cluster.mayAct(); };
+  Options.WallTime = m_options.WallTime;
   Options.Log = m_options.Log;
   auto Fresh = std::make_unique<JobShard>(std::move(Options), m_store,
                                           m_workers, m_time);
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -26,6 +26,8 @@
   milliseconds MaxLease{6000};
   /// Runs a function on the host's loop after a delay.
   std::function<void(milliseconds, std::function<void()>)> After;
+  /// Returns the time since 1970.
+  std::function<milliseconds()> WallTime;
   std::function<void(std::string_view, std::string_view)> Log;
 };
 
