--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -19,6 +19,7 @@
   for (int Each = 0; Each < Occurrences; ++Each)
     for (const JobStep &Step : this->Spec.Steps)
       m_groupLeft.push_back(Step.Count);
+  TotalWork = workLeft();
 }
 
 void JobEntry::restore(const JobProgress &Stored, int RunGap) {
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -49,6 +49,8 @@
   std::vector<TaskState> Tasks;
   /// Kind of each step's tasks.
   std::vector<int> Kinds;
+  /// Millicores times seconds of the whole job, by the submitter's estimates.
+  double TotalWork = 0;
 
   /// Takes over what is stored; unknown positions are ignored. Run numbers
   /// start at \p RunGap above the stored ones, because the previous owner may
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds RetryPause{150};
 /// Run numbers that a previous owner may have used without storing them.
 constexpr int RunGap = 64;
+/// Weight of one job in the mean work of its queue's jobs.
+constexpr double MeanWorkGain = 0.05;
 /// Clocks that differ by more say nothing about a job's age.
 constexpr milliseconds MostAge{600000};
 /// Each job of a commit takes a condition and a write; the owner's row takes
@@ -181,6 +183,9 @@
   JobEntry &Entry = Added->second;
   for (const JobStep &Each : Spec.Steps)
     Entry.Kinds.push_back(kindOf(Each.Image));
+  auto Mean =
+      m_meanWork.try_emplace(Spec.Queue, Entry.TotalWork).first;
+  Mean->second += (Entry.TotalWork - Mean->second) * MeanWorkGain;
   if (Stored) {
     Entry.restore(*Stored, RunGap);
     if (m_options.WallTime)
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -135,6 +135,8 @@
   JobQueues m_queues;
   InterferenceModel m_harm;
   std::map<std::string, TaskKind> m_kinds;
+  /// Mean work of a job, by queue.
+  std::map<std::string, double> m_meanWork;
   /// Positions of the tasks that could be started, by job.
   std::map<std::string, std::set<int>> m_waiting;
   std::set<std::string> m_dirty;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -42,7 +42,8 @@
 constexpr milliseconds LeastChain{200};
 /// A job is worth nothing after this many times its objective.
 constexpr int LateFactor = 3;
-constexpr double BegunFactor = 0.5;
+/// Part of a job's worth that does not depend on its size.
+constexpr double WorthOfAnyJob = 0.3;
 /// Cost of a worker where the same task failed or was lost before.
 constexpr double SameWorkerCost = 3.0;
 
@@ -83,11 +84,13 @@
   // Long-running tasks come first: they are few, large, and owed all the time.
   if (First.LongRunning)
     return {0, 0, Priority, 0};
-  double Work = Of.workLeft();
-  // What is begun is finished first, so that not all jobs are half done.
-  if (Of.hasStarted())
-    Work *= BegunFactor;
-  return {First.Fills ? 2 : 1, latenessOf(Of), Priority, Work};
+  // Worth for each unit of work that is left: what is almost done comes first,
+  // and large jobs are not put behind small ones for their size.
+  auto Mean = m_meanWork.find(Of.Spec.Queue);
+  double Usual = Mean == m_meanWork.end() ? Of.TotalWork : Mean->second;
+  double Worth = WorthOfAnyJob * Usual + (1 - WorthOfAnyJob) * Of.TotalWork;
+  double Left = std::max(Of.workLeft(), 1.0);
+  return {First.Fills ? 2 : 1, latenessOf(Of), Priority, -Worth / Left};
 }
 
 void JobShard::Impl::queueReady(JobEntry &Of) {
