--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -24,9 +24,9 @@
   /// Time for which a look extends the runs on a worker.
   milliseconds Lease{6000};
   /// Time that a start order stays valid.
-  milliseconds StartLease{2500};
+  milliseconds StartLease{1200};
   /// Longest time that a look waits at the worker.
-  milliseconds LookWait{1500};
+  milliseconds LookWait{1000};
   /// The same on a worker where latency is watched.
   milliseconds WatchWait{500};
   /// Least time between two looks at one worker.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -397,6 +397,7 @@
   lookAround();
   commit();
   place();
+  logState();
 }
 
 std::optional<JobState> JobShard::Impl::state(const std::string &Job) const {
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -115,6 +115,7 @@
   Rank rankOf(const JobEntry &Of) const;
   int latenessOf(const JobEntry &Of) const;
   void relocate();
+  void logState();
   void learn(WorkerSlot &At);
   void pace(WorkerSlot &At);
   void sendPace(WorkerSlot &At, const RunKey &Key, int Percent);
@@ -147,6 +148,7 @@
   bool m_committing = false;
   TimePoint m_nextPlace{};
   TimePoint m_nextRelocate{};
+  TimePoint m_nextStateLog{};
   TimePoint m_commitNotBefore{};
   /// So little is used that no task may wait for a better place.
   bool m_roomy = false;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -1,6 +1,7 @@
 #include "libbasilchute/jobshard_impl.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -10,13 +11,13 @@
 /// A worker that has not answered for this long gets no starts.
 constexpr milliseconds FreshEnough{2600};
 constexpr milliseconds RefusedPause{250};
-constexpr milliseconds UnansweredPause{1000};
+constexpr milliseconds UnansweredPause{250};
 /// Time between two rounds of placing, and steps without a place after which a
 /// round ends.
 constexpr milliseconds PlacePause{15};
 constexpr size_t MostHopelessSteps = 40;
 /// A task that found no room for this long has room kept for it.
-constexpr milliseconds KeepRoomAfter{400};
+constexpr milliseconds KeepRoomAfter{800};
 /// A job is told to be impossible after this, once the list of workers had
 /// time to arrive.
 constexpr milliseconds ImpossibleAfter{300};
@@ -32,6 +33,8 @@
 constexpr double HarmMargin = 0.15;
 /// ... or where as much work is present as this part of the worker ...
 constexpr double MostFillLoad = 1.1;
+/// One part in this many of a worker's memory is not for fill tasks.
+constexpr int64_t FillMemoryPart = 8;
 /// A fill run that is all but stopped moves to a better worker after this.
 constexpr milliseconds StalledAfter{1500};
 constexpr int StalledPace = 25;
@@ -42,6 +45,7 @@
 constexpr milliseconds LeastChain{200};
 /// A job is worth nothing after this many times its objective.
 constexpr int LateFactor = 3;
+constexpr milliseconds StateLogEvery{1000};
 /// Part of a job's worth that does not depend on its size.
 constexpr double WorthOfAnyJob = 0.3;
 /// Cost of a worker where the same task failed or was lost before.
@@ -81,16 +85,16 @@
   const JobQueue *Queue = queueOf(Of);
   const JobStep &First = Of.Spec.Steps.front();
   int Priority = Queue ? Queue->Priority : 0;
-  // Long-running tasks come first: they are few, large, and owed all the time.
+  // Short tasks earn more on a core than long-running ones and leave it soon.
   if (First.LongRunning)
-    return {0, 0, Priority, 0};
+    return {1, 0, Priority, 0};
   // Worth for each unit of work that is left: what is almost done comes first,
   // and large jobs are not put behind small ones for their size.
   auto Mean = m_meanWork.find(Of.Spec.Queue);
   double Usual = Mean == m_meanWork.end() ? Of.TotalWork : Mean->second;
   double Worth = WorthOfAnyJob * Usual + (1 - WorthOfAnyJob) * Of.TotalWork;
   double Left = std::max(Of.workLeft(), 1.0);
-  return {First.Fills ? 2 : 1, latenessOf(Of), Priority, -Worth / Left};
+  return {First.Fills ? 2 : 0, latenessOf(Of), Priority, -Worth / Left};
 }
 
 void JobShard::Impl::queueReady(JobEntry &Of) {
@@ -155,6 +159,33 @@
   }
 }
 
+void JobShard::Impl::logState() {
+  TimePoint Now = m_time.now();
+  if (Now < m_nextStateLog)
+    return;
+  m_nextStateLog = Now + StateLogEvery;
+  Resources Free;
+  Resources Most;
+  std::vector<Spot> Spots = spots();
+  for (const Spot &Each : Spots) {
+    Free += Each.Room;
+    Most.Millicores = std::max(Most.Millicores, Each.Room.Millicores);
+    Most.MemoryMib = std::max(Most.MemoryMib, Each.Room.MemoryMib);
+  }
+  std::array<size_t, 3> Waiting{};
+  for (const auto &[Id, Positions] : m_waiting)
+    Waiting[static_cast<size_t>(std::get<0>(rankOf(*find(Id))))] +=
+        Positions.size();
+  log("shard_state",
+      fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
+                  "free_gib={} most_gib={} waiting_short={} waiting_long={} "
+                  "waiting_fill={}",
+                  m_options.Shard, m_slots.size(), Spots.size(),
+                  Free.Millicores / 1000, Most.Millicores / 1000,
+                  Free.MemoryMib / 1024, Most.MemoryMib / 1024, Waiting[0],
+                  Waiting[1], Waiting[2]));
+}
+
 bool JobShard::Impl::isRoomy(const std::vector<Spot> &Spots) const {
   int64_t Free = 0;
   int64_t Total = 0;
@@ -327,7 +358,10 @@
     return false;
   if (!Step.RequiredLabel.empty() && !At.Slot->hasLabel(Step.RequiredLabel))
     return false;
-  if (!Step.reserved().fits(At.Room))
+  Resources Room = At.Room;
+  if (Step.Fills)
+    Room.MemoryMib -= At.Slot->Entry.Capacity.MemoryMib / FillMemoryPart;
+  if (!Step.reserved().fits(Room))
     return false;
   return Step.MaxPerWorker == 0 ||
          countOnWorker(*At.Slot, Of, Position) < Step.MaxPerWorker;
