--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -249,9 +249,9 @@
     return;
   if (m_dirty.empty() && !EndsLeft)
     return;
-  std::map<std::string, uint64_t> Ends;
+  std::map<std::string, CoveredEnd> Ends;
   for (const auto &[Id, Slot] : m_slots)
-    Ends[Id] = Slot.SeenEnds;
+    Ends[Id] = {.Born = Slot.Born, .Number = Slot.SeenEnds};
   if (m_dirty.empty()) {
     onCommitted({}, Ends, m_options.Epoch);
     return;
@@ -285,7 +285,7 @@
 }
 
 void JobShard::Impl::onCommitted(const std::map<std::string, JobState> &Jobs,
-                                 const std::map<std::string, uint64_t> &Ends,
+                                 const std::map<std::string, CoveredEnd> &Ends,
                                  Result<uint64_t> Answer) {
   m_committing = false;
   if (!Answer.has_value()) {
@@ -305,13 +305,13 @@
     Each.RowVersion = Answer.value();
     Each.StoredState = State;
   }
-  for (const auto &[Id, Number] : Ends) {
+  for (const auto &[Id, Covered] : Ends) {
     auto Slot = m_slots.find(Id);
-    if (Slot == m_slots.end())
-      continue;
     // A reborn worker counts its ends anew.
-    uint64_t Stored = std::min(Number, Slot->second.SeenEnds);
-    Slot->second.StoredEnds = std::max(Slot->second.StoredEnds, Stored);
+    if (Slot == m_slots.end() || Slot->second.Born != Covered.Born)
+      continue;
+    Slot->second.StoredEnds =
+        std::max(Slot->second.StoredEnds, Covered.Number);
   }
   lookAround();
 }
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -58,8 +58,13 @@
   void endJob(JobEntry &Of, JobState State, std::string_view Why);
   void markDirty(JobEntry &Of);
   void commit();
+  /// Last end of one life of a worker that a commit covers.
+  struct CoveredEnd {
+    milliseconds Born{0};
+    uint64_t Number = 0;
+  };
   void onCommitted(const std::map<std::string, JobState> &Jobs,
-                   const std::map<std::string, uint64_t> &Ends,
+                   const std::map<std::string, CoveredEnd> &Ends,
                    Result<uint64_t> Answer);
   void recheck();
   void recheckNext(std::vector<std::string> Jobs);
@@ -113,6 +118,7 @@
   void queueReady(JobEntry &Of);
   void dropWaiting(const JobEntry &Of, int Position);
   Rank rankOf(const JobEntry &Of) const;
+  bool hasAged(const JobEntry &Of) const;
   int latenessOf(const JobEntry &Of) const;
   void relocate();
   void logState();
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr milliseconds MissedLookPause{250};
+constexpr milliseconds UnstoredPause{300};
 /// Workers' clocks run at most this much slow.
 constexpr double ClockRate = 1.03;
 constexpr milliseconds LeaseMargin{150};
@@ -30,15 +31,19 @@
     return;
   TimePoint Now = m_time.now();
   for (auto &[Id, Slot] : m_slots) {
-    bool Blocked = Slot.SeenEnds > Slot.StoredEnds;
-    if (Slot.Looking || Blocked || Now < Slot.NextLook)
-      continue;
-    look(Slot);
+    // Ends that are not stored yet come again with each look. While the store
+    // is away, looks go on at a slower pace, for new ends and for the leases.
+    bool Unstored = Slot.SeenEnds > Slot.StoredEnds;
+    TimePoint Next =
+        Unstored ? std::max(Slot.NextLook, Slot.LastAnswer + UnstoredPause)
+                 : Slot.NextLook;
+    if (!Slot.Looking && Now >= Next)
+      look(Slot);
   }
 }
 
 milliseconds JobShard::Impl::waitAt(const WorkerSlot &At) const {
-  if (!At.Fenced)
+  if (!At.Fenced || At.MissedLooks > 0 || At.SeenEnds > At.StoredEnds)
     return milliseconds(0);
   bool HasFill = false;
   bool HasTarget = false;
@@ -61,7 +66,10 @@
   LookOrder Order{.Epoch = m_options.Epoch,
                   .NotedEnds = At.StoredEnds,
                   .Wait = waitAt(At)};
-  if (At.Fenced) {
+  // A look that is not answered may still extend the leases. Until one is
+  // answered the others extend nothing, so that the leases of a silent worker
+  // come to an end.
+  if (At.Fenced && At.MissedLooks == 0) {
     Order.LeaseUntil = At.clockAt(Now) + m_options.Lease;
     At.LeaseEnd = std::max(At.LeaseEnd, Now + stretched(m_options.Lease));
   }
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -46,6 +46,8 @@
 /// A job is worth nothing after this many times its objective.
 constexpr int LateFactor = 3;
 constexpr milliseconds StateLogEvery{1000};
+/// A long-running task that has waited for this long comes before short ones.
+constexpr milliseconds LongPatience{1200};
 /// Part of a job's worth that does not depend on its size.
 constexpr double WorthOfAnyJob = 0.3;
 /// Cost of a worker where the same task failed or was lost before.
@@ -81,13 +83,26 @@
   return Age < LateFactor * Objective ? 1 : 2;
 }
 
+bool JobShard::Impl::hasAged(const JobEntry &Of) const {
+  auto Waiting = m_waiting.find(Of.Spec.Id);
+  if (Waiting == m_waiting.end())
+    return false;
+  TimePoint Limit = m_time.now() - LongPatience;
+  return std::any_of(Waiting->second.begin(), Waiting->second.end(),
+                     [&](int Position) {
+                       return Of.Tasks[static_cast<size_t>(Position)]
+                                  .WaitingSince < Limit;
+                     });
+}
+
 JobShard::Impl::Rank JobShard::Impl::rankOf(const JobEntry &Of) const {
   const JobQueue *Queue = queueOf(Of);
   const JobStep &First = Of.Spec.Steps.front();
   int Priority = Queue ? Queue->Priority : 0;
-  // Short tasks earn more on a core than long-running ones and leave it soon.
+  // Short tasks earn more on a core than long-running ones and leave it soon,
+  // but long-running ones must not wait for ever.
   if (First.LongRunning)
-    return {1, 0, Priority, 0};
+    return {hasAged(Of) ? -1 : 1, 0, Priority, 0};
   // Worth for each unit of work that is left: what is almost done comes first,
   // and large jobs are not put behind small ones for their size.
   auto Mean = m_meanWork.find(Of.Spec.Queue);
@@ -173,9 +188,10 @@
     Most.MemoryMib = std::max(Most.MemoryMib, Each.Room.MemoryMib);
   }
   std::array<size_t, 3> Waiting{};
-  for (const auto &[Id, Positions] : m_waiting)
-    Waiting[static_cast<size_t>(std::get<0>(rankOf(*find(Id))))] +=
-        Positions.size();
+  for (const auto &[Id, Positions] : m_waiting) {
+    const JobStep &First = find(Id)->Spec.Steps.front();
+    Waiting[First.LongRunning ? 1 : First.Fills ? 2 : 0] += Positions.size();
+  }
   log("shard_state",
       fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
                   "free_gib={} most_gib={} waiting_short={} waiting_long={} "
