A renewed row does not prove ownership; only a sure owner fences a new life

Change: after a gap in the renewals in which others could take over, shard rows are read again, and beyond the horizon the shards are dropped first; the first look at a worker's life needs a renewal younger than the timeout.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -80,6 +80,9 @@
 
   /// True while this host's row was renewed within the horizon.
   bool mayAct() const;
+  /// True while no other host can have taken this host's shards. Only then may
+  /// a worker's new life be fenced, since it knows of no newer owner.
+  bool mayFence() const;
   /// Shard of \p Worker, or -1 if it has none yet.
   int shardOf(const std::string &Worker) const;
   /// Returns what the owner of \p Shard said of it lately, or null if it has no
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -38,6 +38,9 @@
   milliseconds WriteOff{12000};
   /// Returns whether this host may still give orders; asked before each one.
   std::function<bool()> MayAct;
+  /// Returns whether no other host can own the shard; asked before the first
+  /// look at a worker's life, which knows of no newer owner.
+  std::function<bool()> MayFence;
   /// Returns the time since 1970.
   std::function<milliseconds()> WallTime;
   /// Receives one line for each decision: event and key=value fields.
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds FeedWait{1000};
 /// Renewals that may be under way at once, when answers are lost.
 constexpr int MostBeats = 4;
+/// Allowance between two hosts' views of one renewal.
+constexpr milliseconds FenceMargin{400};
 /// Readings in a row that must show a row standing still.
 constexpr int StillReadings = 3;
 /// Readings in a row that must ask for the same hand-over.
@@ -90,6 +92,11 @@
     return m_renewed && m_time.now() < *m_renewed + m_options.Horizon;
   }
 
+  bool mayFence() const {
+    return m_renewed && m_time.now() < *m_renewed + fenceAge() &&
+           m_unverified.empty();
+  }
+
   int shardOf(const std::string &Worker) const {
     auto Found = m_assignments.find(Worker);
     return Found == m_assignments.end() ? -1 : Found->second;
@@ -141,11 +148,29 @@
                    });
   }
 
+  // A renewal says nothing about the shards: after a gap in which another host
+  // could take them, their rows are read again.
   void onRenewed(TimePoint Sent) {
-    if (!m_renewed || Sent > *m_renewed)
-      m_renewed = Sent;
+    if (m_renewed && Sent <= *m_renewed)
+      return;
+    bool First = !m_renewed;
+    nanoseconds Gap = First ? nanoseconds(0) : Sent - *m_renewed;
+    m_renewed = Sent;
+    if (First || Gap <= fenceAge())
+      return;
+    log("renewed_after_gap", fmt::format("gap_ms={}", Gap / milliseconds(1)));
+    for (int Shard = 0; Shard < m_options.Shards; ++Shard) {
+      if (m_shards[static_cast<size_t>(Shard)].HeldEpoch == 0)
+        continue;
+      if (Gap > m_options.Horizon)
+        disown(Shard);
+      m_unverified.insert(Shard);
+      readShard(Shard);
+    }
   }
 
+  nanoseconds fenceAge() const { return m_options.Timeout - FenceMargin; }
+
   void readHosts(const std::string &From) {
     m_polling = true;
     m_nextPoll = m_time.now() + m_options.BeatEvery;
@@ -358,6 +383,7 @@
   void onShardRead(int Shard, const RowPage &Page) {
     SeenShard &Row = m_shards[static_cast<size_t>(Shard)];
     Row.Known = true;
+    m_unverified.erase(Shard);
     for (const PlacedRow &Each : Page.Rows)
       onShardRow(Each);
   }
@@ -526,6 +552,8 @@
   std::map<std::string, SeenHost> m_hosts;
   std::set<std::string> m_present;
   std::vector<SeenShard> m_shards;
+  /// Owned shards whose rows must be read before a worker is fenced.
+  std::set<int> m_unverified;
   std::map<std::string, int> m_assignments;
   std::vector<WorkerEntry> m_fleet;
   std::optional<TimePoint> m_renewed;
@@ -555,6 +583,7 @@
   m_impl->setFleet(Fleet);
 }
 bool HostCluster::mayAct() const { return m_impl->mayAct(); }
+bool HostCluster::mayFence() const { return m_impl->mayFence(); }
 int HostCluster::shardOf(const std::string &Worker) const {
   return m_impl->shardOf(Worker);
 }
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -30,7 +30,10 @@
   if (!mayAct())
     return;
   TimePoint Now = m_time.now();
+  bool MayFence = !m_options.MayFence || m_options.MayFence();
   for (auto &[Id, Slot] : m_slots) {
+    if (!Slot.Fenced && !MayFence)
+      continue;
     // Ends that are not stored yet come again with each look. While the store
     // is away, looks go on at a slower pace, for new ends and for the leases.
     bool Unstored = Slot.SeenEnds > Slot.StoredEnds;
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -51,6 +51,7 @@
   Options.WriteOff = Cluster.Horizon + Options.Lease + WriteOffMargin -
                      Cluster.Timeout;
   Options.MayAct = [this] { return m_cluster.mayAct(); };
+  Options.MayFence = [this] { return m_cluster.mayFence(); };
   Options.WallTime = m_options.WallTime;
   Options.Log = m_options.Log;
   auto Fresh = std::make_unique<JobShard>(std::move(Options), m_store,
--- a/src/testing/jobbed.cpp
+++ b/src/testing/jobbed.cpp
@@ -177,14 +177,28 @@
                            return std::chrono::duration_cast<milliseconds>(
                                now().time_since_epoch());
                          },
-                     .Log = {}},
+                     .Log =
+                         [this, Index](std::string_view Event,
+                                       std::string_view Fields) {
+                           trace(Index, Event, Fields);
+                         }},
       *To.Store, *To.Workers, m_clock);
+  trace(Index, "booted", "");
   To.Core->setQueues(m_queues);
   To.Core->start();
   publishWorkers();
 }
 
+void JobBed::trace(int Host, std::string_view Event,
+                   std::string_view Fields) const {
+  if (m_options.Trace)
+    fmt::print("{:9.3f} host-{} {} {}\n",
+               std::chrono::duration<double>(now().time_since_epoch()).count(),
+               Host, Event, Fields);
+}
+
 void JobBed::kill(int Index) {
+  trace(Index, "killed", "");
   JobBedHost &To = host(Index);
   ++To.Life;
   To.Core.reset();
--- a/src/testing/jobbed.h
+++ b/src/testing/jobbed.h
@@ -23,6 +23,8 @@
   int FailPercent = 0;
   int MaxAttempts = 3;
   uint64_t Seed = 1;
+  /// Prints every decision with its time and host.
+  bool Trace = false;
 };
 
 class JobBed;
@@ -104,6 +106,7 @@
   };
 
   void tickAll();
+  void trace(int Host, std::string_view Event, std::string_view Fields) const;
 
   JobBedOptions m_options;
   ManualClock m_clock;
--- a/src/testing/jobfuzz_test.cpp
+++ b/src/testing/jobfuzz_test.cpp
@@ -1,7 +1,8 @@
 // Random faults against job hosts, checked by the oracle.
 //
 // Usage: basilchute_jobfuzz FIRST_SEED COUNT. Prints each seed that broke a
-// rule; the same seed always does the same.
+// rule; the same seed always does the same. BASILCHUTE_TRACE prints every
+// decision.
 
 #include "testing/jobbed.h"
 
@@ -26,7 +27,8 @@
                .Shards = 1 + static_cast<int>(Seed % 3),
                .FailPercent = 5,
                .MaxAttempts = 3,
-               .Seed = Seed}) {}
+               .Seed = Seed,
+               .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr}) {}
 
   /// Returns what went wrong, none if nothing did.
   std::vector<std::string> run() {
