--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 
 # Needs protobuf-compiler; the generated files are committed.
 schema:
-	@cd src/schema && protoc --cpp_out=. basilchute.proto
+	@cd src/schema && protoc --cpp_out=. basilchute.proto jobs.proto
 
 format:
-	@git ls-files 'src/*.cpp' 'src/*.h' | grep -v '\.pb\.' | xargs clang-format -i
+	@git ls-files 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v '\.pb\.' | xargs clang-format -i
--- a/src/include/basilchute/pacing.h
+++ b/src/include/basilchute/pacing.h
@@ -50,8 +50,7 @@
 
 /// Returns the worst tail over target that is expected on the worker if a fill
 /// task of \p Kind with \p Share of it joins.
-double expectedRatio(const std::vector<ServingLoad> &Serving,
-                     TaskKind Kind, double Share,
-                     const InterferenceModel &Model);
+double expectedRatio(const std::vector<ServingLoad> &Serving, TaskKind Kind,
+                     double Share, const InterferenceModel &Model);
 
 BASILCHUTE_NAMESPACE_END
--- a/src/include/basilchute/shardplan.h
+++ b/src/include/basilchute/shardplan.h
@@ -22,8 +22,7 @@
 /// present \p Owners (an id that is not among \p Hosts counts as none). Shards
 /// move only if their owner is gone, or if the move evens out the load by a
 /// whole shard. Empty if there are no hosts.
-std::vector<std::string>
-planShards(const std::vector<PlanHost> &Hosts,
-           const std::vector<std::string> &Owners);
+std::vector<std::string> planShards(const std::vector<PlanHost> &Hosts,
+                                    const std::vector<std::string> &Owners);
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -129,9 +129,8 @@
     TimePoint Now = m_time.now();
     m_nextBeat = Now + m_options.BeatEvery;
     ++m_beating;
-    HostRecord Record{.Weight = m_options.Weight,
-                      .Beat = ++m_beat,
-                      .Leaving = m_leaving};
+    HostRecord Record{
+        .Weight = m_options.Weight, .Beat = ++m_beat, .Leaving = m_leaving};
     if (m_options.Report)
       Record.Shards = m_options.Report();
     RowCommit Commit;
@@ -176,25 +175,25 @@
     m_nextPoll = m_time.now() + m_options.BeatEvery;
     if (From.empty())
       m_present.clear();
-    m_store.read(
-        {.Table = HostTable, .Part = "", .From = From},
-        [Weak = weak_from_this()](Result<RowPage> Answer) {
-          auto Self = Weak.lock();
-          if (!Self)
-            return;
-          if (!Answer.has_value()) {
-            Self->m_polling = false;
-            return;
-          }
-          for (const PlacedRow &Row : Answer.value().Rows)
-            Self->onHostRow(Row);
-          if (Answer.value().HasMore && !Answer.value().Rows.empty()) {
-            Self->readHosts(Answer.value().Rows.back().Place.Key + '\x01');
-            return;
-          }
-          Self->m_polling = false;
-          Self->onHostsRead();
-        });
+    m_store.read({.Table = HostTable, .Part = "", .From = From},
+                 [Weak = weak_from_this()](Result<RowPage> Answer) {
+                   auto Self = Weak.lock();
+                   if (!Self)
+                     return;
+                   if (!Answer.has_value()) {
+                     Self->m_polling = false;
+                     return;
+                   }
+                   for (const PlacedRow &Row : Answer.value().Rows)
+                     Self->onHostRow(Row);
+                   if (Answer.value().HasMore && !Answer.value().Rows.empty()) {
+                     Self->readHosts(Answer.value().Rows.back().Place.Key +
+                                     '\x01');
+                     return;
+                   }
+                   Self->m_polling = false;
+                   Self->onHostsRead();
+                 });
   }
 
   void onHostRow(const PlacedRow &Row) {
@@ -215,8 +214,8 @@
     Host.ChangedAt = m_time.now();
     Host.Still = 0;
     if (New)
-      log("host_seen", fmt::format("host={} weight={}", Id,
-                                   Host.Record.Weight));
+      log("host_seen",
+          fmt::format("host={} weight={}", Id, Host.Record.Weight));
   }
 
   void onHostsRead() {
@@ -333,18 +332,17 @@
     Commit.Conditions.push_back({.Place = Place, .Version = Row.Version});
     Commit.Changes.push_back(
         {.Place = Place, .Value = encodeShardOwner(Owner)});
-    m_store.commit(std::move(Commit),
-                   [Weak = weak_from_this(), Shard,
-                    Owner](const Result<uint64_t> &Answer) {
-                     auto Self = Weak.lock();
-                     if (!Self)
-                       return;
-                     Self->m_shards[static_cast<size_t>(Shard)].Writing = false;
-                     if (Answer.has_value())
-                       Self->onOwner(Shard, Owner, Answer.value());
-                     else
-                       Self->readShard(Shard);
-                   });
+    m_store.commit(std::move(Commit), [Weak = weak_from_this(), Shard,
+                                       Owner](const Result<uint64_t> &Answer) {
+      auto Self = Weak.lock();
+      if (!Self)
+        return;
+      Self->m_shards[static_cast<size_t>(Shard)].Writing = false;
+      if (Answer.has_value())
+        Self->onOwner(Shard, Owner, Answer.value());
+      else
+        Self->readShard(Shard);
+    });
   }
 
   void onOwner(int Shard, const std::string &Owner, uint64_t Version) {
@@ -394,9 +392,9 @@
         continue;
       Result<std::string> Owner = decodeShardOwner(Row.Value);
       if (!Owner.has_value()) {
-        log("bad_row", fmt::format("table={} part={} message=\"{}\"",
-                                   ShardTable, Row.Place.Part,
-                                   Owner.error().Message));
+        log("bad_row",
+            fmt::format("table={} part={} message=\"{}\"", ShardTable,
+                        Row.Place.Part, Owner.error().Message));
         return;
       }
       onOwner(Shard, Owner.value(), Row.Version);
@@ -417,8 +415,8 @@
                      }
                      for (int Each = 0; Each < Self->m_options.Shards; ++Each)
                        Self->readShard(Each);
-                     Self->followShards(std::max<uint64_t>(
-                         Answer.value().Version, 1));
+                     Self->followShards(
+                         std::max<uint64_t>(Answer.value().Version, 1));
                    });
       return;
     }
@@ -439,27 +437,26 @@
   }
 
   void readAssignments(const std::string &Key, uint64_t From) {
-    m_store.read({.Table = AssignmentTable, .Part = "", .From = Key},
-                 [Weak = weak_from_this(), Key, From](Result<RowPage> Answer) {
-                   auto Self = Weak.lock();
-                   if (!Self)
-                     return;
-                   if (!Answer.has_value()) {
-                     Self->readAssignments(Key, From);
-                     return;
-                   }
-                   RowPage &Page = Answer.value();
-                   uint64_t First = From ? From
-                                         : std::max<uint64_t>(Page.Version, 1);
-                   Self->onAssignmentRows(Page.Rows);
-                   if (Page.HasMore && !Page.Rows.empty()) {
-                     Self->readAssignments(
-                         Page.Rows.back().Place.Key + '\x01', First);
-                     return;
-                   }
-                   Self->m_assignmentsRead = true;
-                   Self->followAssignments(First);
-                 });
+    m_store.read(
+        {.Table = AssignmentTable, .Part = "", .From = Key},
+        [Weak = weak_from_this(), Key, From](Result<RowPage> Answer) {
+          auto Self = Weak.lock();
+          if (!Self)
+            return;
+          if (!Answer.has_value()) {
+            Self->readAssignments(Key, From);
+            return;
+          }
+          RowPage &Page = Answer.value();
+          uint64_t First = From ? From : std::max<uint64_t>(Page.Version, 1);
+          Self->onAssignmentRows(Page.Rows);
+          if (Page.HasMore && !Page.Rows.empty()) {
+            Self->readAssignments(Page.Rows.back().Place.Key + '\x01', First);
+            return;
+          }
+          Self->m_assignmentsRead = true;
+          Self->followAssignments(First);
+        });
   }
 
   void followAssignments(uint64_t From) {
@@ -534,16 +531,15 @@
       Rows.push_back({.Place = Place, .Value = Value});
     }
     m_assigning = true;
-    m_store.commit(std::move(Commit),
-                   [Weak = weak_from_this(),
-                    Rows](const Result<uint64_t> &Answer) {
-                     auto Self = Weak.lock();
-                     if (!Self)
-                       return;
-                     Self->m_assigning = false;
-                     if (Answer.has_value())
-                       Self->onAssignmentRows(Rows);
-                   });
+    m_store.commit(std::move(Commit), [Weak = weak_from_this(),
+                                       Rows](const Result<uint64_t> &Answer) {
+      auto Self = Weak.lock();
+      if (!Self)
+        return;
+      Self->m_assigning = false;
+      if (Answer.has_value())
+        Self->onAssignmentRows(Rows);
+    });
   }
 
   HostClusterOptions m_options;
--- a/src/libbasilchute/interference_test.cpp
+++ b/src/libbasilchute/interference_test.cpp
@@ -45,10 +45,10 @@
 TEST_CASE("Only the fill tasks that harm are slowed") {
   InterferenceModel Model;
   teach(Model, 300);
-  std::vector<int> Paces = planPaces(
-      {{.Kind = Serving, .Ratio = 1.2}},
-      {{.Kind = Harmful, .FullShare = 0.2}, {.Kind = Harmless, .FullShare = 0.01}},
-      Model);
+  std::vector<int> Paces = planPaces({{.Kind = Serving, .Ratio = 1.2}},
+                                     {{.Kind = Harmful, .FullShare = 0.2},
+                                      {.Kind = Harmless, .FullShare = 0.01}},
+                                     Model);
   CHECK(Paces[0] == 0);
   CHECK(Paces[1] == 100);
 }
--- a/src/libbasilchute/jobdesk.cpp
+++ b/src/libbasilchute/jobdesk.cpp
@@ -92,9 +92,9 @@
     Job Stored = Value;
     Stored.Accepted = m_options.WallTime();
     Write->Commit.Conditions = {{.Place = Place}, {.Place = Progress}};
-    Write->Commit.Changes = {{.Place = Place, .Value = encodeJob(Stored)},
-                             {.Place = Progress,
-                              .Value = encodeProgress(JobProgress{})}};
+    Write->Commit.Changes = {
+        {.Place = Place, .Value = encodeJob(Stored)},
+        {.Place = Progress, .Value = encodeProgress(JobProgress{})}};
     Write->Deadline = Deadline;
     Write->Done = std::move(Done);
     attempt(Write);
--- a/src/libbasilchute/jobdesk_test.cpp
+++ b/src/libbasilchute/jobdesk_test.cpp
@@ -88,6 +88,5 @@
 TEST_CASE("A job that nobody submitted cannot be cancelled") {
   JobBed Bed({});
   Bed.run(3s);
-  CHECK(Bed.cancel(0, "ffffffffffffffff").error().Code ==
-        ResultCode::NotFound);
+  CHECK(Bed.cancel(0, "ffffffffffffffff").error().Code == ResultCode::NotFound);
 }
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -46,12 +46,12 @@
     const TaskState &Each = Tasks[Position];
     if (Each.Run == 0)
       continue;
-    Out.Tasks.push_back({.Position = static_cast<int>(Position),
-                         .Run = Each.Run,
-                         .FailedRuns = {Each.FailedRuns.begin(),
-                                        Each.FailedRuns.end()},
-                         .Done = Each.Phase == TaskPhase::Done,
-                         .Checkpoint = Each.Checkpoint});
+    Out.Tasks.push_back(
+        {.Position = static_cast<int>(Position),
+         .Run = Each.Run,
+         .FailedRuns = {Each.FailedRuns.begin(), Each.FailedRuns.end()},
+         .Done = Each.Phase == TaskPhase::Done,
+         .Checkpoint = Each.Checkpoint});
   }
   return Out;
 }
@@ -89,8 +89,8 @@
 }
 
 bool JobEntry::isReady(int Position) const {
-  size_t First = static_cast<size_t>(Position / m_perOccurrence) *
-                 Spec.Steps.size();
+  size_t First =
+      static_cast<size_t>(Position / m_perOccurrence) * Spec.Steps.size();
   const std::vector<int> &After = stepOf(Position).After;
   return std::all_of(After.begin(), After.end(), [&](int Step) {
     return m_groupLeft[First + static_cast<size_t>(Step)] == 0;
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -172,12 +172,12 @@
     return badRow("progress");
   JobProgress Out{.State = static_cast<JobState>(From.state())};
   for (const v1::StoredTask &Each : From.tasks())
-    Out.Tasks.push_back({.Position = Each.position(),
-                         .Run = Each.run(),
-                         .FailedRuns = {Each.failed_runs().begin(),
-                                        Each.failed_runs().end()},
-                         .Done = Each.done(),
-                         .Checkpoint = Each.checkpoint()});
+    Out.Tasks.push_back(
+        {.Position = Each.position(),
+         .Run = Each.run(),
+         .FailedRuns = {Each.failed_runs().begin(), Each.failed_runs().end()},
+         .Done = Each.done(),
+         .Checkpoint = Each.checkpoint()});
   return Out;
 }
 
@@ -203,9 +203,8 @@
   v1::StoredHost From;
   if (!From.ParseFromString(Bytes) || From.weight() <= 0)
     return badRow("host");
-  HostRecord Out{.Weight = From.weight(),
-                 .Beat = From.beat(),
-                 .Leaving = From.leaving()};
+  HostRecord Out{
+      .Weight = From.weight(), .Beat = From.beat(), .Leaving = From.leaving()};
   for (const v1::StoredShardCount &Each : From.shards()) {
     ShardReport &Report = Out.Shards[Each.shard()];
     Report.Epoch = Each.epoch();
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -84,9 +84,8 @@
 }
 
 void JobShard::Impl::readProgress(const std::string &From) {
-  RowRange Range{.Table = ProgressTable,
-                 .Part = shardPart(m_options.Shard),
-                 .From = From};
+  RowRange Range{
+      .Table = ProgressTable, .Part = shardPart(m_options.Shard), .From = From};
   m_store.read(Range, [Weak = weak_from_this(), From](Result<RowPage> Answer) {
     auto Self = Weak.lock();
     if (!Self || Self->m_lost)
@@ -155,9 +154,9 @@
     return;
   Result<Job> Spec = decodeJob(Row.Value);
   if (!Spec.has_value()) {
-    log("bad_row", fmt::format("table={} key={} message=\"{}\"",
-                               Row.Place.Table, Row.Place.Key,
-                               Spec.error().Message));
+    log("bad_row",
+        fmt::format("table={} key={} message=\"{}\"", Row.Place.Table,
+                    Row.Place.Key, Spec.error().Message));
     return;
   }
   auto Stored = m_loadedProgress.find(Id);
@@ -178,13 +177,11 @@
 
 void JobShard::Impl::addJob(const Job &Spec, uint64_t Version,
                             const JobProgress *Stored) {
-  auto Added =
-      m_jobs.try_emplace(Spec.Id, Spec, Version, m_time.now()).first;
+  auto Added = m_jobs.try_emplace(Spec.Id, Spec, Version, m_time.now()).first;
   JobEntry &Entry = Added->second;
   for (const JobStep &Each : Spec.Steps)
     Entry.Kinds.push_back(kindOf(Each.Image));
-  auto Mean =
-      m_meanWork.try_emplace(Spec.Queue, Entry.TotalWork).first;
+  auto Mean = m_meanWork.try_emplace(Spec.Queue, Entry.TotalWork).first;
   Mean->second += (Entry.TotalWork - Mean->second) * MeanWorkGain;
   if (Stored) {
     Entry.restore(*Stored, RunGap);
@@ -219,9 +216,10 @@
   m_waiting.erase(Of.Spec.Id);
   if (State != JobState::Completed)
     stopAll(Of);
-  log("job_ended", fmt::format("job={} queue={} state={} why={} age_ms={}",
-                               Of.Spec.Id, Of.Spec.Queue, jobStateName(State),
-                               Why, (m_time.now() - Of.Seen) / milliseconds(1)));
+  log("job_ended",
+      fmt::format("job={} queue={} state={} why={} age_ms={}", Of.Spec.Id,
+                  Of.Spec.Queue, jobStateName(State), Why,
+                  (m_time.now() - Of.Seen) / milliseconds(1)));
 }
 
 JobEntry *JobShard::Impl::find(const std::string &Id) {
@@ -310,8 +308,7 @@
     // A reborn worker counts its ends anew.
     if (Slot == m_slots.end() || Slot->second.Born != Covered.Born)
       continue;
-    Slot->second.StoredEnds =
-        std::max(Slot->second.StoredEnds, Covered.Number);
+    Slot->second.StoredEnds = std::max(Slot->second.StoredEnds, Covered.Number);
   }
   lookAround();
 }
@@ -348,20 +345,17 @@
   std::string Id = Jobs.back();
   Jobs.pop_back();
   RowPlace Place = progressPlace(m_options.Shard, Id);
-  RowRange Range{.Table = Place.Table,
-                 .Part = Place.Part,
-                 .From = Id,
-                 .To = Id + '\x01'};
-  m_store.read(Range,
-               [Weak = weak_from_this(), Id, Jobs](Result<RowPage> Answer) {
-                 auto Self = Weak.lock();
-                 if (!Self)
-                   return;
-                 if (Answer.has_value() && !Answer.value().Rows.empty())
-                   Self->find(Id)->RowVersion =
-                       Answer.value().Rows.front().Version;
-                 Self->recheckNext(Jobs);
-               });
+  RowRange Range{
+      .Table = Place.Table, .Part = Place.Part, .From = Id, .To = Id + '\x01'};
+  m_store.read(
+      Range, [Weak = weak_from_this(), Id, Jobs](Result<RowPage> Answer) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        if (Answer.has_value() && !Answer.value().Rows.empty())
+          Self->find(Id)->RowVersion = Answer.value().Rows.front().Version;
+        Self->recheckNext(Jobs);
+      });
 }
 
 void JobShard::Impl::setQueues(std::shared_ptr<const JobQueues> Queues) {
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -66,9 +66,10 @@
 
 void JobShard::Impl::look(WorkerSlot &At) {
   TimePoint Now = m_time.now();
-  LookOrder Order{.Epoch = m_options.Epoch,
-                  .NotedEnds = At.StoredEnds,
-                  .Wait = waitAt(At)};
+  LookOrder Order{.Epoch = m_options.Epoch, .Wait = waitAt(At)};
+  // After a miss the worker may live anew and count its ends from 1 again.
+  if (At.MissedLooks == 0)
+    Order.NotedEnds = At.StoredEnds;
   // A look that is not answered may still extend the leases. Until one is
   // answered the others extend nothing, so that the leases of a silent worker
   // come to an end.
@@ -155,8 +156,8 @@
   for (const auto &[Key, Run] : At.Held)
     Keys.push_back(Key);
   if (!Keys.empty())
-    log("runs_lost", fmt::format("worker={} runs={} why={}", At.Entry.Id,
-                                 Keys.size(), Why));
+    log("runs_lost",
+        fmt::format("worker={} runs={} why={}", At.Entry.Id, Keys.size(), Why));
   for (const RunKey &Key : Keys)
     release(At, Key, Why);
 }
@@ -223,11 +224,10 @@
     return;
   }
   log("run_ended",
-      fmt::format("job={} step={} index={} run={} worker={} how={}",
-                  Of.Spec.Id, Ended.Task.Step, Ended.Task.Index, Ended.Run,
-                  At.Entry.Id, runEndName(Ended.End)));
-  if (Ended.End == RunEnd::Failed &&
-      Task.FailedRuns.insert(Ended.Run).second) {
+      fmt::format("job={} step={} index={} run={} worker={} how={}", Of.Spec.Id,
+                  Ended.Task.Step, Ended.Task.Index, Ended.Run, At.Entry.Id,
+                  runEndName(Ended.End)));
+  if (Ended.End == RunEnd::Failed && Task.FailedRuns.insert(Ended.Run).second) {
     countFailure(Of, Position, Ended);
     if (isFinal(Of.State))
       return;
@@ -256,8 +256,7 @@
     return;
   if (++At.FailuresInARow < SuspectFailures)
     return;
-  At.NoStartBefore =
-      std::max(At.NoStartBefore, m_time.now() + SuspectPause);
+  At.NoStartBefore = std::max(At.NoStartBefore, m_time.now() + SuspectPause);
   log("worker_suspected", fmt::format("worker={} failures_in_a_row={}",
                                       At.Entry.Id, At.FailuresInARow));
 }
@@ -338,8 +337,8 @@
   for (const auto &[Key, Run] : At.Held) {
     if (Present.count(Key))
       continue;
-    bool Sure = Run.Phase == RunPhase::Running ||
-                Run.Phase == RunPhase::Stopping;
+    bool Sure =
+        Run.Phase == RunPhase::Running || Run.Phase == RunPhase::Stopping;
     bool Gone = Sure ? Run.Confirmed < Sent : Reply.Clock > Run.StartUntil;
     if (Gone)
       Missing.push_back(Key);
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -23,8 +23,8 @@
 constexpr milliseconds ImpossibleAfter{300};
 /// Cost of a rack that makes the task run slower, in units of load.
 constexpr double FarRackCost = 1.0;
-/// Cost of the part of a tail target that a fill task is expected to take beyond
-/// what is left.
+/// Cost of the part of a tail target that a fill task is expected to take
+/// beyond what is left.
 constexpr double HarmCost = 8.0;
 constexpr double HarmAbove = 0.70;
 /// A fill task waits rather than join a worker where it would have to stop ...
@@ -74,9 +74,9 @@
     return 0;
   auto Chain = std::chrono::duration_cast<milliseconds>(
       std::max(Of.longestChain(), LeastChain) * WidthFactor);
-  auto Objective = std::chrono::duration_cast<milliseconds>(
-                       Chain * Queue->SlackFactor) +
-                   Queue->TargetDuration;
+  auto Objective =
+      std::chrono::duration_cast<milliseconds>(Chain * Queue->SlackFactor) +
+      Queue->TargetDuration;
   auto Age = m_time.now() - Of.Seen;
   if (Age < Objective)
     return 0;
@@ -88,11 +88,10 @@
   if (Waiting == m_waiting.end())
     return false;
   TimePoint Limit = m_time.now() - LongPatience;
-  return std::any_of(Waiting->second.begin(), Waiting->second.end(),
-                     [&](int Position) {
-                       return Of.Tasks[static_cast<size_t>(Position)]
-                                  .WaitingSince < Limit;
-                     });
+  return std::any_of(
+      Waiting->second.begin(), Waiting->second.end(), [&](int Position) {
+        return Of.Tasks[static_cast<size_t>(Position)].WaitingSince < Limit;
+      });
 }
 
 JobShard::Impl::Rank JobShard::Impl::rankOf(const JobEntry &Of) const {
@@ -258,8 +257,8 @@
   return false;
 }
 
-// Saved progress is not lost by a move, and a worker that serves latency-critical
-// tasks may stay busy for long.
+// Saved progress is not lost by a move, and a worker that serves
+// latency-critical tasks may stay busy for long.
 void JobShard::Impl::relocate() {
   TimePoint Now = m_time.now();
   if (Now < m_nextRelocate || !mayAct() || !isSettled())
@@ -502,8 +501,8 @@
     Held.Confirmed = Now;
     return;
   }
-  bool Unsure = !Answer.has_value() &&
-                Answer.error().Code != ResultCode::Unavailable;
+  bool Unsure =
+      !Answer.has_value() && Answer.error().Code != ResultCode::Unavailable;
   if (Unsure) {
     ++m_counts.Unanswered;
     if (Held.Phase == RunPhase::Starting)
@@ -518,14 +517,12 @@
   At.NoStartBefore = std::max(At.NoStartBefore, Now + RefusedPause);
   At.NextLook = Now;
   log("start_refused",
-      fmt::format("job={} step={} index={} run={} worker={} outcome={}",
-                  Key.first.Job, Key.first.Step, Key.first.Index, Key.second,
-                  Worker,
-                  Answer.has_value()
-                      ? static_cast<int>(Answer.value().Outcome)
-                      : -1));
-  bool Fenced = Answer.has_value() &&
-                Answer.value().Outcome == StartOutcome::Fenced;
+      fmt::format(
+          "job={} step={} index={} run={} worker={} outcome={}", Key.first.Job,
+          Key.first.Step, Key.first.Index, Key.second, Worker,
+          Answer.has_value() ? static_cast<int>(Answer.value().Outcome) : -1));
+  bool Fenced =
+      Answer.has_value() && Answer.value().Outcome == StartOutcome::Fenced;
   release(At, Key, "start_refused");
   if (Fenced)
     lose("fenced");
@@ -542,10 +539,10 @@
   if (Found->second.Phase == RunPhase::Running)
     Found->second.Phase = RunPhase::Stopping;
   Found->second.StopSent = m_time.now();
-  m_workers.stop(At.Entry,
-                 {.Task = Key.first, .Run = Key.second,
-                  .Epoch = m_options.Epoch},
-                 [](const Status &) {});
+  m_workers.stop(
+      At.Entry,
+      {.Task = Key.first, .Run = Key.second, .Epoch = m_options.Epoch},
+      [](const Status &) {});
 }
 
 void JobShard::Impl::stopAll(const JobEntry &Of) {
@@ -600,24 +597,24 @@
     return;
   At.Held.at(Key).Pace = Percent;
   At.Held.at(Key).PacedAt = m_time.now();
-  m_workers.pace(At.Entry,
-                 {.Task = Key.first,
-                  .Run = Key.second,
-                  .Percent = Percent,
-                  .Epoch = m_options.Epoch},
-                 [Weak = weak_from_this(), Id = At.Entry.Id,
-                  Key](const Status &Answer) {
-                   auto Self = Weak.lock();
-                   if (!Self || Answer.has_value())
-                     return;
-                   // What the run works at is unknown; it is told anew.
-                   auto Slot = Self->m_slots.find(Id);
-                   if (Slot == Self->m_slots.end())
-                     return;
-                   auto Found = Slot->second.Held.find(Key);
-                   if (Found != Slot->second.Held.end())
-                     Found->second.Pace = 100;
-                 });
+  m_workers.pace(
+      At.Entry,
+      {.Task = Key.first,
+       .Run = Key.second,
+       .Percent = Percent,
+       .Epoch = m_options.Epoch},
+      [Weak = weak_from_this(), Id = At.Entry.Id, Key](const Status &Answer) {
+        auto Self = Weak.lock();
+        if (!Self || Answer.has_value())
+          return;
+        // What the run works at is unknown; it is told anew.
+        auto Slot = Self->m_slots.find(Id);
+        if (Slot == Self->m_slots.end())
+          return;
+        auto Found = Slot->second.Held.find(Key);
+        if (Found != Slot->second.Held.end())
+          Found->second.Pace = 100;
+      });
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/pacing.cpp
+++ b/src/libbasilchute/pacing.cpp
@@ -74,8 +74,7 @@
   std::sort(Order.begin(), Order.end(),
             [&](size_t A, size_t B) { return Worst[A] < Worst[B]; });
   for (size_t Each : Order) {
-    double More =
-        bearable(Serving, Expected, Fills[Each], Model, Options);
+    double More = bearable(Serving, Expected, Fills[Each], Model, Options);
     Paces[Each] = Fills[Each].Pace + static_cast<int>(More);
     for (size_t On = 0; On < Serving.size(); ++On)
       Expected[On] += effect(Serving[On], Fills[Each], Model) * More / FullPace;
@@ -103,13 +102,11 @@
   return Paces;
 }
 
-double expectedRatio(const std::vector<ServingLoad> &Serving,
-                     TaskKind Kind, double Share,
-                     const InterferenceModel &Model) {
+double expectedRatio(const std::vector<ServingLoad> &Serving, TaskKind Kind,
+                     double Share, const InterferenceModel &Model) {
   double Out = 0;
   for (const ServingLoad &Each : Serving)
-    Out = std::max(Out,
-                   Each.Ratio + Model.slope(Each.Kind, Kind) * Share);
+    Out = std::max(Out, Each.Ratio + Model.slope(Each.Kind, Kind) * Share);
   return Out;
 }
 
--- a/src/libbasilchute/shardplan.cpp
+++ b/src/libbasilchute/shardplan.cpp
@@ -33,9 +33,8 @@
 }
 
 Share *shareOf(std::vector<Share> &Shares, const std::string &Id) {
-  auto Found = std::find_if(Shares.begin(), Shares.end(), [&](const Share &S) {
-    return S.Host->Id == Id;
-  });
+  auto Found = std::find_if(Shares.begin(), Shares.end(),
+                            [&](const Share &S) { return S.Host->Id == Id; });
   return Found == Shares.end() ? nullptr : &*Found;
 }
 
--- a/src/libbasilchute/shardplan_test.cpp
+++ b/src/libbasilchute/shardplan_test.cpp
@@ -14,8 +14,8 @@
 } // namespace
 
 TEST_CASE("Shards without an owner are spread by weight") {
-  std::vector<std::string> Plan = planShards(
-      {{"a", 10}, {"b", 10}, {"c", 40}}, std::vector<std::string>(12));
+  std::vector<std::string> Plan = planShards({{"a", 10}, {"b", 10}, {"c", 40}},
+                                             std::vector<std::string>(12));
   CHECK(owned(Plan, "a") == 2);
   CHECK(owned(Plan, "b") == 2);
   CHECK(owned(Plan, "c") == 8);
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -58,8 +58,8 @@
   for (const auto &[Key, Run] : Held)
     Used += ReservedUse * static_cast<double>(Run.Reserved.Millicores) +
             static_cast<double>(Run.FillMillicores);
-  auto Capacity = static_cast<double>(
-      std::max<int64_t>(Entry.Capacity.Millicores, 1));
+  auto Capacity =
+      static_cast<double>(std::max<int64_t>(Entry.Capacity.Millicores, 1));
   return Used / Capacity;
 }
 
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -48,8 +48,8 @@
   HostClusterOptions Cluster;
   JobShardOptions Options{.Shard = Shard, .Epoch = Epoch};
   Options.Lease = std::min(m_options.MaxLease, LongestLease);
-  Options.WriteOff = Cluster.Horizon + Options.Lease + WriteOffMargin -
-                     Cluster.Timeout;
+  Options.WriteOff =
+      Cluster.Horizon + Options.Lease + WriteOffMargin - Cluster.Timeout;
   Options.MayAct = [this] { return m_cluster.mayAct(); };
   Options.MayFence = [this] { return m_cluster.mayFence(); };
   Options.WallTime = m_options.WallTime;
@@ -117,8 +117,7 @@
 
 std::optional<JobState> JobHost::localState(const std::string &Job) const {
   auto Found = m_shards.find(shardOfJob(Job, m_options.Shards));
-  if (Found == m_shards.end() || Found->second->isLost() ||
-      !m_cluster.mayAct())
+  if (Found == m_shards.end() || Found->second->isLost() || !m_cluster.mayAct())
     return std::nullopt;
   return Found->second->state(Job);
 }
--- a/src/libjobhost/jobhost_test.cpp
+++ b/src/libjobhost/jobhost_test.cpp
@@ -286,8 +286,8 @@
   Bed.run(500ms);
   int Old = Bed.owner();
   Bed.host(Old).Core->leave();
-  CHECK(Bed.runUntil([&] { return Bed.owner() >= 0 && Bed.owner() != Old; },
-                     1s));
+  CHECK(
+      Bed.runUntil([&] { return Bed.owner() >= 0 && Bed.owner() != Old; }, 1s));
   CHECK(ends(Bed, "a", JobState::Completed, 10s));
   CHECK(Bed.Oracle.starts() == 16);
   checkClean(Bed);
--- a/src/testing/jobbed.cpp
+++ b/src/testing/jobbed.cpp
@@ -15,9 +15,7 @@
 constexpr const char *Queue = "queue";
 constexpr const char *Service = "service";
 
-Error noAnswer() {
-  return makeError(ResultCode::OutcomeUnknown, "no answer");
-}
+Error noAnswer() { return makeError(ResultCode::OutcomeUnknown, "no answer"); }
 
 } // namespace
 
@@ -99,18 +97,17 @@
     }
     LookOrder Rest = Order;
     Rest.Wait -= LookPoll;
-    m_bed.later(LookPoll, [this, At, Rest, Done] {
-      look(At->Entry, Rest, Done);
-    });
+    m_bed.later(LookPoll,
+                [this, At, Rest, Done] { look(At->Entry, Rest, Done); });
   });
 }
 
 JobBed::JobBed(JobBedOptions Options)
-    : Store([this](milliseconds Delay,
-                   std::function<void()> Action) {
-        later(Delay, std::move(Action));
-      },
-            Options.Seed),
+    : Store(
+          [this](milliseconds Delay, std::function<void()> Action) {
+            later(Delay, std::move(Action));
+          },
+          Options.Seed),
       m_options(Options), m_hosts(static_cast<size_t>(Options.Hosts)) {
   auto Queues = std::make_shared<JobQueues>();
   (*Queues)[Queue] = {.Name = Queue,
@@ -168,20 +165,20 @@
   To.Store->Refused = Refused;
   To.Workers = std::make_unique<HostTaskWorkers>(*this, Index);
   To.Core = std::make_unique<JobHost>(
-      JobHostOptions{.HostName = fmt::format("host-{}", Index),
-                     .StartId = fmt::format("{}", To.Life),
-                     .Shards = m_options.Shards,
-                     .After = Deliver,
-                     .WallTime =
-                         [this] {
-                           return std::chrono::duration_cast<milliseconds>(
-                               now().time_since_epoch());
-                         },
-                     .Log =
-                         [this, Index](std::string_view Event,
-                                       std::string_view Fields) {
-                           trace(Index, Event, Fields);
-                         }},
+      JobHostOptions{
+          .HostName = fmt::format("host-{}", Index),
+          .StartId = fmt::format("{}", To.Life),
+          .Shards = m_options.Shards,
+          .After = Deliver,
+          .WallTime =
+              [this] {
+                return std::chrono::duration_cast<milliseconds>(
+                    now().time_since_epoch());
+              },
+          .Log =
+              [this, Index](std::string_view Event, std::string_view Fields) {
+                trace(Index, Event, Fields);
+              }},
       *To.Store, *To.Workers, m_clock);
   trace(Index, "booted", "");
   To.Core->setQueues(m_queues);
--- a/src/testing/modelstore.cpp
+++ b/src/testing/modelstore.cpp
@@ -63,8 +63,7 @@
 
 RowPage ModelStore::read(const RowRange &Range) const {
   RowPage Out{.Version = m_version};
-  RowPlace First{
-      .Table = Range.Table, .Part = Range.Part, .Key = Range.From};
+  RowPlace First{.Table = Range.Table, .Part = Range.Part, .Key = Range.From};
   for (auto Each = m_rows.lower_bound(First); Each != m_rows.end(); ++Each) {
     const RowPlace &Place = Each->first;
     if (Place.Table != Range.Table || Place.Part != Range.Part)
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -81,9 +81,9 @@
                            const Resources &Capacity) {
   if (!Used.fits(Capacity))
     m_violations.push_back(
-        fmt::format("worker {} holds {} of {} millicores, {} of {} MiB",
-                    Worker, Used.Millicores, Capacity.Millicores,
-                    Used.MemoryMib, Capacity.MemoryMib));
+        fmt::format("worker {} holds {} of {} millicores, {} of {} MiB", Worker,
+                    Used.Millicores, Capacity.Millicores, Used.MemoryMib,
+                    Capacity.MemoryMib));
 }
 
 void JobOracle::onState(const std::string &Job, JobState State) {
@@ -167,9 +167,9 @@
   Present Run{.Run = Order.Run,
               .Ends = Step && !Step->LongRunning ? m_now() + Step->Estimate
                                                  : TimePoint::max()};
-  size_t Hash = std::hash<std::string>()(fmt::format(
-      "{}.{}.{}.{}", Order.Task.Job, Order.Task.Step, Order.Task.Index,
-      Order.Run));
+  size_t Hash = std::hash<std::string>()(
+      fmt::format("{}.{}.{}.{}", Order.Task.Job, Order.Task.Step,
+                  Order.Task.Index, Order.Run));
   Run.Fails = static_cast<int>(Hash % 100) < FailPercent;
   m_runs[Order.Task] = Run;
   m_oracle.onStart(Entry.Id, Order.Task, Order.Run, m_now());
@@ -203,8 +203,8 @@
     return Each.Number <= Order.NotedEnds;
   });
   LookReply Out{.Clock = clock(),
-                .Born = milliseconds(m_born.time_since_epoch() /
-                                     milliseconds(1)),
+                .Born =
+                    milliseconds(m_born.time_since_epoch() / milliseconds(1)),
                 .Ended = m_ended};
   for (const auto &[Task, Run] : m_runs)
     Out.Running.push_back({.Task = Task, .Run = Run.Run, .Percent = 100});
