Gangs start as a whole; occurrences wait for their time; the shard's parts in files

Change: a gang is placed in one round with one run number and one checkpoint; a refused member follows; one end stands for all. Tasks of an occurrence wait for its time. Ranking, orders, moves and gangs have files of their own.

--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -1,6 +1,7 @@
 #include "libbasilchute/jobentry.h"
 
 #include <algorithm>
+#include <numeric>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -97,6 +98,16 @@
   });
 }
 
+std::vector<int> JobEntry::groupPositions(int Position) const {
+  int Within = Position % m_perOccurrence;
+  int Step = m_stepOf[static_cast<size_t>(Within)];
+  int First = Position - Within + m_stepStart[static_cast<size_t>(Step)];
+  std::vector<int> Out(
+      static_cast<size_t>(Spec.Steps[static_cast<size_t>(Step)].Count));
+  std::iota(Out.begin(), Out.end(), First);
+  return Out;
+}
+
 milliseconds JobEntry::dueAt(int Position) const {
   if (Spec.Repetitions == 0)
     return milliseconds(0);
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -29,6 +29,8 @@
   std::string Worker;
   /// The task is not started before this.
   TimePoint NotBefore{};
+  /// The present run was ordered and certainly did not begin.
+  bool NeverRan = false;
   /// When the task became ready, or was put back.
   TimePoint WaitingSince{};
 };
@@ -64,6 +66,8 @@
   const JobStep &stepOf(int Position) const;
   /// Returns true if all tasks of the steps before have ended done.
   bool isReady(int Position) const;
+  /// Returns the positions of all tasks of the step, in the same occurrence.
+  std::vector<int> groupPositions(int Position) const;
   /// Time since 1970 at which the task's occurrence is due; zero if it has no
   /// time.
   milliseconds dueAt(int Position) const;
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -1,6 +1,8 @@
 /// \file
-/// The parts of JobShard; jobshard.cpp holds rows, jobshard_look.cpp what
-/// workers say, jobshard_place.cpp what they are told.
+/// The parts of JobShard: jobshard.cpp holds rows, jobshard_look.cpp what
+/// workers say, jobshard_rank.cpp the order of waiting work, jobshard_place.cpp
+/// and jobshard_gang.cpp its place, jobshard_orders.cpp what workers are told,
+/// jobshard_move.cpp what has to leave a worker.
 #pragma once
 
 #include "basilchute/interference.h"
@@ -98,6 +100,13 @@
   std::vector<Spot> spots();
   bool isRoomy(const std::vector<Spot> &Spots) const;
   bool placeOne(std::vector<Spot> &Spots, JobEntry &Of, int Position);
+  bool placeGang(std::vector<Spot> &Spots, JobEntry &Of, int Position);
+  bool rejoinGang(std::vector<Spot> &Spots, JobEntry &Of, int Position);
+  void finishGang(JobEntry &Of, int Position);
+  Spot *cheapest(std::vector<Spot> &Spots, const JobEntry &Of, int Position,
+                 const std::vector<WorkerSlot *> &Beside);
+  static bool sharesRack(const WorkerSlot &A, const WorkerSlot &B);
+  void failIfImpossible(JobEntry &Of, int Position);
   bool isAllowed(const Spot &At, const JobEntry &Of, int Position) const;
   bool canEverFit(const JobEntry &Of, int Position) const;
   int countOnWorker(const WorkerSlot &At, const JobEntry &Of,
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -164,6 +164,7 @@
 
 void JobShard::Impl::release(WorkerSlot &At, const RunKey &Key,
                              std::string_view Why) {
+  RunPhase Phase = At.Held.at(Key).Phase;
   At.Held.erase(Key);
   JobEntry *Of = find(Key.first.Job);
   int Position = Of ? Of->positionOf(Key.first) : -1;
@@ -178,6 +179,7 @@
                               Key.first.Job, Key.first.Step, Key.first.Index,
                               Key.second, At.Entry.Id, Why));
   setWaiting(*Of, Position, milliseconds(0));
+  Task.NeverRan = Phase == RunPhase::Starting || Phase == RunPhase::Unsure;
 }
 
 void JobShard::Impl::onEnd(WorkerSlot &At, const EndedTask &Ended) {
@@ -216,7 +218,10 @@
   if (Ended.End == RunEnd::Done && !Step.LongRunning) {
     dropWaiting(Of, Position);
     Of.noteStarted();
-    Of.finish(Position);
+    if (Step.Gang)
+      finishGang(Of, Position);
+    else
+      Of.finish(Position);
     if (Of.allDone())
       endJob(Of, JobState::Completed, "all_done");
     else
@@ -243,10 +248,17 @@
   const JobQueue *Queue = queueOf(Of);
   if (!Queue || Of.stepOf(Position).LongRunning)
     return;
-  if (static_cast<int>(Task.FailedRuns.size()) >= Queue->MaxAttempts)
+  std::set<int> Failed = Task.FailedRuns;
+  // Members of a gang share their runs.
+  if (Of.stepOf(Position).Gang)
+    for (int Each : Of.groupPositions(Position)) {
+      const TaskState &Member = Of.Tasks[static_cast<size_t>(Each)];
+      Failed.insert(Member.FailedRuns.begin(), Member.FailedRuns.end());
+    }
+  if (static_cast<int>(Failed.size()) >= Queue->MaxAttempts)
     endJob(Of, JobState::Failed,
            fmt::format("task {}.{} failed {} times", Ended.Task.Step,
-                       Ended.Task.Index, Task.FailedRuns.size()));
+                       Ended.Task.Index, Failed.size()));
 }
 
 void JobShard::Impl::noteHealth(WorkerSlot &At, RunEnd End) {
--- /dev/null
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -0,0 +1,130 @@
+#include "libbasilchute/jobshard_impl.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+namespace {
+
+/// The longest task of a step takes this many times the estimate of one.
+constexpr double WidthFactor = 1.5;
+constexpr milliseconds LeastChain{200};
+/// A job is worth nothing after this many times its objective.
+constexpr int LateFactor = 3;
+constexpr milliseconds StateLogEvery{1000};
+/// A long-running task that has waited for this long comes before short ones.
+constexpr milliseconds LongPatience{1200};
+/// Part of a job's worth that does not depend on its size.
+constexpr double WorthOfAnyJob = 0.3;
+
+} // namespace
+
+void JobShard::Impl::dropWaiting(const JobEntry &Of, int Position) {
+  auto Found = m_waiting.find(Of.Spec.Id);
+  if (Found == m_waiting.end())
+    return;
+  Found->second.erase(Position);
+  if (Found->second.empty())
+    m_waiting.erase(Found);
+}
+
+// 0: can still end in time; 1: late, but worth something; 2: worth nothing.
+int JobShard::Impl::latenessOf(const JobEntry &Of) const {
+  const JobQueue *Queue = queueOf(Of);
+  if (!Queue || Of.Spec.Repetitions > 0)
+    return 0;
+  auto Chain = std::chrono::duration_cast<milliseconds>(
+      std::max(Of.longestChain(), LeastChain) * WidthFactor);
+  auto Objective =
+      std::chrono::duration_cast<milliseconds>(Chain * Queue->SlackFactor) +
+      Queue->TargetDuration;
+  auto Age = m_time.now() - Of.Seen;
+  if (Age < Objective)
+    return 0;
+  return Age < LateFactor * Objective ? 1 : 2;
+}
+
+bool JobShard::Impl::hasAged(const JobEntry &Of) const {
+  auto Waiting = m_waiting.find(Of.Spec.Id);
+  if (Waiting == m_waiting.end())
+    return false;
+  TimePoint Limit = m_time.now() - LongPatience;
+  return std::any_of(
+      Waiting->second.begin(), Waiting->second.end(), [&](int Position) {
+        return Of.Tasks[static_cast<size_t>(Position)].WaitingSince < Limit;
+      });
+}
+
+JobShard::Impl::Rank JobShard::Impl::rankOf(const JobEntry &Of) const {
+  const JobQueue *Queue = queueOf(Of);
+  const JobStep &First = Of.Spec.Steps.front();
+  int Priority = Queue ? Queue->Priority : 0;
+  // Short tasks earn more on a core than long-running ones and leave it soon,
+  // but long-running ones must not wait for ever.
+  if (First.LongRunning)
+    return {hasAged(Of) ? -1 : 1, 0, Priority, 0};
+  // Worth for each unit of work that is left: what is almost done comes first,
+  // and large jobs are not put behind small ones for their size.
+  auto Mean = m_meanWork.find(Of.Spec.Queue);
+  double Usual = Mean == m_meanWork.end() ? Of.TotalWork : Mean->second;
+  double Worth = WorthOfAnyJob * Usual + (1 - WorthOfAnyJob) * Of.TotalWork;
+  double Left = std::max(Of.workLeft(), 1.0);
+  return {First.Fills ? 2 : 0, latenessOf(Of), Priority, -Worth / Left};
+}
+
+void JobShard::Impl::queueReady(JobEntry &Of) {
+  if (isFinal(Of.State))
+    return;
+  for (int Position = 0; Position < static_cast<int>(Of.Tasks.size());
+       ++Position) {
+    const TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
+    if (Task.Phase != TaskPhase::Waiting || !Of.isReady(Position))
+      continue;
+    bool New = m_waiting[Of.Spec.Id].insert(Position).second;
+    if (New)
+      Of.Tasks[static_cast<size_t>(Position)].WaitingSince = m_time.now();
+  }
+}
+
+void JobShard::Impl::setWaiting(JobEntry &Of, int Position,
+                                milliseconds Delay) {
+  TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
+  Task.Phase = TaskPhase::Waiting;
+  Task.NeverRan = false;
+  Task.NotBefore = m_time.now() + Delay;
+  Task.WaitingSince = m_time.now();
+  if (!isFinal(Of.State))
+    m_waiting[Of.Spec.Id].insert(Position);
+}
+
+void JobShard::Impl::logState() {
+  TimePoint Now = m_time.now();
+  if (Now < m_nextStateLog)
+    return;
+  m_nextStateLog = Now + StateLogEvery;
+  Resources Free;
+  Resources Most;
+  std::vector<Spot> Spots = spots();
+  for (const Spot &Each : Spots) {
+    Free += Each.Room;
+    Most.Millicores = std::max(Most.Millicores, Each.Room.Millicores);
+    Most.MemoryMib = std::max(Most.MemoryMib, Each.Room.MemoryMib);
+  }
+  std::array<size_t, 3> Waiting{};
+  for (const auto &[Id, Positions] : m_waiting) {
+    const JobStep &First = find(Id)->Spec.Steps.front();
+    Waiting[First.LongRunning ? 1 : First.Fills ? 2 : 0] += Positions.size();
+  }
+  log("shard_state",
+      fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
+                  "free_gib={} most_gib={} waiting_short={} waiting_long={} "
+                  "waiting_fill={}",
+                  m_options.Shard, m_slots.size(), Spots.size(),
+                  Free.Millicores / 1000, Most.Millicores / 1000,
+                  Free.MemoryMib / 1024, Most.MemoryMib / 1024, Waiting[0],
+                  Waiting[1], Waiting[2]));
+}
+
+BASILCHUTE_NAMESPACE_END
--- a/src/libjobhost/jobhost_test.cpp
+++ b/src/libjobhost/jobhost_test.cpp
@@ -178,8 +178,6 @@
   Bed.run(3s);
   CHECK(Bed.submit(0, chainJob("a", 1, 1, 3s)).has_value());
   Bed.run(500ms);
-  int First = Bed.worker(0).hasUnnoted() ? 0 : 1;
-  (void)First;
   for (int Host = 0; Host < Bed.hosts(); ++Host)
     Bed.host(Host).CutWorkers = {"w0"};
   Bed.run(8s);
@@ -305,3 +303,40 @@
   CHECK(Bed.Oracle.starts() == 8);
   checkClean(Bed);
 }
+
+TEST_CASE("A gang starts as a whole or not at all") {
+  JobBed Bed({.Workers = 2});
+  Bed.run(3s);
+  Job Gang = chainJob("gang", 1, 4, 2s);
+  Gang.Steps[0].Gang = true;
+  Gang.Steps[0].Demand.Millicores = 4000;
+  Job Blocker = chainJob("blocker", 1, 1, 3s);
+  CHECK(Bed.submit(0, Blocker).has_value());
+  Bed.run(300ms);
+  CHECK(Bed.submit(0, Gang).has_value());
+  Bed.run(1500ms);
+  // One member would not fit beside the blocker, so none runs.
+  CHECK(Bed.Oracle.starts() == 1);
+  CHECK(ends(Bed, "gang", JobState::Completed, 15s));
+  CHECK(Bed.Oracle.starts() == 5);
+  checkClean(Bed);
+}
+
+TEST_CASE("An occurrence does not start before its time") {
+  JobBed Bed({});
+  Bed.run(3s);
+  Job Timed = chainJob("timed", 1, 1, 100ms);
+  Timed.Repetitions = 2;
+  Timed.FirstRun =
+      std::chrono::duration_cast<milliseconds>(Bed.now().time_since_epoch()) +
+      milliseconds(2000);
+  Timed.Interval = 3s;
+  CHECK(Bed.submit(0, Timed).has_value());
+  Bed.run(1500ms);
+  CHECK(Bed.Oracle.starts() == 0);
+  Bed.run(1s);
+  CHECK(Bed.Oracle.starts() == 1);
+  Bed.run(3s);
+  CHECK(Bed.Oracle.starts() == 2);
+  CHECK(ends(Bed, "timed", JobState::Completed, 3s));
+}
