--- a/src/libutil/log.cpp
+++ b/src/libutil/log.cpp
@@ -37,12 +37,14 @@
   auto Now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   auto Millis = Now.time_since_epoch().count() % 1000;
-  fmt::print(stderr,
+  fmt::print(stdout,
              "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} component={} event={} "
              "code={}{}{}\n",
              fmt::gmtime(std::chrono::system_clock::to_time_t(Now)), Millis,
              LevelNames[static_cast<size_t>(Level)], Component, Event,
              resultCodeName(Code), Fields.empty() ? "" : " ", Fields);
+  // A pipe is buffered; a process that is killed must not take lines along.
+  std::fflush(stdout);
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libutil/log.h
+++ b/src/libutil/log.h
@@ -1,5 +1,5 @@
 /// \file
-/// Structured log lines on standard error, one per change of state.
+/// Structured log lines on standard output, one per change of state.
 #pragma once
 
 #include "basilchute/result.h"
