--- a/src/include/basilchute/pacing.h
+++ b/src/include/basilchute/pacing.h
@@ -39,6 +39,8 @@
   int Pace = 100;
   /// Part of the worker that it uses at full pace.
   double FullShare = 0;
+  /// What its progress is worth; of two that harm alike the lesser is slowed.
+  double Weight = 1;
 };
 
 /// Returns the share for each of \p Fills, 0 to 100, in their order. Those that
--- a/src/libbasilchute/interference_test.cpp
+++ b/src/libbasilchute/interference_test.cpp
@@ -81,3 +81,17 @@
                 {{.Kind = Harmful, .FullShare = 0.05}}, Model);
   CHECK(Paces[0] == 100);
 }
+
+// After a loss the backlog holds jobs that are worth nothing any more; what
+// they do beside a watched task is taken from those that can still end in time.
+TEST_CASE("Of two fill tasks that harm alike the one worth less is slowed") {
+  InterferenceModel Model;
+  teach(Model, 300);
+  std::vector<int> Paces =
+      planPaces({{.Kind = Serving, .Ratio = 0.95}},
+                {{.Kind = Harmful, .FullShare = 0.1},
+                 {.Kind = Harmful, .FullShare = 0.1, .Weight = 0.05}},
+                Model);
+  CHECK(Paces[0] == 100);
+  CHECK(Paces[1] < 50);
+}
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -132,6 +132,8 @@
   void relocate();
   void logState();
   void learn(WorkerSlot &At);
+  /// What the progress of a job's fill tasks is worth.
+  double weightOf(const std::string &Job);
   void pace(WorkerSlot &At);
   void sendPace(WorkerSlot &At, const RunKey &Key, int Percent);
 
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -1,12 +1,17 @@
 #include "libbasilchute/jobshard_impl.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
 namespace {
 
+/// What progress is worth while a job can end in time, once it is late, and
+/// once it is worth nothing.
+constexpr std::array<double, 3> LatenessWeights = {1.0, 0.3, 0.05};
+
 /// A worker that has not answered for this long gets no starts.
 constexpr milliseconds FreshEnough{2600};
 constexpr milliseconds RefusedPause{250};
@@ -141,6 +146,13 @@
     m_harm.observe(Each.Kind, Each.Ratio, Shares);
 }
 
+double JobShard::Impl::weightOf(const std::string &Job) {
+  const JobEntry *Of = find(Job);
+  if (!Of || isFinal(Of->State))
+    return LatenessWeights.back();
+  return LatenessWeights[static_cast<size_t>(latenessOf(*Of))];
+}
+
 void JobShard::Impl::pace(WorkerSlot &At) {
   TimePoint Now = m_time.now();
   if (Now < At.PaceChanged + PacePause)
@@ -154,7 +166,8 @@
     Fills.push_back(
         {.Kind = Run.Kind,
          .Pace = Run.Pace,
-         .FullShare = static_cast<double>(Run.FillMillicores) / Capacity});
+         .FullShare = static_cast<double>(Run.FillMillicores) / Capacity,
+         .Weight = weightOf(Key.first.Job)});
     Keys.push_back(Key);
   }
   if (Fills.empty())
--- a/src/libbasilchute/pacing.cpp
+++ b/src/libbasilchute/pacing.cpp
@@ -24,7 +24,8 @@
   std::vector<size_t> Order(Fills.size());
   std::iota(Order.begin(), Order.end(), size_t{0});
   std::sort(Order.begin(), Order.end(), [&](size_t A, size_t B) {
-    return effect(Hurt, Fills[A], Model) > effect(Hurt, Fills[B], Model);
+    return effect(Hurt, Fills[A], Model) * Fills[B].Weight >
+           effect(Hurt, Fills[B], Model) * Fills[A].Weight;
   });
   bool All = Hurt.Over >= DistrustAfter;
   // Where the task's own load alone takes it over its target, stopping what
@@ -37,8 +38,10 @@
   double Excess = Hurt.Ratio - Options.Aim;
   for (size_t Each : Order) {
     double Full = effect(Hurt, Fills[Each], Model);
-    if (!All && (Excess <= 0 || Full < Options.Harmless))
+    if (!All && Excess <= 0)
       return;
+    if (!All && Full < Options.Harmless)
+      continue;
     double Now = Full * Paces[Each] / FullPace;
     bool Stop = All || Hurt.Ratio > Options.Emergency || Now <= Excess;
     int Kept = Stop ? 0 : static_cast<int>((Now - Excess) / Full * FullPace);
@@ -78,8 +81,9 @@
     for (const ServingLoad &On : Serving)
       Worst[Each] = std::max(Worst[Each], effect(On, Fills[Each], Model));
   }
-  std::sort(Order.begin(), Order.end(),
-            [&](size_t A, size_t B) { return Worst[A] < Worst[B]; });
+  std::sort(Order.begin(), Order.end(), [&](size_t A, size_t B) {
+    return Worst[A] * Fills[B].Weight < Worst[B] * Fills[A].Weight;
+  });
   for (size_t Each : Order) {
     double More = bearable(Serving, Expected, Fills[Each], Model, Options);
     Paces[Each] = Fills[Each].Pace + static_cast<int>(More);
