Harm is learned in headroom, with the load of each group followed

Cause: fill tasks stood still or harmed watched tasks, since the model fitted the tail over the target, which is not linear in what takes the idle share of a worker away, and took the swings of a watched task's own users for the doing of the fill tasks beside it. Change: a Kalman filter over slopes of pairs of kinds and level and rate of each group; paces are planned from what is expected a second ahead, no more than is needed; placing counts fill tasks that were placed and not measured yet; serving tasks are kept together by kind. Ruled out: a constant level for each kind, shares by declared size instead of use (both fit worse on the recorded reports).

--- a/src/include/basilchute/interference.h
+++ b/src/include/basilchute/interference.h
@@ -2,7 +2,7 @@
 /// Learns how much tasks that fill a worker disturb the tasks that serve on it.
 #pragma once
 
-#include "basilchute/namespace.h"
+#include "basilchute/clock.h"
 
 #include <memory>
 #include <utility>
@@ -13,24 +13,51 @@
 /// Kind of task, a small number that the caller gives to each image.
 using TaskKind = int;
 
+/// Serving tasks that share their users' load, as those of one step do; a small
+/// number that the caller gives to each.
+using LoadGroup = int;
+
 /// Part of a worker, 0 to 1, that the fill tasks of each kind use.
 using FillShares = std::vector<std::pair<TaskKind, double>>;
 
-/// Settings of an InterferenceModel.
+/// Settings of an InterferenceModel. Variances are those of the fit's usual
+/// form; headroom has no unit.
 struct InterferenceOptions {
-  /// Rise of tail over target for a fill task on a whole worker, assumed before
-  /// anything was measured.
+  /// Fall of headroom for a fill task on a whole worker that is assumed before
+  /// anything was measured, and the variance of that guess.
   double PriorSlope = 1.5;
-  /// Weight of the past at each observation; below 1 so that old ones fade.
-  double Forgetting = 0.9985;
-  /// Observations above this count as this: a queue that runs over says little
-  /// about slopes.
-  double HighestRatio = 3.0;
+  double SlopeVariance = 9.0;
+  /// Variance that a slope gains with each observation, so that old ones fade.
+  double SlopeDrift = 0.0005;
+  /// Headroom of a group that was never measured, and its variance.
+  double PriorHeadroom = 2.0;
+  double HeadroomVariance = 1.0;
+  /// Variance that the rate at which a group's headroom changes gains in a
+  /// second.
+  double RateDrift = 0.15;
+  /// Variance of one measurement beside its rounding.
+  double Noise = 0.05;
+  /// A tail this far above its target says only that it is far above.
+  double LeastHeadroom = 0.3;
+};
+
+/// One measurement of a serving task.
+struct ServingSample {
+  TaskKind Kind = 0;
+  LoadGroup Group = 0;
+  /// Tail latency, and the bound on it; both above zero.
+  milliseconds Tail{0};
+  milliseconds Target{0};
 };
 
-/// A linear model for each kind of serving task: its tail latency over its
-/// target, as a base plus a slope for each kind of fill task times the share of
-/// the worker that it uses. Fitted by recursive least squares.
+/// A linear model of headroom, the target of a serving task over its tail
+/// latency: what its group has at that time without fill tasks, less a slope
+/// for each pair of kinds times the part of the worker that the fill task uses.
+/// A queue's tail grows as one over its idle share, which is why headroom and
+/// not the tail is linear in what takes that share away.
+///
+/// Slopes are fitted over all groups by a Kalman filter; the headroom of each
+/// group is followed by level and rate.
 ///
 /// Not safe for several threads.
 class InterferenceModel {
@@ -40,12 +67,19 @@
   InterferenceModel(const InterferenceModel &) = delete;
   InterferenceModel &operator=(const InterferenceModel &) = delete;
 
-  /// Takes one measurement: \p Ratio is tail over target of a task of kind
-  /// \p Serving while fill tasks used \p Shares of its worker.
-  void observe(TaskKind Serving, double Ratio, const FillShares &Shares);
-  /// Returns the rise of the ratio of \p Serving if \p Fill used the whole
+  /// Takes one measurement, made at \p Now while fill tasks used \p Shares of
+  /// the worker.
+  void observe(const ServingSample &Sample, TimePoint Now,
+               const FillShares &Shares);
+  /// Returns the fall of \p Serving's headroom if \p Fill used the whole
   /// worker; never negative.
   double slope(TaskKind Serving, TaskKind Fill) const;
+  /// Returns the least headroom that \p Group is expected to have without fill
+  /// tasks from \p Now for \p Ahead.
+  double headroom(LoadGroup Group, TimePoint Now, milliseconds Ahead) const;
+  /// Returns the headroom that is expected at \p Now beside \p Shares.
+  double expected(TaskKind Kind, LoadGroup Group, TimePoint Now,
+                  const FillShares &Shares) const;
 
 private:
   class Impl;
--- a/src/include/basilchute/pacing.h
+++ b/src/include/basilchute/pacing.h
@@ -11,23 +11,22 @@
 
 /// Settings of planPaces.
 struct PacingOptions {
-  /// Tail over target above which fill tasks are slowed ...
-  double SlowAbove = 0.93;
-  /// ... until this much is expected ...
-  double Aim = 0.78;
-  /// ... and up to which they may be sped up again.
-  double SpeedUpTo = 0.86;
-  /// Above this all fill tasks stop that are not known to be harmless.
-  double Emergency = 1.0;
-  /// A fill task whose expected effect is smaller than this is harmless.
-  double Harmless = 0.015;
+  /// Headroom that is left to serving tasks; at 1 they are at their target.
+  double Floor = 1.2;
+  /// A fill task whose expected effect on headroom is smaller is harmless.
+  double Harmless = 0.02;
+  /// Measurements in a row above the target after which even harmless fill
+  /// tasks stop: the model is wrong there.
+  int DistrustAfter = 3;
+  /// Smaller changes of pace are not worth an order.
+  int LeastChange = 10;
 };
 
 /// A serving task on the worker.
 struct ServingLoad {
   TaskKind Kind = 0;
-  /// Tail over target, measured just now.
-  double Ratio = 0;
+  /// Headroom (target over tail) that is expected soon without fill tasks.
+  double Headroom = 0;
   /// Measurements in a row above the target.
   int Over = 0;
 };
@@ -44,15 +43,17 @@
 };
 
 /// Returns the share for each of \p Fills, 0 to 100, in their order. Those that
-/// harm most are slowed first; those that harm least are sped up first.
+/// harm most for their worth are slowed first, and no more than is needed.
 std::vector<int> planPaces(const std::vector<ServingLoad> &Serving,
                            const std::vector<FillLoad> &Fills,
                            const InterferenceModel &Model,
                            const PacingOptions &Options = {});
 
-/// Returns the worst tail over target that is expected on the worker if a fill
-/// task of \p Kind with \p Share of it joins.
-double expectedRatio(const std::vector<ServingLoad> &Serving, TaskKind Kind,
-                     double Share, const InterferenceModel &Model);
+/// Returns the least headroom on the worker if a fill task of \p Kind with \p
+/// Share of it joins; serving tasks that it does not harm do not count. A very
+/// large number if it harms none.
+double headroomBeside(const std::vector<ServingLoad> &Serving, TaskKind Kind,
+                      double Share, const InterferenceModel &Model,
+                      const PacingOptions &Options = {});
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/interference.cpp
+++ b/src/libbasilchute/interference.cpp
@@ -2,100 +2,210 @@
 
 #include <algorithm>
 #include <array>
-#include <vector>
+#include <unordered_map>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
 namespace {
 
-/// Fill kinds that are told apart; more share places.
-constexpr size_t MaxFills = 15;
-/// One place for the base, one for each fill kind.
-constexpr size_t Places = MaxFills + 1;
-constexpr double BaseVariance = 1.0;
-constexpr double SlopeVariance = 30.0;
-/// Keeps the variance from growing without bound where nothing is measured.
-constexpr double MostVariance = 200.0;
-constexpr double PriorBase = 0.45;
+/// Fill kinds that are told apart beside one serving kind; later ones share
+/// the last place.
+constexpr size_t MaxFills = 20;
+/// Changes are not foreseen further than this.
+constexpr double MostSecondsAhead = 2.0;
+/// A rate that was not confirmed for this long is not relied on.
+constexpr double MostSecondsStale = 3.0;
+constexpr double MostRateVariance = 0.5;
+/// Variance of a uniform error one unit wide, as rounding makes it.
+constexpr double RoundingVariance = 1.0 / 12;
+
+using Vector = std::array<double, MaxFills>;
+
+double secondsBetween(TimePoint From, TimePoint To) {
+  return std::chrono::duration<double>(To - From).count();
+}
 
-using Vector = std::array<double, Places>;
+/// Headroom of one group: level and rate, with their covariance.
+struct Trend {
+  double Level = 0;
+  double Rate = 0;
+  double LevelVariance = 0;
+  double Covariance = 0;
+  double RateVariance = 0;
+  TimePoint At{};
+
+  void advance(TimePoint Now, double RateDrift) {
+    double Step = std::max(0.0, secondsBetween(At, Now));
+    At = std::max(At, Now);
+    Level += Rate * std::min(Step, MostSecondsAhead);
+    LevelVariance += 2 * Step * Covariance + Step * Step * RateVariance +
+                     RateDrift * Step * Step * Step / 3;
+    Covariance += Step * RateVariance + RateDrift * Step * Step / 2;
+    RateVariance = std::min(RateVariance + RateDrift * Step, MostRateVariance);
+  }
 
-/// Recursive least squares of one serving kind.
+  void correct(double Innovation, double Scale) {
+    double LevelGain = LevelVariance / Scale;
+    double RateGain = Covariance / Scale;
+    Level += LevelGain * Innovation;
+    Rate += RateGain * Innovation;
+    RateVariance -= RateGain * Covariance;
+    Covariance -= LevelGain * Covariance;
+    LevelVariance -= LevelGain * LevelVariance;
+  }
+};
+
+/// Slopes of one serving kind.
 struct Fit {
-  Vector Coefficients{};
-  std::array<Vector, Places> Covariance{};
-
-  explicit Fit(double PriorSlope) {
-    Coefficients.fill(PriorSlope);
-    Coefficients[0] = PriorBase;
-    for (size_t Each = 0; Each < Places; ++Each)
-      Covariance[Each][Each] = Each == 0 ? BaseVariance : SlopeVariance;
+  Vector Slopes{};
+  std::array<Vector, MaxFills> Covariance{};
+  std::unordered_map<TaskKind, size_t> Places;
+
+  Fit(double PriorSlope, double Variance) {
+    Slopes.fill(PriorSlope);
+    for (size_t Each = 0; Each < MaxFills; ++Each)
+      Covariance[Each][Each] = Variance;
+  }
+
+  size_t placeOf(TaskKind Fill) {
+    size_t Next = std::min(Places.size(), MaxFills - 1);
+    return Places.try_emplace(Fill, Next).first->second;
   }
 
-  void update(const Vector &X, double Y, double Forgetting) {
-    Vector Gain{};
-    double Scale = Forgetting;
-    double Predicted = 0;
-    for (size_t Row = 0; Row < Places; ++Row) {
-      Predicted += Coefficients[Row] * X[Row];
-      for (size_t Column = 0; Column < Places; ++Column)
-        Gain[Row] += Covariance[Row][Column] * X[Column];
-      Scale += X[Row] * Gain[Row];
+  Vector gather(const FillShares &Shares) {
+    Vector Out{};
+    for (const auto &[Fill, Share] : Shares)
+      Out[placeOf(Fill)] += Share;
+    return Out;
+  }
+
+  Vector spread(const Vector &X) const {
+    Vector Out{};
+    for (size_t Row = 0; Row < MaxFills; ++Row)
+      for (size_t Column = 0; Column < MaxFills; ++Column)
+        Out[Row] += Covariance[Row][Column] * X[Column];
+    return Out;
+  }
+
+  void correct(const Vector &X, const Vector &Spread, double Innovation,
+               double Scale, double Drift) {
+    for (size_t Row = 0; Row < MaxFills; ++Row) {
+      if (X[Row] == 0 && Spread[Row] == 0)
+        continue;
+      Slopes[Row] += Spread[Row] / Scale * Innovation;
+      for (size_t Column = 0; Column < MaxFills; ++Column)
+        Covariance[Row][Column] -= Spread[Row] * Spread[Column] / Scale;
+      if (X[Row] > 0)
+        Covariance[Row][Row] += Drift;
     }
-    for (size_t Row = 0; Row < Places; ++Row)
-      Coefficients[Row] += Gain[Row] / Scale * (Y - Predicted);
-    for (size_t Row = 0; Row < Places; ++Row)
-      for (size_t Column = 0; Column < Places; ++Column) {
-        double &Cell = Covariance[Row][Column];
-        Cell = (Cell - Gain[Row] * Gain[Column] / Scale) / Forgetting;
-        Cell = std::clamp(Cell, -MostVariance, MostVariance);
-      }
   }
 };
 
+double dot(const Vector &A, const Vector &B) {
+  double Out = 0;
+  for (size_t Each = 0; Each < MaxFills; ++Each)
+    Out += A[Each] * B[Each];
+  return Out;
+}
+
 } // namespace
 
 class InterferenceModel::Impl {
 public:
   explicit Impl(InterferenceOptions Options) : m_options(Options) {}
 
-  static size_t placeOf(TaskKind Fill) {
-    return 1 + static_cast<size_t>(Fill) % MaxFills;
-  }
-
-  void observe(TaskKind Serving, double Ratio, const FillShares &Shares) {
-    Vector X{};
-    X[0] = 1;
-    for (const auto &[Fill, Share] : Shares)
-      X[placeOf(Fill)] += Share;
-    auto Index = static_cast<size_t>(Serving);
-    if (Index >= m_fits.size())
-      m_fits.resize(Index + 1, Fit(m_options.PriorSlope));
-    m_fits[Index].update(X, std::min(Ratio, m_options.HighestRatio),
-                         m_options.Forgetting);
+  void observe(const ServingSample &Sample, TimePoint Now,
+               const FillShares &Shares) {
+    auto Tail = static_cast<double>(Sample.Tail.count());
+    auto Target = static_cast<double>(Sample.Target.count());
+    if (Tail <= 0 || Target <= 0)
+      return;
+    Fit &Pairs = m_fits
+                     .try_emplace(Sample.Kind, m_options.PriorSlope,
+                                  m_options.SlopeVariance)
+                     .first->second;
+    Trend &Own = trendOf(Sample.Group, Now);
+    Own.advance(Now, m_options.RateDrift);
+    Vector X = Pairs.gather(Shares);
+    Vector Spread = Pairs.spread(X);
+    double Measured = Target / Tail;
+    double Foreseen = Own.Level - dot(Pairs.Slopes, X);
+    // The queue runs over there, so that the tail is no longer linear.
+    if (Measured < m_options.LeastHeadroom && Foreseen < Measured)
+      return;
+    // One millisecond more or less in the tail.
+    double Rounding = Measured * Measured / Target;
+    double Noise = m_options.Noise + Rounding * Rounding * RoundingVariance;
+    double Scale = Noise + Own.LevelVariance + dot(X, Spread);
+    double Innovation = Measured - Foreseen;
+    Own.correct(Innovation, Scale);
+    Pairs.correct(X, Spread, -Innovation, Scale, m_options.SlopeDrift);
   }
 
   double slope(TaskKind Serving, TaskKind Fill) const {
-    auto Index = static_cast<size_t>(Serving);
-    if (Index >= m_fits.size())
+    auto Pairs = m_fits.find(Serving);
+    if (Pairs == m_fits.end())
+      return m_options.PriorSlope;
+    auto Place = Pairs->second.Places.find(Fill);
+    if (Place == Pairs->second.Places.end())
       return m_options.PriorSlope;
-    return std::max(0.0, m_fits[Index].Coefficients[placeOf(Fill)]);
+    return std::max(0.0, Pairs->second.Slopes[Place->second]);
+  }
+
+  double headroom(LoadGroup Group, TimePoint Now, milliseconds Ahead) const {
+    auto Found = m_trends.find(Group);
+    if (Found == m_trends.end())
+      return m_options.PriorHeadroom;
+    const Trend &Own = Found->second;
+    double Since = std::max(0.0, secondsBetween(Own.At, Now));
+    if (Since > MostSecondsStale)
+      return Own.Level;
+    double Start = Own.Level + Own.Rate * std::min(Since, MostSecondsAhead);
+    double Until = std::chrono::duration<double>(Ahead).count();
+    double End = Start + Own.Rate * std::min(Until, MostSecondsAhead);
+    return std::min(Start, End);
+  }
+
+  double expected(TaskKind Kind, LoadGroup Group, TimePoint Now,
+                  const FillShares &Shares) const {
+    double Out = headroom(Group, Now, milliseconds(0));
+    for (const auto &[Fill, Share] : Shares)
+      Out -= slope(Kind, Fill) * Share;
+    return Out;
   }
 
 private:
+  Trend &trendOf(LoadGroup Group, TimePoint Now) {
+    Trend New{.Level = m_options.PriorHeadroom,
+              .LevelVariance = m_options.HeadroomVariance,
+              .RateVariance = m_options.RateDrift,
+              .At = Now};
+    return m_trends.try_emplace(Group, New).first->second;
+  }
+
   InterferenceOptions m_options;
-  std::vector<Fit> m_fits;
+  std::unordered_map<TaskKind, Fit> m_fits;
+  std::unordered_map<LoadGroup, Trend> m_trends;
 };
 
 InterferenceModel::InterferenceModel(InterferenceOptions Options)
     : m_impl(std::make_unique<Impl>(Options)) {}
 InterferenceModel::~InterferenceModel() = default;
-void InterferenceModel::observe(TaskKind Serving, double Ratio,
+void InterferenceModel::observe(const ServingSample &Sample, TimePoint Now,
                                 const FillShares &Shares) {
-  m_impl->observe(Serving, Ratio, Shares);
+  m_impl->observe(Sample, Now, Shares);
 }
 double InterferenceModel::slope(TaskKind Serving, TaskKind Fill) const {
   return m_impl->slope(Serving, Fill);
 }
+double InterferenceModel::headroom(LoadGroup Group, TimePoint Now,
+                                   milliseconds Ahead) const {
+  return m_impl->headroom(Group, Now, Ahead);
+}
+double InterferenceModel::expected(TaskKind Kind, LoadGroup Group,
+                                   TimePoint Now,
+                                   const FillShares &Shares) const {
+  return m_impl->expected(Kind, Group, Now, Shares);
+}
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -51,6 +51,8 @@
   std::vector<TaskState> Tasks;
   /// Kind of each step's tasks.
   std::vector<int> Kinds;
+  /// Load group of each step's tasks.
+  std::vector<int> Groups;
   /// Millicores times seconds of the whole job, by the submitter's estimates.
   double TotalWork = 0;
 
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -179,8 +179,10 @@
                             const JobProgress *Stored) {
   auto Added = m_jobs.try_emplace(Spec.Id, Spec, Version, m_time.now()).first;
   JobEntry &Entry = Added->second;
-  for (const JobStep &Each : Spec.Steps)
+  for (const JobStep &Each : Spec.Steps) {
     Entry.Kinds.push_back(kindOf(Each.Image));
+    Entry.Groups.push_back(m_nextGroup++);
+  }
   auto Mean = m_meanWork.try_emplace(Spec.Queue, Entry.TotalWork).first;
   Mean->second += (Entry.TotalWork - Mean->second) * MeanWorkGain;
   if (Stored) {
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -45,6 +45,7 @@
     WorkerSlot *Slot;
     Resources Room;
     double Load;
+    /// With the fill tasks on the worker taken off.
     std::vector<ServingLoad> Serving;
   };
 
@@ -111,10 +112,11 @@
   bool canEverFit(const JobEntry &Of, int Position) const;
   int countOnWorker(const WorkerSlot &At, const JobEntry &Of,
                     int Position) const;
-  bool isWorthwhile(const Spot &At, const JobStep &Step, double Ratio) const;
+  bool isWorthwhile(const Spot &At, const JobStep &Step, double Headroom) const;
   double cost(const Spot &At, const JobEntry &Of, int Position,
-              double Ratio) const;
-  double ratioWith(const Spot &At, const JobEntry &Of, int Position) const;
+              double Headroom) const;
+  double headroomWith(const Spot &At, const JobEntry &Of, int Position) const;
+  static double strangers(const Spot &At, TaskKind Kind);
   void take(Spot &At, const JobEntry &Of, int Position);
   void keepRoom(std::vector<Spot> &Spots, const JobEntry &Of, int Position);
   void evacuate();
@@ -153,6 +155,7 @@
   JobQueues m_queues;
   InterferenceModel m_harm;
   std::map<std::string, TaskKind> m_kinds;
+  LoadGroup m_nextGroup = 0;
   /// Mean work of a job, by queue.
   std::map<std::string, double> m_meanWork;
   /// Positions of the tasks that could be started, by job.
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -322,6 +322,7 @@
     Held.FillMillicores = Step.Fills ? Step.Demand.Millicores : 0;
     Held.TailTarget = Step.TailTarget;
     Held.Kind = Of->Kinds[static_cast<size_t>(Run.Task.Step)];
+    Held.Group = Of->Groups[static_cast<size_t>(Run.Task.Step)];
     TaskState &Task = Of->Tasks[static_cast<size_t>(Position)];
     Wanted = !isFinal(Of->State) && Task.Phase == TaskPhase::Waiting &&
              !Task.FailedRuns.count(Run.Run);
--- a/src/libbasilchute/jobshard_move.cpp
+++ b/src/libbasilchute/jobshard_move.cpp
@@ -42,7 +42,7 @@
       auto Better = std::find_if(Spots.begin(), Spots.end(), [&](Spot &Each) {
         return Each.Slot != &At && isAllowed(Each, *Of, Position) &&
                isWorthwhile(Each, Of->stepOf(Position),
-                            ratioWith(Each, *Of, Position) + HarmMargin);
+                            headroomWith(Each, *Of, Position) - HarmMargin);
       });
       if (Better == Spots.end())
         continue;
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -16,8 +16,10 @@
 constexpr milliseconds FreshEnough{2600};
 constexpr milliseconds RefusedPause{250};
 constexpr milliseconds UnansweredPause{250};
-/// A change of pace shows in the measurements after this.
-constexpr milliseconds PacePause{420};
+/// Paces of one worker are not planned anew sooner.
+constexpr milliseconds PacePause{200};
+/// Time until a change of pace shows in the measurements and can be mended.
+constexpr milliseconds PaceAhead{1000};
 
 } // namespace
 
@@ -38,6 +40,7 @@
                .StartUntil = At.clockAt(Now) + m_options.StartLease,
                .Confirmed = Now,
                .Kind = Of.Kinds[static_cast<size_t>(Key.first.Step)],
+               .Group = Of.Groups[static_cast<size_t>(Key.first.Step)],
                .Moved = Now};
   At.Held.emplace(Key, Held);
   At.LeaseEnd = std::max(At.LeaseEnd, Now + m_options.StartLease * 2);
@@ -138,12 +141,16 @@
 }
 
 void JobShard::Impl::learn(WorkerSlot &At) {
-  std::vector<ServingLoad> Serving = At.serving();
-  if (Serving.empty())
-    return;
   FillShares Shares = At.fillShares();
-  for (const ServingLoad &Each : Serving)
-    m_harm.observe(Each.Kind, Each.Ratio, Shares);
+  for (const auto &[Key, Run] : At.Held) {
+    if (Run.TailTarget.count() == 0 || Run.Percent < 100)
+      continue;
+    m_harm.observe({.Kind = Run.Kind,
+                    .Group = Run.Group,
+                    .Tail = milliseconds(Run.Usage),
+                    .Target = Run.TailTarget},
+                   m_time.now(), Shares);
+  }
 }
 
 double JobShard::Impl::weightOf(const std::string &Job) {
@@ -172,7 +179,8 @@
   }
   if (Fills.empty())
     return;
-  std::vector<int> Paces = planPaces(At.serving(), Fills, m_harm);
+  std::vector<int> Paces =
+      planPaces(At.serving(m_harm, Now, PaceAhead), Fills, m_harm);
   for (size_t Each = 0; Each < Keys.size(); ++Each) {
     if (Paces[Each] == Fills[Each].Pace)
       continue;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -1,6 +1,7 @@
 #include "libbasilchute/jobshard_impl.h"
 
 #include <algorithm>
+#include <limits>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -10,20 +11,30 @@
 constexpr milliseconds FreshEnough{2600};
 constexpr milliseconds RefusedPause{250};
 constexpr milliseconds UnansweredPause{250};
+/// Least time between two rounds, and steps without a place after which a
 /// round ends.
 constexpr milliseconds PlacePause{15};
 constexpr size_t MostHopelessSteps = 40;
 /// A task that found no room for this long has room kept for it.
 constexpr milliseconds KeepRoomAfter{800};
-/// time to arrive.
+/// A job is refused as impossible only after this, since the list of workers
+/// may take that time to arrive.
 constexpr milliseconds ImpossibleAfter{300};
 /// Cost of a rack that makes the task run slower, in units of load.
 constexpr double FarRackCost = 1.0;
-/// beyond what is left.
-constexpr double HarmCost = 8.0;
-constexpr double HarmAbove = 0.70;
-/// A fill task waits rather than join a worker where it would have to stop ...
-constexpr double MostExpectedRatio = 0.85;
+/// Cost of each unit of headroom that a fill task leaves short of HarmBelow.
+constexpr double HarmCost = 2.0;
+constexpr double HarmBelow = 1.6;
+/// A fill task waits rather than join a worker with less headroom ...
+constexpr double LeastHeadroom = 1.2;
+/// Time for which a fill task is meant to go on undisturbed.
+constexpr milliseconds PlaceAhead{1500};
+/// Headroom of a serving task that has not begun.
+constexpr double NewHeadroom = 2.0;
+/// Cost of a worker where all serving tasks are of other kinds.
+constexpr double StrangerCost = 2.0;
+/// Gain of a full worker over an empty one for serving tasks.
+constexpr double PackingGain = 0.5;
 /// ... or where as much work is present as this part of the worker ...
 constexpr double MostFillLoad = 1.1;
 /// One part in this many of a worker's memory is not for fill tasks.
@@ -95,11 +106,16 @@
     bool Usable = At.Fenced && At.Listed && !At.Entry.Draining &&
                   At.MissedLooks == 0 && Now >= At.NoStartBefore &&
                   Now < At.LastAnswer + FreshEnough;
-    if (Usable)
-      Out.push_back({.Slot = &At,
-                     .Room = At.room(),
-                     .Load = At.load(),
-                     .Serving = At.serving()});
+    if (!Usable)
+      continue;
+    std::vector<ServingLoad> Serving = At.serving(m_harm, Now, PlaceAhead);
+    for (const auto &[Kind, Share] : At.plannedShares())
+      for (ServingLoad &Each : Serving)
+        Each.Headroom -= m_harm.slope(Each.Kind, Kind) * Share;
+    Out.push_back({.Slot = &At,
+                   .Room = At.room(),
+                   .Load = At.load(),
+                   .Serving = std::move(Serving)});
   }
   return Out;
 }
@@ -129,10 +145,10 @@
     bool Full = Step.MaxPerWorker > 0 && Chosen >= Step.MaxPerWorker;
     if (Full || !isAllowed(Each, Of, Position))
       continue;
-    double Ratio = ratioWith(Each, Of, Position);
-    if (!isWorthwhile(Each, Step, Ratio))
+    double Headroom = headroomWith(Each, Of, Position);
+    if (!isWorthwhile(Each, Step, Headroom))
       continue;
-    double Cost = cost(Each, Of, Position, Ratio);
+    double Cost = cost(Each, Of, Position, Headroom);
     if (Step.RackSensitive && !Beside.empty() &&
         !sharesRack(*Each.Slot, *Beside.front()))
       Cost += FarRackCost;
@@ -162,11 +178,13 @@
   double Share = static_cast<double>(Step.Demand.Millicores) / Capacity;
   At.Room -= Step.reserved();
   At.Load += Step.Fills ? Share : Share / 2;
+  TaskKind Kind = Of.Kinds[static_cast<size_t>(Of.nameOf(Position).Step)];
+  if (Step.TailTarget.count() > 0)
+    At.Serving.push_back({.Kind = Kind, .Headroom = NewHeadroom});
   if (!Step.Fills)
     return;
-  TaskKind Kind = Of.Kinds[static_cast<size_t>(Of.nameOf(Position).Step)];
   for (ServingLoad &Each : At.Serving)
-    Each.Ratio += m_harm.slope(Each.Kind, Kind) * Share;
+    Each.Headroom -= m_harm.slope(Each.Kind, Kind) * Share;
 }
 
 bool JobShard::Impl::isAllowed(const Spot &At, const JobEntry &Of,
@@ -210,33 +228,35 @@
       });
 }
 
-double JobShard::Impl::ratioWith(const Spot &At, const JobEntry &Of,
-                                 int Position) const {
+double JobShard::Impl::headroomWith(const Spot &At, const JobEntry &Of,
+                                    int Position) const {
   const JobStep &Step = Of.stepOf(Position);
   if (!Step.Fills)
-    return 0;
+    return std::numeric_limits<double>::max();
   double Share = static_cast<double>(Step.Demand.Millicores) /
                  static_cast<double>(At.Slot->Entry.Capacity.Millicores);
   TaskKind Kind = Of.Kinds[static_cast<size_t>(Of.nameOf(Position).Step)];
-  return expectedRatio(At.Serving, Kind, Share, m_harm);
+  return headroomBeside(At.Serving, Kind, Share, m_harm);
 }
 
 bool JobShard::Impl::isWorthwhile(const Spot &At, const JobStep &Step,
-                                  double Ratio) const {
+                                  double Headroom) const {
   if (!Step.Fills || m_roomy)
     return true;
-  return At.Load < MostFillLoad && Ratio < MostExpectedRatio;
+  return At.Load < MostFillLoad && Headroom > LeastHeadroom;
 }
 
 double JobShard::Impl::cost(const Spot &At, const JobEntry &Of, int Position,
-                            double Ratio) const {
+                            double Headroom) const {
   const JobStep &Step = Of.stepOf(Position);
   const TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
-  // Serving tasks are packed, so that some workers have none and can run the
-  // fill tasks that would disturb them.
-  double Out = Step.TailTarget.count() > 0 ? -At.Load : At.Load;
+  double Out = At.Load;
+  if (Step.TailTarget.count() > 0) {
+    TaskKind Kind = Of.Kinds[static_cast<size_t>(Of.nameOf(Position).Step)];
+    Out = StrangerCost * strangers(At, Kind) - PackingGain * At.Load;
+  }
   if (Step.Fills)
-    Out += HarmCost * std::max(0.0, Ratio - HarmAbove);
+    Out += HarmCost * std::max(0.0, HarmBelow - Headroom);
   if (!Step.DataRack.empty() && !At.Slot->hasLabel(Step.DataRack))
     Out += FarRackCost;
   if (Task.Worker == At.Slot->Entry.Id && Task.Run > 0)
@@ -244,4 +264,15 @@
   return Out;
 }
 
+// Serving tasks of one kind bear the same fill tasks. Kept together and packed
+// they leave workers to the fill tasks that would disturb them.
+double JobShard::Impl::strangers(const Spot &At, TaskKind Kind) {
+  if (At.Serving.empty())
+    return 0;
+  auto Others =
+      std::count_if(At.Serving.begin(), At.Serving.end(),
+                    [Kind](const auto &Each) { return Each.Kind != Kind; });
+  return static_cast<double>(Others) / static_cast<double>(At.Serving.size());
+}
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -8,6 +8,9 @@
 
 /// Part of a reservation that serving tasks use on average.
 constexpr double ReservedUse = 0.5;
+/// Part of a measurement below what was expected that is taken to last.
+constexpr double UnexplainedPart = 0.6;
+constexpr double MostUnexplained = 0.8;
 
 } // namespace
 
@@ -77,15 +80,25 @@
   FailuresInARow = 0;
 }
 
-std::vector<ServingLoad> WorkerSlot::serving() const {
+std::vector<ServingLoad> WorkerSlot::serving(const InterferenceModel &Model,
+                                             TimePoint Now,
+                                             milliseconds Ahead) const {
   std::vector<ServingLoad> Out;
+  FillShares Shares = fillShares();
   for (const auto &[Key, Run] : Held) {
-    if (Run.TailTarget.count() == 0 || Run.Percent < 100)
+    if (Run.TailTarget.count() == 0)
       continue;
-    double Target = static_cast<double>(Run.TailTarget.count());
-    Out.push_back({.Kind = Run.Kind,
-                   .Ratio = static_cast<double>(Run.Usage) / Target,
-                   .Over = Run.Over});
+    ServingLoad Load{.Kind = Run.Kind,
+                     .Headroom = Model.headroom(Run.Group, Now, Ahead),
+                     .Over = Run.Over};
+    // What the model does not explain is this worker's own.
+    if (Run.Percent == 100 && Run.Usage > 0) {
+      double Measured = static_cast<double>(Run.TailTarget.count()) /
+                        static_cast<double>(Run.Usage);
+      double Off = Measured - Model.expected(Run.Kind, Run.Group, Now, Shares);
+      Load.Headroom += std::clamp(Off * UnexplainedPart, -MostUnexplained, 0.0);
+    }
+    Out.push_back(Load);
   }
   return Out;
 }
@@ -100,4 +113,15 @@
   return Out;
 }
 
+FillShares WorkerSlot::plannedShares() const {
+  FillShares Out;
+  auto Capacity =
+      static_cast<double>(std::max<int64_t>(Entry.Capacity.Millicores, 1));
+  for (const auto &[Key, Run] : Held)
+    if (Run.FillMillicores > 0)
+      Out.push_back({Run.Kind, static_cast<double>(Run.FillMillicores) *
+                                   Run.Pace / 100 / Capacity});
+  return Out;
+}
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -40,6 +40,8 @@
   int64_t Usage = 0;
   /// Kind of the run's task.
   TaskKind Kind = 0;
+  /// Serving tasks that share the run's users.
+  LoadGroup Group = 0;
   /// Measurements in a row of a tail above the target.
   int Over = 0;
   /// Share at which it was told to work.
@@ -98,10 +100,14 @@
   /// Processor that held runs reserve or fill, relative to the capacity.
   double load() const;
   bool hasLabel(const std::string &Label) const;
-  /// Serving runs that are at work.
-  std::vector<ServingLoad> serving() const;
+  /// Serving runs that are at work, with what is expected of them for the next
+  /// \p Ahead if there were no fill tasks.
+  std::vector<ServingLoad> serving(const InterferenceModel &Model,
+                                   TimePoint Now, milliseconds Ahead) const;
   /// Part of the worker that fill runs use, by the last measurement.
   FillShares fillShares() const;
+  /// Part of the worker that fill runs are meant to use at their pace.
+  FillShares plannedShares() const;
   /// Forgets everything that belongs to one life of the worker.
   void forgetLife();
 
