What was learned of harm survives the owner; rounds reach every image

The new counts in shard_state and a trial line with slopes by pair show why: six of nine images harm half of all watched tasks, and a round of placing ended after 40 steps without a place, all of them of these images, so that harmless ones behind them waited beside idle cores. Three looks above a target could fall into 360 ms, one measurement, and stopped everything.

--- a/src/include/basilchute/interference.h
+++ b/src/include/basilchute/interference.h
@@ -41,6 +41,14 @@
   double LeastHeadroom = 0.3;
 };
 
+/// What is known of one pair of kinds.
+struct PairSlope {
+  TaskKind Serving = 0;
+  TaskKind Fill = 0;
+  double Slope = 0;
+  double Variance = 0;
+};
+
 /// One measurement of a serving task.
 struct ServingSample {
   TaskKind Kind = 0;
@@ -81,6 +89,15 @@
   double expected(TaskKind Kind, LoadGroup Group, TimePoint Now,
                   const FillShares &Shares) const;
 
+  /// Returns all pairs that were measured, so that a successor need not learn
+  /// them anew.
+  std::vector<PairSlope> pairs() const;
+  /// Takes over what a predecessor knew of a pair; ignored for one that was
+  /// measured here, or if its variance is not above zero.
+  void restore(const PairSlope &Known);
+  /// Forgets the load of a group whose tasks have ended.
+  void forget(LoadGroup Group);
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/include/basilchute/pacing.h
+++ b/src/include/basilchute/pacing.h
@@ -15,9 +15,10 @@
   double Floor = 1.2;
   /// A fill task whose expected effect on headroom is smaller is harmless.
   double Harmless = 0.02;
-  /// Measurements in a row above the target after which even harmless fill
-  /// tasks stop: the model is wrong there.
-  int DistrustAfter = 3;
+  /// Time above the target after which even harmless fill tasks stop, since the
+  /// model is wrong there; those that do harm stop then although the task's own
+  /// load seems to be the cause.
+  milliseconds DistrustAfter{1200};
   /// Smaller changes of pace are not worth an order.
   int LeastChange = 10;
 };
@@ -27,8 +28,8 @@
   TaskKind Kind = 0;
   /// Headroom (target over tail) that is expected soon without fill tasks.
   double Headroom = 0;
-  /// Measurements in a row above the target.
-  int Over = 0;
+  /// Time for which all measurements were above the target.
+  milliseconds Over{0};
 };
 
 /// A fill task on the worker.
--- a/src/libbasilchute/interference.cpp
+++ b/src/libbasilchute/interference.cpp
@@ -19,6 +19,10 @@
 /// Variance of a uniform error one unit wide, as rounding makes it.
 constexpr double RoundingVariance = 1.0 / 12;
 
+constexpr int NoPlace = -1;
+/// Part by which the variance of what a predecessor knew is raised.
+constexpr double RestoredDoubt = 0.25;
+
 using Vector = std::array<double, MaxFills>;
 
 double secondsBetween(TimePoint From, TimePoint To) {
@@ -59,7 +63,9 @@
 struct Fit {
   Vector Slopes{};
   std::array<Vector, MaxFills> Covariance{};
-  std::unordered_map<TaskKind, size_t> Places;
+  /// Place of each fill kind, or NoPlace.
+  std::vector<int> Places;
+  size_t Taken = 0;
 
   Fit(double PriorSlope, double Variance) {
     Slopes.fill(PriorSlope);
@@ -68,8 +74,20 @@
   }
 
   size_t placeOf(TaskKind Fill) {
-    size_t Next = std::min(Places.size(), MaxFills - 1);
-    return Places.try_emplace(Fill, Next).first->second;
+    auto Index = static_cast<size_t>(Fill);
+    if (Index >= Places.size())
+      Places.resize(Index + 1, NoPlace);
+    int &Place = Places[Index];
+    if (Place == NoPlace) {
+      Place = static_cast<int>(Taken);
+      Taken = std::min(Taken + 1, MaxFills - 1);
+    }
+    return static_cast<size_t>(Place);
+  }
+
+  bool knows(TaskKind Fill) const {
+    auto Index = static_cast<size_t>(Fill);
+    return Index < Places.size() && Places[Index] != NoPlace;
   }
 
   Vector gather(const FillShares &Shares) {
@@ -120,10 +138,7 @@
     auto Target = static_cast<double>(Sample.Target.count());
     if (Tail <= 0 || Target <= 0)
       return;
-    Fit &Pairs = m_fits
-                     .try_emplace(Sample.Kind, m_options.PriorSlope,
-                                  m_options.SlopeVariance)
-                     .first->second;
+    Fit &Pairs = fitOf(Sample.Kind);
     Trend &Own = trendOf(Sample.Group, Now);
     Own.advance(Now, m_options.RateDrift);
     Vector X = Pairs.gather(Shares);
@@ -143,13 +158,10 @@
   }
 
   double slope(TaskKind Serving, TaskKind Fill) const {
-    auto Pairs = m_fits.find(Serving);
-    if (Pairs == m_fits.end())
-      return m_options.PriorSlope;
-    auto Place = Pairs->second.Places.find(Fill);
-    if (Place == Pairs->second.Places.end())
+    auto Index = static_cast<size_t>(Serving);
+    if (Index >= m_fits.size() || !m_fits[Index] || !m_fits[Index]->knows(Fill))
       return m_options.PriorSlope;
-    return std::max(0.0, Pairs->second.Slopes[Place->second]);
+    return std::max(0.0, m_fits[Index]->Slopes[m_fits[Index]->placeOf(Fill)]);
   }
 
   double headroom(LoadGroup Group, TimePoint Now, milliseconds Ahead) const {
@@ -174,7 +186,48 @@
     return Out;
   }
 
+  std::vector<PairSlope> pairs() const {
+    std::vector<PairSlope> Out;
+    for (size_t Serving = 0; Serving < m_fits.size(); ++Serving) {
+      if (!m_fits[Serving])
+        continue;
+      const Fit &Pairs = *m_fits[Serving];
+      for (size_t Fill = 0; Fill < Pairs.Places.size(); ++Fill) {
+        if (Pairs.Places[Fill] == NoPlace)
+          continue;
+        auto Place = static_cast<size_t>(Pairs.Places[Fill]);
+        Out.push_back({.Serving = static_cast<TaskKind>(Serving),
+                       .Fill = static_cast<TaskKind>(Fill),
+                       .Slope = Pairs.Slopes[Place],
+                       .Variance = Pairs.Covariance[Place][Place]});
+      }
+    }
+    return Out;
+  }
+
+  void restore(const PairSlope &Known) {
+    Fit &Pairs = fitOf(Known.Serving);
+    if (Pairs.knows(Known.Fill) || !(Known.Variance > 0))
+      return;
+    size_t Place = Pairs.placeOf(Known.Fill);
+    Pairs.Slopes[Place] = Known.Slope;
+    Pairs.Covariance[Place][Place] =
+        std::min(Known.Variance + RestoredDoubt, m_options.SlopeVariance);
+  }
+
+  void forget(LoadGroup Group) { m_trends.erase(Group); }
+
 private:
+  Fit &fitOf(TaskKind Serving) {
+    auto Index = static_cast<size_t>(Serving);
+    if (Index >= m_fits.size())
+      m_fits.resize(Index + 1);
+    if (!m_fits[Index])
+      m_fits[Index] =
+          std::make_unique<Fit>(m_options.PriorSlope, m_options.SlopeVariance);
+    return *m_fits[Index];
+  }
+
   Trend &trendOf(LoadGroup Group, TimePoint Now) {
     Trend New{.Level = m_options.PriorHeadroom,
               .LevelVariance = m_options.HeadroomVariance,
@@ -184,7 +237,8 @@
   }
 
   InterferenceOptions m_options;
-  std::unordered_map<TaskKind, Fit> m_fits;
+  /// By serving kind.
+  std::vector<std::unique_ptr<Fit>> m_fits;
   std::unordered_map<LoadGroup, Trend> m_trends;
 };
 
@@ -198,6 +252,13 @@
 double InterferenceModel::slope(TaskKind Serving, TaskKind Fill) const {
   return m_impl->slope(Serving, Fill);
 }
+std::vector<PairSlope> InterferenceModel::pairs() const {
+  return m_impl->pairs();
+}
+void InterferenceModel::restore(const PairSlope &Known) {
+  m_impl->restore(Known);
+}
+void InterferenceModel::forget(LoadGroup Group) { m_impl->forget(Group); }
 double InterferenceModel::headroom(LoadGroup Group, TimePoint Now,
                                    milliseconds Ahead) const {
   return m_impl->headroom(Group, Now, Ahead);
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -99,6 +99,10 @@
   return {.Table = ShardTable, .Part = shardPart(Shard), .Key = "owner"};
 }
 
+RowPlace interferencePlace(int Shard) {
+  return {.Table = InterferenceTable, .Part = shardPart(Shard), .Key = "model"};
+}
+
 RowPlace hostPlace(const std::string &Host) {
   return {.Table = HostTable, .Part = "", .Key = Host};
 }
@@ -214,6 +218,32 @@
   return Out;
 }
 
+std::string encodeInterference(const std::vector<ImagePair> &Value) {
+  v1::StoredInterference Out;
+  Out.set_format(RowFormat);
+  for (const ImagePair &Each : Value) {
+    v1::StoredPairSlope &To = *Out.add_pairs();
+    To.set_serving(Each.Serving);
+    To.set_fill(Each.Fill);
+    To.set_slope(Each.Slope);
+    To.set_variance(Each.Variance);
+  }
+  return Out.SerializeAsString();
+}
+
+Result<std::vector<ImagePair>> decodeInterference(const std::string &Bytes) {
+  v1::StoredInterference From;
+  if (!From.ParseFromString(Bytes))
+    return badRow("model of interference");
+  std::vector<ImagePair> Out;
+  for (const v1::StoredPairSlope &Each : From.pairs())
+    Out.push_back({.Serving = Each.serving(),
+                   .Fill = Each.fill(),
+                   .Slope = Each.slope(),
+                   .Variance = Each.variance()});
+  return Out;
+}
+
 std::string encodeShardOwner(const std::string &Host) {
   v1::StoredShardOwner Out;
   Out.set_format(RowFormat);
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -29,6 +29,14 @@
   std::vector<TaskProgress> Tasks;
 };
 
+/// What is stored of a pair of images.
+struct ImagePair {
+  std::string Serving;
+  std::string Fill;
+  double Slope = 0;
+  double Variance = 0;
+};
+
 /// What a host says of itself.
 struct HostRecord {
   /// Share of the shards that it can carry, relative to others.
@@ -46,11 +54,13 @@
 RowPlace cancelPlace(int Shard, const std::string &Job);
 RowPlace progressPlace(int Shard, const std::string &Job);
 RowPlace shardOwnerPlace(int Shard);
+RowPlace interferencePlace(int Shard);
 RowPlace hostPlace(const std::string &Host);
 RowPlace assignmentPlace(const std::string &Worker);
 /// Table of a shard's accepted jobs and their cancellations.
 std::string jobTable(int Shard);
 inline constexpr const char *ProgressTable = "progress";
+inline constexpr const char *InterferenceTable = "interference";
 inline constexpr const char *ShardTable = "shards";
 inline constexpr const char *HostTable = "hosts";
 inline constexpr const char *AssignmentTable = "assignments";
@@ -69,6 +79,8 @@
 Result<JobProgress> decodeProgress(const std::string &Bytes);
 std::string encodeHost(const HostRecord &Value);
 Result<HostRecord> decodeHost(const std::string &Bytes);
+std::string encodeInterference(const std::vector<ImagePair> &Value);
+Result<std::vector<ImagePair>> decodeInterference(const std::string &Bytes);
 std::string encodeShardOwner(const std::string &Host);
 Result<std::string> decodeShardOwner(const std::string &Bytes);
 
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -45,7 +45,10 @@
                                 m_options.Epoch, Why));
 }
 
-void JobShard::Impl::load() { readJobs("", 0, true); }
+void JobShard::Impl::load() {
+  readModel();
+  readJobs("", 0, true);
+}
 
 void JobShard::Impl::readJobs(const std::string &From, uint64_t FeedFrom,
                               bool WithProgress) {
@@ -216,6 +219,8 @@
   Of.State = State;
   markDirty(Of);
   m_waiting.erase(Of.Spec.Id);
+  for (int Group : Of.Groups)
+    m_harm.forget(Group);
   if (State != JobState::Completed)
     stopAll(Of);
   log("job_ended",
@@ -393,6 +398,7 @@
   lookAround();
   commit();
   place();
+  keepModel();
   logState();
 }
 
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -2,6 +2,7 @@
 /// The parts of JobShard: jobshard.cpp holds rows, jobshard_look.cpp what
 /// workers say, jobshard_rank.cpp the order of waiting work, jobshard_place.cpp
 /// and jobshard_gang.cpp its place, jobshard_orders.cpp what workers are told,
+/// jobshard_harm.cpp how fill tasks are paced beside serving ones,
 /// jobshard_move.cpp what has to leave a worker.
 #pragma once
 
@@ -96,8 +97,18 @@
   void release(WorkerSlot &At, const RunKey &Key, std::string_view Why);
   void dropGoneSlots();
 
+  /// Service, label and kind of fill tasks that found no place in a round, with
+  /// the least that one of them asked for.
+  using RejectionKey = std::tuple<std::string, std::string, TaskKind>;
+  using Rejections = std::map<RejectionKey, Resources>;
+
   // What workers are told.
   void place();
+  bool isLikeRejected(const Rejections &Rejected, const JobEntry &Of,
+                      int Position) const;
+  void noteRejected(Rejections &Rejected, const JobEntry &Of,
+                    int Position) const;
+  RejectionKey rejectionKey(const JobEntry &Of, int Position) const;
   std::vector<Spot> spots();
   bool isRoomy(const std::vector<Spot> &Spots) const;
   bool placeOne(std::vector<Spot> &Spots, JobEntry &Of, int Position);
@@ -116,6 +127,7 @@
   double cost(const Spot &At, const JobEntry &Of, int Position,
               double Headroom) const;
   double headroomWith(const Spot &At, const JobEntry &Of, int Position) const;
+  double togetherness(const Spot &At, const JobEntry &Of, int Position) const;
   static double strangers(const Spot &At, TaskKind Kind);
   void take(Spot &At, const JobEntry &Of, int Position);
   void keepRoom(std::vector<Spot> &Spots, const JobEntry &Of, int Position);
@@ -133,7 +145,11 @@
   int latenessOf(const JobEntry &Of) const;
   void relocate();
   void logState();
+  std::string whyFillWaits(const std::vector<Spot> &Spots) const;
+  static bool isFull(const Spot &At);
   void learn(WorkerSlot &At);
+  void readModel();
+  void keepModel();
   /// What the progress of a job's fill tasks is worth.
   double weightOf(const std::string &Job);
   void pace(WorkerSlot &At);
@@ -156,6 +172,9 @@
   InterferenceModel m_harm;
   std::map<std::string, TaskKind> m_kinds;
   LoadGroup m_nextGroup = 0;
+  /// The model has changed since it was stored.
+  bool m_learned = false;
+  TimePoint m_nextModel{};
   /// Mean work of a job, by queue.
   std::map<std::string, double> m_meanWork;
   /// Positions of the tasks that could be started, by job.
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -292,7 +292,10 @@
   Held.Usage = Run.Usage;
   bool Over = Held.TailTarget.count() > 0 && Held.Percent == 100 &&
               Run.Usage > Held.TailTarget.count();
-  Held.Over = Over ? Held.Over + 1 : 0;
+  if (!Over)
+    Held.OverSince.reset();
+  else if (!Held.OverSince)
+    Held.OverSince = Now;
   JobEntry *Of = find(Run.Task.Job);
   int Position = Of ? Of->positionOf(Run.Task) : -1;
   if (Position < 0 || Run.Checkpoint.empty())
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -1,25 +1,16 @@
 #include "libbasilchute/jobshard_impl.h"
 
 #include <algorithm>
-#include <array>
 #include <fmt/format.h>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
 namespace {
 
-/// What progress is worth while a job can end in time, once it is late, and
-/// once it is worth nothing.
-constexpr std::array<double, 3> LatenessWeights = {1.0, 0.3, 0.05};
-
 /// A worker that has not answered for this long gets no starts.
 constexpr milliseconds FreshEnough{2600};
 constexpr milliseconds RefusedPause{250};
 constexpr milliseconds UnansweredPause{250};
-/// Paces of one worker are not planned anew sooner.
-constexpr milliseconds PacePause{200};
-/// Time until a change of pace shows in the measurements and can be mended.
-constexpr milliseconds PaceAhead{1000};
 
 } // namespace
 
@@ -140,78 +131,4 @@
   }
 }
 
-void JobShard::Impl::learn(WorkerSlot &At) {
-  FillShares Shares = At.fillShares();
-  for (const auto &[Key, Run] : At.Held) {
-    if (Run.TailTarget.count() == 0 || Run.Percent < 100)
-      continue;
-    m_harm.observe({.Kind = Run.Kind,
-                    .Group = Run.Group,
-                    .Tail = milliseconds(Run.Usage),
-                    .Target = Run.TailTarget},
-                   m_time.now(), Shares);
-  }
-}
-
-double JobShard::Impl::weightOf(const std::string &Job) {
-  const JobEntry *Of = find(Job);
-  if (!Of || isFinal(Of->State))
-    return LatenessWeights.back();
-  return LatenessWeights[static_cast<size_t>(latenessOf(*Of))];
-}
-
-void JobShard::Impl::pace(WorkerSlot &At) {
-  TimePoint Now = m_time.now();
-  if (Now < At.PaceChanged + PacePause)
-    return;
-  std::vector<FillLoad> Fills;
-  std::vector<RunKey> Keys;
-  auto Capacity = static_cast<double>(At.Entry.Capacity.Millicores);
-  for (const auto &[Key, Run] : At.Held) {
-    if (Run.FillMillicores == 0 || Run.Phase != RunPhase::Running)
-      continue;
-    Fills.push_back(
-        {.Kind = Run.Kind,
-         .Pace = Run.Pace,
-         .FullShare = static_cast<double>(Run.FillMillicores) / Capacity,
-         .Weight = weightOf(Key.first.Job)});
-    Keys.push_back(Key);
-  }
-  if (Fills.empty())
-    return;
-  std::vector<int> Paces =
-      planPaces(At.serving(m_harm, Now, PaceAhead), Fills, m_harm);
-  for (size_t Each = 0; Each < Keys.size(); ++Each) {
-    if (Paces[Each] == Fills[Each].Pace)
-      continue;
-    At.PaceChanged = Now;
-    sendPace(At, Keys[Each], Paces[Each]);
-  }
-}
-
-void JobShard::Impl::sendPace(WorkerSlot &At, const RunKey &Key, int Percent) {
-  if (!mayAct())
-    return;
-  At.Held.at(Key).Pace = Percent;
-  At.Held.at(Key).PacedAt = m_time.now();
-  m_workers.pace(
-      At.Entry,
-      {.Task = Key.first,
-       .Run = Key.second,
-       .Percent = Percent,
-       .Epoch = m_options.Epoch},
-      [Weak = weak_from_this(), Id = At.Entry.Id, Key](const Status &Answer) {
-        auto Self = Weak.lock();
-        if (!Self || Answer.has_value())
-          return;
-        // What the run works at is unknown; it is told anew.
-        auto Slot = Self->m_slots.find(Id);
-        if (Slot == Self->m_slots.end())
-          return;
-        auto Found = Slot->second.Held.find(Key);
-        if (Found != Slot->second.Held.end())
-          Found->second.Pace = 100;
-      });
-}
-
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -14,6 +14,7 @@
 /// Least time between two rounds, and steps without a place after which a
 /// round ends.
 constexpr milliseconds PlacePause{15};
+constexpr milliseconds FruitlessPause{45};
 constexpr size_t MostHopelessSteps = 40;
 /// A task that found no room for this long has room kept for it.
 constexpr milliseconds KeepRoomAfter{800};
@@ -34,7 +35,9 @@
 /// Cost of a worker where all serving tasks are of other kinds.
 constexpr double StrangerCost = 2.0;
 /// Gain of a full worker over an empty one for serving tasks.
-constexpr double PackingGain = 0.5;
+constexpr double PackingGain = 0.2;
+/// Gain of a worker that can take all serving tasks of a step.
+constexpr double TogetherGain = 2.0;
 /// ... or where as much work is present as this part of the worker ...
 constexpr double MostFillLoad = 1.1;
 /// One part in this many of a worker's memory is not for fill tasks.
@@ -51,6 +54,7 @@
   if (m_waiting.empty() || Now < m_nextPlace || !mayAct() || !isSettled())
     return;
   m_nextPlace = Now + PlacePause;
+  uint64_t StartsBefore = m_counts.Starts;
   std::vector<Spot> Spots = spots();
   m_roomy = isRoomy(Spots);
   std::vector<std::pair<Rank, std::string>> Jobs;
@@ -60,6 +64,7 @@
   milliseconds Wall =
       m_options.WallTime ? m_options.WallTime() : milliseconds(0);
   size_t HopelessSteps = 0;
+  Rejections Rejected;
   for (const auto &[Rank, Id] : Jobs) {
     JobEntry &Of = *find(Id);
     std::set<int> Positions = m_waiting[Id];
@@ -75,18 +80,56 @@
       if (Task.NotBefore > Now || Hopeless.count(Step) ||
           Of.dueAt(Position) > Wall)
         continue;
+      if (isLikeRejected(Rejected, Of, Position)) {
+        Hopeless.insert(Step);
+        continue;
+      }
       bool Placed = Of.stepOf(Position).Gang ? placeGang(Spots, Of, Position)
                                              : placeOne(Spots, Of, Position);
       if (Placed)
         continue;
       Hopeless.insert(Step);
+      ++HopelessSteps;
+      noteRejected(Rejected, Of, Position);
       if (Now > Task.WaitingSince + KeepRoomAfter)
         keepRoom(Spots, Of, Position);
     }
-    HopelessSteps += Hopeless.size();
     if (HopelessSteps >= MostHopelessSteps)
-      return;
+      break;
   }
+  // Nothing that waits found a place: what changes that takes longer.
+  if (m_counts.Starts == StartsBefore && HopelessSteps > 0)
+    m_nextPlace = Now + FruitlessPause;
+}
+
+// Where one fill task found no place, another of the same kind that takes as
+// much finds none either. Without this a backlog of one harmful image would
+// use up the round, and harmless images behind it would wait beside idle cores.
+bool JobShard::Impl::isLikeRejected(const Rejections &Rejected,
+                                    const JobEntry &Of, int Position) const {
+  const JobStep &Step = Of.stepOf(Position);
+  auto Before = Rejected.find(rejectionKey(Of, Position));
+  return Step.Fills && Before != Rejected.end() &&
+         Before->second.fits(Step.Demand);
+}
+
+void JobShard::Impl::noteRejected(Rejections &Rejected, const JobEntry &Of,
+                                  int Position) const {
+  const JobStep &Step = Of.stepOf(Position);
+  if (!Step.Fills || Step.Gang || Step.MaxPerWorker > 0)
+    return;
+  auto [Found, Added] =
+      Rejected.try_emplace(rejectionKey(Of, Position), Step.Demand);
+  if (!Added && Step.Demand.fits(Found->second))
+    Found->second = Step.Demand;
+}
+
+JobShard::Impl::RejectionKey JobShard::Impl::rejectionKey(const JobEntry &Of,
+                                                          int Position) const {
+  const JobQueue *Queue = queueOf(Of);
+  return {Queue ? Queue->Service : std::string(),
+          Of.stepOf(Position).RequiredLabel,
+          Of.Kinds[static_cast<size_t>(Of.nameOf(Position).Step)]};
 }
 
 bool JobShard::Impl::isRoomy(const std::vector<Spot> &Spots) const {
@@ -239,11 +282,13 @@
   return headroomBeside(At.Serving, Kind, Share, m_harm);
 }
 
+bool JobShard::Impl::isFull(const Spot &At) { return At.Load >= MostFillLoad; }
+
 bool JobShard::Impl::isWorthwhile(const Spot &At, const JobStep &Step,
                                   double Headroom) const {
   if (!Step.Fills || m_roomy)
     return true;
-  return At.Load < MostFillLoad && Headroom > LeastHeadroom;
+  return !isFull(At) && Headroom > LeastHeadroom;
 }
 
 double JobShard::Impl::cost(const Spot &At, const JobEntry &Of, int Position,
@@ -253,7 +298,8 @@
   double Out = At.Load;
   if (Step.TailTarget.count() > 0) {
     TaskKind Kind = Of.Kinds[static_cast<size_t>(Of.nameOf(Position).Step)];
-    Out = StrangerCost * strangers(At, Kind) - PackingGain * At.Load;
+    Out = StrangerCost * strangers(At, Kind) -
+          TogetherGain * togetherness(At, Of, Position) - PackingGain * At.Load;
   }
   if (Step.Fills)
     Out += HarmCost * std::max(0.0, HarmBelow - Headroom);
@@ -264,6 +310,23 @@
   return Out;
 }
 
+// Serving tasks of one step have the same users: kept together their load falls
+// at the same time, and fill tasks find room then. Returns the part of the step
+// that could be on the worker.
+double JobShard::Impl::togetherness(const Spot &At, const JobEntry &Of,
+                                    int Position) const {
+  const JobStep &Step = Of.stepOf(Position);
+  int Here = countOnWorker(*At.Slot, Of, Position);
+  int Most = Step.MaxPerWorker > 0 ? Step.MaxPerWorker : Step.Count;
+  Resources Left = At.Room;
+  int Fitting = 0;
+  while (Here + Fitting < Most && Step.reserved().fits(Left)) {
+    Left -= Step.reserved();
+    ++Fitting;
+  }
+  return static_cast<double>(Here + Fitting) / static_cast<double>(Step.Count);
+}
+
 // Serving tasks of one kind bear the same fill tasks. Kept together and packed
 // they leave workers to the fill tasks that would disturb them.
 double JobShard::Impl::strangers(const Spot &At, TaskKind Kind) {
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -99,6 +99,31 @@
     m_waiting[Of.Spec.Id].insert(Position);
 }
 
+// Of the first fill task that waits: how many workers lack the room, are full,
+// or serve tasks that it would disturb.
+std::string JobShard::Impl::whyFillWaits(const std::vector<Spot> &Spots) const {
+  size_t NoRoom = 0;
+  size_t Full = 0;
+  size_t Harm = 0;
+  for (const auto &[Id, Positions] : m_waiting) {
+    const JobEntry &Of = m_jobs.at(Id);
+    int Position = *Positions.begin();
+    if (!Of.stepOf(Position).Fills)
+      continue;
+    for (const Spot &Each : Spots) {
+      if (!isAllowed(Each, Of, Position))
+        ++NoRoom;
+      else if (isFull(Each))
+        ++Full;
+      else if (!isWorthwhile(Each, Of.stepOf(Position),
+                             headroomWith(Each, Of, Position)))
+        ++Harm;
+    }
+    break;
+  }
+  return fmt::format("no_room={} full={} harm={}", NoRoom, Full, Harm);
+}
+
 void JobShard::Impl::logState() {
   TimePoint Now = m_time.now();
   if (Now < m_nextStateLog)
@@ -117,14 +142,17 @@
     const JobStep &First = find(Id)->Spec.Steps.front();
     Waiting[First.LongRunning ? 1 : First.Fills ? 2 : 0] += Positions.size();
   }
+  int64_t Used = 0;
+  for (const auto &[Id, Slot] : m_slots)
+    Used += Slot.usedMillicores();
   log("shard_state",
       fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
                   "free_gib={} most_gib={} waiting_short={} waiting_long={} "
-                  "waiting_fill={}",
+                  "waiting_fill={} fill_cores={} {}",
                   m_options.Shard, m_slots.size(), Spots.size(),
                   Free.Millicores / 1000, Most.Millicores / 1000,
                   Free.MemoryMib / 1024, Most.MemoryMib / 1024, Waiting[0],
-                  Waiting[1], Waiting[2]));
+                  Waiting[1], Waiting[2], Used / 1000, whyFillWaits(Spots)));
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/pacing.cpp
+++ b/src/libbasilchute/pacing.cpp
@@ -23,12 +23,16 @@
 void slow(const ServingLoad &Hurt, const std::vector<FillLoad> &Fills,
           const InterferenceModel &Model, const PacingOptions &Options,
           std::vector<int> &Paces) {
+  bool Long = Hurt.Over >= Options.DistrustAfter;
   // Where the task's own load alone takes it over its target, stopping what
   // fills beside it helps nobody.
-  if (Hurt.Headroom < AtTarget)
+  bool OwnFault = Hurt.Headroom < AtTarget;
+  if (OwnFault && !Long)
     return;
-  if (Hurt.Over >= Options.DistrustAfter) {
-    std::fill(Paces.begin(), Paces.end(), 0);
+  if (Long) {
+    for (size_t Each = 0; Each < Fills.size(); ++Each)
+      if (!OwnFault || effect(Hurt, Fills[Each], Model) >= Options.Harmless)
+        Paces[Each] = 0;
     return;
   }
   std::vector<size_t> Order;
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -32,6 +32,12 @@
   return "unknown";
 }
 
+milliseconds HeldRun::overFor(TimePoint Now) const {
+  if (!OverSince)
+    return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(Now - *OverSince);
+}
+
 void WorkerSlot::setClock(milliseconds Clock, TimePoint Now) {
   m_clock = Clock;
   m_clockAt = Now;
@@ -66,6 +72,14 @@
   return Used / Capacity;
 }
 
+int64_t WorkerSlot::usedMillicores() const {
+  int64_t Out = 0;
+  for (const auto &[Key, Run] : Held)
+    if (Run.FillMillicores > 0)
+      Out += Run.Usage;
+  return Out;
+}
+
 bool WorkerSlot::hasLabel(const std::string &Label) const {
   return std::find(Entry.Labels.begin(), Entry.Labels.end(), Label) !=
          Entry.Labels.end();
@@ -90,7 +104,7 @@
       continue;
     ServingLoad Load{.Kind = Run.Kind,
                      .Headroom = Model.headroom(Run.Group, Now, Ahead),
-                     .Over = Run.Over};
+                     .Over = Run.overFor(Now)};
     // What the model does not explain is this worker's own.
     if (Run.Percent == 100 && Run.Usage > 0) {
       double Measured = static_cast<double>(Run.TailTarget.count()) /
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -42,8 +42,8 @@
   TaskKind Kind = 0;
   /// Serving tasks that share the run's users.
   LoadGroup Group = 0;
-  /// Measurements in a row of a tail above the target.
-  int Over = 0;
+  /// When its tail was first seen above the target, if it has been so since.
+  std::optional<TimePoint> OverSince;
   /// Share at which it was told to work.
   int Pace = 100;
   /// When it was told to work at that share.
@@ -52,6 +52,9 @@
   TimePoint Moved{};
   /// When a stop was last sent.
   TimePoint StopSent{};
+
+  /// Time for which the run's tail has been above its target.
+  milliseconds overFor(TimePoint Now) const;
 };
 
 /// Name and number of a run.
@@ -99,6 +102,8 @@
   Resources movableRoom() const;
   /// Processor that held runs reserve or fill, relative to the capacity.
   double load() const;
+  /// Millicores that fill runs use, by the last measurement.
+  int64_t usedMillicores() const;
   bool hasLabel(const std::string &Label) const;
   /// Serving runs that are at work, with what is expected of them for the next
   /// \p Ahead if there were no fill tasks.
