Rejections count for every kind of room; room is kept by amount

Change: what finds no room counts for all that ask for as much; each waiting task keeps its own amount, where it can ever become free.

--- a/src/libbasilchute/jobshard_harm.cpp
+++ b/src/libbasilchute/jobshard_harm.cpp
@@ -110,9 +110,9 @@
     const PlacedRow &Row = Answer.value().Rows.front();
     Result<std::vector<ImagePair>> Pairs = decodeInterference(Row.Value);
     if (!Pairs.has_value()) {
-      Self->log("bad_row", fmt::format("table={} key={} message=\"{}\"",
-                                       Row.Place.Table, Row.Place.Key,
-                                       Pairs.error().Message));
+      Self->log("bad_row",
+                fmt::format("table={} key={} message=\"{}\"", Row.Place.Table,
+                            Row.Place.Key, Pairs.error().Message));
       return;
     }
     for (const ImagePair &Each : Pairs.value())
@@ -120,9 +120,9 @@
                             .Fill = Self->kindOf(Each.Fill),
                             .Slope = Each.Slope,
                             .Variance = Each.Variance});
-    Self->log("model_read", fmt::format("shard={} pairs={}",
-                                        Self->m_options.Shard,
-                                        Pairs.value().size()));
+    Self->log("model_read",
+              fmt::format("shard={} pairs={}", Self->m_options.Shard,
+                          Pairs.value().size()));
   });
 }
 
@@ -148,16 +148,15 @@
       {.Place = shardOwnerPlace(m_options.Shard), .Version = m_options.Epoch});
   Commit.Changes.push_back({.Place = interferencePlace(m_options.Shard),
                             .Value = encodeInterference(Pairs)});
-  m_store.commit(std::move(Commit),
-                 [Weak = weak_from_this()](const Result<uint64_t> &Answer) {
-                   auto Self = Weak.lock();
-                   if (!Self || Answer.has_value())
-                     return;
-                   Self->log("model_not_kept",
-                             fmt::format("shard={} code={}",
-                                         Self->m_options.Shard,
-                                         resultCodeName(Answer.error().Code)));
-                 });
+  m_store.commit(std::move(Commit), [Weak = weak_from_this()](
+                                        const Result<uint64_t> &Answer) {
+    auto Self = Weak.lock();
+    if (!Self || Answer.has_value())
+      return;
+    Self->log("model_not_kept",
+              fmt::format("shard={} code={}", Self->m_options.Shard,
+                          resultCodeName(Answer.error().Code)));
+  });
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -46,6 +46,8 @@
     WorkerSlot *Slot;
     Resources Room;
     double Load;
+    /// Processor that is kept for tasks that wait.
+    int64_t Kept = 0;
     /// With the fill tasks on the worker taken off.
     std::vector<ServingLoad> Serving;
   };
@@ -97,10 +99,10 @@
   void release(WorkerSlot &At, const RunKey &Key, std::string_view Why);
   void dropGoneSlots();
 
-  /// Service, label and kind of fill tasks that found no place in a round, with
-  /// the least that one of them asked for.
+  /// Service, label and kind of tasks that found no place in a round, with what
+  /// they asked for.
   using RejectionKey = std::tuple<std::string, std::string, TaskKind>;
-  using Rejections = std::map<RejectionKey, Resources>;
+  using Rejections = std::map<RejectionKey, std::vector<Resources>>;
 
   // What workers are told.
   void place();
--- a/src/libbasilchute/jobshard_move.cpp
+++ b/src/libbasilchute/jobshard_move.cpp
@@ -54,14 +54,17 @@
   }
 }
 
-// Smaller tasks would take the room that becomes free on every worker; a large
-// one that has waited gets the next room on the worker where the most is free.
+// Smaller tasks would take the room that becomes free on every worker; for a
+// large one that has waited it is kept on the worker where the most will be
+// free. Long-running tasks do not leave, so what they hold does not count.
 void JobShard::Impl::keepRoom(std::vector<Spot> &Spots, const JobEntry &Of,
                               int Position) {
   const JobStep &Step = Of.stepOf(Position);
   if (Step.Fills)
     return;
+  int64_t Demand = Step.reserved().Millicores;
   Spot *Best = nullptr;
+  int64_t BestLeft = 0;
   for (Spot &Each : Spots) {
     const JobQueue *Queue = queueOf(Of);
     const WorkerEntry &Entry = Each.Slot->Entry;
@@ -72,12 +75,16 @@
          Each.Slot->hasLabel(Step.RequiredLabel)) &&
         (Step.MaxPerWorker == 0 ||
          countOnWorker(*Each.Slot, Of, Position) < Step.MaxPerWorker);
-    if (Possible && (!Best || Each.Slot->movableRoom().Millicores >
-                                  Best->Slot->movableRoom().Millicores))
-      Best = &Each;
+    int64_t Left = Each.Slot->movableRoom().Millicores - Each.Kept - Demand;
+    if (!Possible || Left < 0 || (Best && Left <= BestLeft))
+      continue;
+    Best = &Each;
+    BestLeft = Left;
   }
-  if (Best)
-    Best->Room.Millicores = 0;
+  if (!Best)
+    return;
+  Best->Kept += Demand;
+  Best->Room.Millicores -= Demand;
 }
 
 // Long-running tasks leave a draining worker while it still runs, as far as
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -15,6 +15,8 @@
 /// round ends.
 constexpr milliseconds PlacePause{15};
 constexpr milliseconds FruitlessPause{45};
+/// Tasks that reserve what they use need room alike, whatever their kind.
+constexpr TaskKind AnyReservingKind = -1;
 constexpr size_t MostHopelessSteps = 40;
 /// A task that found no room for this long has room kept for it.
 constexpr milliseconds KeepRoomAfter{800};
@@ -102,34 +104,35 @@
     m_nextPlace = Now + FruitlessPause;
 }
 
-// Where one fill task found no place, another of the same kind that takes as
-// much finds none either. Without this a backlog of one harmful image would
-// use up the round, and harmless images behind it would wait beside idle cores.
+// Where one task found no place, another that takes as much finds none either;
+// of fill tasks that holds within a kind. Without this a backlog would use up
+// the round, and what could run would wait behind it beside idle cores.
 bool JobShard::Impl::isLikeRejected(const Rejections &Rejected,
                                     const JobEntry &Of, int Position) const {
-  const JobStep &Step = Of.stepOf(Position);
   auto Before = Rejected.find(rejectionKey(Of, Position));
-  return Step.Fills && Before != Rejected.end() &&
-         Before->second.fits(Step.Demand);
+  if (Before == Rejected.end())
+    return false;
+  const Resources &Demand = Of.stepOf(Position).Demand;
+  return std::any_of(Before->second.begin(), Before->second.end(),
+                     [&](const Resources &Each) { return Each.fits(Demand); });
 }
 
 void JobShard::Impl::noteRejected(Rejections &Rejected, const JobEntry &Of,
                                   int Position) const {
   const JobStep &Step = Of.stepOf(Position);
-  if (!Step.Fills || Step.Gang || Step.MaxPerWorker > 0)
+  // What such a step asks for says less than why it found no place.
+  if (Step.Gang || Step.MaxPerWorker > 0)
     return;
-  auto [Found, Added] =
-      Rejected.try_emplace(rejectionKey(Of, Position), Step.Demand);
-  if (!Added && Step.Demand.fits(Found->second))
-    Found->second = Step.Demand;
+  Rejected[rejectionKey(Of, Position)].push_back(Step.Demand);
 }
 
 JobShard::Impl::RejectionKey JobShard::Impl::rejectionKey(const JobEntry &Of,
                                                           int Position) const {
   const JobQueue *Queue = queueOf(Of);
-  return {Queue ? Queue->Service : std::string(),
-          Of.stepOf(Position).RequiredLabel,
-          Of.Kinds[static_cast<size_t>(Of.nameOf(Position).Step)]};
+  const JobStep &Step = Of.stepOf(Position);
+  TaskKind Kind = Of.Kinds[static_cast<size_t>(Of.nameOf(Position).Step)];
+  return {Queue ? Queue->Service : std::string(), Step.RequiredLabel,
+          Step.Fills ? Kind : AnyReservingKind};
 }
 
 bool JobShard::Impl::isRoomy(const std::vector<Spot> &Spots) const {
