--- a/src/include/basilchute/pacing.h
+++ b/src/include/basilchute/pacing.h
@@ -12,7 +12,7 @@
 /// Settings of planPaces.
 struct PacingOptions {
   /// Headroom that is left to serving tasks; at 1 they are at their target.
-  double Floor = 1.2;
+  double Floor = 1.1;
   /// A fill task whose expected effect on headroom is smaller is harmless.
   double Harmless = 0.02;
   /// Time above the target after which even harmless fill tasks stop, since the
--- a/src/libbasilchute/interference_test.cpp
+++ b/src/libbasilchute/interference_test.cpp
@@ -18,6 +18,9 @@
 constexpr double HarmfulSlope = 7.0;
 constexpr double HarmlessSlope = 0.4;
 
+/// The headroom that these cases leave.
+constexpr PacingOptions Options{.Floor = 1.2};
+
 /// Headroom without fill tasks: the users of a group come in waves.
 double ownHeadroom(TimePoint At) {
   double Seconds = std::chrono::duration<double>(At.time_since_epoch()).count();
@@ -116,7 +119,7 @@
   std::vector<int> Paces = planPaces({{.Kind = Serving, .Headroom = 1.2}},
                                      {{.Kind = Harmful, .FullShare = 0.2},
                                       {.Kind = Harmless, .FullShare = 0.01}},
-                                     Model);
+                                     Model, Options);
   CHECK(Paces[0] == 0);
   CHECK(Paces[1] == 100);
 }
@@ -126,7 +129,7 @@
   teach(Model, 300);
   std::vector<int> Paces =
       planPaces({{.Kind = Serving, .Headroom = 1.9}},
-                {{.Kind = Harmful, .FullShare = 0.2}}, Model);
+                {{.Kind = Harmful, .FullShare = 0.2}}, Model, Options);
   CHECK(Paces[0] > 30);
   CHECK(Paces[0] < 70);
 }
@@ -134,9 +137,9 @@
 TEST_CASE("Slowed fill tasks come back when the tail has room") {
   InterferenceModel Model;
   teach(Model, 300);
-  std::vector<int> Paces =
-      planPaces({{.Kind = Serving, .Headroom = 2.5}},
-                {{.Kind = Harmful, .Pace = 0, .FullShare = 0.05}}, Model);
+  std::vector<int> Paces = planPaces(
+      {{.Kind = Serving, .Headroom = 2.5}},
+      {{.Kind = Harmful, .Pace = 0, .FullShare = 0.05}}, Model, Options);
   CHECK(Paces[0] == 100);
 }
 
@@ -145,7 +148,7 @@
   teach(Model, 300);
   std::vector<int> Paces = planPaces(
       {{.Kind = Serving, .Headroom = 1.5, .Over = milliseconds(2000)}},
-      {{.Kind = Harmless, .FullShare = 0.01}}, Model);
+      {{.Kind = Harmless, .FullShare = 0.01}}, Model, Options);
   CHECK(Paces[0] == 0);
 }
 
@@ -156,7 +159,7 @@
   teach(Model, 300);
   std::vector<int> Paces =
       planPaces({{.Kind = Serving, .Headroom = 0.6}},
-                {{.Kind = Harmful, .FullShare = 0.05}}, Model);
+                {{.Kind = Harmful, .FullShare = 0.05}}, Model, Options);
   CHECK(Paces[0] == 100);
 }
 
@@ -169,7 +172,7 @@
       {{.Kind = Serving, .Headroom = 0.6, .Over = milliseconds(2000)}},
       {{.Kind = Harmful, .FullShare = 0.05},
        {.Kind = Harmless, .FullShare = 0.005}},
-      Model);
+      Model, Options);
   CHECK(Paces[0] == 0);
   CHECK(Paces[1] == 100);
 }
@@ -183,7 +186,7 @@
       planPaces({{.Kind = Serving, .Headroom = 1.9}},
                 {{.Kind = Harmful, .FullShare = 0.1},
                  {.Kind = Harmful, .FullShare = 0.1, .Weight = 0.05}},
-                Model);
+                Model, Options);
   CHECK(Paces[0] == 100);
   CHECK(Paces[1] < 50);
 }
@@ -195,10 +198,10 @@
   teach(Model, 300);
   ServingLoad Load{.Kind = Serving, .Headroom = 1.9};
   FillLoad Fill{.Kind = Harmful, .FullShare = 0.2};
-  int First = planPaces({Load}, {Fill}, Model)[0];
+  int First = planPaces({Load}, {Fill}, Model, Options)[0];
   Fill.Pace = First;
   Load.Headroom += 0.05;
-  CHECK(planPaces({Load}, {Fill}, Model)[0] == First);
+  CHECK(planPaces({Load}, {Fill}, Model, Options)[0] == First);
 }
 
 // A new owner of a shard would else learn from the start, at the cost of the
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -29,7 +29,7 @@
 constexpr double HarmCost = 2.0;
 constexpr double HarmBelow = 1.6;
 /// A fill task waits rather than join a worker with less headroom ...
-constexpr double LeastHeadroom = 1.2;
+constexpr double LeastHeadroom = 1.15;
 /// Time for which a fill task is meant to go on undisturbed.
 constexpr milliseconds PlaceAhead{1500};
 /// Headroom of a serving task that has not begun.
