--- a/src/include/basilchute/job.h
+++ b/src/include/basilchute/job.h
@@ -113,6 +113,10 @@
   /// TargetDuration.
   double SlackFactor = 1;
   milliseconds TargetDuration{0};
+  /// Time that an approval holds; zero if the queue's steps need none.
+  milliseconds ApprovalValidity{0};
+
+  bool needsApproval() const { return ApprovalValidity.count() > 0; }
 };
 
 /// All queues by name.
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -2,6 +2,7 @@
 /// Owner of one shard: its jobs, its workers, and what runs where.
 #pragma once
 
+#include "basilchute/approval.h"
 #include "basilchute/job.h"
 #include "basilchute/rowstore.h"
 #include "basilchute/taskworker.h"
@@ -55,6 +56,7 @@
   uint64_t EndsDone = 0;
   uint64_t EndsOther = 0;
   uint64_t Unanswered = 0;
+  uint64_t ApprovalCalls = 0;
 };
 
 /// Runs the jobs of one shard on the shard's workers.
@@ -64,8 +66,9 @@
 /// the callbacks of the ports.
 class JobShard {
 public:
+  /// \p Approvals may be null; then work that needs approval waits.
   JobShard(JobShardOptions Options, RowStore &Store, TaskWorkers &Workers,
-           const Clock &Time);
+           ApprovalService *Approvals, const Clock &Time);
   /// Gives up the shard. Answers that are still under way are ignored.
   ~JobShard();
   JobShard(const JobShard &) = delete;
--- a/src/include/basilchute/taskworker.h
+++ b/src/include/basilchute/taskworker.h
@@ -46,6 +46,8 @@
   uint64_t Epoch = 0;
   /// Saved progress to resume from; empty for none.
   std::string Checkpoint;
+  /// Approval of the worker for the task's step; empty where none is needed.
+  std::string Ticket;
 };
 
 /// Stops one run, or bars it if it is not there yet.
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -78,6 +78,11 @@
           .Index = Within - m_stepStart[static_cast<size_t>(Step)]};
 }
 
+StepName JobEntry::stepName(int Position) const {
+  TaskName Name = nameOf(Position);
+  return {.Job = Name.Job, .Occurrence = Name.Occurrence, .Step = Name.Step};
+}
+
 const JobStep &JobEntry::stepOf(int Position) const {
   int Step = m_stepOf[static_cast<size_t>(Position % m_perOccurrence)];
   return Spec.Steps[static_cast<size_t>(Step)];
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -2,6 +2,7 @@
 /// One job and its tasks, as the owner of its shard sees them.
 #pragma once
 
+#include "basilchute/approval.h"
 #include "basilchute/clock.h"
 #include "basilchute/job.h"
 #include "basilchute/taskworker.h"
@@ -65,6 +66,7 @@
   /// Returns the position of \p Name, or -1 if the job has no such task.
   int positionOf(const TaskName &Name) const;
   TaskName nameOf(int Position) const;
+  StepName stepName(int Position) const;
   const JobStep &stepOf(int Position) const;
   /// Returns true if all tasks of the steps before have ended done.
   bool isReady(int Position) const;
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -22,9 +22,10 @@
 } // namespace
 
 JobShard::Impl::Impl(JobShardOptions Options, RowStore &Store,
-                     TaskWorkers &Workers, const Clock &Time)
+                     TaskWorkers &Workers, ApprovalService *Approvals,
+                     const Clock &Time)
     : m_options(std::move(Options)), m_store(Store), m_workers(Workers),
-      m_time(Time), m_taken(Time.now()) {}
+      m_time(Time), m_approvals({}, Approvals, Time), m_taken(Time.now()) {}
 
 void JobShard::Impl::log(std::string_view Event,
                          std::string_view Fields) const {
@@ -219,6 +220,7 @@
   Of.State = State;
   markDirty(Of);
   m_waiting.erase(Of.Spec.Id);
+  m_approvals.forget(Of.Spec.Id);
   for (int Group : Of.Groups)
     m_harm.forget(Group);
   if (State != JobState::Completed)
@@ -428,9 +430,10 @@
 }
 
 JobShard::JobShard(JobShardOptions Options, RowStore &Store,
-                   TaskWorkers &Workers, const Clock &Time)
-    : m_impl(std::make_shared<Impl>(std::move(Options), Store, Workers, Time)) {
-}
+                   TaskWorkers &Workers, ApprovalService *Approvals,
+                   const Clock &Time)
+    : m_impl(std::make_shared<Impl>(std::move(Options), Store, Workers,
+                                    Approvals, Time)) {}
 JobShard::~JobShard() = default;
 void JobShard::load() { m_impl->load(); }
 void JobShard::setWorkers(std::vector<WorkerEntry> Own,
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -20,7 +20,7 @@
 class JobShard::Impl : public std::enable_shared_from_this<JobShard::Impl> {
 public:
   Impl(JobShardOptions Options, RowStore &Store, TaskWorkers &Workers,
-       const Clock &Time);
+       ApprovalService *Approvals, const Clock &Time);
 
   // Rows.
   void load();
@@ -34,7 +34,10 @@
   uint64_t epoch() const { return m_options.Epoch; }
   bool isSettled() const;
   bool isLost() const { return m_lost; }
-  const JobShardCounts &counts() const { return m_counts; }
+  const JobShardCounts &counts() {
+    m_counts.ApprovalCalls = m_approvals.calls();
+    return m_counts;
+  }
 
 private:
   /// Order in which waiting jobs are served: kind of room, lateness, priority,
@@ -122,6 +125,12 @@
   static bool sharesRack(const WorkerSlot &A, const WorkerSlot &B);
   void failIfImpossible(JobEntry &Of, int Position);
   bool isAllowed(const Spot &At, const JobEntry &Of, int Position) const;
+  /// All but the approval that the queue may want.
+  bool couldRun(const Spot &At, const JobEntry &Of, int Position) const;
+  bool needsApproval(const JobEntry &Of) const;
+  bool isApproved(const Spot &At, const JobEntry &Of, int Position) const;
+  void askForApproval(const std::vector<Spot> &Spots, const JobEntry &Of,
+                      int Position, size_t Tasks);
   bool canEverFit(const JobEntry &Of, int Position) const;
   int countOnWorker(const WorkerSlot &At, const JobEntry &Of,
                     int Position) const;
@@ -172,6 +181,7 @@
   /// Every queue that was ever configured; jobs outlive their queue.
   JobQueues m_queues;
   InterferenceModel m_harm;
+  ApprovalBook m_approvals;
   std::map<std::string, TaskKind> m_kinds;
   LoadGroup m_nextGroup = 0;
   /// The model has changed since it was stored.
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -51,6 +51,10 @@
                    .LeaseUntil = Held.StartUntil,
                    .Epoch = m_options.Epoch,
                    .Checkpoint = Step.Checkpointing ? Task.Checkpoint : ""};
+  const std::string *Ticket = m_approvals.ticket(
+      Of.stepName(Position), {.Worker = At.Entry.Id, .Born = At.Born});
+  if (Ticket)
+    Order.Ticket = *Ticket;
   m_workers.start(At.Entry, std::move(Order),
                   [Weak = weak_from_this(), Id = At.Entry.Id,
                    Key](Result<StartReply> Answer) {
@@ -98,6 +102,11 @@
           Answer.has_value() ? static_cast<int>(Answer.value().Outcome) : -1));
   bool Fenced =
       Answer.has_value() && Answer.value().Outcome == StartOutcome::Fenced;
+  if (Answer.has_value() && Answer.value().Outcome == StartOutcome::NoApproval)
+    m_approvals.reject({.Job = Key.first.Job,
+                        .Occurrence = Key.first.Occurrence,
+                        .Step = Key.first.Step},
+                       {.Worker = Worker, .Born = At.Born});
   release(At, Key, "start_refused");
   if (Fenced)
     lose("fenced");
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -91,6 +91,10 @@
       if (Placed)
         continue;
       Hopeless.insert(Step);
+      if (needsApproval(Of)) {
+        askForApproval(Spots, Of, Position, Positions.size());
+        continue;
+      }
       ++HopelessSteps;
       noteRejected(Rejected, Of, Position);
       if (Now > Task.WaitingSince + KeepRoomAfter)
@@ -235,6 +239,44 @@
 
 bool JobShard::Impl::isAllowed(const Spot &At, const JobEntry &Of,
                                int Position) const {
+  return couldRun(At, Of, Position) && isApproved(At, Of, Position);
+}
+
+bool JobShard::Impl::needsApproval(const JobEntry &Of) const {
+  const JobQueue *Queue = queueOf(Of);
+  return Queue && Queue->needsApproval();
+}
+
+bool JobShard::Impl::isApproved(const Spot &At, const JobEntry &Of,
+                                int Position) const {
+  if (!needsApproval(Of))
+    return true;
+  ApprovalCandidate Candidate{.Worker = At.Slot->Entry.Id,
+                              .Born = At.Slot->Born};
+  return m_approvals.ticket(Of.stepName(Position), Candidate) != nullptr;
+}
+
+// Asks only where the task would fit, and does not hold back other work.
+void JobShard::Impl::askForApproval(const std::vector<Spot> &Spots,
+                                    const JobEntry &Of, int Position,
+                                    size_t Tasks) {
+  std::vector<std::pair<double, ApprovalCandidate>> Fitting;
+  for (const Spot &Each : Spots)
+    if (couldRun(Each, Of, Position))
+      Fitting.push_back(
+          {cost(Each, Of, Position, headroomWith(Each, Of, Position)),
+           {.Worker = Each.Slot->Entry.Id, .Born = Each.Slot->Born}});
+  std::sort(Fitting.begin(), Fitting.end(),
+            [](const auto &A, const auto &B) { return A.first < B.first; });
+  std::vector<ApprovalCandidate> Candidates;
+  for (auto &[Cost, Candidate] : Fitting)
+    Candidates.push_back(std::move(Candidate));
+  m_approvals.want(Of.stepName(Position), Tasks, queueOf(Of)->ApprovalValidity,
+                   Candidates);
+}
+
+bool JobShard::Impl::couldRun(const Spot &At, const JobEntry &Of,
+                              int Position) const {
   const JobQueue *Queue = queueOf(Of);
   const JobStep &Step = Of.stepOf(Position);
   if (!Queue || At.Slot->Entry.Service != Queue->Service)
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -17,9 +17,10 @@
 } // namespace
 
 JobHost::JobHost(JobHostOptions Options, RowStore &Store, TaskWorkers &Workers,
-                 const Clock &Time)
+                 ApprovalService *Approvals, const Clock &Time)
     : m_options(std::move(Options)), m_store(Store), m_workers(Workers),
-      m_time(Time), m_queues(std::make_shared<JobQueues>()),
+      m_approvals(Approvals), m_time(Time),
+      m_queues(std::make_shared<JobQueues>()),
       m_cluster(clusterOptions(), Store, Time),
       m_desk({.Shards = m_options.Shards,
               .After = m_options.After,
@@ -55,7 +56,7 @@
   Options.WallTime = m_options.WallTime;
   Options.Log = m_options.Log;
   auto Fresh = std::make_unique<JobShard>(std::move(Options), m_store,
-                                          m_workers, m_time);
+                                          m_workers, m_approvals, m_time);
   Fresh->setQueues(m_queues);
   m_shards[Shard] = std::move(Fresh);
   giveWorkers(Shard);
@@ -132,6 +133,7 @@
     Out.EndsDone += Each.EndsDone;
     Out.EndsOther += Each.EndsOther;
     Out.Unanswered += Each.Unanswered;
+    Out.ApprovalCalls += Each.ApprovalCalls;
   }
   return Out;
 }
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -35,8 +35,9 @@
 /// several threads.
 class JobHost {
 public:
+  /// \p Approvals may be null; then work that needs approval waits.
   JobHost(JobHostOptions Options, RowStore &Store, TaskWorkers &Workers,
-          const Clock &Time);
+          ApprovalService *Approvals, const Clock &Time);
 
   void start() { m_cluster.start(); }
   void tick();
@@ -67,6 +68,7 @@
   JobHostOptions m_options;
   RowStore &m_store;
   TaskWorkers &m_workers;
+  ApprovalService *m_approvals;
   const Clock &m_time;
   std::map<int, std::unique_ptr<JobShard>> m_shards;
   std::vector<WorkerEntry> m_fleet;
--- a/src/libjobhost/jobhost_test.cpp
+++ b/src/libjobhost/jobhost_test.cpp
@@ -340,3 +340,52 @@
   CHECK(Bed.Oracle.starts() == 2);
   CHECK(ends(Bed, "timed", JobState::Completed, 3s));
 }
+
+// Half of the workers may not run the queue's steps, and tickets end while the
+// job still has tasks to start.
+TEST_CASE("Steps that need approval run only where they are approved") {
+  JobBed Bed({.ApprovalValidity = 1500ms});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 4, 12, 900ms)).has_value());
+  CHECK(ends(Bed, "a", JobState::Completed, 30s));
+  CHECK(Bed.Oracle.starts() == 48);
+  // A call for each step, and some more for tickets that ended.
+  CHECK(Bed.ApprovalCalls >= 4);
+  CHECK(Bed.ApprovalCalls <= 24);
+  checkClean(Bed);
+}
+
+TEST_CASE("A reborn worker is approved anew") {
+  JobBed Bed({.Workers = 2, .ApprovalValidity = 60s});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 3, 2, 2s)).has_value());
+  Bed.run(1s);
+  // Only w0 is approved.
+  Bed.worker(0).crash();
+  CHECK(ends(Bed, "a", JobState::Completed, 40s));
+  checkClean(Bed);
+}
+
+TEST_CASE("Work waits while nobody approves, and goes on afterwards") {
+  JobBed Bed({.ApprovalValidity = 3s});
+  Bed.ApprovalsDown = true;
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 4)).has_value());
+  Bed.run(5s);
+  CHECK(Bed.Oracle.starts() == 0);
+  CHECK(Bed.ApprovalCalls > 3);
+  CHECK(Bed.ApprovalCalls < 25);
+  Bed.ApprovalsDown = false;
+  CHECK(ends(Bed, "a", JobState::Completed, 5s));
+  checkClean(Bed);
+}
+
+TEST_CASE("Approvals survive the owner's death") {
+  JobBed Bed({.ApprovalValidity = 2s});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 3, 8, 1s)).has_value());
+  Bed.run(1200ms);
+  Bed.kill(Bed.owner());
+  CHECK(ends(Bed, "a", JobState::Completed, 40s));
+  checkClean(Bed);
+}
--- a/src/testing/jobbed.cpp
+++ b/src/testing/jobbed.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds OrderTimeout{500};
 constexpr milliseconds LookPoll{20};
 constexpr milliseconds Patience{2800};
+constexpr milliseconds ApprovalTime{20};
 constexpr const char *Queue = "queue";
 constexpr const char *Service = "service";
 
@@ -33,6 +34,25 @@
   return Out;
 }
 
+void ModelApprovals::ask(const StepName &Step, std::vector<std::string> Workers,
+                         Done Answer) {
+  ++m_bed.ApprovalCalls;
+  if (m_bed.ApprovalsDown) {
+    m_bed.deliver(m_host, OrderTimeout, [Answer] {
+      Answer(makeError(ResultCode::Overloaded, "too many calls wait"));
+    });
+    return;
+  }
+  std::vector<Approval> Out;
+  for (const std::string &Each : Workers) {
+    ModelWorker *At = m_bed.workerById(Each);
+    if (At && At->approves(Step))
+      Out.push_back({.Worker = Each, .Ticket = At->ticketFor(Step)});
+  }
+  milliseconds Took = ApprovalTime * (1 + static_cast<int>(Workers.size()));
+  m_bed.deliver(m_host, Took, [Answer, Out] { Answer(Out); });
+}
+
 void HostTaskWorkers::start(const WorkerEntry &To, StartOrder Order,
                             StartDone Done) {
   ModelWorker *At = m_bed.workerById(To.Id);
@@ -114,7 +134,8 @@
                       .Service = Service,
                       .MaxAttempts = Options.MaxAttempts,
                       .SlackFactor = 2,
-                      .TargetDuration = milliseconds(1000)};
+                      .TargetDuration = milliseconds(1000),
+                      .ApprovalValidity = Options.ApprovalValidity};
   m_queues = Queues;
   for (int Each = 0; Each < Options.Workers; ++Each) {
     m_workers.push_back(std::make_unique<ModelWorker>(
@@ -123,6 +144,8 @@
                     .Capacity = Options.WorkerCapacity},
         Oracle, [this] { return now(); }));
     m_workers.back()->FailPercent = Options.FailPercent;
+    m_workers.back()->NeedsTicket = Options.ApprovalValidity.count() > 0;
+    m_workers.back()->Approved = Each % 2 == 0;
   }
   for (int Each = 0; Each < Options.Hosts; ++Each)
     boot(Each);
@@ -160,10 +183,12 @@
   if (To.Store) {
     m_formerStores.push_back(std::move(To.Store));
     m_formerWorkers.push_back(std::move(To.Workers));
+    m_formerApprovals.push_back(std::move(To.Approvals));
   }
   To.Store = std::make_unique<HostRowStore>(Store, Deliver);
   To.Store->Refused = Refused;
   To.Workers = std::make_unique<HostTaskWorkers>(*this, Index);
+  To.Approvals = std::make_unique<ModelApprovals>(*this, Index);
   To.Core = std::make_unique<JobHost>(
       JobHostOptions{
           .HostName = fmt::format("host-{}", Index),
@@ -179,7 +204,7 @@
               [this, Index](std::string_view Event, std::string_view Fields) {
                 trace(Index, Event, Fields);
               }},
-      *To.Store, *To.Workers, m_clock);
+      *To.Store, *To.Workers, To.Approvals.get(), m_clock);
   trace(Index, "booted", "");
   To.Core->setQueues(m_queues);
   To.Core->start();
--- a/src/testing/jobbed.h
+++ b/src/testing/jobbed.h
@@ -22,6 +22,9 @@
   Resources WorkerCapacity{.Millicores = 8000, .MemoryMib = 16000};
   int FailPercent = 0;
   int MaxAttempts = 3;
+  /// Time that an approval holds; zero if the queue needs none. Every other
+  /// worker is approved.
+  milliseconds ApprovalValidity{0};
   uint64_t Seed = 1;
   /// Prints every decision with its time and host.
   bool Trace = false;
@@ -43,10 +46,23 @@
   int m_host;
 };
 
+/// The approval service, as one host reaches it. Approves every other worker.
+class ModelApprovals : public ApprovalService {
+public:
+  ModelApprovals(JobBed &Bed, int Host) : m_bed(Bed), m_host(Host) {}
+  void ask(const StepName &Step, std::vector<std::string> Workers,
+           Done Answer) override;
+
+private:
+  JobBed &m_bed;
+  int m_host;
+};
+
 /// One host under test.
 struct JobBedHost {
   std::unique_ptr<HostRowStore> Store;
   std::unique_ptr<HostTaskWorkers> Workers;
+  std::unique_ptr<ModelApprovals> Approvals;
   std::unique_ptr<JobHost> Core;
   int Life = 0;
   bool Frozen = false;
@@ -94,6 +110,9 @@
 
   JobOracle Oracle;
   ModelStore Store;
+  /// Calls for approval from all hosts; while it is down they are refused.
+  int ApprovalCalls = 0;
+  bool ApprovalsDown = false;
 
 private:
   struct Event {
@@ -118,6 +137,7 @@
   /// Ports of processes that died; their last calls are still under way.
   std::vector<std::unique_ptr<HostRowStore>> m_formerStores;
   std::vector<std::unique_ptr<HostTaskWorkers>> m_formerWorkers;
+  std::vector<std::unique_ptr<ModelApprovals>> m_formerApprovals;
   std::shared_ptr<const JobQueues> m_queues;
 };
 
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -143,6 +143,11 @@
     end(Task, How);
 }
 
+std::string ModelWorker::ticketFor(const StepName &Step) const {
+  return fmt::format("{}.{}.{}@{}#{}", Step.Job, Step.Occurrence, Step.Step,
+                     Entry.Id, m_born.time_since_epoch().count());
+}
+
 Result<StartReply> ModelWorker::start(const StartOrder &Order) {
   advance();
   StartReply Out{.Clock = clock()};
@@ -162,6 +167,14 @@
     Out.Outcome = StartOutcome::OldRun;
     return Out;
   }
+  StepName OfStep{.Job = Order.Task.Job,
+                  .Occurrence = Order.Task.Occurrence,
+                  .Step = Order.Task.Step};
+  bool HasTicket = Approved && Order.Ticket == ticketFor(OfStep);
+  if (NeedsTicket && !HasTicket) {
+    Out.Outcome = StartOutcome::NoApproval;
+    return Out;
+  }
   m_leaseUntil = std::max(m_leaseUntil, Order.LeaseUntil);
   const JobStep *Step = stepOf(m_oracle.job(Order.Task.Job), Order.Task);
   Present Run{.Run = Order.Run,
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -3,6 +3,7 @@
 /// them.
 #pragma once
 
+#include "basilchute/approval.h"
 #include "basilchute/taskworker.h"
 #include "testing/modelstore.h"
 
@@ -75,12 +76,18 @@
   int LatePercent = 0;
   /// Runs, in percent, that fail.
   int FailPercent = 0;
+  /// Steps run here only with the ticket of this life, where it is approved.
+  bool NeedsTicket = false;
+  bool Approved = true;
   /// Runs here make no progress.
   bool Hangs = false;
 
   Result<StartReply> start(const StartOrder &Order);
   Status stop(const StopOrder &Order);
   Result<LookReply> look(const LookOrder &Order);
+  /// What the approval service says of the worker for any step.
+  bool approves(const StepName &) const { return Approved; }
+  std::string ticketFor(const StepName &Step) const;
   /// Ends runs whose work or lease is over.
   void advance();
   bool hasUnnoted() const { return !m_ended.empty(); }
