--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -25,7 +25,7 @@
   /// Time for which a look extends the runs on a worker.
   milliseconds Lease{6000};
   /// Time that a start order stays valid.
-  milliseconds StartLease{1200};
+  milliseconds StartLease{500};
   /// Longest time that a look waits at the worker.
   milliseconds LookWait{1000};
   /// The same on a worker where latency is watched.
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -32,6 +32,10 @@
   TimePoint NotBefore{};
   /// The present run was ordered and certainly did not begin.
   bool NeverRan = false;
+  /// Time of the run that ended done; zero if it is not known.
+  milliseconds Took{0};
+  /// Runs that were stopped for their slowness.
+  int SlowMoves = 0;
   /// When the task became ready, or was put back.
   TimePoint WaitingSince{};
 };
@@ -52,6 +56,8 @@
   std::vector<TaskState> Tasks;
   /// Kind of each step's tasks.
   std::vector<int> Kinds;
+  /// Class of each step's tasks.
+  std::vector<int> Classes;
   /// Load group of each step's tasks.
   std::vector<int> Groups;
   /// Millicores times seconds of the whole job, by the submitter's estimates.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -185,6 +185,7 @@
   JobEntry &Entry = Added->second;
   for (const JobStep &Each : Spec.Steps) {
     Entry.Kinds.push_back(kindOf(Each.Image));
+    Entry.Classes.push_back(classOf(Spec.Queue, Each.Image));
     Entry.Groups.push_back(m_nextGroup++);
   }
   auto Mean = m_meanWork.try_emplace(Spec.Queue, Entry.TotalWork).first;
@@ -208,6 +209,12 @@
   return m_kinds.try_emplace(Image, Next).first->second;
 }
 
+TaskClass JobShard::Impl::classOf(const std::string &Queue,
+                                  const std::string &Image) {
+  auto Next = static_cast<TaskClass>(m_classes.size());
+  return m_classes.try_emplace({Queue, Image}, Next).first->second;
+}
+
 void JobShard::Impl::cancelJob(const std::string &Id) {
   JobEntry *Entry = find(Id);
   if (!Entry || isFinal(Entry->State))
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -2,8 +2,9 @@
 /// The parts of JobShard: jobshard.cpp holds rows, jobshard_look.cpp what
 /// workers say, jobshard_rank.cpp the order of waiting work, jobshard_place.cpp
 /// and jobshard_gang.cpp its place, jobshard_orders.cpp what workers are told,
-/// jobshard_harm.cpp how fill tasks are paced beside serving ones,
-/// jobshard_move.cpp what has to leave a worker.
+/// jobshard_slow.cpp what is too slow where it runs, jobshard_harm.cpp how fill
+/// tasks are paced beside serving ones, jobshard_move.cpp what has to leave a
+/// worker.
 #pragma once
 
 #include "basilchute/interference.h"
@@ -63,6 +64,7 @@
   void onJobRow(const PlacedRow &Row);
   void addJob(const Job &Spec, uint64_t Version, const JobProgress *Stored);
   TaskKind kindOf(const std::string &Image);
+  TaskClass classOf(const std::string &Queue, const std::string &Image);
   void cancelJob(const std::string &Id);
   void endJob(JobEntry &Of, JobState State, std::string_view Why);
   void markDirty(JobEntry &Of);
@@ -159,6 +161,11 @@
   std::string whyFillWaits(const std::vector<Spot> &Spots) const;
   static bool isFull(const Spot &At);
   void learn(WorkerSlot &At);
+  static bool showsSpeed(const HeldRun &Run);
+  void leaveSlowRuns(WorkerSlot &At);
+  void learnSpeed(const HeldRun &Run, TaskState &Task);
+  ProgressSeen progressOf(const HeldRun &Run) const;
+  std::vector<milliseconds> siblings(const JobEntry &Of, int Position) const;
   void readModel();
   void keepModel();
   /// What the progress of a job's fill tasks is worth.
@@ -182,6 +189,8 @@
   JobQueues m_queues;
   InterferenceModel m_harm;
   ApprovalBook m_approvals;
+  ProgressWatch m_progress;
+  std::map<std::pair<std::string, std::string>, TaskClass> m_classes;
   std::map<std::string, TaskKind> m_kinds;
   LoadGroup m_nextGroup = 0;
   /// The model has changed since it was stored.
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -119,6 +119,7 @@
   for (const RunningTask &Each : Reply.Running)
     onRunning(At, Each);
   dropMissing(At, Reply, Sent);
+  leaveSlowRuns(At);
   learn(At);
   pace(At);
   At.NextLook = First ? Now : std::max(Now, Sent + m_options.LookPause);
@@ -188,7 +189,12 @@
   At.SeenEnds = Ended.Number;
   noteHealth(At, Ended.End);
   RunKey Key{Ended.Task, Ended.Run};
-  At.Held.erase(Key);
+  auto Held = At.Held.find(Key);
+  std::optional<HeldRun> Run;
+  if (Held != At.Held.end()) {
+    Run = Held->second;
+    At.Held.erase(Held);
+  }
   JobEntry *Of = find(Ended.Task.Job);
   int Position = Of ? Of->positionOf(Ended.Task) : -1;
   if (Position < 0)
@@ -198,6 +204,8 @@
   else
     ++m_counts.EndsOther;
   TaskState &Task = Of->Tasks[static_cast<size_t>(Position)];
+  if (Run && Ended.End == RunEnd::Done)
+    learnSpeed(*Run, Task);
   if (!Ended.Checkpoint.empty() && Ended.Run >= Task.Run &&
       Of->stepOf(Position).Checkpointing)
     Task.Checkpoint = Ended.Checkpoint;
@@ -314,6 +322,9 @@
                .Confirmed = m_time.now(),
                .Percent = Run.Percent,
                .Usage = Run.Usage,
+               .Began = m_time.now(),
+               .BeganPercent = Run.Percent,
+               .Adopted = true,
                .Moved = m_time.now()};
   JobEntry *Of = find(Run.Task.Job);
   int Position = Of ? Of->positionOf(Run.Task) : -1;
@@ -325,6 +336,7 @@
     Held.FillMillicores = Step.Fills ? Step.Demand.Millicores : 0;
     Held.TailTarget = Step.TailTarget;
     Held.Kind = Of->Kinds[static_cast<size_t>(Run.Task.Step)];
+    Held.Class = Of->Classes[static_cast<size_t>(Run.Task.Step)];
     Held.Group = Of->Groups[static_cast<size_t>(Run.Task.Step)];
     TaskState &Task = Of->Tasks[static_cast<size_t>(Position)];
     Wanted = !isFinal(Of->State) && Task.Phase == TaskPhase::Waiting &&
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -31,6 +31,8 @@
                .StartUntil = At.clockAt(Now) + m_options.StartLease,
                .Confirmed = Now,
                .Kind = Of.Kinds[static_cast<size_t>(Key.first.Step)],
+               .Class = Of.Classes[static_cast<size_t>(Key.first.Step)],
+               .Began = Now,
                .Group = Of.Groups[static_cast<size_t>(Key.first.Step)],
                .Moved = Now};
   At.Held.emplace(Key, Held);
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -4,6 +4,7 @@
 
 #include "basilchute/clock.h"
 #include "basilchute/pacing.h"
+#include "basilchute/progress.h"
 #include "basilchute/taskworker.h"
 
 #include <map>
@@ -40,6 +41,13 @@
   int64_t Usage = 0;
   /// Kind of the run's task.
   TaskKind Kind = 0;
+  /// What the run's time is compared with.
+  TaskClass Class = 0;
+  /// When it was ordered, or first seen if another owner ordered it, and its
+  /// progress at that time.
+  TimePoint Began{};
+  int BeganPercent = 0;
+  bool Adopted = false;
   /// Serving tasks that share the run's users.
   LoadGroup Group = 0;
   /// When its tail was first seen above the target, if it has been so since.
