Start orders are limited to what is answered in time

Change: at most 64 start orders are under way; placing a job is a function of its own. New case: 300 tasks due at once.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -111,6 +111,9 @@
 
   // What workers are told.
   void place();
+  /// Places what it can of one job; returns how many of its steps found no
+  /// place.
+  size_t placeJob(JobEntry &Of, std::vector<Spot> &Spots, Rejections &Rejected);
   bool isLikeRejected(const Rejections &Rejected, const JobEntry &Of,
                       int Position) const;
   void noteRejected(Rejections &Rejected, const JobEntry &Of,
@@ -202,6 +205,8 @@
   std::map<std::string, std::set<int>> m_waiting;
   std::set<std::string> m_dirty;
   uint64_t m_feedFrom = 0;
+  /// Start orders without an answer yet.
+  size_t m_startsUnderWay = 0;
   bool m_loaded = false;
   bool m_lost = false;
   bool m_retired = false;
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -47,6 +47,7 @@
                     At.Entry.Id));
   }
   ++m_counts.Starts;
+  ++m_startsUnderWay;
   StartOrder Order{.Task = Key.first,
                    .Run = Key.second,
                    .Payload = Of.Spec.Payload,
@@ -67,6 +68,7 @@
 
 void JobShard::Impl::onStart(const std::string &Worker, const RunKey &Key,
                              Result<StartReply> Answer) {
+  --m_startsUnderWay;
   auto Slot = m_slots.find(Worker);
   if (Slot == m_slots.end())
     return;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -15,6 +15,9 @@
 /// round ends.
 constexpr milliseconds PlacePause{15};
 constexpr milliseconds FruitlessPause{45};
+/// Start orders under way at once. After a takeover hundreds are due; more than
+/// the host can send in time would come too late at the worker.
+constexpr size_t MostStarts = 64;
 /// Tasks that reserve what they use need room alike, whatever their kind.
 constexpr TaskKind AnyReservingKind = -1;
 constexpr size_t MostHopelessSteps = 40;
@@ -63,44 +66,11 @@
   for (const auto &[Id, Positions] : m_waiting)
     Jobs.push_back({rankOf(*find(Id)), Id});
   std::sort(Jobs.begin(), Jobs.end());
-  milliseconds Wall =
-      m_options.WallTime ? m_options.WallTime() : milliseconds(0);
   size_t HopelessSteps = 0;
   Rejections Rejected;
   for (const auto &[Rank, Id] : Jobs) {
-    JobEntry &Of = *find(Id);
-    std::set<int> Positions = m_waiting[Id];
-    // Tasks of one step are alike: if one finds no room, the others do not.
-    std::set<int> Hopeless;
-    for (int Position : Positions) {
-      TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
-      int Step = Of.nameOf(Position).Step;
-      if (isFinal(Of.State))
-        break;
-      if (!m_waiting.count(Id) || !m_waiting[Id].count(Position))
-        continue;
-      if (Task.NotBefore > Now || Hopeless.count(Step) ||
-          Of.dueAt(Position) > Wall)
-        continue;
-      if (isLikeRejected(Rejected, Of, Position)) {
-        Hopeless.insert(Step);
-        continue;
-      }
-      bool Placed = Of.stepOf(Position).Gang ? placeGang(Spots, Of, Position)
-                                             : placeOne(Spots, Of, Position);
-      if (Placed)
-        continue;
-      Hopeless.insert(Step);
-      if (needsApproval(Of)) {
-        askForApproval(Spots, Of, Position, Positions.size());
-        continue;
-      }
-      ++HopelessSteps;
-      noteRejected(Rejected, Of, Position);
-      if (Now > Task.WaitingSince + KeepRoomAfter)
-        keepRoom(Spots, Of, Position);
-    }
-    if (HopelessSteps >= MostHopelessSteps)
+    HopelessSteps += placeJob(*find(Id), Spots, Rejected);
+    if (HopelessSteps >= MostHopelessSteps || m_startsUnderWay >= MostStarts)
       break;
   }
   // Nothing that waits found a place: what changes that takes longer.
@@ -108,6 +78,47 @@
     m_nextPlace = Now + FruitlessPause;
 }
 
+size_t JobShard::Impl::placeJob(JobEntry &Of, std::vector<Spot> &Spots,
+                                Rejections &Rejected) {
+  TimePoint Now = m_time.now();
+  milliseconds Wall =
+      m_options.WallTime ? m_options.WallTime() : milliseconds(0);
+  const std::string &Id = Of.Spec.Id;
+  std::set<int> Positions = m_waiting[Id];
+  // Tasks of one step are alike: if one finds no room, the others do not.
+  std::set<int> Hopeless;
+  size_t Weighed = 0;
+  for (int Position : Positions) {
+    TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
+    int Step = Of.nameOf(Position).Step;
+    if (isFinal(Of.State) || m_startsUnderWay >= MostStarts)
+      break;
+    if (!m_waiting.count(Id) || !m_waiting[Id].count(Position))
+      continue;
+    if (Task.NotBefore > Now || Hopeless.count(Step) ||
+        Of.dueAt(Position) > Wall)
+      continue;
+    if (isLikeRejected(Rejected, Of, Position)) {
+      Hopeless.insert(Step);
+      continue;
+    }
+    bool Placed = Of.stepOf(Position).Gang ? placeGang(Spots, Of, Position)
+                                           : placeOne(Spots, Of, Position);
+    if (Placed)
+      continue;
+    Hopeless.insert(Step);
+    if (needsApproval(Of)) {
+      askForApproval(Spots, Of, Position, Positions.size());
+      continue;
+    }
+    ++Weighed;
+    noteRejected(Rejected, Of, Position);
+    if (Now > Task.WaitingSince + KeepRoomAfter)
+      keepRoom(Spots, Of, Position);
+  }
+  return Weighed;
+}
+
 // Where one task found no place, another that takes as much finds none either;
 // of fill tasks that holds within a kind. Without this a backlog would use up
 // the round, and what could run would wait behind it beside idle cores.
--- a/src/libjobhost/jobhost_test.cpp
+++ b/src/libjobhost/jobhost_test.cpp
@@ -389,3 +389,17 @@
   CHECK(ends(Bed, "a", JobState::Completed, 40s));
   checkClean(Bed);
 }
+
+// After a takeover hundreds of tasks are due. Sent at once they came to the
+// workers after their lease, were refused, and had to be sent again.
+TEST_CASE("Starts that are due are sent no faster than they are answered") {
+  JobBed Bed({.Workers = 40});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 300, 2s)).has_value());
+  CHECK(ends(Bed, "a", JobState::Completed, 20s));
+  int Most = Bed.host(Bed.owner()).Workers->mostStarts();
+  CHECK(Most <= 64);
+  CHECK(Most >= 32);
+  CHECK(Bed.Oracle.starts() == 300);
+  checkClean(Bed);
+}
--- a/src/testing/jobbed.cpp
+++ b/src/testing/jobbed.cpp
@@ -1,5 +1,6 @@
 #include "testing/jobbed.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <optional>
 
@@ -54,7 +55,12 @@
 }
 
 void HostTaskWorkers::start(const WorkerEntry &To, StartOrder Order,
-                            StartDone Done) {
+                            StartDone Answered) {
+  m_mostStarts = std::max(m_mostStarts, ++m_starts);
+  StartDone Done = [this, Answered](Result<StartReply> Answer) {
+    --m_starts;
+    Answered(std::move(Answer));
+  };
   ModelWorker *At = m_bed.workerById(To.Id);
   if (!At || At->Down || m_bed.host(m_host).CutWorkers.count(To.Id)) {
     m_bed.deliver(m_host, OrderTimeout, [Done] { Done(noAnswer()); });
--- a/src/testing/jobbed.h
+++ b/src/testing/jobbed.h
@@ -40,10 +40,14 @@
   void stop(const WorkerEntry &To, StopOrder Order, OrderDone Done) override;
   void pace(const WorkerEntry &To, PaceOrder Order, OrderDone Done) override;
   void look(const WorkerEntry &To, LookOrder Order, LookDone Done) override;
+  /// Most start orders that were without an answer at the same time.
+  int mostStarts() const { return m_mostStarts; }
 
 private:
   JobBed &m_bed;
   int m_host;
+  int m_starts = 0;
+  int m_mostStarts = 0;
 };
 
 /// The approval service, as one host reaches it. Approves every other worker.
