--- a/src/libbasilchute/jobshard_harm.cpp
+++ b/src/libbasilchute/jobshard_harm.cpp
@@ -157,7 +157,7 @@
     if (!Self || Answer.has_value())
       return;
     Self->log("model_not_kept",
-              fmt::format("shard={} code={}", Self->m_options.Shard,
+              fmt::format("shard={} result={}", Self->m_options.Shard,
                           resultCodeName(Answer.error().Code)));
   });
 }
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -137,7 +137,7 @@
   ++At.MissedLooks;
   if (At.MissedLooks == 1)
     log("worker_silent",
-        fmt::format("worker={} shard={} code={} message=\"{}\"", At.Entry.Id,
+        fmt::format("worker={} shard={} result={} message=\"{}\"", At.Entry.Id,
                     m_options.Shard, resultCodeName(Why.Code), Why.Message));
   At.NextLook = Now + MissedLookPause;
   // Another life at this address: the runs of the former one are gone.
