Paces are planned 400 ms ahead, places 800 ms

Cause: the forecast extends a group's rate, so that a long look ahead slows fill tasks for falls of headroom that do not come.

--- a/src/libbasilchute/jobshard_harm.cpp
+++ b/src/libbasilchute/jobshard_harm.cpp
@@ -15,7 +15,7 @@
 /// Paces of one worker are not planned anew sooner.
 constexpr milliseconds PacePause{200};
 /// Time until a change of pace shows in the measurements and can be mended.
-constexpr milliseconds PaceAhead{1000};
+constexpr milliseconds PaceAhead{400};
 /// Part of a worker that all its tasks may use together.
 constexpr double MostLoad = 1.1;
 /// Time between two rows of what was learned.
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -34,7 +34,7 @@
 /// A fill task waits rather than join a worker with less headroom ...
 constexpr double LeastHeadroom = 1.15;
 /// Time for which a fill task is meant to go on undisturbed.
-constexpr milliseconds PlaceAhead{1500};
+constexpr milliseconds PlaceAhead{800};
 /// Headroom of a serving task that has not begun.
 constexpr double NewHeadroom = 2.0;
 /// Cost of a worker where all serving tasks are of other kinds.
