--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -307,8 +307,9 @@
       markDirty(*find(Id));
     m_commitNotBefore = m_time.now() + RetryPause;
     log("commit_failed",
-        fmt::format("shard={} jobs={} result={} message=\"{}\"", m_options.Shard,
-                    Jobs.size(), resultCodeName(Answer.error().Code),
+        fmt::format("shard={} jobs={} result={} message=\"{}\"",
+                    m_options.Shard, Jobs.size(),
+                    resultCodeName(Answer.error().Code),
                     Answer.error().Message));
     if (Answer.error().Code == ResultCode::Conflict)
       recheck();
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -294,8 +294,6 @@
     Held.Phase = RunPhase::Running;
   if (Held.Phase == RunPhase::Stopping && Now > Held.StopSent + StopRepeat)
     stop(At, Key);
-  if (Held.Percent != Run.Percent)
-    Held.Moved = Now;
   Held.Percent = Run.Percent;
   Held.Usage = Run.Usage;
   bool Over = Held.TailTarget.count() > 0 && Held.Percent == 100 &&
@@ -324,8 +322,7 @@
                .Usage = Run.Usage,
                .Began = m_time.now(),
                .BeganPercent = Run.Percent,
-               .Adopted = true,
-               .Moved = m_time.now()};
+               .Adopted = true};
   JobEntry *Of = find(Run.Task.Job);
   int Position = Of ? Of->positionOf(Run.Task) : -1;
   bool Wanted = false;
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// A worker that has not answered for this long gets no starts.
-constexpr milliseconds FreshEnough{2600};
 constexpr milliseconds RefusedPause{250};
 constexpr milliseconds UnansweredPause{250};
 
@@ -33,8 +31,7 @@
                .Kind = Of.Kinds[static_cast<size_t>(Key.first.Step)],
                .Class = Of.Classes[static_cast<size_t>(Key.first.Step)],
                .Began = Now,
-               .Group = Of.Groups[static_cast<size_t>(Key.first.Step)],
-               .Moved = Now};
+               .Group = Of.Groups[static_cast<size_t>(Key.first.Step)]};
   At.Held.emplace(Key, Held);
   At.LeaseEnd = std::max(At.LeaseEnd, Now + m_options.StartLease * 2);
   if (!Of.hasStarted()) {
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -9,18 +9,16 @@
 
 /// A worker that has not answered for this long gets no starts.
 constexpr milliseconds FreshEnough{2600};
-constexpr milliseconds RefusedPause{250};
-constexpr milliseconds UnansweredPause{250};
-/// Least time between two rounds, and steps without a place after which a
-/// round ends.
+/// Least time between two rounds, and after one that placed nothing.
 constexpr milliseconds PlacePause{15};
 constexpr milliseconds FruitlessPause{45};
+/// Steps without a place after which a round ends.
+constexpr size_t MostHopelessSteps = 40;
 /// Start orders under way at once. After a takeover hundreds are due; more than
 /// the host can send in time would come too late at the worker.
 constexpr size_t MostStarts = 64;
 /// Tasks that reserve what they use need room alike, whatever their kind.
 constexpr TaskKind AnyReservingKind = -1;
-constexpr size_t MostHopelessSteps = 40;
 /// A task that found no room for this long has room kept for it.
 constexpr milliseconds KeepRoomAfter{800};
 /// A job is refused as impossible only after this, since the list of workers
@@ -33,20 +31,20 @@
 constexpr double HarmBelow = 1.6;
 /// A fill task waits rather than join a worker with less headroom ...
 constexpr double LeastHeadroom = 1.15;
-/// Time for which a fill task is meant to go on undisturbed.
+/// ... within this time, or one that is expected to use this part of its
+/// processors already.
 constexpr milliseconds PlaceAhead{800};
+constexpr double MostFillLoad = 1.1;
+/// One part in this many of a worker's memory is not for fill tasks.
+constexpr int64_t FillMemoryPart = 8;
 /// Headroom of a serving task that has not begun.
 constexpr double NewHeadroom = 2.0;
 /// Cost of a worker where all serving tasks are of other kinds.
 constexpr double StrangerCost = 2.0;
-/// Gain of a full worker over an empty one for serving tasks.
-constexpr double PackingGain = 0.2;
 /// Gain of a worker that can take all serving tasks of a step.
 constexpr double TogetherGain = 2.0;
-/// ... or where as much work is present as this part of the worker ...
-constexpr double MostFillLoad = 1.1;
-/// One part in this many of a worker's memory is not for fill tasks.
-constexpr int64_t FillMemoryPart = 8;
+/// Gain of a full worker over an empty one for serving tasks.
+constexpr double PackingGain = 0.2;
 /// Cost of a worker where the same task failed or was lost before.
 constexpr double SameWorkerCost = 3.0;
 
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -56,8 +56,6 @@
   int Pace = 100;
   /// When it was told to work at that share.
   TimePoint PacedAt{};
-  /// When its progress last changed.
-  TimePoint Moved{};
   /// When a stop was last sent.
   TimePoint StopSent{};
 
