--- a/src/libjobhost/jobhost_test.cpp
+++ b/src/libjobhost/jobhost_test.cpp
@@ -403,3 +403,27 @@
   CHECK(Bed.Oracle.starts() == 300);
   checkClean(Bed);
 }
+
+// A round of placing weighs a bounded number of steps. A backlog that finds no
+// room must not use it up, or what fits waits behind it beside idle cores.
+TEST_CASE("A task that fits does not wait behind a backlog that does not") {
+  JobBed Bed({.Workers = 2});
+  Bed.run(3s);
+  Job Blocker = chainJob("blocker", 1, 2, 20s);
+  Blocker.Steps[0].Demand.Millicores = 6000;
+  // So that no room is kept for the large tasks, which can never fit beside it.
+  Blocker.Steps[0].LongRunning = true;
+  CHECK(Bed.submit(0, Blocker).has_value());
+  Bed.run(300ms);
+  REQUIRE(Bed.Oracle.starts() == 2);
+  for (int Each = 0; Each < 60; ++Each) {
+    Job Large = chainJob("large" + std::to_string(Each), 1, 1, 4s);
+    Large.Steps[0].Demand.Millicores = 4000;
+    CHECK(Bed.submit(0, Large).has_value());
+  }
+  Bed.run(1200ms);
+  // Ranked behind the others, since it is the most work.
+  CHECK(Bed.submit(0, chainJob("small", 1, 1, 60s)).has_value());
+  Bed.run(1s);
+  CHECK(Bed.Oracle.starts() == 3);
+}
