--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -57,6 +57,16 @@
   uint64_t EndsOther = 0;
   uint64_t Unanswered = 0;
   uint64_t ApprovalCalls = 0;
+  /// Start orders that were answered, and the time that they took together.
+  uint64_t StartsAnswered = 0;
+  nanoseconds StartTime{0};
+  /// Start orders without an answer now.
+  uint64_t StartsUnderWay = 0;
+  /// Why rounds of placing ended: all that waited was tried, the limit of start
+  /// orders under way, or the limit of steps that found no place.
+  uint64_t RoundsWhole = 0;
+  uint64_t RoundsAtStartLimit = 0;
+  uint64_t RoundsAtStepLimit = 0;
 };
 
 /// Runs the jobs of one shard on the shard's workers.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -199,8 +199,9 @@
   if (isFinal(Entry.State))
     return;
   if (!Stored)
-    log("job_seen", fmt::format("job={} queue={} shard={}", Spec.Id, Spec.Queue,
-                                m_options.Shard));
+    log("job_seen",
+        fmt::format("job={} queue={} shard={} tasks={}", Spec.Id, Spec.Queue,
+                    m_options.Shard, Entry.Tasks.size()));
   queueReady(Entry);
 }
 
@@ -233,9 +234,9 @@
   if (State != JobState::Completed)
     stopAll(Of);
   log("job_ended",
-      fmt::format("job={} queue={} state={} why={} age_ms={}", Of.Spec.Id,
-                  Of.Spec.Queue, jobStateName(State), Why,
-                  (m_time.now() - Of.Seen) / milliseconds(1)));
+      fmt::format("job={} queue={} state={} why={} age_ms={} tasks={}",
+                  Of.Spec.Id, Of.Spec.Queue, jobStateName(State), Why,
+                  (m_time.now() - Of.Seen) / milliseconds(1), Of.Tasks.size()));
 }
 
 JobEntry *JobShard::Impl::find(const std::string &Id) {
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -37,6 +37,7 @@
   bool isLost() const { return m_lost; }
   const JobShardCounts &counts() {
     m_counts.ApprovalCalls = m_approvals.calls();
+    m_counts.StartsUnderWay = m_startsUnderWay;
     return m_counts;
   }
 
@@ -149,7 +150,7 @@
   void keepRoom(std::vector<Spot> &Spots, const JobEntry &Of, int Position);
   void evacuate();
   void start(WorkerSlot &At, JobEntry &Of, int Position);
-  void onStart(const std::string &Worker, const RunKey &Key,
+  void onStart(const std::string &Worker, const RunKey &Key, TimePoint Sent,
                Result<StartReply> Answer);
   void stop(WorkerSlot &At, const RunKey &Key);
   void stopAll(const JobEntry &Of);
@@ -161,6 +162,7 @@
   int latenessOf(const JobEntry &Of) const;
   void relocate();
   void logState();
+  std::string placingFields();
   std::string whyFillWaits(const std::vector<Spot> &Spots) const;
   static bool isFull(const Spot &At);
   void learn(WorkerSlot &At);
@@ -214,6 +216,8 @@
   TimePoint m_nextPlace{};
   TimePoint m_nextRelocate{};
   TimePoint m_nextStateLog{};
+  /// Counts at the last line of state.
+  JobShardCounts m_loggedCounts;
   TimePoint m_commitNotBefore{};
   /// So little is used that no task may wait for a better place.
   bool m_roomy = false;
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -56,16 +56,20 @@
   if (Ticket)
     Order.Ticket = *Ticket;
   m_workers.start(At.Entry, std::move(Order),
-                  [Weak = weak_from_this(), Id = At.Entry.Id,
-                   Key](Result<StartReply> Answer) {
+                  [Weak = weak_from_this(), Id = At.Entry.Id, Key,
+                   Now](Result<StartReply> Answer) {
                     if (auto Self = Weak.lock())
-                      Self->onStart(Id, Key, std::move(Answer));
+                      Self->onStart(Id, Key, Now, std::move(Answer));
                   });
 }
 
 void JobShard::Impl::onStart(const std::string &Worker, const RunKey &Key,
-                             Result<StartReply> Answer) {
+                             TimePoint Sent, Result<StartReply> Answer) {
   --m_startsUnderWay;
+  if (Answer.has_value()) {
+    ++m_counts.StartsAnswered;
+    m_counts.StartTime += m_time.now() - Sent;
+  }
   auto Slot = m_slots.find(Worker);
   if (Slot == m_slots.end())
     return;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -71,6 +71,12 @@
     if (HopelessSteps >= MostHopelessSteps || m_startsUnderWay >= MostStarts)
       break;
   }
+  if (m_startsUnderWay >= MostStarts)
+    ++m_counts.RoundsAtStartLimit;
+  else if (HopelessSteps >= MostHopelessSteps)
+    ++m_counts.RoundsAtStepLimit;
+  else
+    ++m_counts.RoundsWhole;
   // Nothing that waits found a place: what changes that takes longer.
   if (m_counts.Starts == StartsBefore && HopelessSteps > 0)
     m_nextPlace = Now + FruitlessPause;
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -148,11 +148,33 @@
   log("shard_state",
       fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
                   "free_gib={} most_gib={} waiting_short={} waiting_long={} "
-                  "waiting_fill={} fill_cores={} {}",
+                  "waiting_fill={} fill_cores={} {} {}",
                   m_options.Shard, m_slots.size(), Spots.size(),
                   Free.Millicores / 1000, Most.Millicores / 1000,
                   Free.MemoryMib / 1024, Most.MemoryMib / 1024, Waiting[0],
-                  Waiting[1], Waiting[2], Used / 1000, whyFillWaits(Spots)));
+                  Waiting[1], Waiting[2], Used / 1000, whyFillWaits(Spots),
+                  placingFields()));
+}
+
+// How rounds of placing ended since the last line, and how long a start order
+// took. Slow orders and rounds that end at the limit of starts mean that the
+// owner, not the workers, holds work back.
+std::string JobShard::Impl::placingFields() {
+  const JobShardCounts &Now = counts();
+  const JobShardCounts &Before = m_loggedCounts;
+  uint64_t Answered = Now.StartsAnswered - Before.StartsAnswered;
+  auto Took = std::chrono::duration_cast<milliseconds>(
+      (Now.StartTime - Before.StartTime) /
+      static_cast<int64_t>(std::max<uint64_t>(Answered, 1)));
+  std::string Out = fmt::format(
+      "rounds_whole={} rounds_start_limit={} rounds_step_limit={} starts={} "
+      "starts_under_way={} start_ms={}",
+      Now.RoundsWhole - Before.RoundsWhole,
+      Now.RoundsAtStartLimit - Before.RoundsAtStartLimit,
+      Now.RoundsAtStepLimit - Before.RoundsAtStepLimit,
+      Now.Starts - Before.Starts, Now.StartsUnderWay, Took.count());
+  m_loggedCounts = Now;
+  return Out;
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -134,6 +134,12 @@
     Out.EndsOther += Each.EndsOther;
     Out.Unanswered += Each.Unanswered;
     Out.ApprovalCalls += Each.ApprovalCalls;
+    Out.StartsAnswered += Each.StartsAnswered;
+    Out.StartTime += Each.StartTime;
+    Out.StartsUnderWay += Each.StartsUnderWay;
+    Out.RoundsWhole += Each.RoundsWhole;
+    Out.RoundsAtStartLimit += Each.RoundsAtStartLimit;
+    Out.RoundsAtStepLimit += Each.RoundsAtStepLimit;
   }
   return Out;
 }
--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -209,6 +209,8 @@
     curl_multi_cleanup(m_multi);
   }
 
+  uint64_t opened() const { return m_opened; }
+
   void send(ClientRequest Request, HttpClient::Done Finished) {
     auto *Fresh = new Transfer;
     Fresh->Request = std::move(Request);
@@ -254,6 +256,9 @@
       CURLcode Code = Message->data.result;
       Transfer *Of = nullptr;
       curl_easy_getinfo(Message->easy_handle, CURLINFO_PRIVATE, &Of);
+      long Opened = 0;
+      curl_easy_getinfo(Of->Easy, CURLINFO_NUM_CONNECTS, &Opened);
+      m_opened += static_cast<uint64_t>(Opened);
       curl_multi_remove_handle(m_multi, Of->Easy);
       m_active.erase(Of);
       Of->Finished(conclude(*Of, Code));
@@ -266,6 +271,7 @@
   cds_wfcq_head m_head{};
   cds_wfcq_tail m_tail{};
   std::set<Transfer *> m_active;
+  std::atomic<uint64_t> m_opened{0};
   std::atomic<bool> m_stopping{false};
   std::thread m_thread;
 };
@@ -287,6 +293,13 @@
                                               std::move(Finished));
   }
 
+  uint64_t opened() const {
+    uint64_t Out = 0;
+    for (const std::unique_ptr<ClientThread> &Each : m_threads)
+      Out += Each->opened();
+    return Out;
+  }
+
 private:
   std::vector<std::unique_ptr<ClientThread>> m_threads;
   std::atomic<size_t> m_next{0};
@@ -298,5 +311,6 @@
 void HttpClient::send(ClientRequest Request, Done Finished) {
   m_impl->send(std::move(Request), std::move(Finished));
 }
+uint64_t HttpClient::opened() const { return m_impl->opened(); }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libutil/httpclient.h
+++ b/src/libutil/httpclient.h
@@ -55,6 +55,8 @@
 
   /// Sends \p Request. Safe from any thread, without locks.
   void send(ClientRequest Request, Done Finished);
+  /// Connections opened since the start. Safe from any thread.
+  uint64_t opened() const;
 
 private:
   class Impl;
