Connections are kept for every worker, not for 256 addresses

What callers saw: SHORT; large jobs of the batch class not served.

Cause: libcurl counts busy and idle connections against one limit, 256 here. With a long poll on each of 490 workers the cache was always over it, so each answer closed the longest idle connection and each order opened one: a way more, and about three times the processor an order. Class: a constant that bounds a resource of one process without knowing what it has to serve.

Fix: the limit follows the process's descriptors (half of them); an option can set it.

Ruled out: that this alone is enough.

--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <set>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <urcu/wfcqueue.h>
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr int PollMillis = 1000;
+/// Where the process may open any number of descriptors.
+constexpr long MaxUnlimitedConnections = 16384;
 
 struct Transfer;
 
@@ -182,14 +185,23 @@
   return std::move(Of.Answer);
 }
 
+long maxConnections(const HttpClientOptions &Options) {
+  if (Options.MaxConnections > 0)
+    return Options.MaxConnections;
+  rlimit Descriptors{};
+  bool Known = getrlimit(RLIMIT_NOFILE, &Descriptors) == 0 &&
+               Descriptors.rlim_cur != RLIM_INFINITY;
+  return Known ? static_cast<long>(Descriptors.rlim_cur) / 2
+               : MaxUnlimitedConnections;
+}
+
 /// One thread with its connections.
 class ClientThread {
 public:
   explicit ClientThread(const HttpClientOptions &Options)
       : m_options(Options), m_multi(curl_multi_init()) {
     cds_wfcq_init(&m_head, &m_tail);
-    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS,
-                      m_options.MaxIdleConnections);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxConnections(m_options));
     curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       m_options.MaxConnectionsPerAddress);
     m_thread = std::thread([this] { loop(); });
--- a/src/libutil/httpclient.h
+++ b/src/libutil/httpclient.h
@@ -30,8 +30,10 @@
 struct HttpClientOptions {
   int Threads = 1;
   size_t MaxBodyBytes = 64 * 1024 * 1024;
-  /// Kept connections of one thread.
-  long MaxIdleConnections = 256;
+  /// Connections of one thread, busy or idle, above which the longest idle one
+  /// is closed. Zero stands for half of the process's descriptors, so that a
+  /// client of many addresses keeps a connection to each.
+  long MaxConnections = 0;
   /// Connections of one thread to one address; more requests wait for one.
   /// Zero sets no limit.
   long MaxConnectionsPerAddress = 0;
