Start orders under way follow the time that an order takes

What callers saw: SHORT; a backlog beside idle cores.

Cause: at most 64 start orders were under way from one owner, whatever the fleet and the way. Starts a second were 64 over the time of an order; with orders of 50 to 100 ms that is 600 to 1200 for any number of workers. Class: a constant that bounds a rate without saying of which host or fleet.

Fix: OrderWindow grows while orders do not wait for one another (mean time of an answer against the least one) and shrinks when they wait over 100 ms, a fifth of a start's lease. Answers that never come count for nothing: they tell of the worker.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -10,6 +10,7 @@
 #include "basilchute/interference.h"
 #include "basilchute/jobshard.h"
 #include "libbasilchute/jobentry.h"
+#include "libbasilchute/orderwindow.h"
 #include "libbasilchute/workerslot.h"
 
 #include <set>
@@ -37,7 +38,7 @@
   bool isLost() const { return m_lost; }
   const JobShardCounts &counts() {
     m_counts.ApprovalCalls = m_approvals.calls();
-    m_counts.StartsUnderWay = m_startsUnderWay;
+    m_counts.StartsUnderWay = m_starts.underWay();
     return m_counts;
   }
 
@@ -207,8 +208,9 @@
   std::map<std::string, std::set<int>> m_waiting;
   std::set<std::string> m_dirty;
   uint64_t m_feedFrom = 0;
-  /// Start orders without an answer yet.
-  size_t m_startsUnderWay = 0;
+  /// Start orders without an answer yet. After a takeover hundreds are due;
+  /// more than the host can send in time would come too late at the workers.
+  OrderWindow m_starts;
   bool m_loaded = false;
   bool m_lost = false;
   bool m_retired = false;
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -44,7 +44,7 @@
                     At.Entry.Id));
   }
   ++m_counts.Starts;
-  ++m_startsUnderWay;
+  m_starts.sent();
   StartOrder Order{.Task = Key.first,
                    .Run = Key.second,
                    .Payload = Of.Spec.Payload,
@@ -65,10 +65,13 @@
 
 void JobShard::Impl::onStart(const std::string &Worker, const RunKey &Key,
                              TimePoint Sent, Result<StartReply> Answer) {
-  --m_startsUnderWay;
   if (Answer.has_value()) {
+    nanoseconds Took = m_time.now() - Sent;
+    m_starts.answered(Took, m_time.now());
     ++m_counts.StartsAnswered;
-    m_counts.StartTime += m_time.now() - Sent;
+    m_counts.StartTime += Took;
+  } else {
+    m_starts.lost();
   }
   auto Slot = m_slots.find(Worker);
   if (Slot == m_slots.end())
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -14,9 +14,6 @@
 constexpr milliseconds FruitlessPause{45};
 /// Steps without a place after which a round ends.
 constexpr size_t MostHopelessSteps = 40;
-/// Start orders under way at once. After a takeover hundreds are due; more than
-/// the host can send in time would come too late at the worker.
-constexpr size_t MostStarts = 64;
 /// Tasks that reserve what they use need room alike, whatever their kind.
 constexpr TaskKind AnyReservingKind = -1;
 /// A task that found no room for this long has room kept for it.
@@ -68,10 +65,10 @@
   Rejections Rejected;
   for (const auto &[Rank, Id] : Jobs) {
     HopelessSteps += placeJob(*find(Id), Spots, Rejected);
-    if (HopelessSteps >= MostHopelessSteps || m_startsUnderWay >= MostStarts)
+    if (HopelessSteps >= MostHopelessSteps || !m_starts.isOpen())
       break;
   }
-  if (m_startsUnderWay >= MostStarts)
+  if (!m_starts.isOpen())
     ++m_counts.RoundsAtStartLimit;
   else if (HopelessSteps >= MostHopelessSteps)
     ++m_counts.RoundsAtStepLimit;
@@ -95,7 +92,7 @@
   for (int Position : Positions) {
     TaskState &Task = Of.Tasks[static_cast<size_t>(Position)];
     int Step = Of.nameOf(Position).Step;
-    if (isFinal(Of.State) || m_startsUnderWay >= MostStarts)
+    if (isFinal(Of.State) || !m_starts.isOpen())
       break;
     if (!m_waiting.count(Id) || !m_waiting[Id].count(Position))
       continue;
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -168,11 +168,12 @@
       static_cast<int64_t>(std::max<uint64_t>(Answered, 1)));
   std::string Out = fmt::format(
       "rounds_whole={} rounds_start_limit={} rounds_step_limit={} starts={} "
-      "starts_under_way={} start_ms={}",
+      "starts_under_way={} starts_limit={} start_ms={}",
       Now.RoundsWhole - Before.RoundsWhole,
       Now.RoundsAtStartLimit - Before.RoundsAtStartLimit,
       Now.RoundsAtStepLimit - Before.RoundsAtStepLimit,
-      Now.Starts - Before.Starts, Now.StartsUnderWay, Took.count());
+      Now.Starts - Before.Starts, Now.StartsUnderWay, m_starts.limit(),
+      Took.count());
   m_loggedCounts = Now;
   return Out;
 }
