In a shortage jobs lose by age, not by size

What callers saw: SHORT; of the largest tenth of the class a fifth was served, of the smallest nearly all.

Cause: waiting jobs were ranked by worth for the work that is left, with a part of the worth that any job has, so that a new small job always came before a new large one; and a job was put behind all others only once its objective had passed, so that work went into jobs that could not end in time any more. Class: starvation by size under overload.

Fix: jobs that were begun come first (by worth for the work left, as before), then the youngest; a job counts as late when what is left of its chain ends too late. Lateness and priority still come before.

--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -125,19 +125,31 @@
   });
 }
 
-milliseconds JobEntry::longestChain() const {
+milliseconds
+JobEntry::chainOf(const std::function<bool(size_t)> &Counts) const {
   std::vector<milliseconds> Ends;
   milliseconds Out{0};
-  for (const JobStep &Each : Spec.Steps) {
-    milliseconds Start{0};
+  for (size_t Step = 0; Step < Spec.Steps.size(); ++Step) {
+    const JobStep &Each = Spec.Steps[Step];
+    milliseconds End{0};
     for (int Before : Each.After)
-      Start = std::max(Start, Ends[static_cast<size_t>(Before)]);
-    Ends.push_back(Start + Each.Estimate);
-    Out = std::max(Out, Ends.back());
+      End = std::max(End, Ends[static_cast<size_t>(Before)]);
+    if (Counts(Step))
+      End += Each.Estimate;
+    Ends.push_back(End);
+    Out = std::max(Out, End);
   }
   return Out;
 }
 
+milliseconds JobEntry::longestChain() const {
+  return chainOf([](size_t) { return true; });
+}
+
+milliseconds JobEntry::chainLeft() const {
+  return chainOf([this](size_t Step) { return m_groupLeft[Step] > 0; });
+}
+
 double JobEntry::workLeft() const {
   double Out = 0;
   for (size_t Group = 0; Group < m_groupLeft.size(); ++Group) {
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -8,6 +8,7 @@
 #include "basilchute/taskworker.h"
 #include "libbasilchute/jobrows.h"
 
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -89,6 +90,8 @@
   bool allDone() const { return m_left == 0; }
   /// Time that the longest chain of steps takes, by the submitter's estimates.
   milliseconds longestChain() const;
+  /// The same for the steps that are not done; of the first occurrence.
+  milliseconds chainLeft() const;
   /// Millicores times seconds that are left, by the submitter's estimates.
   double workLeft() const;
   /// Returns true once a task has been started.
@@ -96,6 +99,7 @@
   void noteStarted() { m_started = true; }
 
 private:
+  milliseconds chainOf(const std::function<bool(size_t)> &Counts) const;
   size_t groupOf(int Position) const;
 
   int m_perOccurrence = 0;
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -44,8 +44,9 @@
 
 private:
   /// Order in which waiting jobs are served: kind of room, lateness, priority,
-  /// and work that is left.
-  using Rank = std::tuple<int, int, int, double>;
+  /// begun ones first, and within these by worth for the work that is left or
+  /// by age.
+  using Rank = std::tuple<int, int, int, int, double>;
   using Slots = std::map<std::string, WorkerSlot>;
   /// A usable worker while tasks are placed.
   struct Spot {
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -30,7 +30,8 @@
     m_waiting.erase(Found);
 }
 
-// 0: can still end in time; 1: late, but worth something; 2: worth nothing.
+// 0: can still end in time; 1: will be late, but worth something; 2: will be
+// worth nothing.
 int JobShard::Impl::latenessOf(const JobEntry &Of) const {
   const JobQueue *Queue = queueOf(Of);
   if (!Queue || Of.Spec.Repetitions > 0)
@@ -40,10 +41,10 @@
   auto Objective =
       std::chrono::duration_cast<milliseconds>(Chain * Queue->SlackFactor) +
       Queue->TargetDuration;
-  auto Age = m_time.now() - Of.Seen;
-  if (Age < Objective)
+  auto End = m_time.now() - Of.Seen + Of.chainLeft();
+  if (End < Objective)
     return 0;
-  return Age < LateFactor * Objective ? 1 : 2;
+  return End < LateFactor * Objective ? 1 : 2;
 }
 
 bool JobShard::Impl::hasAged(const JobEntry &Of) const {
@@ -64,14 +65,20 @@
   // Short tasks earn more on a core than long-running ones and leave it soon,
   // but long-running ones must not wait for ever.
   if (First.LongRunning)
-    return {hasAged(Of) ? -1 : 1, 0, Priority, 0};
-  // Worth for each unit of work that is left: what is almost done comes first,
-  // and large jobs are not put behind small ones for their size.
+    return {hasAged(Of) ? -1 : 1, 0, Priority, 0, 0};
+  int Room = First.Fills ? 2 : 0;
+  // In a shortage some jobs have to lose. Begun ones are finished first, and of
+  // the others the youngest, which can best end in time: the choice does not
+  // depend on size, and no work is spent on jobs that end too late.
+  if (!Of.hasStarted())
+    return {Room, latenessOf(Of), Priority, 1,
+            std::chrono::duration<double>(m_time.now() - Of.Seen).count()};
+  // Worth for each unit of work that is left: what is almost done comes first.
   auto Mean = m_meanWork.find(Of.Spec.Queue);
   double Usual = Mean == m_meanWork.end() ? Of.TotalWork : Mean->second;
   double Worth = WorthOfAnyJob * Usual + (1 - WorthOfAnyJob) * Of.TotalWork;
   double Left = std::max(Of.workLeft(), 1.0);
-  return {First.Fills ? 2 : 0, latenessOf(Of), Priority, -Worth / Left};
+  return {Room, latenessOf(Of), Priority, 0, -Worth / Left};
 }
 
 void JobShard::Impl::queueReady(JobEntry &Of) {
