An answer costs the same however many long polls are open

Cause: curl_multi_perform and curl_multi_poll look at every transfer whenever one moves. With a long poll to each of 490 workers each answer pays for 490: an idle owner spent 0.35 of a core on 490 looks a second. Class: work for one event that grows with everything that is open.

Fix: CurlPoller drives the multi handle by its socket and timer callbacks over epoll, and wakes by an eventfd that is written once until it is seen.

Ruled out: connections (1 to 3 opened a second), JSON (parsed in the same thread before and after).

--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "libutil/httpclient.h"
 
+#include "libutil/curlpoller.h"
+
 #include <atomic>
 #include <curl/curl.h>
 #include <fmt/format.h>
@@ -15,7 +17,7 @@
 
 namespace {
 
-constexpr int PollMillis = 1000;
+constexpr milliseconds LongestPoll{1000};
 /// Where the process may open any number of descriptors.
 constexpr long MaxUnlimitedConnections = 16384;
 
@@ -199,7 +201,7 @@
 class ClientThread {
 public:
   explicit ClientThread(const HttpClientOptions &Options)
-      : m_options(Options), m_multi(curl_multi_init()) {
+      : m_options(Options), m_multi(curl_multi_init()), m_poller(m_multi) {
     cds_wfcq_init(&m_head, &m_tail);
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxConnections(m_options));
     curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
@@ -209,7 +211,7 @@
 
   ~ClientThread() {
     m_stopping = true;
-    curl_multi_wakeup(m_multi);
+    m_poller.wake();
     m_thread.join();
     takeQueued();
     for (Transfer *Each : m_active) {
@@ -230,7 +232,7 @@
     Fresh->Queued.Owner = Fresh;
     cds_wfcq_node_init(&Fresh->Queued.Link);
     cds_wfcq_enqueue(headPointer(), &m_tail, &Fresh->Queued.Link);
-    curl_multi_wakeup(m_multi);
+    m_poller.wake();
   }
 
 private:
@@ -243,10 +245,9 @@
   void loop() {
     while (!m_stopping) {
       takeQueued();
-      int Running = 0;
-      curl_multi_perform(m_multi, &Running);
       finishDone();
-      curl_multi_poll(m_multi, nullptr, 0, PollMillis, nullptr);
+      m_poller.poll(LongestPoll);
+      finishDone();
     }
   }
 
@@ -280,6 +281,7 @@
 
   HttpClientOptions m_options;
   CURLM *m_multi;
+  CurlPoller m_poller;
   cds_wfcq_head m_head{};
   cds_wfcq_tail m_tail{};
   std::set<Transfer *> m_active;
