Models of harm that see different workers can share their slopes

Why: with several owners each sees the harm on its own workers only, and needs as long to learn it as one owner of the whole fleet needs for all.

What: learnFrom() takes what another model measured; each pair's slope is the mean weighted by certainty, with the first guess counted once. pairs() tells only what was measured here, so that news does not come back as new. Headroom of a group follows the shared slopes. Without other models nothing changes.

Tests: three cases; the two old ones on learning pass unchanged.

--- a/src/include/basilchute/interference.h
+++ b/src/include/basilchute/interference.h
@@ -65,7 +65,8 @@
 /// not the tail is linear in what takes that share away.
 ///
 /// Slopes are fitted over all groups by a Kalman filter; the headroom of each
-/// group is followed by level and rate.
+/// group is followed by level and rate. Models that see different workers share
+/// what they learned of the slopes; each weighs in by its certainty.
 ///
 /// Not safe for several threads.
 class InterferenceModel {
@@ -89,8 +90,11 @@
   double expected(TaskKind Kind, LoadGroup Group, TimePoint Now,
                   const FillShares &Shares) const;
 
-  /// Returns all pairs that were measured, so that a successor need not learn
-  /// them anew.
+  /// Takes what the model \p Source has measured, in place of what was taken
+  /// from it before. It counts beside what is measured here.
+  void learnFrom(int Source, const std::vector<PairSlope> &Known);
+  /// Returns all pairs that were measured here, for a successor or for other
+  /// models.
   std::vector<PairSlope> pairs() const;
   /// Takes over what a predecessor knew of a pair; ignored for one that was
   /// measured here, or if its variance is not above zero.
--- a/src/libbasilchute/interference.cpp
+++ b/src/libbasilchute/interference.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <unordered_map>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -119,6 +120,13 @@
   }
 };
 
+/// What other models know of the slopes beside one serving kind: information,
+/// the inverse of a variance, and the slopes weighted by it.
+struct Shared {
+  double Information = 0;
+  double Weighted = 0;
+};
+
 double dot(const Vector &A, const Vector &B) {
   double Out = 0;
   for (size_t Each = 0; Each < MaxFills; ++Each)
@@ -159,18 +167,18 @@
     double Innovation = Measured - Foreseen;
     Own.correct(Innovation, Scale);
     Pairs.correct(X, Spread, -Innovation, Scale, m_options.SlopeDrift);
+    if (!m_sources.empty())
+      observeShared(Sample, Now, Shares, Measured, Noise);
   }
 
   double slope(TaskKind Serving, TaskKind Fill) const {
-    auto Index = static_cast<size_t>(Serving);
-    if (Index >= m_fits.size() || !m_fits[Index] || !m_fits[Index]->knows(Fill))
-      return m_options.PriorSlope;
-    return std::max(0.0, m_fits[Index]->Slopes[m_fits[Index]->placeOf(Fill)]);
+    return std::max(0.0, estimate(Serving, Fill).Slope);
   }
 
   double headroom(LoadGroup Group, TimePoint Now, milliseconds Ahead) const {
-    auto Found = m_trends.find(Group);
-    if (Found == m_trends.end())
+    const auto &Trends = m_sources.empty() ? m_trends : m_sharedTrends;
+    auto Found = Trends.find(Group);
+    if (Found == Trends.end())
       return m_options.PriorHeadroom;
     const Trend &Own = Found->second;
     double Since = std::max(0.0, secondsBetween(Own.At, Now));
@@ -219,9 +227,72 @@
         std::min(Known.Variance + RestoredDoubt, m_options.SlopeVariance);
   }
 
-  void forget(LoadGroup Group) { m_trends.erase(Group); }
+  void learnFrom(int Source, const std::vector<PairSlope> &Known) {
+    if (m_sources.empty())
+      m_sharedTrends = m_trends;
+    m_sources[Source] = Known;
+    m_shared.clear();
+    for (const auto &[From, Pairs] : m_sources)
+      for (const PairSlope &Each : Pairs) {
+        // What is assumed before any measurement counts once, not once a model.
+        double Information = 1 / Each.Variance - 1 / m_options.SlopeVariance;
+        if (!(Each.Variance > 0) || Information <= 0)
+          continue;
+        Shared &To = m_shared[{Each.Serving, Each.Fill}];
+        To.Information += Information;
+        To.Weighted += Each.Slope / Each.Variance -
+                       m_options.PriorSlope / m_options.SlopeVariance;
+      }
+  }
+
+  void forget(LoadGroup Group) {
+    m_trends.erase(Group);
+    m_sharedTrends.erase(Group);
+  }
 
 private:
+  struct Estimate {
+    double Slope = 0;
+    double Variance = 0;
+  };
+
+  /// What is known here and elsewhere of a pair.
+  Estimate estimate(TaskKind Serving, TaskKind Fill) const {
+    Estimate Own{.Slope = m_options.PriorSlope,
+                 .Variance = m_options.SlopeVariance};
+    auto Index = static_cast<size_t>(Serving);
+    if (Index < m_fits.size() && m_fits[Index] && m_fits[Index]->knows(Fill)) {
+      size_t Place = m_fits[Index]->placeOf(Fill);
+      Own = {.Slope = m_fits[Index]->Slopes[Place],
+             .Variance = m_fits[Index]->Covariance[Place][Place]};
+    }
+    auto Others = m_shared.find({Serving, Fill});
+    if (Others == m_shared.end())
+      return Own;
+    double Information = 1 / Own.Variance + Others->second.Information;
+    double Weighted = Own.Slope / Own.Variance + Others->second.Weighted;
+    return {.Slope = Weighted / Information, .Variance = 1 / Information};
+  }
+
+  // The group's headroom by the slopes that all models know together.
+  void observeShared(const ServingSample &Sample, TimePoint Now,
+                     const FillShares &Shares, double Measured, double Noise) {
+    Trend New{.Level = m_options.PriorHeadroom,
+              .LevelVariance = m_options.HeadroomVariance,
+              .RateVariance = m_options.RateDrift,
+              .At = Now};
+    Trend &Own = m_sharedTrends.try_emplace(Sample.Group, New).first->second;
+    Own.advance(Now, m_options.RateDrift);
+    double Foreseen = Own.Level;
+    double Scale = Noise + Own.LevelVariance;
+    for (const auto &[Fill, Share] : Shares) {
+      Estimate Pair = estimate(Sample.Kind, Fill);
+      Foreseen -= Pair.Slope * Share;
+      Scale += Pair.Variance * Share * Share;
+    }
+    Own.correct(Measured - Foreseen, Scale);
+  }
+
   Fit &fitOf(TaskKind Serving) {
     auto Index = static_cast<size_t>(Serving);
     if (Index >= m_fits.size())
@@ -244,6 +315,11 @@
   /// By serving kind.
   std::vector<std::unique_ptr<Fit>> m_fits;
   std::unordered_map<LoadGroup, Trend> m_trends;
+  /// What other models measured, as they told it last, and its sum.
+  std::map<int, std::vector<PairSlope>> m_sources;
+  std::map<std::pair<TaskKind, TaskKind>, Shared> m_shared;
+  /// Headroom of the groups by the shared slopes; unused without other models.
+  std::unordered_map<LoadGroup, Trend> m_sharedTrends;
 };
 
 InterferenceModel::InterferenceModel(InterferenceOptions Options)
@@ -262,6 +338,10 @@
 void InterferenceModel::restore(const PairSlope &Known) {
   m_impl->restore(Known);
 }
+void InterferenceModel::learnFrom(int Source,
+                                  const std::vector<PairSlope> &Known) {
+  m_impl->learnFrom(Source, Known);
+}
 void InterferenceModel::forget(LoadGroup Group) { m_impl->forget(Group); }
 double InterferenceModel::headroom(LoadGroup Group, TimePoint Now,
                                    milliseconds Ahead) const {
--- a/src/libbasilchute/interference_test.cpp
+++ b/src/libbasilchute/interference_test.cpp
@@ -6,6 +6,7 @@
 #include <random>
 
 using namespace basilchute;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -53,6 +54,65 @@
 
 } // namespace
 
+namespace {
+
+/// Feeds a model with tails of one group beside alternating fill tasks.
+void watch(InterferenceModel &Model, int Samples, double Slope) {
+  TimePoint Now{};
+  for (int Each = 0; Each < Samples; ++Each) {
+    double Share = Each % 4 * 0.1;
+    double Headroom = 2.5 - Slope * Share;
+    Now += 250ms;
+    Model.observe({.Kind = 0,
+                   .Group = 0,
+                   .Tail = milliseconds(static_cast<int>(200 / Headroom)),
+                   .Target = 200ms},
+                  Now, {{1, Share}});
+  }
+}
+
+} // namespace
+
+TEST_CASE("What another model is certain of counts more than a first guess") {
+  InterferenceModel Seasoned;
+  watch(Seasoned, 200, 6.0);
+  InterferenceModel Fresh;
+  watch(Fresh, 3, 6.0);
+  double Alone = Fresh.slope(0, 1);
+  Fresh.learnFrom(7, Seasoned.pairs());
+  CHECK(Fresh.slope(0, 1) > 5.0);
+  CHECK(Fresh.slope(0, 1) > Alone);
+}
+
+TEST_CASE("A model tells others only what it measured itself") {
+  InterferenceModel Seasoned;
+  watch(Seasoned, 200, 6.0);
+  InterferenceModel Fresh;
+  watch(Fresh, 3, 6.0);
+  double Own = Fresh.pairs().front().Slope;
+  Fresh.learnFrom(7, Seasoned.pairs());
+  CHECK(Fresh.pairs().front().Slope == doctest::Approx(Own));
+  // The same news twice does not make it surer.
+  double Once = Fresh.slope(0, 1);
+  Fresh.learnFrom(7, Seasoned.pairs());
+  CHECK(Fresh.slope(0, 1) == doctest::Approx(Once));
+}
+
+TEST_CASE("Headroom follows the shared slopes") {
+  InterferenceModel Seasoned;
+  watch(Seasoned, 200, 6.0);
+  InterferenceModel Fresh;
+  Fresh.learnFrom(7, Seasoned.pairs());
+  // Only ever seen beside a fill task: the slope says what is left without it.
+  TimePoint Now{};
+  for (int Each = 0; Each < 12; ++Each) {
+    Now += 250ms;
+    Fresh.observe({.Kind = 0, .Group = 3, .Tail = 125ms, .Target = 200ms}, Now,
+                  {{1, 0.2}});
+  }
+  CHECK(Fresh.headroom(3, Now, 0ms) == doctest::Approx(2.8).epsilon(0.08));
+}
+
 TEST_CASE("The model tells harmful fill tasks from harmless ones") {
   InterferenceModel Model;
   teach(Model, 300);
