--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -4,6 +4,7 @@
 
 #include "basilchute/clock.h"
 #include "basilchute/rowstore.h"
+#include "basilchute/shardchoice.h"
 #include "basilchute/taskworker.h"
 
 #include <functional>
@@ -20,6 +21,7 @@
   uint64_t Epoch = 0;
   /// Jobs without a started task, by queue.
   std::map<std::string, int> Pending;
+  ShardLoad Load;
 };
 
 /// Stands between a host's name and the suffix in its id.
@@ -33,8 +35,12 @@
   std::string HostId;
   /// Capacity relative to other hosts.
   int Weight = 1;
-  /// Number of shards; the same on all hosts, for ever.
-  int Shards = 1;
+  /// Workers that one shard should hold; the number of shards follows from it
+  /// and from the fleet, and only grows.
+  int WorkersPerShard = 160;
+  /// Bounds on the number of shards; the same on all hosts.
+  int LeastShards = 1;
+  int MostShards = 64;
   /// Time between two renewals of the host's row, and between two readings of
   /// all hosts' rows.
   milliseconds BeatEvery{500};
@@ -83,6 +89,8 @@
   /// True while no other host can have taken this host's shards. Only then may
   /// a worker's new life be fenced, since it knows of no newer owner.
   bool mayFence() const;
+  /// Number of shards now.
+  int shards() const;
   /// Shard of \p Worker, or -1 if it has none yet.
   int shardOf(const std::string &Worker) const;
   /// Returns what the owner of \p Shard said of it lately, or null if it has no
--- a/src/include/basilchute/job.h
+++ b/src/include/basilchute/job.h
@@ -85,6 +85,10 @@
   /// When the job was taken, since 1970; by a clock that may jump, so only good
   /// for an order.
   milliseconds Accepted{0};
+  /// Time that it had waited when it was handed to its present shard.
+  milliseconds Waited{0};
+  /// It had begun then.
+  bool Begun = false;
 
   /// Returns how often the steps run.
   int occurrences() const { return Repetitions > 0 ? Repetitions : 1; }
--- a/src/include/basilchute/jobdesk.h
+++ b/src/include/basilchute/jobdesk.h
@@ -14,7 +14,10 @@
 
 /// Settings of a JobDesk.
 struct JobDeskOptions {
-  int Shards = 1;
+  /// Returns the shard for a new job; the first one if not set.
+  std::function<int(const Job &)> Choose;
+  /// Transactions may span parts. If not, all jobs go to the first shard.
+  bool SpansParts = true;
   /// Runs a function after a delay.
   std::function<void(milliseconds, std::function<void()>)> After;
   /// Returns the time since 1970.
@@ -27,8 +30,8 @@
 /// a message that names the field.
 Status checkJob(const Job &Value);
 
-/// The jobs' front desk. Every call is answered once; not safe for several
-/// threads.
+/// The jobs' front desk. An index row for each job says which shard holds it.
+/// Every call is answered once; not safe for several threads.
 class JobDesk {
 public:
   /// Success means that the job is stored. Unavailable and Overloaded mean that
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -5,6 +5,7 @@
 #include "basilchute/approval.h"
 #include "basilchute/job.h"
 #include "basilchute/rowstore.h"
+#include "basilchute/shardchoice.h"
 #include "basilchute/taskworker.h"
 
 #include <functional>
@@ -44,6 +45,11 @@
   std::function<bool()> MayFence;
   /// Returns the time since 1970.
   std::function<milliseconds()> WallTime;
+  /// Returns the shard where a job that waits here would do better, -1 for
+  /// none.
+  std::function<int(const Job &)> Elsewhere;
+  /// Returns the number of shards.
+  std::function<int()> Shards;
   /// Receives one line for each decision: event and key=value fields.
   std::function<void(std::string_view, std::string_view)> Log;
 };
@@ -67,6 +73,10 @@
   uint64_t RoundsWhole = 0;
   uint64_t RoundsAtStartLimit = 0;
   uint64_t RoundsAtStepLimit = 0;
+  /// Jobs that were handed to another shard.
+  uint64_t Transfers = 0;
+  /// Orders that set the share at which a fill task works.
+  uint64_t Paces = 0;
 };
 
 /// Runs the jobs of one shard on the shard's workers.
@@ -88,6 +98,9 @@
   void load();
   /// Replaces the list of workers: \p Own are this shard's, \p Fleet are all.
   void setWorkers(std::vector<WorkerEntry> Own, std::vector<WorkerEntry> Fleet);
+  /// Workers of this shard that have left the list a short time ago; call it
+  /// before load().
+  void setFormerWorkers(const std::vector<WorkerEntry> &Former);
   /// Replaces the queues.
   void setQueues(std::shared_ptr<const JobQueues> Queues);
   /// Does what has become due.
@@ -100,6 +113,8 @@
   std::optional<JobState> state(const std::string &Job) const;
   /// Jobs without a started task, by queue.
   std::map<std::string, int> pending() const;
+  /// What the shard's owner says of its load.
+  ShardLoad currentLoad();
   /// True once all rows are read.
   bool isLoaded() const;
   uint64_t epoch() const;
--- a/src/include/basilchute/taskworker.h
+++ b/src/include/basilchute/taskworker.h
@@ -5,6 +5,7 @@
 #include "basilchute/job.h"
 #include "basilchute/result.h"
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -28,6 +29,9 @@
   milliseconds Born{0};
 
   bool operator==(const WorkerEntry &) const = default;
+  bool hasLabel(const std::string &Label) const {
+    return std::find(Labels.begin(), Labels.end(), Label) != Labels.end();
+  }
 };
 
 /// How a run ended.
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -2,6 +2,7 @@
 
 #include "basilchute/shardplan.h"
 #include "libbasilchute/jobrows.h"
+#include "libbasilchute/shardlayout.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -21,7 +22,6 @@
 constexpr int StillReadings = 3;
 /// Readings in a row that must ask for the same hand-over.
 constexpr int SteadyPlans = 2;
-constexpr size_t MaxAssignmentsPerCommit = MaxRowsPerCommit / 2;
 
 /// Another host, as its row shows it.
 struct SeenHost {
@@ -50,12 +50,13 @@
     : public std::enable_shared_from_this<HostCluster::Impl> {
 public:
   Impl(HostClusterOptions Options, RowStore &Store, const Clock &Time)
-      : m_options(std::move(Options)), m_store(Store), m_time(Time),
-        m_shards(static_cast<size_t>(m_options.Shards)) {}
+      : m_options(std::move(Options)), m_store(Store), m_time(Time) {}
 
   void start() {
+    m_layout = std::make_shared<ShardLayout>(layoutOptions(), m_store, m_time);
+    m_shards.resize(static_cast<size_t>(m_layout->shards()));
     followShards(0);
-    readAssignments("", 0);
+    m_layout->start();
     tick();
   }
 
@@ -65,7 +66,7 @@
       beat();
     if (!m_polling && Now >= m_nextPoll)
       readHosts("");
-    assign();
+    arrange();
   }
 
   void leave() {
@@ -84,8 +85,10 @@
   void doubt(int Shard) { readShard(Shard); }
 
   void setFleet(const std::vector<WorkerEntry> &Fleet) {
-    m_fleet = Fleet;
-    assign();
+    if (!m_layout)
+      return;
+    m_layout->setFleet(Fleet);
+    arrange();
   }
 
   bool mayAct() const {
@@ -97,12 +100,15 @@
            m_unverified.empty();
   }
 
+  int shards() const { return static_cast<int>(m_shards.size()); }
+
   int shardOf(const std::string &Worker) const {
-    auto Found = m_assignments.find(Worker);
-    return Found == m_assignments.end() ? -1 : Found->second;
+    return m_layout ? m_layout->shardOf(Worker) : -1;
   }
 
   const ShardReport *report(int Shard) const {
+    if (Shard < 0 || Shard >= shards())
+      return nullptr;
     const SeenShard &Row = m_shards[static_cast<size_t>(Shard)];
     auto Owner = m_hosts.find(Row.Owner);
     if (Owner == m_hosts.end() || !isAlive(Owner->second))
@@ -120,6 +126,22 @@
   }
 
 private:
+  ShardLayoutOptions layoutOptions() {
+    return {.WorkersPerShard = m_options.WorkersPerShard,
+            .LeastShards = m_options.LeastShards,
+            .MostShards = m_options.MostShards,
+            .OnGrown = [this] { onGrown(); },
+            .OnAssigned = m_options.OnAssigned,
+            .Log = m_options.Log};
+  }
+
+  void onGrown() {
+    int Before = shards();
+    m_shards.resize(static_cast<size_t>(m_layout->shards()));
+    for (int Shard = Before; Shard < shards(); ++Shard)
+      readShard(Shard);
+  }
+
   void log(std::string_view Event, std::string_view Fields) const {
     if (m_options.Log)
       m_options.Log(Event, Fields);
@@ -158,7 +180,7 @@
     if (First || Gap <= fenceAge())
       return;
     log("renewed_after_gap", fmt::format("gap_ms={}", Gap / milliseconds(1)));
-    for (int Shard = 0; Shard < m_options.Shards; ++Shard) {
+    for (int Shard = 0; Shard < shards(); ++Shard) {
       if (m_shards[static_cast<size_t>(Shard)].HeldEpoch == 0)
         continue;
       if (Gap > m_options.Horizon)
@@ -387,18 +409,16 @@
   }
 
   void onShardRow(const PlacedRow &Row) {
-    for (int Shard = 0; Shard < m_options.Shards; ++Shard) {
-      if (Row.Place.Part != shardPart(Shard) || Row.Removed)
-        continue;
-      Result<std::string> Owner = decodeShardOwner(Row.Value);
-      if (!Owner.has_value()) {
-        log("bad_row",
-            fmt::format("table={} part={} message=\"{}\"", ShardTable,
-                        Row.Place.Part, Owner.error().Message));
-        return;
-      }
-      onOwner(Shard, Owner.value(), Row.Version);
+    int Shard = shardOfPart(Row.Place.Part);
+    if (Shard < 0 || Shard >= shards() || Row.Removed)
+      return;
+    Result<std::string> Owner = decodeShardOwner(Row.Value);
+    if (!Owner.has_value()) {
+      log("bad_row", fmt::format("table={} part={} message=\"{}\"", ShardTable,
+                                 Row.Place.Part, Owner.error().Message));
+      return;
     }
+    onOwner(Shard, Owner.value(), Row.Version);
   }
 
   // Version zero asks for a reading of all shards first.
@@ -413,7 +433,7 @@
                        Self->followShards(0);
                        return;
                      }
-                     for (int Each = 0; Each < Self->m_options.Shards; ++Each)
+                     for (int Each = 0; Each < Self->shards(); ++Each)
                        Self->readShard(Each);
                      Self->followShards(
                          std::max<uint64_t>(Answer.value().Version, 1));
@@ -436,64 +456,8 @@
                  });
   }
 
-  void readAssignments(const std::string &Key, uint64_t From) {
-    m_store.read(
-        {.Table = AssignmentTable, .Part = "", .From = Key},
-        [Weak = weak_from_this(), Key, From](Result<RowPage> Answer) {
-          auto Self = Weak.lock();
-          if (!Self)
-            return;
-          if (!Answer.has_value()) {
-            Self->readAssignments(Key, From);
-            return;
-          }
-          RowPage &Page = Answer.value();
-          uint64_t First = From ? From : std::max<uint64_t>(Page.Version, 1);
-          Self->onAssignmentRows(Page.Rows);
-          if (Page.HasMore && !Page.Rows.empty()) {
-            Self->readAssignments(Page.Rows.back().Place.Key + '\x01', First);
-            return;
-          }
-          Self->m_assignmentsRead = true;
-          Self->followAssignments(First);
-        });
-  }
-
-  void followAssignments(uint64_t From) {
-    m_store.feed(AssignmentTable, From, FeedWait,
-                 [Weak = weak_from_this(), From](Result<RowPage> Answer) {
-                   auto Self = Weak.lock();
-                   if (!Self)
-                     return;
-                   if (Answer.has_value()) {
-                     Self->onAssignmentRows(Answer.value().Rows);
-                     Self->followAssignments(
-                         std::max(From, Answer.value().Version));
-                     return;
-                   }
-                   if (Answer.error().Code == ResultCode::NotFound)
-                     Self->readAssignments("", 0);
-                   else
-                     Self->followAssignments(From);
-                 });
-  }
-
-  void onAssignmentRows(const std::vector<PlacedRow> &Rows) {
-    bool Changed = false;
-    for (const PlacedRow &Row : Rows) {
-      int Shard = Row.Value.empty() ? -1 : std::atoi(Row.Value.c_str());
-      if (Row.Removed || Shard < 0 || Shard >= m_options.Shards)
-        continue;
-      m_assignments[Row.Place.Key] = Shard;
-      Changed = true;
-    }
-    if (Changed && m_options.OnAssigned)
-      m_options.OnAssigned();
-  }
-
-  // The first live host gives workers without a shard to the shard with the
-  // least capacity; the condition settles races.
-  void assign() {
+  // The first live host arranges the shards for all.
+  void arrange() {
     bool First = !m_hosts.empty() && !m_leaving;
     for (const auto &[Id, Host] : m_hosts) {
       if (!isAlive(Host) || Host.Record.Leaving)
@@ -501,45 +465,8 @@
       First = Id == m_options.HostId;
       break;
     }
-    if (!First || m_assigning || !m_assignmentsRead || m_readings < 2)
-      return;
-    std::map<std::string, std::vector<int64_t>> Capacity;
-    std::vector<const WorkerEntry *> Fresh;
-    for (const WorkerEntry &Each : m_fleet) {
-      std::vector<int64_t> &Of = Capacity[Each.Service];
-      Of.resize(m_shards.size());
-      int Shard = shardOf(Each.Id);
-      if (Shard < 0)
-        Fresh.push_back(&Each);
-      else
-        Of[static_cast<size_t>(Shard)] += Each.Capacity.Millicores;
-    }
-    if (Fresh.empty())
-      return;
-    RowCommit Commit;
-    std::vector<PlacedRow> Rows;
-    for (const WorkerEntry *Each : Fresh) {
-      if (Rows.size() == MaxAssignmentsPerCommit)
-        break;
-      std::vector<int64_t> &Of = Capacity[Each->Service];
-      auto Least = std::min_element(Of.begin(), Of.end());
-      *Least += std::max<int64_t>(Each->Capacity.Millicores, 1);
-      RowPlace Place = assignmentPlace(Each->Id);
-      std::string Value = fmt::format("{}", Least - Of.begin());
-      Commit.Conditions.push_back({.Place = Place, .Version = 0});
-      Commit.Changes.push_back({.Place = Place, .Value = Value});
-      Rows.push_back({.Place = Place, .Value = Value});
-    }
-    m_assigning = true;
-    m_store.commit(std::move(Commit), [Weak = weak_from_this(),
-                                       Rows](const Result<uint64_t> &Answer) {
-      auto Self = Weak.lock();
-      if (!Self)
-        return;
-      Self->m_assigning = false;
-      if (Answer.has_value())
-        Self->onAssignmentRows(Rows);
-    });
+    if (First && m_readings >= 2)
+      m_layout->arrange();
   }
 
   HostClusterOptions m_options;
@@ -550,8 +477,7 @@
   std::vector<SeenShard> m_shards;
   /// Owned shards whose rows must be read before a worker is fenced.
   std::set<int> m_unverified;
-  std::map<std::string, int> m_assignments;
-  std::vector<WorkerEntry> m_fleet;
+  std::shared_ptr<ShardLayout> m_layout;
   std::optional<TimePoint> m_renewed;
   uint64_t m_beat = 0;
   TimePoint m_nextBeat{};
@@ -561,8 +487,6 @@
   /// Renewals under way.
   int m_beating = 0;
   bool m_polling = false;
-  bool m_assigning = false;
-  bool m_assignmentsRead = false;
   bool m_leaving = false;
 };
 
@@ -580,6 +504,7 @@
 }
 bool HostCluster::mayAct() const { return m_impl->mayAct(); }
 bool HostCluster::mayFence() const { return m_impl->mayFence(); }
+int HostCluster::shards() const { return m_impl->shards(); }
 int HostCluster::shardOf(const std::string &Worker) const {
   return m_impl->shardOf(Worker);
 }
--- a/src/libbasilchute/jobdesk.cpp
+++ b/src/libbasilchute/jobdesk.cpp
@@ -2,6 +2,7 @@
 
 #include "libbasilchute/jobrows.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <unordered_map>
 
@@ -70,7 +71,7 @@
   Impl(JobDeskOptions Options, RowStore &Store, const Clock &Time)
       : m_options(std::move(Options)), m_store(Store), m_time(Time) {}
 
-  /// One submission or cancellation under way.
+  /// One submission under way.
   struct Writing {
     RowCommit Commit;
     TimePoint Deadline;
@@ -80,21 +81,43 @@
     milliseconds Pause = FirstRetry;
   };
 
-  int shardOf(const std::string &Id) const {
-    return shardOfJob(Id, m_options.Shards);
+  /// One cancellation under way.
+  struct Cancelling {
+    std::string Id;
+    TimePoint Deadline;
+    CancelDone Done;
+    /// Some attempt may have been, or may still be, carried out.
+    bool Unknown = false;
+    milliseconds Pause = FirstRetry;
+
+    void fail(const Error &Why) const {
+      Done(Unknown ? makeError(ResultCode::OutcomeUnknown, Why.Message) : Why);
+    }
+  };
+
+  int choose(const Job &Value) const {
+    bool Free = m_options.SpansParts && m_options.Choose;
+    return Free ? std::max(m_options.Choose(Value), 0) : 0;
   }
 
   void submit(const Job &Value, TimePoint Deadline, SubmitDone Done) {
-    int Shard = shardOf(Value.Id);
+    int Shard = choose(Value);
     auto Write = std::make_shared<Writing>();
     RowPlace Place = jobPlace(Shard, Value.Id);
-    RowPlace Progress = progressPlace(Shard, Value.Id);
     Job Stored = Value;
     Stored.Accepted = m_options.WallTime();
-    Write->Commit.Conditions = {{.Place = Place}, {.Place = Progress}};
-    Write->Commit.Changes = {
-        {.Place = Place, .Value = encodeJob(Stored)},
-        {.Place = Progress, .Value = encodeProgress(JobProgress{})}};
+    Write->Commit.Changes = {{.Place = Place, .Value = encodeJob(Stored)},
+                             {.Place = progressPlace(Shard, Value.Id),
+                              .Value = encodeProgress(JobProgress{})}};
+    // One id is one job, in whichever shard it is.
+    if (m_options.SpansParts) {
+      RowPlace Index = indexPlace(Value.Id);
+      Write->Commit.Conditions = {{.Place = Index}};
+      Write->Commit.Changes.push_back(
+          {.Place = Index, .Value = encodeJobIndex(Shard)});
+    } else {
+      Write->Commit.Conditions = {{.Place = Place}};
+    }
     Write->Deadline = Deadline;
     Write->Done = std::move(Done);
     attempt(Write);
@@ -144,37 +167,103 @@
     readState(Id, Deadline, FirstRetry, std::move(Done));
   }
 
-  void readState(const std::string &Id, TimePoint Deadline, milliseconds Pause,
-                 StateDone Done) {
-    RowPlace Place = progressPlace(shardOf(Id), Id);
-    RowRange Range{.Table = Place.Table,
-                   .Part = Place.Part,
-                   .From = Id,
-                   .To = Id + '\x01'};
-    m_store.read(Range, [Weak = weak_from_this(), Id, Deadline, Pause,
+  /// Where a job is; the version of its index row is zero without an index.
+  struct Found {
+    int Shard = 0;
+    uint64_t Version = 0;
+  };
+  using FoundDone = std::function<void(Result<Found>)>;
+
+  /// Reads until \p Deadline; then fails with the last error.
+  void readUntil(RowRange Range, TimePoint Deadline, milliseconds Pause,
+                 RowStore::ReadDone Done) {
+    m_store.read(Range, [Weak = weak_from_this(), Range, Deadline, Pause,
                          Done](Result<RowPage> Answer) {
       auto Self = Weak.lock();
       if (!Self)
         return;
-      if (Answer.has_value()) {
-        Done(Self->stateIn(Id, Answer.value()));
+      if (Answer.has_value() || Self->m_time.now() + Pause >= Deadline) {
+        Done(std::move(Answer));
         return;
       }
-      if (Self->m_time.now() + Pause >= Deadline) {
-        Done(Answer.error());
-        return;
-      }
-      Self->m_options.After(Pause, [Weak, Id, Deadline, Pause, Done] {
+      Self->m_options.After(Pause, [Weak, Range, Deadline, Pause, Done] {
         if (auto Again = Weak.lock())
-          Again->readState(Id, Deadline, std::min(Pause * 2, LastRetry), Done);
+          Again->readUntil(Range, Deadline, std::min(Pause * 2, LastRetry),
+                           Done);
       });
     });
   }
 
+  static RowRange oneRow(const RowPlace &Place) {
+    return {.Table = Place.Table,
+            .Part = Place.Part,
+            .From = Place.Key,
+            .To = Place.Key + '\x01'};
+  }
+
+  void find(const std::string &Id, TimePoint Deadline, FoundDone Done) {
+    if (!m_options.SpansParts) {
+      Done(Found{});
+      return;
+    }
+    readUntil(oneRow(indexPlace(Id)), Deadline, FirstRetry,
+              [Id, Done](Result<RowPage> Answer) {
+                if (!Answer.has_value())
+                  return Done(Answer.error());
+                if (Answer.value().Rows.empty())
+                  return Done(noJob(Id));
+                const PlacedRow &Row = Answer.value().Rows.front();
+                Result<int> Shard = decodeJobIndex(Row.Value);
+                if (!Shard.has_value())
+                  return Done(Shard.error());
+                Done(Found{.Shard = Shard.value(), .Version = Row.Version});
+              });
+  }
+
+  void readState(const std::string &Id, TimePoint Deadline, milliseconds Pause,
+                 StateDone Done) {
+    find(Id, Deadline,
+         [Weak = weak_from_this(), Id, Deadline, Pause,
+          Done](const Result<Found> &At) {
+           auto Self = Weak.lock();
+           if (!Self)
+             return;
+           if (!At.has_value())
+             return Done(At.error());
+           Self->readProgress(Id, At.value(), Deadline, Pause, Done);
+         });
+  }
+
+  void readProgress(const std::string &Id, const Found &At, TimePoint Deadline,
+                    milliseconds Pause, const StateDone &Done) {
+    readUntil(oneRow(progressPlace(At.Shard, Id)), Deadline, FirstRetry,
+              [Weak = weak_from_this(), Id, At, Deadline, Pause,
+               Done](Result<RowPage> Answer) {
+                auto Self = Weak.lock();
+                if (!Self)
+                  return;
+                if (!Answer.has_value())
+                  return Done(Answer.error());
+                bool Moved = Answer.value().Rows.empty() && At.Version > 0;
+                if (!Moved || Self->m_time.now() + Pause >= Deadline)
+                  return Done(Self->stateIn(Id, Answer.value()));
+                // It went to another shard after its index row was read.
+                Self->m_options.After(Pause, [Weak, Id, Deadline, Pause, Done] {
+                  if (auto Again = Weak.lock())
+                    Again->readState(Id, Deadline,
+                                     std::min(Pause * 2, LastRetry), Done);
+                });
+              });
+  }
+
+  static Error noJob(const std::string &Id) {
+    return makeError(ResultCode::NotFound,
+                     fmt::format("there is no job \"{}\"", Id));
+  }
+
   Result<JobState> stateIn(const std::string &Id, const RowPage &Page) {
     if (Page.Rows.empty())
-      return makeError(ResultCode::NotFound,
-                       fmt::format("there is no job \"{}\"", Id));
+      return noJob(Id);
     Result<JobProgress> Progress = decodeProgress(Page.Rows.front().Value);
     if (!Progress.has_value())
       return Progress.error();
@@ -185,40 +274,80 @@
   }
 
   void cancel(const std::string &Id, TimePoint Deadline, CancelDone Done) {
-    int Shard = shardOf(Id);
-    RowPlace Place = cancelPlace(Shard, Id);
+    cancelOnce(std::make_shared<Cancelling>(
+        Cancelling{.Id = Id, .Deadline = Deadline, .Done = std::move(Done)}));
+  }
+
+  void cancelOnce(const std::shared_ptr<Cancelling> &Of) {
+    find(Of->Id, Of->Deadline,
+         [Weak = weak_from_this(), Of](const Result<Found> &At) {
+           auto Self = Weak.lock();
+           if (!Self)
+             return;
+           if (!At.has_value())
+             return Of->fail(At.error());
+           Self->readCancel(Of, At.value());
+         });
+  }
+
+  // The job's row and its cancellation, which follows it.
+  void readCancel(const std::shared_ptr<Cancelling> &Of, const Found &At) {
+    RowPlace Place = cancelPlace(At.Shard, Of->Id);
     RowRange Range{.Table = Place.Table,
                    .Part = Place.Part,
-                   .From = Id,
+                   .From = Of->Id,
                    .To = Place.Key + '\x01'};
-    m_store.read(Range, [Weak = weak_from_this(), Id, Place, Deadline,
-                         Done](Result<RowPage> Answer) {
-      auto Self = Weak.lock();
-      if (!Self)
-        return;
-      if (!Answer.has_value()) {
-        if (Self->m_time.now() + FirstRetry >= Deadline) {
-          Done(Answer.error());
-          return;
-        }
-        Self->m_options.After(FirstRetry, [Weak, Id, Deadline, Done] {
-          if (auto Again = Weak.lock())
-            Again->cancel(Id, Deadline, Done);
+    readUntil(Range, Of->Deadline, FirstRetry,
+              [Weak = weak_from_this(), Of, At,
+               Place](const Result<RowPage> &Answer) {
+                auto Self = Weak.lock();
+                if (!Self)
+                  return;
+                if (!Answer.has_value())
+                  return Of->fail(Answer.error());
+                const std::vector<PlacedRow> &Rows = Answer.value().Rows;
+                if (Rows.empty() && At.Version == 0)
+                  return Of->fail(noJob(Of->Id));
+                if (Rows.empty())
+                  return Self->cancelAgain(Of, "the job is moving");
+                if (Rows.back().Place == Place)
+                  return Of->Done(okStatus());
+                Self->writeCancel(Of, At, Place);
+              });
+  }
+
+  void writeCancel(const std::shared_ptr<Cancelling> &Of, const Found &At,
+                   const RowPlace &Place) {
+    RowCommit Commit;
+    Commit.Conditions = {{.Place = Place}};
+    // A cancellation must not stay behind when the job moves.
+    if (At.Version > 0)
+      Commit.Conditions.push_back(
+          {.Place = indexPlace(Of->Id), .Version = At.Version});
+    Commit.Changes = {{.Place = Place, .Value = "1"}};
+    m_store.commit(
+        Commit, [Weak = weak_from_this(), Of](const Result<uint64_t> &Answer) {
+          auto Self = Weak.lock();
+          if (!Self)
+            return;
+          if (Answer.has_value())
+            return Of->Done(okStatus());
+          // After a conflict the next reading tells whether the cancellation is
+          // there or the job has moved.
+          Of->Unknown |= Answer.error().Code == ResultCode::OutcomeUnknown;
+          Self->cancelAgain(Of, Answer.error().Message);
         });
-        return;
-      }
-      if (Answer.value().Rows.empty()) {
-        Done(makeError(ResultCode::NotFound,
-                       fmt::format("there is no job \"{}\"", Id)));
-        return;
-      }
-      auto Write = std::make_shared<Writing>();
-      Write->Commit.Conditions = {{.Place = Place}};
-      Write->Commit.Changes = {{.Place = Place, .Value = "1"}};
-      Write->Deadline = Deadline;
-      Write->Done = Done;
-      Self->attempt(Write);
+  }
+
+  void cancelAgain(const std::shared_ptr<Cancelling> &Of,
+                   const std::string &Why) {
+    if (m_time.now() + Of->Pause >= Of->Deadline)
+      return Of->fail(makeError(ResultCode::Unavailable, Why));
+    m_options.After(Of->Pause, [Weak = weak_from_this(), Of] {
+      if (auto Again = Weak.lock())
+        Again->cancelOnce(Of);
     });
+    Of->Pause = std::min(Of->Pause * 2, LastRetry);
   }
 
 private:
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -1,5 +1,7 @@
 #include "libbasilchute/jobentry.h"
 
+#include "libbasilchute/jobwork.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -125,38 +127,20 @@
   });
 }
 
-milliseconds
-JobEntry::chainOf(const std::function<bool(size_t)> &Counts) const {
-  std::vector<milliseconds> Ends;
-  milliseconds Out{0};
-  for (size_t Step = 0; Step < Spec.Steps.size(); ++Step) {
-    const JobStep &Each = Spec.Steps[Step];
-    milliseconds End{0};
-    for (int Before : Each.After)
-      End = std::max(End, Ends[static_cast<size_t>(Before)]);
-    if (Counts(Step))
-      End += Each.Estimate;
-    Ends.push_back(End);
-    Out = std::max(Out, End);
-  }
-  return Out;
-}
-
 milliseconds JobEntry::longestChain() const {
-  return chainOf([](size_t) { return true; });
+  return basilchute::longestChain(Spec.Steps);
 }
 
 milliseconds JobEntry::chainLeft() const {
-  return chainOf([this](size_t Step) { return m_groupLeft[Step] > 0; });
+  return basilchute::longestChain(
+      Spec.Steps, [this](size_t Step) { return m_groupLeft[Step] > 0; });
 }
 
 double JobEntry::workLeft() const {
   double Out = 0;
   for (size_t Group = 0; Group < m_groupLeft.size(); ++Group) {
     const JobStep &Step = Spec.Steps[Group % Spec.Steps.size()];
-    Out += static_cast<double>(m_groupLeft[Group]) *
-           static_cast<double>(Step.Demand.Millicores) *
-           static_cast<double>(Step.Estimate.count()) / 1000;
+    Out += static_cast<double>(m_groupLeft[Group]) * taskWork(Step);
   }
   return Out;
 }
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -8,7 +8,6 @@
 #include "basilchute/taskworker.h"
 #include "libbasilchute/jobrows.h"
 
-#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -54,6 +53,14 @@
   /// Version of the progress row.
   uint64_t RowVersion;
   TimePoint Seen;
+  /// When it was last asked whether another shard is better, and the answer.
+  TimePoint AskedAt{};
+  bool HasBetter = false;
+  /// It was there when the shard was taken: the former owner may have started
+  /// tasks of it that no stored row tells of.
+  bool Loaded = false;
+  /// It is being handed to another shard, and nothing of it may start here.
+  bool Moving = false;
   std::vector<TaskState> Tasks;
   /// Kind of each step's tasks.
   std::vector<int> Kinds;
@@ -99,7 +106,6 @@
   void noteStarted() { m_started = true; }
 
 private:
-  milliseconds chainOf(const std::function<bool(size_t)> &Counts) const;
   size_t groupOf(int Position) const;
 
   int m_perOccurrence = 0;
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -2,6 +2,7 @@
 
 #include "schema/jobs.pb.h"
 
+#include <charconv>
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -11,6 +12,10 @@
 
 constexpr std::string_view CancelSuffix = ".cancel";
 constexpr int RowFormat = 1;
+constexpr std::string_view ShardPartPrefix = "shard-";
+constexpr const char *LayoutPart = "layout";
+/// Parts that the index of jobs is spread over; the same for ever.
+constexpr uint64_t IndexParts = 16;
 
 Error badRow(const char *Kind) {
   return makeError(ResultCode::InvalidArgument,
@@ -78,7 +83,9 @@
   return "unknown";
 }
 
-std::string shardPart(int Shard) { return fmt::format("shard-{}", Shard); }
+std::string shardPart(int Shard) {
+  return fmt::format("{}{}", ShardPartPrefix, Shard);
+}
 std::string jobTable(int Shard) { return fmt::format("jobs-{}", Shard); }
 
 RowPlace jobPlace(int Shard, const std::string &Job) {
@@ -117,9 +124,25 @@
   return {Key.substr(0, Key.size() - CancelSuffix.size()), true};
 }
 
-int shardOfJob(const std::string &Job, int Shards) {
+RowPlace layoutPlace() {
+  return {.Table = AssignmentTable, .Part = LayoutPart, .Key = "shards"};
+}
+
+RowPlace indexPlace(const std::string &Job) {
   uint64_t Hash = XXH64(Job.data(), Job.size(), 0);
-  return static_cast<int>(Hash % static_cast<uint64_t>(Shards));
+  return {.Table = IndexTable,
+          .Part = fmt::format("index-{}", Hash % IndexParts),
+          .Key = Job};
+}
+
+int shardOfPart(const std::string &Part) {
+  if (!Part.starts_with(ShardPartPrefix))
+    return -1;
+  const char *First = Part.data() + ShardPartPrefix.size();
+  const char *Last = Part.data() + Part.size();
+  int Out = -1;
+  auto [End, Fault] = std::from_chars(First, Last, Out);
+  return Fault == std::errc() && End == Last ? Out : -1;
 }
 
 std::string encodeJob(const Job &Value) {
@@ -133,6 +156,8 @@
   Out.set_first_run_ms(Value.FirstRun.count());
   Out.set_interval_ms(Value.Interval.count());
   Out.set_accepted_ms(Value.Accepted.count());
+  Out.set_waited_ms(Value.Waited.count());
+  Out.set_begun(Value.Begun);
   return Out.SerializeAsString();
 }
 
@@ -146,7 +171,9 @@
           .Repetitions = From.repetitions(),
           .FirstRun = milliseconds(From.first_run_ms()),
           .Interval = milliseconds(From.interval_ms()),
-          .Accepted = milliseconds(From.accepted_ms())};
+          .Accepted = milliseconds(From.accepted_ms()),
+          .Waited = milliseconds(From.waited_ms()),
+          .Begun = From.begun()};
   for (const v1::StoredJobStep &Each : From.steps())
     Out.Steps.push_back(loadStep(Each));
   return Out;
@@ -194,6 +221,15 @@
     v1::StoredShardCount &To = *Out.add_shards();
     To.set_shard(Shard);
     To.set_epoch(Report.Epoch);
+    To.set_capacity_millicores(Report.Load.Capacity);
+    To.set_lasting_millicores(Report.Load.Lasting);
+    To.set_backlog(Report.Load.Backlog);
+    To.set_fill_waiting_millicores(Report.Load.FillWaiting);
+    for (const auto &[Image, Room] : Report.Load.FillRoom) {
+      v1::StoredFillRoom &Of = *To.add_fill_room();
+      Of.set_image(Image);
+      Of.set_millicores(Room);
+    }
     for (const auto &[Queue, Count] : Report.Pending) {
       v1::StoredQueueCount &Of = *To.add_queues();
       Of.set_queue(Queue);
@@ -212,6 +248,12 @@
   for (const v1::StoredShardCount &Each : From.shards()) {
     ShardReport &Report = Out.Shards[Each.shard()];
     Report.Epoch = Each.epoch();
+    Report.Load = {.Capacity = Each.capacity_millicores(),
+                   .Lasting = Each.lasting_millicores(),
+                   .Backlog = Each.backlog(),
+                   .FillWaiting = Each.fill_waiting_millicores()};
+    for (const v1::StoredFillRoom &Of : Each.fill_room())
+      Report.Load.FillRoom[Of.image()] = Of.millicores();
     for (const v1::StoredQueueCount &Of : Each.queues())
       Report.Pending[Of.queue()] = Of.pending();
   }
@@ -244,6 +286,33 @@
   return Out;
 }
 
+std::string encodeLayout(int Shards) {
+  v1::StoredLayout Out;
+  Out.set_shards(Shards);
+  return Out.SerializeAsString();
+}
+
+Result<int> decodeLayout(const std::string &Bytes) {
+  v1::StoredLayout From;
+  if (!From.ParseFromString(Bytes) || From.shards() < 1)
+    return badRow("layout");
+  return From.shards();
+}
+
+std::string encodeJobIndex(int Shard) {
+  v1::StoredJobIndex Out;
+  Out.set_format(RowFormat);
+  Out.set_shard(Shard);
+  return Out.SerializeAsString();
+}
+
+Result<int> decodeJobIndex(const std::string &Bytes) {
+  v1::StoredJobIndex From;
+  if (!From.ParseFromString(Bytes) || From.format() == 0 || From.shard() < 0)
+    return badRow("job index");
+  return From.shard();
+}
+
 std::string encodeShardOwner(const std::string &Host) {
   v1::StoredShardOwner Out;
   Out.set_format(RowFormat);
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -57,6 +57,12 @@
 RowPlace interferencePlace(int Shard);
 RowPlace hostPlace(const std::string &Host);
 RowPlace assignmentPlace(const std::string &Worker);
+/// Row that says how many shards there are.
+RowPlace layoutPlace();
+/// Row that says which shard holds \p Job.
+RowPlace indexPlace(const std::string &Job);
+/// Returns the shard of a part that shardPart() named, or -1 for another part.
+int shardOfPart(const std::string &Part);
 /// Table of a shard's accepted jobs and their cancellations.
 std::string jobTable(int Shard);
 inline constexpr const char *ProgressTable = "progress";
@@ -64,14 +70,12 @@
 inline constexpr const char *ShardTable = "shards";
 inline constexpr const char *HostTable = "hosts";
 inline constexpr const char *AssignmentTable = "assignments";
+inline constexpr const char *IndexTable = "index";
 
 /// Returns the job that a key of a job table belongs to, and whether the row
 /// is its cancellation.
 std::pair<std::string, bool> parseJobKey(const std::string &Key);
 
-/// The shard that a job belongs to, a function of its id alone.
-int shardOfJob(const std::string &Job, int Shards);
-
 std::string encodeJob(const Job &Value);
 /// Fails with InvalidArgument if \p Bytes are not a job.
 Result<Job> decodeJob(const std::string &Bytes);
@@ -81,6 +85,10 @@
 Result<HostRecord> decodeHost(const std::string &Bytes);
 std::string encodeInterference(const std::vector<ImagePair> &Value);
 Result<std::vector<ImagePair>> decodeInterference(const std::string &Bytes);
+std::string encodeLayout(int Shards);
+Result<int> decodeLayout(const std::string &Bytes);
+std::string encodeJobIndex(int Shard);
+Result<int> decodeJobIndex(const std::string &Bytes);
 std::string encodeShardOwner(const std::string &Host);
 Result<std::string> decodeShardOwner(const std::string &Bytes);
 
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -46,7 +46,7 @@
                                 m_options.Epoch, Why));
 }
 
-void JobShard::Impl::load() {
+void JobShard::Impl::readRows() {
   readModel();
   readJobs("", 0, true);
 }
@@ -111,8 +111,15 @@
 
 void JobShard::Impl::finishLoad() {
   m_loaded = true;
-  for (const PlacedRow &Row : m_loadedJobs)
-    onJobRow(Row);
+  for (const PlacedRow &Row : m_loadedJobs) {
+    auto [Id, IsCancel] = parseJobKey(Row.Place.Key);
+    // Job and progress come and go together: it moved away between the
+    // readings.
+    if (IsCancel || m_loadedProgress.count(Id))
+      onJobRow(Row);
+  }
+  for (auto &[Id, Entry] : m_jobs)
+    Entry.Loaded = true;
   log("shard_loaded",
       fmt::format("shard={} epoch={} jobs={} took_ms={}", m_options.Shard,
                   m_options.Epoch, m_jobs.size(),
@@ -154,7 +161,7 @@
     cancelJob(Id);
     return;
   }
-  if (m_jobs.count(Id))
+  if (m_jobs.count(Id) || hasMovedAway(Id, Row.Version))
     return;
   Result<Job> Spec = decodeJob(Row.Value);
   if (!Spec.has_value()) {
@@ -164,27 +171,36 @@
     return;
   }
   auto Stored = m_loadedProgress.find(Id);
-  if (Stored == m_loadedProgress.end()) {
+  if (Stored != m_loadedProgress.end())
+    addStored(Spec.value(), Stored->second);
+  else if (Spec.value().Begun)
+    adoptJob(Spec.value());
+  else
     addJob(Spec.value(), Row.Version, nullptr);
-  } else {
-    Result<JobProgress> Progress = decodeProgress(Stored->second.Value);
-    if (!Progress.has_value()) {
-      log("bad_row", fmt::format("table={} key={} message=\"{}\"",
-                                 ProgressTable, Id, Progress.error().Message));
-      return;
-    }
-    addJob(Spec.value(), Stored->second.Version, &Progress.value());
-  }
   if (m_cancelled.count(Id))
     cancelJob(Id);
 }
 
+void JobShard::Impl::addStored(const Job &Spec, const PlacedRow &Row) {
+  Result<JobProgress> Progress = decodeProgress(Row.Value);
+  if (!Progress.has_value()) {
+    log("bad_row", fmt::format("table={} key={} message=\"{}\"", ProgressTable,
+                               Spec.Id, Progress.error().Message));
+    return;
+  }
+  addJob(Spec, Row.Version, &Progress.value());
+  if (m_cancelled.count(Spec.Id))
+    cancelJob(Spec.Id);
+}
+
 void JobShard::Impl::addJob(const Job &Spec, uint64_t Version,
                             const JobProgress *Stored) {
   auto Added = m_jobs.try_emplace(Spec.Id, Spec, Version, m_time.now()).first;
   JobEntry &Entry = Added->second;
   for (const JobStep &Each : Spec.Steps) {
     Entry.Kinds.push_back(kindOf(Each.Image));
+    if (Each.Fills)
+      m_fillKinds.insert(Entry.Kinds.back());
     Entry.Classes.push_back(classOf(Spec.Queue, Each.Image));
     Entry.Groups.push_back(m_nextGroup++);
   }
@@ -196,6 +212,8 @@
       Entry.Seen -= std::clamp(m_options.WallTime() - Spec.Accepted,
                                milliseconds(0), MostAge);
   }
+  if (!Stored)
+    Entry.Seen -= Spec.Waited;
   if (isFinal(Entry.State))
     return;
   if (!Stored)
@@ -320,6 +338,10 @@
     JobEntry &Each = *find(Id);
     Each.RowVersion = Answer.value();
     Each.StoredState = State;
+    if (Each.Moving) {
+      Each.Moving = false;
+      queueReady(Each);
+    }
   }
   for (const auto &[Id, Covered] : Ends) {
     auto Slot = m_slots.find(Id);
@@ -370,7 +392,9 @@
         auto Self = Weak.lock();
         if (!Self)
           return;
-        if (Answer.has_value() && !Answer.value().Rows.empty())
+        if (Answer.has_value() && Answer.value().Rows.empty())
+          Self->forgetJob(Id, Answer.value().Version);
+        else if (Answer.has_value())
           Self->find(Id)->RowVersion = Answer.value().Rows.front().Version;
         Self->recheckNext(Jobs);
       });
@@ -400,6 +424,19 @@
   place();
 }
 
+// A worker that left the list a short time ago may still run what the former
+// owner started, or hold its end.
+void JobShard::Impl::setFormerWorkers(const std::vector<WorkerEntry> &Former) {
+  for (const WorkerEntry &Each : Former) {
+    auto [Found, Added] = m_slots.try_emplace(Each.Id, Each);
+    if (!Added)
+      continue;
+    Found->second.Listed = false;
+    Found->second.Former = true;
+    Found->second.LeaseEnd = m_taken + m_options.WriteOff;
+  }
+}
+
 void JobShard::Impl::tick() {
   if (!m_loaded || m_lost)
     return;
@@ -408,8 +445,10 @@
   relocate();
   lookAround();
   commit();
+  transfer();
   place();
   keepModel();
+  followModels();
   logState();
 }
 
@@ -434,7 +473,7 @@
   if (m_time.now() > m_taken + m_options.WriteOff)
     return true;
   return std::all_of(m_slots.begin(), m_slots.end(), [](const auto &Each) {
-    return Each.second.Fenced || !Each.second.Listed;
+    return Each.second.Fenced || !(Each.second.Listed || Each.second.Former);
   });
 }
 
@@ -444,11 +483,14 @@
     : m_impl(std::make_shared<Impl>(std::move(Options), Store, Workers,
                                     Approvals, Time)) {}
 JobShard::~JobShard() = default;
-void JobShard::load() { m_impl->load(); }
+void JobShard::load() { m_impl->readRows(); }
 void JobShard::setWorkers(std::vector<WorkerEntry> Own,
                           std::vector<WorkerEntry> Fleet) {
   m_impl->setWorkers(std::move(Own), std::move(Fleet));
 }
+void JobShard::setFormerWorkers(const std::vector<WorkerEntry> &Former) {
+  m_impl->setFormerWorkers(Former);
+}
 void JobShard::setQueues(std::shared_ptr<const JobQueues> Queues) {
   m_impl->setQueues(std::move(Queues));
 }
@@ -460,6 +502,7 @@
 std::map<std::string, int> JobShard::pending() const {
   return m_impl->pending();
 }
+ShardLoad JobShard::currentLoad() { return m_impl->load(); }
 bool JobShard::isLoaded() const { return m_impl->isLoaded(); }
 uint64_t JobShard::epoch() const { return m_impl->epoch(); }
 bool JobShard::isSettled() const { return m_impl->isSettled(); }
--- a/src/libbasilchute/jobshard_harm.cpp
+++ b/src/libbasilchute/jobshard_harm.cpp
@@ -18,8 +18,12 @@
 constexpr milliseconds PaceAhead{400};
 /// Part of a worker that all its tasks may use together.
 constexpr double MostLoad = 1.1;
-/// Time between two rows of what was learned.
+/// Time between two rows of what was learned, for the successor alone and for
+/// other owners too.
 constexpr milliseconds KeepModelEvery{3000};
+constexpr milliseconds ShareModelEvery{1500};
+/// Time between two readings of what other owners learned.
+constexpr milliseconds FollowModelsEvery{1000};
 
 } // namespace
 
@@ -80,6 +84,7 @@
     return;
   At.Held.at(Key).Pace = Percent;
   At.Held.at(Key).PacedAt = m_time.now();
+  ++m_counts.Paces;
   m_workers.pace(
       At.Entry,
       {.Task = Key.first,
@@ -107,35 +112,79 @@
   RowRange Range{.Table = Place.Table, .Part = Place.Part, .From = Place.Key};
   m_store.read(Range, [Weak = weak_from_this()](Result<RowPage> Answer) {
     auto Self = Weak.lock();
-    if (!Self || Self->m_lost || !Answer.has_value() ||
-        Answer.value().Rows.empty())
+    if (!Self || Self->m_lost || !Answer.has_value())
       return;
-    const PlacedRow &Row = Answer.value().Rows.front();
-    Result<std::vector<ImagePair>> Pairs = decodeInterference(Row.Value);
-    if (!Pairs.has_value()) {
-      Self->log("bad_row",
-                fmt::format("table={} key={} message=\"{}\"", Row.Place.Table,
-                            Row.Place.Key, Pairs.error().Message));
+    Self->m_modelsFrom = std::max<uint64_t>(Answer.value().Version, 1);
+    if (Answer.value().Rows.empty())
       return;
-    }
-    for (const ImagePair &Each : Pairs.value())
-      Self->m_harm.restore({.Serving = Self->kindOf(Each.Serving),
-                            .Fill = Self->kindOf(Each.Fill),
-                            .Slope = Each.Slope,
-                            .Variance = Each.Variance});
-    Self->log("model_read",
-              fmt::format("shard={} pairs={}", Self->m_options.Shard,
-                          Pairs.value().size()));
+    std::vector<PairSlope> Pairs = Self->pairsIn(Answer.value().Rows.front());
+    for (const PairSlope &Each : Pairs)
+      Self->m_harm.restore(Each);
+    Self->log("model_read", fmt::format("shard={} pairs={}",
+                                        Self->m_options.Shard, Pairs.size()));
   });
 }
 
+std::vector<PairSlope> JobShard::Impl::pairsIn(const PlacedRow &Row) {
+  std::vector<PairSlope> Out;
+  Result<std::vector<ImagePair>> Pairs = decodeInterference(Row.Value);
+  if (!Pairs.has_value()) {
+    log("bad_row",
+        fmt::format("table={} key={} message=\"{}\"", Row.Place.Table,
+                    Row.Place.Key, Pairs.error().Message));
+    return Out;
+  }
+  for (const ImagePair &Each : Pairs.value())
+    Out.push_back({.Serving = kindOf(Each.Serving),
+                   .Fill = kindOf(Each.Fill),
+                   .Slope = Each.Slope,
+                   .Variance = Each.Variance});
+  return Out;
+}
+
+// An owner sees the harm on its own workers only. Each alone would need as long
+// to learn it as one owner of the whole fleet needs for all.
+void JobShard::Impl::followModels() {
+  TimePoint Now = m_time.now();
+  bool Alone = !m_options.Shards || m_options.Shards() < 2;
+  if (Alone || m_readingModels || Now < m_nextModels || !mayAct())
+    return;
+  m_nextModels = Now + FollowModelsEvery;
+  if (m_modelsFrom == 0) {
+    readModel();
+    return;
+  }
+  m_readingModels = true;
+  m_store.feed(InterferenceTable, m_modelsFrom, milliseconds(0),
+               [Weak = weak_from_this()](const Result<RowPage> &Answer) {
+                 if (auto Self = Weak.lock())
+                   Self->onModels(Answer);
+               });
+}
+
+void JobShard::Impl::onModels(const Result<RowPage> &Answer) {
+  m_readingModels = false;
+  if (!Answer.has_value()) {
+    if (Answer.error().Code == ResultCode::NotFound)
+      m_modelsFrom = 0;
+    return;
+  }
+  m_modelsFrom = std::max(m_modelsFrom, Answer.value().Version);
+  for (const PlacedRow &Row : Answer.value().Rows) {
+    int Shard = shardOfPart(Row.Place.Part);
+    if (Shard >= 0 && Shard != m_options.Shard && !Row.Removed)
+      m_harm.learnFrom(Shard, pairsIn(Row));
+  }
+}
+
 // Losing one of these rows costs little, so that a failed write is not tried
 // again before the next is due.
 void JobShard::Impl::keepModel() {
   TimePoint Now = m_time.now();
   if (!m_learned || Now < m_nextModel || !mayAct())
     return;
-  m_nextModel = Now + KeepModelEvery;
+  bool Alone = !m_options.Shards || m_options.Shards() < 2;
+  m_nextModel = Now + (Alone ? KeepModelEvery : ShareModelEvery);
   m_learned = false;
   std::vector<std::string> Images(m_kinds.size());
   for (const auto &[Image, Kind] : m_kinds)
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -4,7 +4,7 @@
 /// and jobshard_gang.cpp its place, jobshard_orders.cpp what workers are told,
 /// jobshard_slow.cpp what is too slow where it runs, jobshard_harm.cpp how fill
 /// tasks are paced beside serving ones, jobshard_move.cpp what has to leave a
-/// worker.
+/// worker, jobshard_transfer.cpp what waits and does better in another shard.
 #pragma once
 
 #include "basilchute/interference.h"
@@ -19,19 +19,26 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+/// A fill task waits rather than join a worker with less headroom, or one that
+/// is expected to use this part of its processors already.
+constexpr double LeastHeadroom = 1.15;
+constexpr double MostFillLoad = 1.1;
+
 class JobShard::Impl : public std::enable_shared_from_this<JobShard::Impl> {
 public:
   Impl(JobShardOptions Options, RowStore &Store, TaskWorkers &Workers,
        ApprovalService *Approvals, const Clock &Time);
 
   // Rows.
-  void load();
+  void readRows();
   void tick();
   void setWorkers(std::vector<WorkerEntry> Own, std::vector<WorkerEntry> Fleet);
+  void setFormerWorkers(const std::vector<WorkerEntry> &Former);
   void setQueues(std::shared_ptr<const JobQueues> Queues);
   void retire() { m_retired = true; }
   std::optional<JobState> state(const std::string &Job) const;
   std::map<std::string, int> pending() const;
+  ShardLoad load();
   bool isLoaded() const { return m_loaded; }
   uint64_t epoch() const { return m_options.Epoch; }
   bool isSettled() const;
@@ -66,6 +73,7 @@
   void followJobs();
   void onJobRow(const PlacedRow &Row);
   void addJob(const Job &Spec, uint64_t Version, const JobProgress *Stored);
+  void addStored(const Job &Spec, const PlacedRow &Row);
   TaskKind kindOf(const std::string &Image);
   TaskClass classOf(const std::string &Queue, const std::string &Image);
   void cancelJob(const std::string &Id);
@@ -83,6 +91,23 @@
   void recheck();
   void recheckNext(std::vector<std::string> Jobs);
   void lose(std::string_view Why);
+
+  int64_t fillRoom(const std::vector<Spot> &Spots, TaskKind Kind) const;
+  void addFillLoad(ShardLoad &To);
+
+  // Jobs that go to another shard.
+  void transfer();
+  std::vector<std::string> transferable() const;
+  bool mayTransfer(const JobEntry &Of) const;
+  bool hasWorkers() const;
+  bool holdsRunOf(const JobEntry &Of) const;
+  void adoptJob(const Job &Spec);
+  void sendTransfer(const std::map<std::string, int> &Moves);
+  void onTransferred(const std::map<std::string, int> &Moves,
+                     Result<uint64_t> Answer);
+  void forgetJob(const std::string &Id, uint64_t Version);
+  bool hasMovedAway(const std::string &Id, uint64_t Version);
+
   void log(std::string_view Event, std::string_view Fields) const;
   JobEntry *find(const std::string &Id);
   const JobQueue *queueOf(const JobEntry &Of) const;
@@ -126,6 +151,9 @@
   bool isRoomy(const std::vector<Spot> &Spots) const;
   bool placeOne(std::vector<Spot> &Spots, JobEntry &Of, int Position);
   bool placeGang(std::vector<Spot> &Spots, JobEntry &Of, int Position);
+  bool mayYetMove(const JobEntry &Of) const;
+  bool fitsWhole(const std::vector<Spot> &Spots, const JobEntry &Of,
+                 int Position);
   bool rejoinGang(std::vector<Spot> &Spots, JobEntry &Of, int Position);
   void finishGang(JobEntry &Of, int Position);
   Spot *cheapest(std::vector<Spot> &Spots, const JobEntry &Of, int Position,
@@ -175,6 +203,9 @@
   std::vector<milliseconds> siblings(const JobEntry &Of, int Position) const;
   void readModel();
   void keepModel();
+  void followModels();
+  void onModels(const Result<RowPage> &Answer);
+  std::vector<PairSlope> pairsIn(const PlacedRow &Row);
   /// What the progress of a job's fill tasks is worth.
   double weightOf(const std::string &Job);
   void pace(WorkerSlot &At);
@@ -199,15 +230,24 @@
   ProgressWatch m_progress;
   std::map<std::pair<std::string, std::string>, TaskClass> m_classes;
   std::map<std::string, TaskKind> m_kinds;
+  /// Kinds of fill tasks.
+  std::set<TaskKind> m_fillKinds;
   LoadGroup m_nextGroup = 0;
   /// The model has changed since it was stored.
   bool m_learned = false;
   TimePoint m_nextModel{};
+  /// Other shards' rows are read from this version on; none before the first
+  /// reading.
+  uint64_t m_modelsFrom = 0;
+  TimePoint m_nextModels{};
+  bool m_readingModels = false;
   /// Mean work of a job, by queue.
   std::map<std::string, double> m_meanWork;
   /// Positions of the tasks that could be started, by job.
   std::map<std::string, std::set<int>> m_waiting;
   std::set<std::string> m_dirty;
+  /// Jobs that went to another shard, and the version at which they went.
+  std::map<std::string, uint64_t> m_movedAway;
   uint64_t m_feedFrom = 0;
   /// Start orders without an answer yet. After a takeover hundreds are due;
   /// more than the host can send in time would come too late at the workers.
@@ -218,6 +258,7 @@
   bool m_committing = false;
   TimePoint m_nextPlace{};
   TimePoint m_nextRelocate{};
+  TimePoint m_nextTransfer{};
   TimePoint m_nextStateLog{};
   /// Counts at the last line of state.
   JobShardCounts m_loggedCounts;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -16,6 +16,9 @@
 constexpr size_t MostHopelessSteps = 40;
 /// Tasks that reserve what they use need room alike, whatever their kind.
 constexpr TaskKind AnyReservingKind = -1;
+/// A long-running job is begun in part once no other shard is better, or after
+/// this if that is not known.
+constexpr milliseconds WholePatience{4000};
 /// A task that found no room for this long has room kept for it.
 constexpr milliseconds KeepRoomAfter{800};
 /// A job is refused as impossible only after this, since the list of workers
@@ -26,12 +29,8 @@
 /// Cost of each unit of headroom that a fill task leaves short of HarmBelow.
 constexpr double HarmCost = 2.0;
 constexpr double HarmBelow = 1.6;
-/// A fill task waits rather than join a worker with less headroom ...
-constexpr double LeastHeadroom = 1.15;
-/// ... within this time, or one that is expected to use this part of its
-/// processors already.
+/// The headroom of a worker is that of this time from now.
 constexpr milliseconds PlaceAhead{800};
-constexpr double MostFillLoad = 1.1;
 /// One part in this many of a worker's memory is not for fill tasks.
 constexpr int64_t FillMemoryPart = 8;
 /// Headroom of a serving task that has not begun.
@@ -51,15 +50,21 @@
 // worker: what is left waits for the next round.
 void JobShard::Impl::place() {
   TimePoint Now = m_time.now();
-  if (m_waiting.empty() || Now < m_nextPlace || !mayAct() || !isSettled())
+  if (m_waiting.empty() || Now < m_nextPlace || !mayAct())
     return;
+  bool Settled = isSettled();
   m_nextPlace = Now + PlacePause;
   uint64_t StartsBefore = m_counts.Starts;
   std::vector<Spot> Spots = spots();
   m_roomy = isRoomy(Spots);
   std::vector<std::pair<Rank, std::string>> Jobs;
-  for (const auto &[Id, Positions] : m_waiting)
-    Jobs.push_back({rankOf(*find(Id)), Id});
+  for (const auto &[Id, Positions] : m_waiting) {
+    // What the former owner may have started waits until every worker has told
+    // what runs there.
+    const JobEntry &Of = *find(Id);
+    if (Settled || !Of.Loaded)
+      Jobs.push_back({rankOf(Of), Id});
+  }
   std::sort(Jobs.begin(), Jobs.end());
   size_t HopelessSteps = 0;
   Rejections Rejected;
@@ -86,6 +91,8 @@
       m_options.WallTime ? m_options.WallTime() : milliseconds(0);
   const std::string &Id = Of.Spec.Id;
   std::set<int> Positions = m_waiting[Id];
+  if (mayYetMove(Of) && !fitsWhole(Spots, Of, *Positions.begin()))
+    return 1;
   // Tasks of one step are alike: if one finds no room, the others do not.
   std::set<int> Hopeless;
   size_t Weighed = 0;
@@ -151,6 +158,28 @@
           Step.Fills ? Kind : AnyReservingKind};
 }
 
+// While a long-running job is whole it can go to a shard that has room for all
+// of it; once it has begun it stays.
+bool JobShard::Impl::mayYetMove(const JobEntry &Of) const {
+  bool Several = m_options.Shards && m_options.Shards() > 1;
+  if (!Several || !Of.Spec.Steps.front().LongRunning || Of.hasStarted())
+    return false;
+  bool Asked = Of.AskedAt > Of.Seen;
+  return Asked ? Of.HasBetter : m_time.now() < Of.Seen + WholePatience;
+}
+
+bool JobShard::Impl::fitsWhole(const std::vector<Spot> &Spots,
+                               const JobEntry &Of, int Position) {
+  std::vector<Spot> Trial = Spots;
+  for (int Each : Of.groupPositions(Position)) {
+    Spot *Best = cheapest(Trial, Of, Each, {});
+    if (!Best)
+      return false;
+    take(*Best, Of, Each);
+  }
+  return true;
+}
+
 bool JobShard::Impl::isRoomy(const std::vector<Spot> &Spots) const {
   int64_t Free = 0;
   int64_t Total = 0;
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -82,7 +82,7 @@
 }
 
 void JobShard::Impl::queueReady(JobEntry &Of) {
-  if (isFinal(Of.State))
+  if (isFinal(Of.State) || Of.Moving)
     return;
   for (int Position = 0; Position < static_cast<int>(Of.Tasks.size());
        ++Position) {
@@ -150,17 +150,20 @@
     Waiting[First.LongRunning ? 1 : First.Fills ? 2 : 0] += Positions.size();
   }
   int64_t Used = 0;
-  for (const auto &[Id, Slot] : m_slots)
+  size_t Over = 0;
+  for (const auto &[Id, Slot] : m_slots) {
     Used += Slot.usedMillicores();
+    Over += Slot.runsOverTarget();
+  }
   log("shard_state",
       fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
                   "free_gib={} most_gib={} waiting_short={} waiting_long={} "
-                  "waiting_fill={} fill_cores={} {} {}",
+                  "waiting_fill={} fill_cores={} over_target={} {} {}",
                   m_options.Shard, m_slots.size(), Spots.size(),
                   Free.Millicores / 1000, Most.Millicores / 1000,
                   Free.MemoryMib / 1024, Most.MemoryMib / 1024, Waiting[0],
-                  Waiting[1], Waiting[2], Used / 1000, whyFillWaits(Spots),
-                  placingFields()));
+                  Waiting[1], Waiting[2], Used / 1000, Over,
+                  whyFillWaits(Spots), placingFields()));
 }
 
 // How rounds of placing ended since the last line, and how long a start order
@@ -175,12 +178,12 @@
       static_cast<int64_t>(std::max<uint64_t>(Answered, 1)));
   std::string Out = fmt::format(
       "rounds_whole={} rounds_start_limit={} rounds_step_limit={} starts={} "
-      "starts_under_way={} starts_limit={} start_ms={}",
+      "starts_under_way={} starts_limit={} start_ms={} paces={}",
       Now.RoundsWhole - Before.RoundsWhole,
       Now.RoundsAtStartLimit - Before.RoundsAtStartLimit,
       Now.RoundsAtStepLimit - Before.RoundsAtStepLimit,
       Now.Starts - Before.Starts, Now.StartsUnderWay, m_starts.limit(),
-      Took.count());
+      Took.count(), Now.Paces - Before.Paces);
   m_loggedCounts = Now;
   return Out;
 }
--- /dev/null
+++ b/src/libbasilchute/jobwork.cpp
@@ -0,0 +1,28 @@
+#include "libbasilchute/jobwork.h"
+
+#include <algorithm>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+milliseconds longestChain(const std::vector<JobStep> &Steps,
+                          const std::function<bool(size_t)> &Count) {
+  std::vector<milliseconds> Ends;
+  milliseconds Out{0};
+  for (size_t Step = 0; Step < Steps.size(); ++Step) {
+    milliseconds End{0};
+    for (int Before : Steps[Step].After)
+      End = std::max(End, Ends[static_cast<size_t>(Before)]);
+    if (Count(Step))
+      End += Steps[Step].Estimate;
+    Ends.push_back(End);
+    Out = std::max(Out, End);
+  }
+  return Out;
+}
+
+double taskWork(const JobStep &Step) {
+  return static_cast<double>(Step.Demand.Millicores) *
+         std::chrono::duration<double>(Step.Estimate).count();
+}
+
+BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -90,9 +90,15 @@
   return Out;
 }
 
+size_t WorkerSlot::runsOverTarget() const {
+  return static_cast<size_t>(
+      std::count_if(Held.begin(), Held.end(), [](const auto &Each) {
+        return Each.second.OverSince.has_value();
+      }));
+}
+
 bool WorkerSlot::hasLabel(const std::string &Label) const {
-  return std::find(Entry.Labels.begin(), Entry.Labels.end(), Label) !=
-         Entry.Labels.end();
+  return Entry.hasLabel(Label);
 }
 
 void WorkerSlot::forgetLife() {
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -74,6 +74,8 @@
   WorkerEntry Entry;
   /// Still in the platform's list.
   bool Listed = true;
+  /// It left the list a short time before the shard was taken.
+  bool Former = false;
   /// It has answered a look with this owner's epoch.
   bool Fenced = false;
   bool Looking = false;
@@ -110,6 +112,8 @@
   double load() const;
   /// The same without fill runs.
   double reservedLoad() const;
+  /// Runs whose tail is above its target.
+  size_t runsOverTarget() const;
   /// Millicores that fill runs use, by the last measurement.
   int64_t usedMillicores() const;
   bool hasLabel(const std::string &Label) const;
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -6,6 +6,7 @@
 #include "basilchute/jobdesk.h"
 #include "basilchute/jobshard.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,8 +21,12 @@
   std::string StartId;
   /// Capacity relative to other hosts.
   int Weight = 1;
-  /// Number of shards; the same on all hosts.
-  int Shards = 1;
+  /// Workers that one shard should hold; the number of shards follows the
+  /// fleet.
+  int WorkersPerShard = 160;
+  int LeastShards = 1;
+  /// Transactions of the store may span parts. If not, there is one shard.
+  bool SpansParts = true;
   /// Longest lease that a worker grants.
   milliseconds MaxLease{6000};
   /// Runs a function on the host's loop after a delay.
@@ -56,12 +61,32 @@
   std::optional<int> pending(const std::string &Queue) const;
   /// Counts over all shards owned now.
   JobShardCounts counts() const;
+  /// Number of shards now, and the shard of a worker, -1 for none.
+  int shards() const { return m_cluster.shards(); }
+  int shardOf(const std::string &Worker) const {
+    return m_cluster.shardOf(Worker);
+  }
   int ownedShards() const { return static_cast<int>(m_shards.size()); }
 
 private:
+  /// Work that was sent to a shard, until its owner's report can show it.
+  struct SentWork {
+    TimePoint At{};
+    int Shard = 0;
+    ShardLoad Load;
+  };
+
   void own(int Shard, uint64_t Epoch);
+  void groupWorkers();
   void giveWorkers(int Shard);
   std::map<int, ShardReport> reports() const;
+  /// Shards that could run \p Value, with their load.
+  std::vector<ShardCandidate> candidates(const Job &Value);
+  bool canRun(int Shard, const Job &Value) const;
+  bool hasData(int Shard, const Job &Value) const;
+  int choose(const Job &Value);
+  int elsewhere(int Shard, const Job &Value);
+  void noteSent(int Shard, const ShardDemand &Demand);
   std::optional<JobState> localState(const std::string &Job) const;
   HostClusterOptions clusterOptions();
 
@@ -72,6 +97,19 @@
   const Clock &m_time;
   std::map<int, std::unique_ptr<JobShard>> m_shards;
   std::vector<WorkerEntry> m_fleet;
+  /// A worker that left the list, and when.
+  struct FormerWorker {
+    WorkerEntry Entry;
+    TimePoint LeftAt{};
+  };
+
+  void noteFormer(const std::vector<WorkerEntry> &Before);
+  std::vector<WorkerEntry> formerOf(int Shard) const;
+
+  std::map<std::string, FormerWorker> m_former;
+  /// The fleet by shard.
+  std::map<int, std::vector<WorkerEntry>> m_byShard;
+  std::deque<SentWork> m_sent;
   std::shared_ptr<const JobQueues> m_queues;
   HostCluster m_cluster;
   JobDesk m_desk;
--- a/src/libjobhost/jobload_test.cpp
+++ b/src/libjobhost/jobload_test.cpp
@@ -8,6 +8,24 @@
 using namespace basilchute;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// Workers of the shard, by the bed's numbers.
+std::vector<int> workersOf(JobBed &Bed, int Shard) {
+  std::vector<int> Out;
+  for (int Each = 0; Each < Bed.workers(); ++Each)
+    if (Bed.host(0).Core->shardOf(Bed.worker(Each).Entry.Id) == Shard)
+      Out.push_back(Each);
+  return Out;
+}
+
+bool isCompleted(JobBed &Bed, const std::string &Id) {
+  Result<JobState> State = Bed.state(0, Id);
+  return State.has_value() && State.value() == JobState::Completed;
+}
+
+} // namespace
+
 // Guards against SHORT on a large fleet: one host gave all orders while the
 // others stood by, and wide jobs waited beside idle cores. 1000 starts a
 // second on 480 workers, by hosts of a quarter of a core.
@@ -51,11 +69,47 @@
 // Guards against SHORT by a limit that does not know the fleet: with 64 orders
 // under way for all workers, starts a second fell with the time of an order.
 TEST_CASE("Starts under way are not limited where the host is fast") {
-  JobBed Bed({.Workers = 100,
-              .WorkerCapacity = {.Millicores = 32000, .MemoryMib = 64000},
+  JobBed Bed({.Workers = 60,
+              .WorkerCapacity = {.Millicores = 64000, .MemoryMib = 64000},
               .Way = 40ms});
-  Bed.run(4s);
+  Bed.run(6s);
   CHECK(Bed.submit(0, chainJob("a", 1, 3000, 4s)).has_value());
   Bed.run(1500ms);
   CHECK(Bed.Oracle.starts() == 3000);
 }
+
+TEST_CASE("The number of shards follows the fleet, and workers are spread over "
+          "them") {
+  JobBed Bed({.Hosts = 4, .Workers = 400});
+  Bed.run(6s);
+  CHECK(Bed.host(0).Core->shards() == 3);
+  for (int Shard = 0; Shard < 3; ++Shard) {
+    auto Count = static_cast<int>(workersOf(Bed, Shard).size());
+    CHECK(Count >= 130);
+    CHECK(Count <= 137);
+  }
+}
+
+TEST_CASE("Jobs leave a shard whose workers are gone") {
+  JobBed Bed({.Workers = 6, .Shards = 2});
+  Bed.run(6s);
+  for (int Each = 0; Each < 12; ++Each)
+    CHECK(
+        Bed.submit(Each % 3, chainJob("busy-" + std::to_string(Each), 1, 8, 3s))
+            .has_value());
+  // More than the room, so that some have not begun when the workers go.
+  for (int Each : workersOf(Bed, 1)) {
+    Bed.worker(Each).Down = true;
+    Bed.worker(Each).crash();
+    Bed.list(Each, false);
+  }
+  for (int Each = 0; Each < 12; ++Each)
+    Bed.runUntil(
+        [&] { return isCompleted(Bed, "busy-" + std::to_string(Each)); }, 30s);
+  int Completed = 0;
+  for (int Each = 0; Each < 12; ++Each)
+    Completed += isCompleted(Bed, "busy-" + std::to_string(Each));
+  CHECK(Completed == 12);
+  for (const std::string &Each : Bed.Oracle.violations())
+    FAIL_CHECK(Each);
+}
--- a/src/testing/jobbed.cpp
+++ b/src/testing/jobbed.cpp
@@ -228,7 +228,7 @@
       JobHostOptions{
           .HostName = fmt::format("host-{}", Index),
           .StartId = fmt::format("{}", To.Life),
-          .Shards = m_options.Shards,
+          .LeastShards = m_options.Shards,
           .After = Deliver,
           .WallTime =
               [this] {
--- a/src/testing/jobbed.h
+++ b/src/testing/jobbed.h
@@ -20,6 +20,7 @@
 struct JobBedOptions {
   int Hosts = 3;
   int Workers = 6;
+  /// The least; more if there are many workers.
   int Shards = 1;
   Resources WorkerCapacity{.Millicores = 8000, .MemoryMib = 16000};
   int FailPercent = 0;
--- a/src/testing/jobfuzz_test.cpp
+++ b/src/testing/jobfuzz_test.cpp
@@ -1,8 +1,9 @@
 // Random faults against job hosts, checked by the oracle.
 //
-// Usage: basilchute_jobfuzz FIRST_SEED COUNT. Prints each seed that broke a
-// rule; the same seed always does the same. BASILCHUTE_TRACE prints every
-// decision.
+// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards]. Prints each seed that
+// broke a rule; the same seed always does the same. With "shards" there are two
+// or three shards, and workers leave the list in numbers, so that jobs move
+// between shards. BASILCHUTE_TRACE prints every decision.
 
 #include "testing/jobbed.h"
 
@@ -20,11 +21,12 @@
 /// One session of random commands.
 class Session {
 public:
-  explicit Session(uint64_t Seed)
-      : m_random(Seed),
+  Session(uint64_t Seed, bool ManyShards)
+      : m_random(Seed), m_manyShards(ManyShards),
         m_bed({.Hosts = 3,
-               .Workers = 5,
-               .Shards = 1 + static_cast<int>(Seed % 3),
+               .Workers = ManyShards ? 6 : 5,
+               .Shards = ManyShards ? 2 + static_cast<int>(Seed % 2)
+                                    : 1 + static_cast<int>(Seed % 3),
                .FailPercent = 5,
                .MaxAttempts = 3,
                .Seed = Seed,
@@ -57,6 +59,8 @@
   int anyHost() { return pick(0, m_bed.hosts()); }
 
   void command() {
+    if (m_manyShards && pick(0, 6) == 0)
+      return toggleList();
     switch (pick(0, 16)) {
     case 0:
     case 1:
@@ -133,6 +137,13 @@
       Worker.crash();
   }
 
+  void toggleList() {
+    int Worker = pick(0, m_bed.workers());
+    if (!m_unlisted.erase(Worker))
+      m_unlisted.insert(Worker);
+    m_bed.list(Worker, !m_unlisted.count(Worker));
+  }
+
   void lateOrders() {
     m_bed.worker(pick(0, m_bed.workers())).LatePercent = pick(0, 3) * 15;
   }
@@ -157,11 +168,15 @@
       m_bed.worker(Each).Down = false;
       m_bed.worker(Each).LatePercent = 0;
     }
+    for (int Each : m_unlisted)
+      m_bed.list(Each, true);
     m_bed.publishWorkers();
   }
 
   std::mt19937_64 m_random;
+  bool m_manyShards;
   JobBed m_bed;
+  std::set<int> m_unlisted;
   std::vector<std::string> m_accepted;
   int m_jobs = 0;
 };
@@ -171,9 +186,10 @@
 int main(int ArgCount, char **Args) {
   uint64_t First = ArgCount > 1 ? std::strtoull(Args[1], nullptr, 10) : 1;
   uint64_t Count = ArgCount > 2 ? std::strtoull(Args[2], nullptr, 10) : 20;
+  bool ManyShards = ArgCount > 3 && std::string(Args[3]) == "shards";
   uint64_t Failed = 0;
   for (uint64_t Seed = First; Seed < First + Count; ++Seed) {
-    std::vector<std::string> Wrong = Session(Seed).run();
+    std::vector<std::string> Wrong = Session(Seed, ManyShards).run();
     if (Wrong.empty())
       continue;
     ++Failed;
