An owner that cannot renew does not take leases for over

Cause: an owner that the store turns away goes on for its horizon of 7 s. It took a lease for over that it had last extended 6 s before, and started the task again on another worker. Its successor had reached the silent worker meanwhile, extended the lease, and noted the end. Class: a conclusion from silence by somebody who cannot know that he is alone.

Fix: runs of silent and of vanished workers count as lost only while the owner surely owns the shard. What is under way goes on; a worker's crash during an outage of the store is mended when the store is back.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -133,6 +133,7 @@
   void dropGoneSlots();
 
   /// Service, label and kind of tasks that found no place in a round, with what
+  bool isLeaseOver(const WorkerSlot &At) const;
   /// they asked for.
   using RejectionKey = std::tuple<std::string, std::string, TaskKind>;
   using Rejections = std::map<RejectionKey, std::vector<Resources>>;
--- a/src/libbasilchute/jobshard_look.cpp
+++ b/src/libbasilchute/jobshard_look.cpp
@@ -148,10 +148,17 @@
   }
   // A worker that drained and left has ended its runs.
   bool Left = At.Entry.Draining && !At.Listed;
-  if (Left || Now > At.LeaseEnd)
+  if (Left || isLeaseOver(At))
     loseRuns(At, Left ? "worker_left" : "lease_over");
 }
 
+// An owner that cannot renew must not conclude that: its successor may have
+// reached the worker and extended the leases.
+bool JobShard::Impl::isLeaseOver(const WorkerSlot &At) const {
+  return m_time.now() > At.LeaseEnd &&
+         (!m_options.MayFence || m_options.MayFence());
+}
+
 void JobShard::Impl::loseRuns(WorkerSlot &At, std::string_view Why) {
   std::vector<RunKey> Keys;
   for (const auto &[Key, Run] : At.Held)
@@ -373,10 +380,9 @@
 }
 
 void JobShard::Impl::dropGoneSlots() {
-  TimePoint Now = m_time.now();
   for (auto Each = m_slots.begin(); Each != m_slots.end();) {
     WorkerSlot &Slot = Each->second;
-    bool Gone = !Slot.Listed && Slot.MissedLooks > 0 && Now > Slot.LeaseEnd;
+    bool Gone = !Slot.Listed && Slot.MissedLooks > 0 && isLeaseOver(Slot);
     if (!Gone) {
       ++Each;
       continue;
