A new owner acts only on what it can know of its predecessor

The former owner, paused and within its horizon, heard of the same new job and began it on a worker that the new owner had not reached. Now an owner begins a job only if it surely owned the shard when the job came (mayBegin: renewed lately, or the job's row is older than the last sure renewal); the new owner lets only jobs wait that are older than its epoch.

Class: a takeover that trusts what its host believed before it.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -86,6 +86,10 @@
 
   /// True while this host's row was renewed within the horizon.
   bool mayAct() const;
+  /// True while no other host can have taken this host's shards before the
+  /// version of a job's row. The new owner starts later jobs without knowing
+  /// what runs on workers that it has not reached, so the former one must not.
+  bool mayBegin(uint64_t RowVersion) const;
   /// True while no other host can have taken this host's shards. Only then may
   /// a worker's new life be fenced, since it knows of no newer owner.
   bool mayFence() const;
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -43,6 +43,12 @@
   /// Returns whether no other host can own the shard; asked before the first
   /// look at a worker's life, which knows of no newer owner.
   std::function<bool()> MayFence;
+  /// Returns whether the shard was surely this host's at that version of the
+  /// store; asked before the first start of a job that was accepted there.
+  std::function<bool(uint64_t)> MayBegin;
+  /// Returns the time as of which the list of workers is complete. A list from
+  /// before the takeover may lack workers that the former owner used.
+  std::function<TimePoint()> FleetAsOf;
   /// Returns the time since 1970.
   std::function<milliseconds()> WallTime;
   /// Returns the shard where a job that waits here would do better, -1 for
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -95,6 +95,10 @@
     return m_renewed && m_time.now() < *m_renewed + m_options.Horizon;
   }
 
+  bool mayBegin(uint64_t RowVersion) const {
+    return RowVersion <= m_sureVersion || mayFence();
+  }
+
   bool mayFence() const {
     return m_renewed && m_time.now() < *m_renewed + fenceAge() &&
            m_unverified.empty();
@@ -165,20 +169,23 @@
                        return;
                      --Self->m_beating;
                      if (Ok.has_value())
-                       Self->onRenewed(Now);
+                       Self->onRenewed(Now, Ok.value());
                    });
   }
 
   // A renewal says nothing about the shards: after a gap in which another host
   // could take them, their rows are read again.
-  void onRenewed(TimePoint Sent) {
+  void onRenewed(TimePoint Sent, uint64_t Version) {
     if (m_renewed && Sent <= *m_renewed)
       return;
     bool First = !m_renewed;
     nanoseconds Gap = First ? nanoseconds(0) : Sent - *m_renewed;
     m_renewed = Sent;
-    if (First || Gap <= fenceAge())
+    if (First || Gap <= fenceAge()) {
+      if (m_unverified.empty())
+        m_sureVersion = std::max(m_sureVersion, Version);
       return;
+    }
     log("renewed_after_gap", fmt::format("gap_ms={}", Gap / milliseconds(1)));
     for (int Shard = 0; Shard < shards(); ++Shard) {
       if (m_shards[static_cast<size_t>(Shard)].HeldEpoch == 0)
@@ -479,6 +486,8 @@
   std::set<int> m_unverified;
   std::shared_ptr<ShardLayout> m_layout;
   std::optional<TimePoint> m_renewed;
+  /// Version of the last renewal by which this host surely owned its shards.
+  uint64_t m_sureVersion = 0;
   uint64_t m_beat = 0;
   TimePoint m_nextBeat{};
   TimePoint m_nextPoll{};
@@ -503,6 +512,9 @@
   m_impl->setFleet(Fleet);
 }
 bool HostCluster::mayAct() const { return m_impl->mayAct(); }
+bool HostCluster::mayBegin(uint64_t RowVersion) const {
+  return m_impl->mayBegin(RowVersion);
+}
 bool HostCluster::mayFence() const { return m_impl->mayFence(); }
 int HostCluster::shards() const { return m_impl->shards(); }
 int HostCluster::shardOf(const std::string &Worker) const {
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -56,9 +56,10 @@
   /// When it was last asked whether another shard is better, and the answer.
   TimePoint AskedAt{};
   bool HasBetter = false;
-  /// It was there when the shard was taken: the former owner may have started
-  /// tasks of it that no stored row tells of.
-  bool Loaded = false;
+  /// Version of the job's own row in the shard.
+  uint64_t JobVersion = 0;
+  /// This owner surely owned the shard when the job came.
+  bool IsSure = false;
   /// It is being handed to another shard, and nothing of it may start here.
   bool Moving = false;
   std::vector<TaskState> Tasks;
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -118,8 +118,6 @@
     if (IsCancel || m_loadedProgress.count(Id))
       onJobRow(Row);
   }
-  for (auto &[Id, Entry] : m_jobs)
-    Entry.Loaded = true;
   log("shard_loaded",
       fmt::format("shard={} epoch={} jobs={} took_ms={}", m_options.Shard,
                   m_options.Epoch, m_jobs.size(),
@@ -174,9 +172,11 @@
   if (Stored != m_loadedProgress.end())
     addStored(Spec.value(), Stored->second);
   else if (Spec.value().Begun)
-    adoptJob(Spec.value());
+    adoptJob(Spec.value(), Row.Version);
   else
     addJob(Spec.value(), Row.Version, nullptr);
+  if (JobEntry *Added = find(Id))
+    Added->JobVersion = Row.Version;
   if (m_cancelled.count(Id))
     cancelJob(Id);
 }
@@ -472,6 +472,8 @@
     return false;
   if (m_time.now() > m_taken + m_options.WriteOff)
     return true;
+  if (m_options.FleetAsOf && m_options.FleetAsOf() < m_taken)
+    return false;
   return std::all_of(m_slots.begin(), m_slots.end(), [](const auto &Each) {
     return Each.second.Fenced || !(Each.second.Listed || Each.second.Former);
   });
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -101,7 +101,7 @@
   bool mayTransfer(const JobEntry &Of) const;
   bool hasWorkers() const;
   bool holdsRunOf(const JobEntry &Of) const;
-  void adoptJob(const Job &Spec);
+  void adoptJob(const Job &Spec, uint64_t JobVersion);
   void sendTransfer(const std::map<std::string, int> &Moves);
   void onTransferred(const std::map<std::string, int> &Moves,
                      Result<uint64_t> Answer);
@@ -112,6 +112,11 @@
   JobEntry *find(const std::string &Id);
   const JobQueue *queueOf(const JobEntry &Of) const;
   bool mayAct() const;
+  /// It came after the shard was taken, so that no former owner has started it.
+  bool isOwn(const JobEntry &Of) const {
+    return Of.JobVersion > m_options.Epoch;
+  }
+  bool mayBegin(JobEntry &Of) const;
 
   // What workers say.
   void lookAround();
@@ -128,12 +133,12 @@
   void onRunning(WorkerSlot &At, const RunningTask &Run);
   void adopt(WorkerSlot &At, const RunningTask &Run);
   void dropMissing(WorkerSlot &At, const LookReply &Reply, TimePoint Sent);
+  bool isLeaseOver(const WorkerSlot &At) const;
   void loseRuns(WorkerSlot &At, std::string_view Why);
   void release(WorkerSlot &At, const RunKey &Key, std::string_view Why);
   void dropGoneSlots();
 
   /// Service, label and kind of tasks that found no place in a round, with what
-  bool isLeaseOver(const WorkerSlot &At) const;
   /// they asked for.
   using RejectionKey = std::tuple<std::string, std::string, TaskKind>;
   using Rejections = std::map<RejectionKey, std::vector<Resources>>;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -61,8 +61,8 @@
   for (const auto &[Id, Positions] : m_waiting) {
     // What the former owner may have started waits until every worker has told
     // what runs there.
-    const JobEntry &Of = *find(Id);
-    if (Settled || !Of.Loaded)
+    JobEntry &Of = *find(Id);
+    if ((Settled || isOwn(Of)) && mayBegin(Of))
       Jobs.push_back({rankOf(Of), Id});
   }
   std::sort(Jobs.begin(), Jobs.end());
@@ -84,6 +84,12 @@
     m_nextPlace = Now + FruitlessPause;
 }
 
+bool JobShard::Impl::mayBegin(JobEntry &Of) const {
+  if (!Of.IsSure)
+    Of.IsSure = !m_options.MayBegin || m_options.MayBegin(Of.JobVersion);
+  return Of.IsSure;
+}
+
 size_t JobShard::Impl::placeJob(JobEntry &Of, std::vector<Spot> &Spots,
                                 Rejections &Rejected) {
   TimePoint Now = m_time.now();
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -81,7 +81,7 @@
   if (Now < Of.Seen + TransferAfter || (!Young && hasWorkers()))
     return false;
   // A run that only the former owner knew of is over by then.
-  if (Of.Loaded && Now < m_taken + m_options.WriteOff)
+  if (!isOwn(Of) && Now < m_taken + m_options.WriteOff)
     return false;
   return !Of.hasStarted() || !holdsRunOf(Of);
 }
@@ -221,24 +221,27 @@
 }
 
 // A job that had begun elsewhere: how far it is, its progress row tells.
-void JobShard::Impl::adoptJob(const Job &Spec) {
+void JobShard::Impl::adoptJob(const Job &Spec, uint64_t JobVersion) {
   RowPlace Place = progressPlace(m_options.Shard, Spec.Id);
   RowRange Range{.Table = Place.Table,
                  .Part = Place.Part,
                  .From = Place.Key,
                  .To = Place.Key + '\x01'};
-  m_store.read(Range, [Weak = weak_from_this(), Spec](Result<RowPage> Answer) {
+  m_store.read(Range, [Weak = weak_from_this(), Spec,
+                       JobVersion](Result<RowPage> Answer) {
     auto Self = Weak.lock();
     if (!Self || Self->m_lost || Self->m_jobs.count(Spec.Id))
       return;
     if (!Answer.has_value()) {
-      Self->adoptJob(Spec);
+      Self->adoptJob(Spec, JobVersion);
       return;
     }
     // It has moved on already.
     if (Answer.value().Rows.empty())
       return;
     Self->addStored(Spec, Answer.value().Rows.front());
+    if (JobEntry *Added = Self->find(Spec.Id))
+      Added->JobVersion = JobVersion;
   });
 }
 
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -58,6 +58,10 @@
       Cluster.Horizon + Options.Lease + WriteOffMargin - Cluster.Timeout;
   Options.MayAct = [this] { return m_cluster.mayAct(); };
   Options.MayFence = [this] { return m_cluster.mayFence(); };
+  Options.MayBegin = [this](uint64_t Version) {
+    return m_cluster.mayBegin(Version);
+  };
+  Options.FleetAsOf = [this] { return m_fleetAsOf; };
   Options.WallTime = m_options.WallTime;
   Options.Elsewhere = [this, Shard](const Job &Value) {
     return elsewhere(Shard, Value);
@@ -71,6 +75,8 @@
   giveWorkers(Shard);
   m_shards[Shard]->setFormerWorkers(formerOf(Shard));
   m_shards[Shard]->load();
+  if (m_options.RefreshFleet)
+    m_options.RefreshFleet();
 }
 
 void JobHost::groupWorkers() {
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -6,6 +6,7 @@
 #include "basilchute/jobdesk.h"
 #include "basilchute/jobshard.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -31,6 +32,9 @@
   milliseconds MaxLease{6000};
   /// Runs a function on the host's loop after a delay.
   std::function<void(milliseconds, std::function<void()>)> After;
+  /// Asks for the present list of workers: setFleet() if it has changed, and
+  /// then noteFleet().
+  std::function<void()> RefreshFleet;
   /// Returns the time since 1970.
   std::function<milliseconds()> WallTime;
   std::function<void(std::string_view, std::string_view)> Log;
@@ -48,6 +52,8 @@
   void tick();
   /// Replaces the list of all workers.
   void setFleet(std::vector<WorkerEntry> Fleet);
+  /// The list was complete as of that time.
+  void noteFleet(TimePoint AsOf) { m_fleetAsOf = std::max(m_fleetAsOf, AsOf); }
   /// Replaces the queues.
   void setQueues(std::shared_ptr<const JobQueues> Queues);
   /// Hands over everything that this host owns.
@@ -97,6 +103,7 @@
   const Clock &m_time;
   std::map<int, std::unique_ptr<JobShard>> m_shards;
   std::vector<WorkerEntry> m_fleet;
+  TimePoint m_fleetAsOf{};
   /// A worker that left the list, and when.
   struct FormerWorker {
     WorkerEntry Entry;
--- a/src/testing/jobbed.cpp
+++ b/src/testing/jobbed.cpp
@@ -230,6 +230,14 @@
           .StartId = fmt::format("{}", To.Life),
           .LeastShards = m_options.Shards,
           .After = Deliver,
+          .RefreshFleet =
+              [this, Deliver, Index] {
+                if (Store.Down || host(Index).Store->Refused)
+                  return;
+                Deliver(Store.Delay, [this, Index, Fleet = fleet()] {
+                  giveFleet(host(Index), Fleet);
+                });
+              },
           .WallTime =
               [this] {
                 return std::chrono::duration_cast<milliseconds>(
@@ -292,14 +300,24 @@
   publishWorkers();
 }
 
-void JobBed::publishWorkers() {
-  std::vector<WorkerEntry> Fleet;
+std::vector<WorkerEntry> JobBed::fleet() {
+  std::vector<WorkerEntry> Out;
   for (int Each = 0; Each < workers(); ++Each)
     if (!m_unlisted.count(Each))
-      Fleet.push_back(worker(Each).Entry);
+      Out.push_back(worker(Each).Entry);
+  return Out;
+}
+
+void JobBed::publishWorkers() {
+  std::vector<WorkerEntry> Fleet = fleet();
   for (JobBedHost &Each : m_hosts)
     if (Each.Core && !Each.Frozen)
-      Each.Core->setFleet(Fleet);
+      giveFleet(Each, Fleet);
+}
+
+void JobBed::giveFleet(JobBedHost &To, const std::vector<WorkerEntry> &Fleet) {
+  To.Core->setFleet(Fleet);
+  To.Core->noteFleet(now());
 }
 
 void JobBed::tickAll() {
--- a/src/testing/jobbed.h
+++ b/src/testing/jobbed.h
@@ -153,6 +153,8 @@
     }
   };
 
+  std::vector<WorkerEntry> fleet();
+  void giveFleet(JobBedHost &To, const std::vector<WorkerEntry> &Fleet);
   void tickAll();
   void trace(int Host, std::string_view Event, std::string_view Fields) const;
 
