--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -104,6 +104,7 @@
   };
 
   milliseconds clock() const;
+  void extend(milliseconds LeaseUntil);
   void end(const TaskName &Task, RunEnd How);
   Resources used() const;
 
@@ -112,6 +113,11 @@
   TimePoint m_born;
   uint64_t m_epoch = 0;
   milliseconds m_leaseUntil{0};
+  /// The lease is over, and how often it was.
+  bool m_lapsed = false;
+  int m_lapses = 0;
+  /// Lapses before each end.
+  std::map<uint64_t, int> m_endedAt;
   std::map<TaskName, Present> m_runs;
   std::map<TaskName, int> m_highest;
   std::vector<EndedTask> m_ended;
