A takeover counts a worker as empty only once it has said so

Two causes, one class (a takeover that takes silence for emptiness): - An owner that loses its shard for its horizon and has it back keeps its epoch. Jobs of its former time have later versions than that, and did not wait until the workers had answered. Own jobs are those that came after the shard's rows were read.

--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -80,10 +80,12 @@
       return;
     }
     Self->m_feedFrom = First;
-    if (WithProgress)
+    if (WithProgress) {
+      Self->m_loadedAs = First;
       Self->readProgress("");
-    else
+    } else {
       Self->followJobs();
+    }
   });
 }
 
@@ -416,6 +418,9 @@
   for (WorkerEntry &Each : Own) {
     auto [Found, Added] = m_slots.try_emplace(Each.Id, Each);
     WorkerSlot &Slot = Found->second;
+    // The former owner may have extended what runs there.
+    if (Added)
+      Slot.LeaseEnd = writtenOffAt();
     Slot.Listed = true;
     // The address of a reborn worker may differ.
     Slot.Entry = Each;
@@ -432,8 +437,7 @@
     if (!Added)
       continue;
     Found->second.Listed = false;
-    Found->second.Former = true;
-    Found->second.LeaseEnd = m_taken + m_options.WriteOff;
+    Found->second.LeaseEnd = writtenOffAt();
   }
 }
 
@@ -470,13 +474,12 @@
 bool JobShard::Impl::isSettled() const {
   if (!m_loaded)
     return false;
-  if (m_time.now() > m_taken + m_options.WriteOff)
+  if (m_time.now() > writtenOffAt())
     return true;
   if (m_options.FleetAsOf && m_options.FleetAsOf() < m_taken)
     return false;
-  return std::all_of(m_slots.begin(), m_slots.end(), [](const auto &Each) {
-    return Each.second.Fenced || !(Each.second.Listed || Each.second.Former);
-  });
+  return std::all_of(m_slots.begin(), m_slots.end(),
+                     [](const auto &Each) { return Each.second.Fenced; });
 }
 
 JobShard::JobShard(JobShardOptions Options, RowStore &Store,
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -112,11 +112,13 @@
   JobEntry *find(const std::string &Id);
   const JobQueue *queueOf(const JobEntry &Of) const;
   bool mayAct() const;
-  /// It came after the shard was taken, so that no former owner has started it.
-  bool isOwn(const JobEntry &Of) const {
-    return Of.JobVersion > m_options.Epoch;
-  }
+  /// It came after the shard was taken, so that nothing of it was started
+  /// before. The epoch does not tell: an owner may lose a shard and have it
+  /// back.
+  bool isOwn(const JobEntry &Of) const { return Of.JobVersion > m_loadedAs; }
   bool mayBegin(JobEntry &Of) const;
+  /// What the former owner started has surely ended by then.
+  TimePoint writtenOffAt() const { return m_taken + m_options.WriteOff; }
 
   // What workers say.
   void lookAround();
@@ -255,6 +257,8 @@
   /// Jobs that went to another shard, and the version at which they went.
   std::map<std::string, uint64_t> m_movedAway;
   uint64_t m_feedFrom = 0;
+  /// Version of the store at which the shard's rows were read.
+  uint64_t m_loadedAs = 0;
   /// Start orders without an answer yet. After a takeover hundreds are due;
   /// more than the host can send in time would come too late at the workers.
   OrderWindow m_starts;
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -81,7 +81,7 @@
   if (Now < Of.Seen + TransferAfter || (!Young && hasWorkers()))
     return false;
   // A run that only the former owner knew of is over by then.
-  if (!isOwn(Of) && Now < m_taken + m_options.WriteOff)
+  if (!isOwn(Of) && Now < writtenOffAt())
     return false;
   return !Of.hasStarted() || !holdsRunOf(Of);
 }
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -74,8 +74,6 @@
   WorkerEntry Entry;
   /// Still in the platform's list.
   bool Listed = true;
-  /// It left the list a short time before the shard was taken.
-  bool Former = false;
   /// It has answered a look with this owner's epoch.
   bool Fenced = false;
   bool Looking = false;
