Log and count the tasks that a new owner holds back after a takeover

After a takeover, ready tasks of older jobs wait until every worker has answered or the runs of the previous owner have surely ended. Nothing showed that: on-call saw a growing backlog beside free workers.

No decision changes.

--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -90,6 +90,12 @@
   uint64_t Transfers = 0;
   /// Orders that set the pace of a fill task.
   uint64_t PaceOrders = 0;
+  /// Workers for whose answer ready tasks wait after the takeover, and the
+  /// number of these tasks; updated each second.
+  uint64_t TakeoverSilentWorkers = 0;
+  uint64_t TasksHeldBack = 0;
+  /// Takeovers of shards by this process; only set in sums over shards.
+  uint64_t Takeovers = 0;
 };
 
 /// Runs the jobs of one shard on the shard's workers.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -469,6 +469,7 @@
   commit();
   transfer();
   place();
+  logTakeover();
   saveModel();
   readPeerModels();
   logState();
@@ -489,17 +490,6 @@
   return Counts;
 }
 
-bool JobShard::Impl::isTakeoverComplete() const {
-  if (!m_isLoaded)
-    return false;
-  if (m_time.now() > previousRunsEndAt())
-    return true;
-  if (m_options.FleetTime && m_options.FleetTime() < m_takeoverTime)
-    return false;
-  return std::all_of(m_slots.begin(), m_slots.end(),
-                     [](const auto &Slot) { return Slot.second.IsFenced; });
-}
-
 JobShard::JobShard(JobShardOptions Options, RowStore &Store,
                    TaskWorkers &Workers, ApprovalService *Approvals,
                    const Clock &Time)
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -1,6 +1,7 @@
 /// \file
 /// Implementation of JobShard, by source file:
 /// - jobshard.cpp: reading, following and committing rows;
+/// - jobshard_takeover.cpp: what previous owners may have left running;
 /// - jobshard_poll.cpp: polls of workers and their answers;
 /// - jobshard_rank.cpp: waiting tasks and their order;
 /// - jobshard_place.cpp, jobshard_gang.cpp: choice of workers for tasks;
@@ -134,6 +135,14 @@
     return m_takeoverTime + m_options.PreviousRunsTimeout;
   }
 
+  // Takeover from the previous owner.
+  bool isFleetIncomplete() const;
+  /// Returns the workers that have not answered this owner yet.
+  std::vector<std::string> silentWorkers() const;
+  /// Returns the number of ready tasks that wait for the end of the takeover.
+  size_t countHeldBackTasks() const;
+  void logTakeover();
+
   // Polls of workers and their answers.
   void pollWorkers();
   void poll(WorkerSlot &Slot);
@@ -313,6 +322,9 @@
   bool m_isLightlyLoaded = false;
   /// Time of the takeover.
   TimePoint m_takeoverTime;
+  /// True once the end of the wait for previous runs was logged.
+  bool m_isTakeoverLogged = false;
+  TimePoint m_nextTakeoverLog{};
 };
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -167,15 +167,18 @@
     RunsOverTarget += Slot.runsOverTarget();
   }
   log("shard_state",
-      fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
-                  "free_gib={} most_gib={} waiting_short={} waiting_long={} "
-                  "waiting_fill={} fill_cores={} over_target={} {} {}",
-                  m_options.Shard, m_slots.size(), Candidates.size(),
-                  Free.Millicores / 1000, Largest.Millicores / 1000,
-                  Free.MemoryMib / 1024, Largest.MemoryMib / 1024,
-                  WaitingTasks[0], WaitingTasks[1], WaitingTasks[2],
-                  FillMillicores / 1000, RunsOverTarget,
-                  fillWaitReasons(Candidates), placementFields()));
+      fmt::format(
+          "shard={} workers={} usable={} free_cores={} most_cores={} "
+          "free_gib={} most_gib={} waiting_short={} waiting_long={} "
+          "waiting_fill={} held_back={} fill_cores={} over_target={} {} "
+          "{}",
+          m_options.Shard, m_slots.size(), Candidates.size(),
+          Free.Millicores / 1000, Largest.Millicores / 1000,
+          Free.MemoryMib / 1024, Largest.MemoryMib / 1024, WaitingTasks[0],
+          WaitingTasks[1], WaitingTasks[2],
+          isTakeoverComplete() ? 0 : countHeldBackTasks(),
+          FillMillicores / 1000, RunsOverTarget, fillWaitReasons(Candidates),
+          placementFields()));
 }
 
 // Reports how the rounds since the last log line ended, and the mean round-trip
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -56,6 +56,7 @@
 }
 
 void JobHost::acquireShard(int Shard, uint64_t Epoch) {
+  ++m_takeovers;
   HostClusterOptions Cluster;
   JobShardOptions Options{.Shard = Shard, .Epoch = Epoch};
   Options.Lease = std::min(m_options.MaxWorkerLease, MaxTaskLease);
@@ -282,7 +283,7 @@
 }
 
 JobShardCounts JobHost::counts() const {
-  JobShardCounts Out;
+  JobShardCounts Out{.Takeovers = m_takeovers};
   for (const auto &[Shard, Owner] : m_ownedShards) {
     const JobShardCounts &Counts = Owner->counts();
     Out.Starts += Counts.Starts;
@@ -300,6 +301,8 @@
     Out.RoundsAtStepLimit += Counts.RoundsAtStepLimit;
     Out.Transfers += Counts.Transfers;
     Out.PaceOrders += Counts.PaceOrders;
+    Out.TakeoverSilentWorkers += Counts.TakeoverSilentWorkers;
+    Out.TasksHeldBack += Counts.TasksHeldBack;
   }
   return Out;
 }
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -118,6 +118,8 @@
   ApprovalService *m_approvals;
   const Clock &m_time;
   std::map<int, std::unique_ptr<JobShard>> m_ownedShards;
+  /// Number of shards that this process has taken over so far.
+  uint64_t m_takeovers = 0;
   std::vector<WorkerEntry> m_fleet;
   TimePoint m_fleetTime{};
   /// A worker that was removed from the list.
