Start no task of a job whose transfer has an unknown outcome

The transfer's commit took effect seconds after its answer was given up. Meanwhile a completion of an older run arrived, and setWaiting() queued the task although the job was being transferred.

Such a task is now queued by queueReady(), once the transfer has certainly failed.

--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -109,7 +109,9 @@
   Task.LastRunNeverBegan = false;
   Task.EarliestStart = m_time.now() + Delay;
   Task.WaitingSince = m_time.now();
-  if (!isFinal(Entry.State))
+  // A task of a job that may have been transferred is queued once the transfer
+  // has certainly failed.
+  if (!isFinal(Entry.State) && !Entry.IsTransferring)
     m_waiting[Entry.Spec.Id].insert(Position);
 }
 
