Hold back only tasks that may run on a silent worker

After a takeover one worker without an answer stopped all starts of older jobs for 12 s, also of tasks that another worker had reported to the new owner and that failed there.

PreviousRuns holds what previous owners may have left: known runs by worker, and unknown runs of old jobs on workers that have not answered. place(), transfer(), relocateStalledRuns() and stopRunsOnDrainingWorkers() ask it for each task; the members of a gang count together. A long-running task that a fenced worker has reported runs nowhere else, since an owner starts a task only when the run before has certainly ended; so it restarts at once. That holds until the incarnation that reported it is gone, which a previous owner can see as well. Other tasks still wait: a failed run on the silent worker may count as an attempt.

Transfers begin once every worker has answered or missed a poll; a job that may have unknown runs is not transferred before these have ended, as before.

--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -139,9 +139,9 @@
   /// Returns true once all rows are read.
   bool isLoaded() const;
   uint64_t epoch() const;
-  /// Returns true once all rows are read and every worker was polled, or the
-  /// runs that the previous owner started have ended by
-  /// Options.PreviousRunsTimeout.
+  /// Returns true once all rows are read and no task waits for the end of a run
+  /// that a previous owner may have started: every worker was polled, or these
+  /// runs have ended by Options.PreviousRunsTimeout.
   bool isTakeoverComplete() const;
   /// Returns true once a newer owner was detected; no more orders are sent.
   bool hasLostOwnership() const;
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -117,6 +117,7 @@
 
 void JobShard::Impl::finishLoad() {
   m_isLoaded = true;
+  initPreviousRuns();
   for (const StoredRow &Row : m_loadedJobs) {
     auto [Id, IsCancel] = parseJobKey(Row.Address.Key);
     // The job row and the progress row of a job are written and removed in one
@@ -436,9 +437,10 @@
   for (WorkerEntry &Worker : Own) {
     auto [It, Added] = m_slots.try_emplace(Worker.Id, Worker);
     WorkerSlot &Slot = It->second;
-    // The previous owner may have extended the leases of runs on the worker.
-    if (Added)
-      Slot.LeaseEnd = previousRunsEndAt();
+    if (Added && m_isLoaded) {
+      m_previousRuns.addWorker(Worker.Id);
+      Slot.LeaseEnd = m_previousRuns.endsAt(Worker.Id);
+    }
     Slot.IsListed = true;
     // A new incarnation of the worker may have another address.
     Slot.Entry = Worker;
@@ -455,13 +457,13 @@
     if (!Added)
       continue;
     It->second.IsListed = false;
-    It->second.LeaseEnd = previousRunsEndAt();
   }
 }
 
 void JobShard::Impl::tick() {
   if (!m_isLoaded || m_hasLostOwnership)
     return;
+  m_previousRuns.setListComplete(isFleetComplete());
   removeUnlistedWorkers();
   stopRunsOnDrainingWorkers();
   relocateStalledRuns();
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -16,6 +16,7 @@
 #include "basilchute/jobshard.h"
 #include "libbasilchute/jobentry.h"
 #include "libbasilchute/orderwindow.h"
+#include "libbasilchute/previousruns.h"
 #include "libbasilchute/workerslot.h"
 
 #include <set>
@@ -122,24 +123,28 @@
   JobEntry *find(const std::string &Id);
   const JobQueue *queueOf(const JobEntry &Entry) const;
   bool canSendOrders() const;
-  /// Returns true if the job arrived after the takeover, so that no previous
-  /// owner has started a task of the job. The epoch cannot show this, since an
-  /// owner may lose a shard and take it over again.
-  bool arrivedAfterTakeover(const JobEntry &Entry) const {
-    return Entry.JobVersion > m_loadVersion;
-  }
   bool canStart(JobEntry &Entry) const;
-  /// Returns the time by which every run that a previous owner started has
+
+  // Takeover from the previous owner.
+  /// Returns the time by which every run that any previous owner started has
   /// ended.
   TimePoint previousRunsEndAt() const {
     return m_takeoverTime + m_options.PreviousRunsTimeout;
   }
-
-  // Takeover from the previous owner.
-  bool isFleetIncomplete() const;
-  /// Returns the workers that have not answered this owner yet.
-  std::vector<std::string> silentWorkers() const;
-  /// Returns the number of ready tasks that wait for the end of the takeover.
+  /// Returns true if a run that a previous owner started may be on a worker
+  /// that has not answered yet: of the task, or of any member of its gang.
+  bool mayHavePreviousRun(const JobEntry &Entry, int Position) const;
+  /// Returns true if any task of the job may have such a run.
+  bool mayHavePreviousRuns(const JobEntry &Entry) const;
+  void initPreviousRuns();
+  /// Returns true if the list of workers is newer than the takeover. An older
+  /// one may lack workers that the previous owner used.
+  bool isFleetComplete() const {
+    return !m_options.FleetTime || m_options.FleetTime() >= m_takeoverTime;
+  }
+  /// Returns true once every worker has answered a poll or missed one.
+  bool wereAllWorkersPolled() const;
+  /// Returns the number of ready tasks that wait for the end of previous runs.
   size_t countHeldBackTasks() const;
   void logTakeover();
 
@@ -161,6 +166,7 @@
                           TimePoint Sent);
   bool hasLeaseExpired(const WorkerSlot &Slot) const;
   void releaseAllRuns(WorkerSlot &Slot, std::string_view Why);
+  void loseIncarnation(WorkerSlot &Slot, std::string_view Why);
   void releaseRun(WorkerSlot &Slot, const RunKey &Key, std::string_view Why);
   void removeUnlistedWorkers();
 
@@ -322,6 +328,8 @@
   bool m_isLightlyLoaded = false;
   /// Time of the takeover.
   TimePoint m_takeoverTime;
+  /// Runs that previous owners may have left.
+  PreviousRuns m_previousRuns;
   /// True once the end of the wait for previous runs was logged.
   bool m_isTakeoverLogged = false;
   TimePoint m_nextTakeoverLog{};
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -56,17 +56,18 @@
   TimePoint Now = m_time.now();
   if (m_waiting.empty() || Now < m_nextRound || !canSendOrders())
     return;
-  bool IsSettled = isTakeoverComplete();
   m_nextRound = Now + MinRoundInterval;
   uint64_t StartsBefore = m_counts.Starts;
   std::vector<PlacementCandidate> Candidates = placementCandidates();
   m_isLightlyLoaded = isLightlyLoaded(Candidates);
   std::vector<std::pair<Rank, std::string>> Jobs;
   for (const auto &[Id, Positions] : m_waiting) {
-    // A job that the previous owner may have started waits until every worker
-    // has reported its running tasks.
     JobEntry &Entry = *find(Id);
-    if ((IsSettled || arrivedAfterTakeover(Entry)) && canStart(Entry))
+    bool IsHeldBack =
+        std::all_of(Positions.begin(), Positions.end(), [&](int Position) {
+          return mayHavePreviousRun(Entry, Position);
+        });
+    if (!IsHeldBack && canStart(Entry))
       Jobs.push_back({rankOf(Entry), Id});
   }
   std::sort(Jobs.begin(), Jobs.end());
@@ -119,7 +120,7 @@
     if (!m_waiting.count(Id) || !m_waiting[Id].count(Position))
       continue;
     if (Task.EarliestStart > Now || SkippedSteps.count(StepIndex) ||
-        Entry.dueAt(Position) > WallTime)
+        Entry.dueAt(Position) > WallTime || mayHavePreviousRun(Entry, Position))
       continue;
     if (matchesRejection(Rejected, Entry, Position)) {
       SkippedSteps.insert(StepIndex);
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -110,8 +110,7 @@
   PollReply &Reply = Answer.value();
   TimePoint Now = m_time.now();
   if (Slot.Incarnation.count() != 0 && Reply.Incarnation != Slot.Incarnation) {
-    releaseAllRuns(Slot, "worker_reborn");
-    Slot.resetIncarnation();
+    loseIncarnation(Slot, "worker_reborn");
   }
   Slot.Incarnation = Reply.Incarnation;
   Slot.setClock(Reply.Clock, Now);
@@ -119,6 +118,7 @@
   Slot.MissedPolls = 0;
   bool IsFirstPoll = !Slot.IsFenced;
   Slot.IsFenced = true;
+  m_previousRuns.resolve(Worker);
   std::sort(Reply.Completions.begin(), Reply.Completions.end(),
             [](const Completion &A, const Completion &B) {
               return A.Number < B.Number;
@@ -154,12 +154,15 @@
   // Another incarnation answers at this address; the runs of the previous one
   // are gone.
   if (Why.Code == ResultCode::WrongIncarnation) {
-    releaseAllRuns(Slot, "worker_replaced");
-    Slot.resetIncarnation();
+    loseIncarnation(Slot, "worker_replaced");
+    m_previousRuns.resolve(Slot.Entry.Id);
     return;
   }
   // A worker that was draining and has left the list has ended all its runs.
   bool HasLeft = Slot.Entry.IsDraining && !Slot.IsListed;
+  if (HasLeft)
+    for (const auto &[Key, Run] : Slot.Runs)
+      m_previousRuns.clearFound(Key.first);
   if (HasLeft || hasLeaseExpired(Slot))
     releaseAllRuns(Slot, HasLeft ? "worker_left" : "lease_over");
 }
@@ -182,6 +185,15 @@
     releaseRun(Slot, Key, Why);
 }
 
+// A previous owner can see too that the incarnation is gone, and may start its
+// tasks again on a worker that has not answered this owner yet.
+void JobShard::Impl::loseIncarnation(WorkerSlot &Slot, std::string_view Why) {
+  for (const auto &[Key, Run] : Slot.Runs)
+    m_previousRuns.clearFound(Key.first);
+  releaseAllRuns(Slot, Why);
+  Slot.resetIncarnation();
+}
+
 void JobShard::Impl::releaseRun(WorkerSlot &Slot, const RunKey &Key,
                                 std::string_view Why) {
   RunPhase Phase = Slot.Runs.at(Key).Phase;
@@ -361,6 +373,10 @@
     const JobStep &Step = Entry->stepOf(Position);
     Reservation.Reserved = Step.reservation();
     Reservation.LongRunning = Step.LongRunning;
+    // A failed run of another task, on a worker that has not answered yet, may
+    // still count as an attempt.
+    if (Step.LongRunning)
+      m_previousRuns.setFound(Run.Task);
     Reservation.FullPaceMillicores = Step.IsFill ? Step.Demand.Millicores : 0;
     Reservation.TailTarget = Step.TailTarget;
     Reservation.Kind = Entry->Kinds[static_cast<size_t>(Run.Task.Step)];
--- a/src/libbasilchute/jobshard_relocate.cpp
+++ b/src/libbasilchute/jobshard_relocate.cpp
@@ -23,7 +23,7 @@
 // moved: they resume from their saved progress.
 void JobShard::Impl::relocateStalledRuns() {
   TimePoint Now = m_time.now();
-  if (Now < m_nextRelocate || !canSendOrders() || !isTakeoverComplete())
+  if (Now < m_nextRelocate || !canSendOrders())
     return;
   m_nextRelocate = Now + RelocationInterval;
   std::vector<PlacementCandidate> Candidates;
@@ -38,7 +38,8 @@
     for (const RunKey &Key : Stalled) {
       JobEntry *Entry = find(Key.first.Job);
       int Position = Entry ? Entry->positionOf(Key.first) : -1;
-      if (Position < 0 || !Entry->stepOf(Position).Checkpointing)
+      if (Position < 0 || !Entry->stepOf(Position).Checkpointing ||
+          mayHavePreviousRun(*Entry, Position))
         continue;
       if (Candidates.empty())
         Candidates = placementCandidates();
@@ -100,7 +101,7 @@
 // Moves long-running tasks off draining workers while these still run, as far
 // as other workers have capacity.
 void JobShard::Impl::stopRunsOnDrainingWorkers() {
-  if (!canSendOrders() || !isTakeoverComplete())
+  if (!canSendOrders())
     return;
   std::vector<PlacementCandidate> Candidates;
   for (auto &[Id, Slot] : m_slots) {
@@ -115,7 +116,8 @@
     for (const RunKey &Key : Keys) {
       JobEntry *Entry = find(Key.first.Job);
       int Position = Entry ? Entry->positionOf(Key.first) : -1;
-      if (Position < 0 || !Entry->stepOf(Position).LongRunning)
+      if (Position < 0 || !Entry->stepOf(Position).LongRunning ||
+          mayHavePreviousRun(*Entry, Position))
         continue;
       auto Free = std::find_if(Candidates.begin(), Candidates.end(),
                                [&](const PlacementCandidate &Candidate) {
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -86,9 +86,8 @@
   bool IsYoung = Now < Entry.ArrivedAt + MaxTransferAge;
   if (Now < Entry.ArrivedAt + MinTransferAge || (!IsYoung && hasWorkers()))
     return false;
-  // A run that only the previous owner knew of may still be present; by
-  // previousRunsEndAt() it has ended.
-  if (!arrivedAfterTakeover(Entry) && Now < previousRunsEndAt())
+  if (m_previousRuns.isWithinUnknownTime(Entry.JobVersion, Now) ||
+      mayHavePreviousRuns(Entry))
     return false;
   return !Entry.hasStarted() || !hasRunsOf(Entry);
 }
@@ -132,7 +131,7 @@
 void JobShard::Impl::transfer() {
   TimePoint Now = m_time.now();
   if (!m_options.ChooseTransferTarget || Now < m_nextTransfer ||
-      m_isCommitting || !canSendOrders() || !isTakeoverComplete())
+      m_isCommitting || !canSendOrders() || !wereAllWorkersPolled())
     return;
   m_nextTransfer = Now + TransferInterval;
   std::map<std::string, int> TargetShards;
--- /dev/null
+++ b/src/libbasilchute/previousruns.h
@@ -0,0 +1,95 @@
+/// \file
+/// Tasks that previous owners of a shard may have left running.
+#pragma once
+
+#include "basilchute/clock.h"
+#include "basilchute/job.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// What a new owner knows of runs that it did not start itself. A worker is
+/// resolved once it has answered a poll of the new owner, so that it rejects
+/// orders of previous owners and has reported its runs, or once its process has
+/// certainly ended.
+///
+/// Two kinds of runs are kept apart:
+/// - known runs: a previous owner has named the tasks by worker;
+/// - unknown runs: any task of a job that is old enough may run on any worker
+///   that is neither resolved nor excluded.
+class PreviousRuns {
+public:
+  /// Known runs by worker.
+  struct Known {
+    std::set<TaskName> Tasks;
+    /// Time by which all of them have ended.
+    TimePoint EndsAt{};
+  };
+
+  /// Any task of a job that was accepted at a version up to \p Version may run
+  /// until \p EndsAt on any worker but those in \p Excluded.
+  void setUnknown(uint64_t Version, TimePoint EndsAt,
+                  std::set<std::string> Excluded = {});
+  /// \p Tasks may run on \p Worker until \p EndsAt.
+  void addKnown(const std::string &Worker, const std::set<TaskName> &Tasks,
+                TimePoint EndsAt);
+  /// Adds a worker that may have unknown runs; no effect if it is excluded.
+  void addWorker(const std::string &Worker);
+  /// Whether the list of workers is complete. As long as it is not, unknown
+  /// runs may be on workers that addWorker() was not called for.
+  void setListComplete(bool IsComplete) { m_isListComplete = IsComplete; }
+  /// Marks \p Worker as resolved.
+  void resolve(const std::string &Worker);
+  /// A resolved worker has reported a run of \p Task. An owner starts a task
+  /// only when the run before has certainly ended, so no run is elsewhere.
+  void setFound(const TaskName &Task);
+  /// Reverts setFound() as far as unknown runs are concerned. Must be called if
+  /// the reported run ended in a way that a previous owner can have seen too,
+  /// who may have started the task again.
+  void clearFound(const TaskName &Task) { m_found.erase(Task); }
+
+  /// Returns true if a run of \p Task may be on a worker that is not resolved.
+  /// \p Version is the version at which the task's job was accepted.
+  bool mayRun(const TaskName &Task, uint64_t Version, TimePoint Now) const;
+  /// Returns true if there are no runs left to wait for.
+  bool isResolved(TimePoint Now) const;
+  /// Returns true while there may be unknown runs of a job that was accepted at
+  /// \p Version, on workers that are not known either.
+  bool isWithinUnknownTime(uint64_t Version, TimePoint Now) const {
+    return Version <= m_unknownVersion && Now <= m_unknownEndsAt;
+  }
+  /// Returns the workers that are waited for.
+  std::vector<std::string> workers(TimePoint Now) const;
+  /// Returns the time by which all runs that are waited for have ended.
+  TimePoint endsAt(TimePoint Now) const;
+  /// Returns the time by which all runs on \p Worker have ended.
+  TimePoint endsAt(const std::string &Worker) const;
+  /// Returns true while there may be unknown runs.
+  bool hasUnknown(TimePoint Now) const {
+    return Now <= m_unknownEndsAt && (!m_isListComplete || !m_silent.empty());
+  }
+  uint64_t unknownVersion() const { return m_unknownVersion; }
+  TimePoint unknownEndsAt() const { return m_unknownEndsAt; }
+  /// Returns the known runs on workers that are not resolved, by worker.
+  std::map<std::string, Known> known(TimePoint Now) const;
+
+private:
+  /// Time by which the known runs on a worker have ended.
+  std::map<std::string, TimePoint> m_knownEnds;
+  /// Workers with a known run, by task.
+  std::map<TaskName, std::set<std::string>> m_workersOf;
+  uint64_t m_unknownVersion = 0;
+  TimePoint m_unknownEndsAt{};
+  /// Workers that may have unknown runs.
+  std::set<std::string> m_silent;
+  std::set<std::string> m_excluded;
+  std::set<TaskName> m_found;
+  bool m_isListComplete = true;
+};
+
+BASILCHUTE_NAMESPACE_END
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -252,6 +252,13 @@
   m_leaseExpired = clock() > m_leaseUntil;
 }
 
+void ModelWorker::failRuns() {
+  while (!m_runs.empty()) {
+    TaskName Task = m_runs.begin()->first;
+    end(Task, RunOutcome::Failed);
+  }
+}
+
 void ModelWorker::crash() {
   for (const auto &[Task, Run] : m_runs)
     m_oracle.onEnd(Entry.Id, Task, Run.Run, RunOutcome::LeaseExpired);
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -97,8 +97,11 @@
   void advance();
   /// Returns true if there are completions that were not acknowledged.
   bool hasUnacknowledged() const { return !m_ended.empty(); }
+  bool hasRuns() const { return !m_runs.empty(); }
   /// Start time of the current incarnation, which identifies it.
   TimePoint incarnation() const { return m_incarnation; }
+  /// Ends all runs as failed.
+  void failRuns();
   /// Ends all runs, drops all state and starts a new incarnation.
   void crash();
 
