Hand a shard over with a record of the runs that are left

Seen: after each planned change of owner one worker that did not answer stopped all starts of its shard's older jobs for 12 s, and the next change of owner began the wait anew.

Cause: the new owner knew nothing of what its predecessor had started.

Change: the outgoing owner stops all orders and commits, in one transaction with the owner row, which tasks may run on which worker and for how long; what it has not resolved itself is passed on with the time that is left. The new owner uses the rows only if their version is its epoch and it has not held this epoch before. Only tasks that are named wait. If the commit has certainly failed the owner goes on; if the outcome is unknown it repeats the commit and sends no orders. A handover is begun only by an owner that is sure to be the sole one, and others leave the shards of a leaving host to it while it lives. Leases on a worker end at most 6.3 s after its first answer to a new owner, since nobody else can extend them then.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,14 @@
   milliseconds Horizon{7000};
   /// Called when this host has become the owner of a shard.
   std::function<void(int Shard, uint64_t Epoch)> OnAcquired;
+  /// Called before this host hands over a shard that it owns. The callee stops
+  /// sending orders for the shard and returns the rows for the new owner, which
+  /// are written in one transaction with the owner row; none if the shard
+  /// cannot be handed over yet. Called again if a handover is repeated.
+  std::function<std::optional<std::vector<RowChange>>(int Shard)> OnHandover;
+  /// Called when a handover has certainly failed: this host still owns the
+  /// shard, and orders may be sent again.
+  std::function<void(int Shard)> OnHandoverFailed;
   /// Called when this host no longer owns a shard.
   std::function<void(int Shard)> OnReleased;
   /// Called when the assignment of workers to shards has changed.
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -18,6 +18,8 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+struct HandoverRecord;
+
 /// Settings of a JobShard.
 struct JobShardOptions {
   int Shard = 0;
@@ -40,6 +42,9 @@
   /// Time after the takeover by which every run that the previous owner started
   /// on an unreachable worker has ended, because its lease has expired.
   milliseconds PreviousRunsTimeout{12000};
+  /// This host has owned the shard under this epoch before, so that the
+  /// previous owner's record does not name all runs that are left.
+  bool IsReacquired = false;
   /// Returns whether this host may still send orders; called before each order.
   std::function<bool()> CanSendOrders;
   /// Returns whether no other host can own the shard. Called before the first
@@ -126,8 +131,12 @@
   void setQueues(std::shared_ptr<const JobQueues> Queues);
   /// Performs the periodic work that is due.
   void tick();
-  /// Stops sending orders, so that another host can take over the shard.
-  void retire();
+  /// Stops sending orders, and returns what the new owner must know of the runs
+  /// that are left. Returns none, and changes nothing, if the rows are not read
+  /// yet or ownership is lost.
+  std::optional<HandoverRecord> handOver();
+  /// Sends orders again after a handover that certainly did not take place.
+  void resume();
 
   /// Returns the stored state of \p Job, or none if the shard does not know the
   /// job or has not read it yet.
--- a/src/include/basilchute/rowstore.h
+++ b/src/include/basilchute/rowstore.h
@@ -65,6 +65,10 @@
 
 /// Maximum number of entries in one RowCommit, including conditions.
 constexpr size_t MaxRowsPerCommit = 100;
+/// Maximum size of one row's value, in bytes.
+constexpr size_t MaxRowBytes = 48000;
+/// Maximum size of all values in one RowCommit, in bytes.
+constexpr size_t MaxCommitBytes = 700000;
 
 /// Rows of one partition with keys in the half-open range from `From` to `To`.
 /// An empty `To` means no upper bound.
--- /dev/null
+++ b/src/libbasilchute/handover_test.cpp
@@ -0,0 +1,86 @@
+#include "libbasilchute/handover.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace basilchute;
+
+namespace {
+
+HandoverRecord recordOf(int Workers, int Jobs, int TasksPerJob) {
+  HandoverRecord Out;
+  for (int Worker = 0; Worker < Workers; ++Worker) {
+    HandoverRecord::Runs &Runs = Out.Workers[fmt::format("worker-{}", Worker)];
+    Runs.Remaining = milliseconds(1000 + Worker);
+    for (int Job = 0; Job < Jobs; ++Job)
+      for (int Index = 0; Index < TasksPerJob; ++Index)
+        Runs.Tasks.insert({.Job = fmt::format("{:016x}", Worker * Jobs + Job),
+                           .Occurrence = 2,
+                           .Step = 1,
+                           .Index = Index});
+  }
+  return Out;
+}
+
+void checkSame(const HandoverRecord &Read, const HandoverRecord &Written) {
+  REQUIRE(Read.Workers.size() == Written.Workers.size());
+  for (const auto &[Worker, Runs] : Written.Workers) {
+    CHECK(Read.Workers.at(Worker).Tasks == Runs.Tasks);
+    CHECK(Read.Workers.at(Worker).Remaining == Runs.Remaining);
+  }
+  CHECK(Read.UnknownRemaining == Written.UnknownRemaining);
+  CHECK(Read.UnknownVersion == Written.UnknownVersion);
+  CHECK(Read.ResolvedWorkers == Written.ResolvedWorkers);
+}
+
+} // namespace
+
+TEST_CASE("A handover record is read as it was written") {
+  HandoverRecord Record = recordOf(3, 2, 4);
+  Record.UnknownRemaining = milliseconds(4500);
+  Record.UnknownVersion = 17;
+  Record.ResolvedWorkers = {"worker-0", "worker-1"};
+  std::vector<std::string> Rows = encodeHandover(Record);
+  REQUIRE(Rows.size() == 1);
+  Result<HandoverRecord> Read = decodeHandover(Rows);
+  REQUIRE(Read.has_value());
+  checkSame(Read.value(), Record);
+}
+
+// Guards against a record that is mistaken for none: without any run it still
+// says that there are none.
+TEST_CASE("An empty handover record has a row") {
+  std::vector<std::string> Rows = encodeHandover({});
+  REQUIRE(Rows.size() == 1);
+  CHECK_FALSE(Rows[0].empty());
+  CHECK(decodeHandover(Rows).has_value());
+}
+
+TEST_CASE("A long handover record is divided into rows within the limits") {
+  for (const HandoverRecord &Record :
+       {recordOf(200, 40, 1), recordOf(1, 2, 9000), recordOf(1, 9000, 1)}) {
+    std::vector<std::string> Rows = encodeHandover(Record);
+    REQUIRE(Rows.size() > 1);
+    size_t Bytes = 0;
+    for (const std::string &Row : Rows) {
+      CHECK(Row.size() <= MaxRowBytes);
+      Bytes += Row.size();
+    }
+    CHECK(Bytes <= MaxCommitBytes);
+    Result<HandoverRecord> Read = decodeHandover(Rows);
+    REQUIRE(Read.has_value());
+    checkSame(Read.value(), Record);
+  }
+}
+
+// Guards against a record that names only a part of the runs.
+TEST_CASE("An incomplete handover record is refused") {
+  std::vector<std::string> Rows = encodeHandover(recordOf(200, 40, 1));
+  Rows.pop_back();
+  CHECK_FALSE(decodeHandover(Rows).has_value());
+  CHECK_FALSE(decodeHandover({"not a record"}).has_value());
+}
+
+TEST_CASE("A handover record that does not fit into a commit has no rows") {
+  CHECK(encodeHandover(recordOf(400, 400, 1)).empty());
+}
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -26,6 +26,9 @@
 /// Number of consecutive plans that must ask for a handover before the shard is
 /// handed over.
 constexpr int MinHandoverPlans = 2;
+/// Delay before a handover that failed, or whose outcome is unknown, is
+/// repeated.
+constexpr milliseconds HandoverRetryDelay{150};
 
 /// State of a host as read from its row.
 struct ObservedHost {
@@ -49,6 +52,11 @@
   bool IsWriting = false;
   /// Number of consecutive plans that assign this host's shard to another host.
   int HandoverPlans = 0;
+  /// Host to which the shard is being handed over; empty if none.
+  std::string HandoverTarget;
+  /// A handover may have taken effect, or may still take effect.
+  bool IsHandoverUncertain = false;
+  TimePoint NextHandover{};
 };
 
 } // namespace
@@ -74,6 +82,9 @@
     if (!m_isReadingHosts && Now >= m_nextHostRead)
       readHosts("");
     updateLayout();
+    if (m_isLeaving)
+      applyPlan();
+    repeatHandovers();
   }
 
   void leave() {
@@ -333,10 +344,9 @@
       return;
     bool IsOwn = Row.Owner == m_options.HostId;
     if (!IsOwn && Target == m_options.HostId && Row.Owner != Target) {
-      // A live owner hands the shard over itself.
+      // A live owner hands the shard over itself, also while it is leaving.
       auto Current = m_hosts.find(Row.Owner);
-      if (Current != m_hosts.end() && isAlive(Current->second) &&
-          !Current->second.Record.IsLeaving)
+      if (Current != m_hosts.end() && isAlive(Current->second))
         return;
       writeOwner(Shard, m_options.HostId);
       return;
@@ -347,8 +357,53 @@
     }
     if (++Row.HandoverPlans < MinHandoverPlans && !m_isLeaving)
       return;
-    release(Shard);
-    writeOwner(Shard, Target);
+    if (Row.OwnedEpoch == 0)
+      writeOwner(Shard, Target);
+    else if (Row.HandoverTarget.empty() && isSoleOwner())
+      handOver(Shard, Target);
+  }
+
+  // While the outcome of a handover is unknown, no orders are sent: the new
+  // owner relies on the record. The commit is repeated until it succeeds or
+  // conflicts.
+  void repeatHandovers() {
+    for (int Shard = 0; Shard < shards(); ++Shard) {
+      const ObservedShard &Row = m_shards[static_cast<size_t>(Shard)];
+      if (Row.OwnedEpoch != 0 && Row.IsHandoverUncertain && !Row.IsWriting)
+        handOver(Shard, std::string(Row.HandoverTarget));
+    }
+  }
+
+  void handOver(int Shard, const std::string &Target) {
+    ObservedShard &Row = m_shards[static_cast<size_t>(Shard)];
+    if (m_time.now() < Row.NextHandover)
+      return;
+    std::optional<std::vector<RowChange>> Record = std::vector<RowChange>();
+    if (m_options.OnHandover)
+      Record = m_options.OnHandover(Shard);
+    if (!Record)
+      return;
+    Row.HandoverTarget = Target;
+    Row.NextHandover = m_time.now() + HandoverRetryDelay;
+    writeOwner(Shard, Target, std::move(*Record));
+  }
+
+  void onHandoverFailed(int Shard, ResultCode Code) {
+    ObservedShard &Row = m_shards[static_cast<size_t>(Shard)];
+    Row.NextHandover = m_time.now() + HandoverRetryDelay;
+    bool IsNotDone =
+        Code != ResultCode::OutcomeUnknown && Code != ResultCode::Conflict;
+    if (!IsNotDone)
+      Row.IsHandoverUncertain = true;
+    log("handover_failed",
+        fmt::format("shard={} to={} result={} repeats={}", Shard,
+                    Row.HandoverTarget, resultCodeName(Code),
+                    Row.IsHandoverUncertain));
+    if (Row.IsHandoverUncertain)
+      return;
+    Row.HandoverTarget.clear();
+    if (m_options.OnHandoverFailed)
+      m_options.OnHandoverFailed(Shard);
   }
 
   void release(int Shard) {
@@ -356,12 +411,15 @@
     if (Row.OwnedEpoch == 0)
       return;
     Row.OwnedEpoch = 0;
+    Row.HandoverTarget.clear();
+    Row.IsHandoverUncertain = false;
     log("shard_released", fmt::format("shard={}", Shard));
     if (m_options.OnReleased)
       m_options.OnReleased(Shard);
   }
 
-  void writeOwner(int Shard, const std::string &Owner) {
+  void writeOwner(int Shard, const std::string &Owner,
+                  std::vector<RowChange> Record = {}) {
     ObservedShard &Row = m_shards[static_cast<size_t>(Shard)];
     Row.IsWriting = true;
     log("shard_claim", fmt::format("shard={} from={} to={}", Shard,
@@ -371,16 +429,21 @@
     Commit.Conditions.push_back({.Address = Address, .Version = Row.Version});
     Commit.Changes.push_back(
         {.Address = Address, .Value = encodeShardOwner(Owner)});
+    std::move(Record.begin(), Record.end(), std::back_inserter(Commit.Changes));
     m_store.commit(std::move(Commit), [Weak = weak_from_this(), Shard,
                                        Owner](const Result<uint64_t> &Reply) {
       auto Self = Weak.lock();
       if (!Self)
         return;
-      Self->m_shards[static_cast<size_t>(Shard)].IsWriting = false;
-      if (Reply.has_value())
+      ObservedShard &Row = Self->m_shards[static_cast<size_t>(Shard)];
+      Row.IsWriting = false;
+      if (Reply.has_value()) {
         Self->applyOwner(Shard, Owner, Reply.value());
-      else
-        Self->readOwnerRow(Shard);
+        return;
+      }
+      if (!Row.HandoverTarget.empty())
+        Self->onHandoverFailed(Shard, Reply.error().Code);
+      Self->readOwnerRow(Shard);
     });
   }
 
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -51,7 +51,7 @@
 
 void JobShard::Impl::readRows() {
   restoreModel();
-  readJobs("", 0, true);
+  readHandover();
 }
 
 void JobShard::Impl::readJobs(const std::string &From, uint64_t FeedFrom,
@@ -364,8 +364,7 @@
     if (Slot == m_slots.end() ||
         Slot->second.Incarnation != Covered.Incarnation)
       continue;
-    Slot->second.LastStoredCompletion =
-        std::max(Slot->second.LastStoredCompletion, Covered.Number);
+    Slot->second.setStored(Covered.Number);
   }
   pollWorkers();
 }
@@ -510,7 +509,10 @@
   m_impl->setQueues(std::move(Queues));
 }
 void JobShard::tick() { m_impl->tick(); }
-void JobShard::retire() { m_impl->retire(); }
+std::optional<HandoverRecord> JobShard::handOver() {
+  return m_impl->handOver();
+}
+void JobShard::resume() { m_impl->resume(); }
 std::optional<JobState> JobShard::state(const std::string &Job) const {
   return m_impl->state(Job);
 }
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -14,6 +14,7 @@
 
 #include "basilchute/interference.h"
 #include "basilchute/jobshard.h"
+#include "libbasilchute/handover.h"
 #include "libbasilchute/jobentry.h"
 #include "libbasilchute/orderwindow.h"
 #include "libbasilchute/previousruns.h"
@@ -42,7 +43,8 @@
   void setWorkers(std::vector<WorkerEntry> Own, std::vector<WorkerEntry> Fleet);
   void addFormerWorkers(const std::vector<WorkerEntry> &Workers);
   void setQueues(std::shared_ptr<const JobQueues> Queues);
-  void retire() { m_isRetired = true; }
+  std::optional<HandoverRecord> handOver();
+  void resume() { m_isRetired = false; }
   std::optional<JobState> state(const std::string &Job) const;
   std::map<std::string, int> pendingJobs() const;
   ShardLoad load();
@@ -136,6 +138,9 @@
   bool mayHavePreviousRun(const JobEntry &Entry, int Position) const;
   /// Returns true if any task of the job may have such a run.
   bool mayHavePreviousRuns(const JobEntry &Entry) const;
+  /// Reads the record of the previous owner, and then the other rows.
+  void readHandover();
+  void onHandoverRows(const std::vector<StoredRow> &Rows);
   void initPreviousRuns();
   /// Returns true if the list of workers is newer than the takeover. An older
   /// one may lack workers that the previous owner used.
@@ -314,6 +319,7 @@
   OrderWindow m_startWindow;
   bool m_isLoaded = false;
   bool m_hasLostOwnership = false;
+  /// True while a handover is in progress: no orders are sent.
   bool m_isRetired = false;
   bool m_isCommitting = false;
   TimePoint m_nextRound{};
@@ -328,6 +334,8 @@
   bool m_isLightlyLoaded = false;
   /// Time of the takeover.
   TimePoint m_takeoverTime;
+  /// What the previous owner left; none if it did not hand the shard over.
+  std::optional<HandoverRecord> m_handover;
   /// Runs that previous owners may have left.
   PreviousRuns m_previousRuns;
   /// True once the end of the wait for previous runs was logged.
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -9,9 +9,6 @@
 
 constexpr milliseconds MissedPollRetryDelay{250};
 constexpr milliseconds UnstoredPollInterval{300};
-/// Upper bound on the ratio of this host's clock rate to a worker's.
-constexpr double MaxClockRateRatio = 1.03;
-constexpr milliseconds LeaseMargin{150};
 /// Delay before a failed task is started again.
 constexpr milliseconds FailedRestartDelay{20};
 /// Consecutive failed runs after which no tasks are started on a worker for
@@ -20,13 +17,6 @@
 constexpr milliseconds NoStartAfterFailures{3000};
 constexpr milliseconds StopResendInterval{600};
 
-/// Returns the maximum time by this host's clock that \p Lease takes on a
-/// worker's clock.
-nanoseconds maxLocalDuration(milliseconds Lease) {
-  return std::chrono::duration_cast<nanoseconds>(Lease * MaxClockRateRatio) +
-         LeaseMargin;
-}
-
 } // namespace
 
 void JobShard::Impl::pollWorkers() {
@@ -118,6 +108,10 @@
   Slot.MissedPolls = 0;
   bool IsFirstPoll = !Slot.IsFenced;
   Slot.IsFenced = true;
+  // Nobody else can extend the leases any more.
+  if (IsFirstPoll)
+    Slot.LeaseEnd =
+        std::min(Slot.LeaseEnd, Now + maxLocalDuration(m_options.Lease));
   m_previousRuns.resolve(Worker);
   std::sort(Reply.Completions.begin(), Reply.Completions.end(),
             [](const Completion &A, const Completion &B) {
@@ -220,6 +214,7 @@
   if (Report.Number <= Slot.LastSeenCompletion)
     return;
   Slot.LastSeenCompletion = Report.Number;
+  Slot.UnstoredCompletions.emplace(Report.Number, Report.Task);
   updateWorkerHealth(Slot, Report.Outcome);
   RunKey Key{Report.Task, Report.Run};
   auto RunIt = Slot.Runs.find(Key);
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -14,8 +14,63 @@
 
 } // namespace
 
+void JobShard::Impl::readHandover() {
+  RowRange Range{.Table = HandoverTable,
+                 .Partition = shardPartition(m_options.Shard)};
+  m_store.read(Range, [Weak = weak_from_this()](Result<RowPage> Answer) {
+    auto Self = Weak.lock();
+    if (!Self || Self->m_hasLostOwnership)
+      return;
+    if (!Answer.has_value()) {
+      Self->readHandover();
+      return;
+    }
+    Self->onHandoverRows(Answer.value().Rows);
+    Self->readJobs("", 0, true);
+  });
+}
+
+// Rows of another version belong to an earlier handover. Owners since then may
+// have started runs that these rows do not name.
+void JobShard::Impl::onHandoverRows(const std::vector<StoredRow> &Rows) {
+  std::vector<std::string> Values;
+  for (const StoredRow &Row : Rows)
+    if (Row.Version == m_options.Epoch && !m_options.IsReacquired)
+      Values.push_back(Row.Value);
+  if (Values.empty()) {
+    log("handover_missing",
+        fmt::format("shard={} epoch={}", m_options.Shard, m_options.Epoch));
+    return;
+  }
+  Result<HandoverRecord> Record = decodeHandover(Values);
+  if (!Record.has_value()) {
+    log("bad_row",
+        fmt::format("table={} part={} message=\"{}\"", HandoverTable,
+                    shardPartition(m_options.Shard), Record.error().Message));
+    return;
+  }
+  m_handover = std::move(Record.value());
+  log("handover_read",
+      fmt::format("shard={} epoch={} workers={} unknown_ms={}", m_options.Shard,
+                  m_options.Epoch, m_handover->Workers.size(),
+                  m_handover->UnknownRemaining.count()));
+}
+
 void JobShard::Impl::initPreviousRuns() {
-  m_previousRuns.setUnknown(m_loadVersion, previousRunsEndAt());
+  if (!m_handover) {
+    m_previousRuns.setUnknown(m_loadVersion, previousRunsEndAt());
+  } else {
+    if (m_handover->UnknownRemaining.count() > 0)
+      m_previousRuns.setUnknown(
+          m_handover->UnknownVersion,
+          m_takeoverTime + maxLocalDuration(m_handover->UnknownRemaining),
+          m_handover->ResolvedWorkers);
+    for (const auto &[Worker, Runs] : m_handover->Workers)
+      m_previousRuns.addKnown(Worker, Runs.Tasks,
+                              m_takeoverTime +
+                                  maxLocalDuration(Runs.Remaining));
+    m_handover.reset();
+  }
   m_previousRuns.setListComplete(isFleetComplete());
   for (auto &[Id, Slot] : m_slots) {
     m_previousRuns.addWorker(Id);
@@ -24,6 +79,47 @@
   }
 }
 
+std::optional<HandoverRecord> JobShard::Impl::handOver() {
+  if (!m_isLoaded || m_hasLostOwnership)
+    return std::nullopt;
+  m_isRetired = true;
+  TimePoint Now = m_time.now();
+  auto RemainingUntil = [Now](TimePoint End) {
+    return std::max(milliseconds(0),
+                    std::chrono::ceil<milliseconds>(End - Now));
+  };
+  HandoverRecord Out;
+  if (m_previousRuns.hasUnknown(Now)) {
+    Out.UnknownRemaining = RemainingUntil(m_previousRuns.unknownEndsAt());
+    Out.UnknownVersion = m_previousRuns.unknownVersion();
+    Out.ResolvedWorkers = m_previousRuns.excluded();
+    for (const auto &[Id, Slot] : m_slots)
+      if (Slot.IsFenced)
+        Out.ResolvedWorkers.insert(Id);
+  }
+  for (const auto &[Worker, Known] : m_previousRuns.known(Now))
+    Out.Workers[Worker] = {.Tasks = Known.Tasks,
+                           .Remaining = RemainingUntil(Known.EndsAt)};
+  for (const auto &[Id, Slot] : m_slots) {
+    if (Slot.Runs.empty() && Slot.UnstoredCompletions.empty())
+      continue;
+    HandoverRecord::Runs &Runs = Out.Workers[Id];
+    Runs.Remaining = std::max(Runs.Remaining, RemainingUntil(Slot.LeaseEnd));
+    for (const auto &[Key, Run] : Slot.Runs)
+      Runs.Tasks.insert(Key.first);
+    for (const auto &[Number, Task] : Slot.UnstoredCompletions)
+      Runs.Tasks.insert(Task);
+  }
+  size_t Tasks = 0;
+  for (const auto &[Worker, Runs] : Out.Workers)
+    Tasks += Runs.Tasks.size();
+  log("shard_handover",
+      fmt::format("shard={} epoch={} workers={} tasks={} unknown_ms={}",
+                  m_options.Shard, m_options.Epoch, Out.Workers.size(), Tasks,
+                  Out.UnknownRemaining.count()));
+  return Out;
+}
+
 bool JobShard::Impl::mayHavePreviousRun(const JobEntry &Entry,
                                         int Position) const {
   TimePoint Now = m_time.now();
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -13,9 +13,17 @@
 /// difference is assumed to persist, up to a bound.
 constexpr double UnexplainedPart = 0.6;
 constexpr double MaxUnexplained = 0.8;
+/// Upper bound on the ratio of this host's clock rate to another clock's.
+constexpr double MaxClockRateRatio = 1.03;
+constexpr milliseconds LeaseMargin{150};
 
 } // namespace
 
+nanoseconds maxLocalDuration(milliseconds Span) {
+  return std::chrono::duration_cast<nanoseconds>(Span * MaxClockRateRatio) +
+         LeaseMargin;
+}
+
 std::string_view runOutcomeName(RunOutcome Outcome) {
   switch (Outcome) {
   case RunOutcome::Done:
@@ -40,6 +48,13 @@
   return std::chrono::duration_cast<milliseconds>(Now - *OverTargetSince);
 }
 
+void WorkerSlot::setStored(uint64_t Number) {
+  LastStoredCompletion = std::max(LastStoredCompletion, Number);
+  UnstoredCompletions.erase(
+      UnstoredCompletions.begin(),
+      UnstoredCompletions.upper_bound(LastStoredCompletion));
+}
+
 void WorkerSlot::setClock(milliseconds Clock, TimePoint Now) {
   m_workerClock = Clock;
   m_answeredAt = Now;
@@ -105,6 +120,7 @@
 
 void WorkerSlot::resetIncarnation() {
   Runs.clear();
+  UnstoredCompletions.clear();
   LastSeenCompletion = 0;
   LastStoredCompletion = 0;
   LastAcknowledgedCompletion = 0;
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -75,6 +75,10 @@
 /// Identifies a run: its task and the number of the run of that task.
 using RunKey = std::pair<TaskName, int>;
 
+/// Returns the maximum time by this host's clock that \p Span takes on the
+/// clock of a worker or of another host, with an allowance for the way.
+nanoseconds maxLocalDuration(milliseconds Span);
+
 /// A worker of the shard, as its owner sees it.
 class WorkerSlot {
 public:
@@ -100,6 +104,8 @@
   uint64_t LastStoredCompletion = 0;
   /// ... and of the last that was acknowledged to the worker.
   uint64_t LastAcknowledgedCompletion = 0;
+  /// Tasks of the completions after LastStoredCompletion, by number.
+  std::map<uint64_t, TaskName> UnstoredCompletions;
   /// Runs for which capacity is reserved.
   std::map<RunKey, ReservedRun> Runs;
   /// No start order is sent before this time.
@@ -110,6 +116,8 @@
   /// When the pace of any fill run was last changed.
   TimePoint PaceChangedAt{};
 
+  /// Records that the completions up to \p Number are stored.
+  void setStored(uint64_t Number);
   /// Sets the worker's clock from an answer that arrived at \p Now.
   void setClock(milliseconds Clock, TimePoint Now);
   /// Returns the worker's clock at \p Now. The result is ahead of the worker by
--- a/src/libjobhost/handover_test.cpp
+++ b/src/libjobhost/handover_test.cpp
@@ -23,6 +23,21 @@
     FAIL_CHECK(Violation);
 }
 
+void leave(JobTestBed &Bed, int Host) { Bed.host(Host).Process->leave(); }
+
+bool completes(JobTestBed &Bed, const std::string &Id) {
+  return Bed.runUntil(
+      [&] {
+        for (int Host = 0; Host < Bed.hosts(); ++Host) {
+          Result<JobState> State = Bed.state(Host, Id);
+          if (State.has_value())
+            return State.value() == JobState::Completed;
+        }
+        return false;
+      },
+      40s);
+}
+
 Job longRunningJob(const std::string &Id, int Tasks) {
   Job Out = chainJob(Id, 1, Tasks);
   Out.Steps[0].LongRunning = true;
@@ -106,3 +121,213 @@
       2s));
   checkNoViolations(Bed);
 }
+
+// Guards against lost tasks after planned work: one worker that did not answer
+// held back all tasks of the shard for 12 s after each handover.
+TEST_CASE("After a planned handover tasks that never ran on a silent worker "
+          "start at once") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.run(3s);
+  // 24 of the 30 tasks fit at the same time.
+  CHECK(Bed.submit(0, chainJob("a", 1, 30, 2s)).has_value());
+  Bed.run(1s);
+  REQUIRE(Bed.Oracle.starts() == 24);
+  Bed.worker(0).IsDown = true;
+  Bed.worker(0).crash();
+  leave(Bed, Bed.ownerIndex());
+  // The two other workers are free again 2 s after the tasks started.
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.starts() == 30; }, 1500ms));
+  // The eight tasks of the silent worker start when their lease is over.
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.starts() == 38; }, 7s));
+  CHECK(completes(Bed, "a"));
+  checkNoViolations(Bed);
+}
+
+// Guards against a second start of the runs that the outgoing owner left on a
+// worker that only the new owner cannot reach.
+TEST_CASE(
+    "After a planned handover tasks that run on an unreachable worker are "
+    "not started twice") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 12, 4s)).has_value());
+  Bed.run(500ms);
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.insert("w0");
+  leave(Bed, Bed.ownerIndex());
+  Bed.run(3800ms);
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.clear();
+  CHECK(completes(Bed, "a"));
+  CHECK(Bed.Oracle.starts() == 12);
+  checkNoViolations(Bed);
+}
+
+// Guards against a second run of a finished task: the outgoing owner had seen
+// its completion but not stored it, and no longer counted the run.
+TEST_CASE("A completion that the outgoing owner did not store keeps its task "
+          "from starting again") {
+  JobTestBed Bed({.Workers = 2});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 16, 1s)).has_value());
+  Bed.run(500ms);
+  int Owner = Bed.ownerIndex();
+  REQUIRE(Bed.runUntil([&] { return !Bed.worker(0).hasRuns(); }, 1s));
+  REQUIRE(Bed.runUntil(
+      [&] { return Bed.host(Owner).Process->counts().RunsSucceeded > 0; }, 1s));
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.insert("w0");
+  leave(Bed, Owner);
+  Bed.run(2s);
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.clear();
+  CHECK(completes(Bed, "a"));
+  CHECK(Bed.Oracle.starts() == 16);
+  checkNoViolations(Bed);
+}
+
+// Guards against a wait that each change of owner begins anew.
+TEST_CASE("A planned handover during the wait after a crash does not begin the "
+          "wait anew") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 30, 2s)).has_value());
+  Bed.run(1s);
+  Bed.worker(0).IsDown = true;
+  Bed.worker(0).crash();
+  int Crashed = Bed.ownerIndex();
+  Bed.killHost(Crashed);
+  int Second = awaitNewOwner(Bed, Crashed);
+  TimePoint Takeover = Bed.now();
+  Bed.run(6s);
+  CHECK(Bed.Oracle.starts() == 24);
+  leave(Bed, Second);
+  Bed.run(1s);
+  // The task may have been started by the first owner on the silent worker.
+  CHECK(Bed.Oracle.starts() == 24);
+  milliseconds Left =
+      std::chrono::ceil<milliseconds>(Takeover + 13s - Bed.now());
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.starts() == 38; }, Left));
+  CHECK(completes(Bed, "a"));
+  checkNoViolations(Bed);
+}
+
+// Guards against a record that is used after its time: an owner that crashed
+// later has started runs that the record does not name.
+TEST_CASE("The record of an earlier handover is not used after a crash") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.run(3s);
+  int First = Bed.ownerIndex();
+  CHECK(Bed.submit(0, chainJob("a", 1, 1, 100ms)).has_value());
+  leave(Bed, First);
+  int Second = awaitNewOwner(Bed, First);
+  CHECK(Bed.submit(Second, chainJob("b", 1, 12, 10s)).has_value());
+  Bed.run(500ms);
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    if (Host != Second)
+      Bed.host(Host).UnreachableWorkers.insert("w0");
+  Bed.killHost(Second);
+  awaitNewOwner(Bed, Second);
+  Bed.run(20s);
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.clear();
+  CHECK(completes(Bed, "b"));
+  checkNoViolations(Bed);
+}
+
+// Guards against a record that is used twice: after a gap in its renewals a
+// host can take its shard over again under the same epoch.
+TEST_CASE("The record of a handover is not used again under the same epoch") {
+  JobTestBed Bed({.Hosts = 2, .Workers = 3});
+  Bed.run(3s);
+  int First = Bed.ownerIndex();
+  leave(Bed, First);
+  int Second = awaitNewOwner(Bed, First);
+  Bed.killHost(First);
+  CHECK(Bed.submit(Second, chainJob("a", 1, 12, 20s)).has_value());
+  Bed.run(500ms);
+  Bed.Store.IsDown = true;
+  Bed.run(6500ms);
+  Bed.host(Second).UnreachableWorkers.insert("w0");
+  Bed.run(1s);
+  Bed.Store.IsDown = false;
+  Bed.run(20s);
+  Bed.host(Second).UnreachableWorkers.clear();
+  CHECK(completes(Bed, "a"));
+  checkNoViolations(Bed);
+}
+
+// Guards against a shard without an owner: a host released its shards before
+// any other host could own them.
+TEST_CASE("A leaving host goes on as owner while the store is unavailable") {
+  JobTestBed Bed({});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 4, 4, 1s)).has_value());
+  Bed.run(300ms);
+  int Owner = Bed.ownerIndex();
+  Bed.Store.IsDown = true;
+  leave(Bed, Owner);
+  Bed.run(4500ms);
+  // The time suffices for three of the four steps.
+  CHECK(Bed.Oracle.starts() >= 12);
+  CHECK(Bed.ownerIndex() == Owner);
+  Bed.Store.IsDown = false;
+  awaitNewOwner(Bed, Owner);
+  CHECK(completes(Bed, "a"));
+  CHECK(Bed.Oracle.starts() == 16);
+  checkNoViolations(Bed);
+}
+
+// Guards against orders after a handover whose answer was lost.
+TEST_CASE(
+    "An owner sends no orders while the outcome of a handover is unknown") {
+  for (bool IsDelayed : {false, true}) {
+    CAPTURE(IsDelayed);
+    JobTestBed Bed({.Workers = 3});
+    Bed.run(3s);
+    CHECK(Bed.submit(0, chainJob("a", 4, 12, 500ms)).has_value());
+    Bed.run(300ms);
+    int Owner = Bed.ownerIndex();
+    Bed.Store.LostReplyPercent = IsDelayed ? 0 : 100;
+    Bed.Store.DelayedCommitPercent = IsDelayed ? 100 : 0;
+    leave(Bed, Owner);
+    Bed.run(20ms);
+    const JobHost &Process = *Bed.host(Owner).Process;
+    uint64_t Starts = Process.counts().Starts;
+    // The answer is given up after 1.5 s; the commit takes effect later.
+    for (int Step = 0; Step < 100 && Process.ownedShards() > 0; ++Step) {
+      Bed.run(25ms);
+      if (Process.ownedShards() > 0)
+        REQUIRE(Process.counts().Starts == Starts);
+    }
+    Bed.Store.LostReplyPercent = 0;
+    Bed.Store.DelayedCommitPercent = 0;
+    awaitNewOwner(Bed, Owner);
+    CHECK(completes(Bed, "a"));
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against a handover by an owner that does not know yet what its own
+// predecessor left.
+TEST_CASE(
+    "A host that leaves while it reads its shard's rows passes on what it "
+    "does not know") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 12, 5s)).has_value());
+  Bed.run(500ms);
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.insert("w0");
+  int First = Bed.ownerIndex();
+  Bed.killHost(First);
+  int Second = awaitNewOwner(Bed, First);
+  leave(Bed, Second);
+  awaitNewOwner(Bed, Second);
+  Bed.run(4s);
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.clear();
+  CHECK(completes(Bed, "a"));
+  CHECK(Bed.Oracle.starts() == 12);
+  checkNoViolations(Bed);
+}
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -1,8 +1,10 @@
 #include "libjobhost/jobhost.h"
 
+#include "libbasilchute/handover.h"
 #include "libbasilchute/jobrows.h"
 
 #include <algorithm>
+#include <utility>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -49,6 +51,9 @@
           .MaxShards = m_options.CanSpanPartitions ? MaxShards : 1,
           .OnAcquired = [this](int Shard,
                                uint64_t Epoch) { acquireShard(Shard, Epoch); },
+          .OnHandover = [this](int Shard) { return handOverShard(Shard); },
+          .OnHandoverFailed =
+              [this](int Shard) { m_ownedShards.at(Shard)->resume(); },
           .OnReleased = [this](int Shard) { m_ownedShards.erase(Shard); },
           .OnAssigned = [this] { groupWorkers(); },
           .Report = [this] { return reports(); },
@@ -59,6 +64,7 @@
   ++m_takeovers;
   HostClusterOptions Cluster;
   JobShardOptions Options{.Shard = Shard, .Epoch = Epoch};
+  Options.IsReacquired = std::exchange(m_lastEpochs[Shard], Epoch) == Epoch;
   Options.Lease = std::min(m_options.MaxWorkerLease, MaxTaskLease);
   Options.PreviousRunsTimeout =
       Cluster.Horizon + Options.Lease + LeaseExpiryMargin - Cluster.Timeout;
@@ -85,6 +91,17 @@
     m_options.RefreshFleet();
 }
 
+std::optional<std::vector<RowChange>> JobHost::handOverShard(int Shard) {
+  std::optional<HandoverRecord> Record = m_ownedShards.at(Shard)->handOver();
+  if (!Record)
+    return std::nullopt;
+  std::vector<RowChange> Out;
+  for (std::string &Value : encodeHandover(*Record))
+    Out.push_back({.Address = handoverAddress(Shard, Out.size()),
+                   .Value = std::move(Value)});
+  return Out;
+}
+
 void JobHost::groupWorkers() {
   m_workersByShard.clear();
   for (const WorkerEntry &Worker : m_fleet) {
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -96,6 +96,7 @@
   };
 
   void acquireShard(int Shard, uint64_t Epoch);
+  std::optional<std::vector<RowChange>> handOverShard(int Shard);
   void groupWorkers();
   void updateShardWorkers(int Shard);
   std::map<int, ShardReport> reports() const;
@@ -118,6 +119,8 @@
   ApprovalService *m_approvals;
   const Clock &m_time;
   std::map<int, std::unique_ptr<JobShard>> m_ownedShards;
+  /// By shard: epoch under which this process last owned it.
+  std::map<int, uint64_t> m_lastEpochs;
   /// Number of shards that this process has taken over so far.
   uint64_t m_takeovers = 0;
   std::vector<WorkerEntry> m_fleet;
