Test bed: planned stops of hosts, workers that leave, lost long-running tasks

The test bed could kill and pause hosts and crash workers, but not do planned work, and nothing checked that a long-running task that ended runs again.

Hosts can now be restarted as planned (leave, grace, row removed, end), workers can drain and leave, crash for good and join, and a task can be failed.

--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -180,14 +180,7 @@
                           .ApprovalValidity = Options.ApprovalValidity};
   m_queues = Queues;
   for (int Index = 0; Index < Options.Workers; ++Index) {
-    m_workers.push_back(std::make_unique<ModelWorker>(
-        WorkerEntry{.Id = fmt::format("w{}", Index),
-                    .Service = ServiceName,
-                    .Capacity = Options.WorkerCapacity},
-        Oracle, [this] { return now(); }));
-    m_workers.back()->FailPercent = Options.FailPercent;
-    m_workers.back()->NeedsTicket = Options.ApprovalValidity.count() > 0;
-    m_workers.back()->Approved = Index % 2 == 0;
+    m_workers.push_back(newWorker());
     m_workersById[m_workers.back()->Entry.Id] = m_workers.back().get();
   }
   for (int Index = 0; Index < Options.Hosts; ++Index)
@@ -195,6 +188,18 @@
   tickAll();
 }
 
+std::unique_ptr<ModelWorker> JobTestBed::newWorker() {
+  auto Out = std::make_unique<ModelWorker>(
+      WorkerEntry{.Id = fmt::format("w{}", workers()),
+                  .Service = ServiceName,
+                  .Capacity = m_options.WorkerCapacity},
+      Oracle, [this] { return now(); });
+  Out->FailPercent = m_options.FailPercent;
+  Out->NeedsTicket = m_options.ApprovalValidity.count() > 0;
+  Out->Approved = workers() % 2 == 0;
+  return Out;
+}
+
 void JobTestBed::later(nanoseconds Delay, std::function<void()> Action) {
   m_events.push({now() + Delay, m_nextEvent++, std::move(Action)});
 }
@@ -217,6 +222,7 @@
   TestJobHost &Target = host(Index);
   ++Target.Incarnation;
   Target.IsPaused = false;
+  Target.IsStopping = false;
   Target.Backlog.clear();
   auto Deliver = [this, Index](milliseconds Delay,
                                std::function<void()> Action) {
@@ -272,8 +278,10 @@
 
 void JobTestBed::killHost(int Index) {
   trace(Index, "killed", "");
+  m_lastKill = now();
   TestJobHost &Target = host(Index);
   ++Target.Incarnation;
+  Target.IsStopping = false;
   Target.Process.reset();
   Target.Backlog.clear();
 }
@@ -335,6 +343,7 @@
   for (TestJobHost &Target : m_hosts)
     if (Target.Process && !Target.IsPaused)
       Target.Process->tick();
+  checkRestarts();
   later(Tick, [this] { tickAll(); });
 }
 
@@ -369,10 +378,13 @@
   host(Host).Process->frontend().submit(
       Value, now() + CallTimeout, [Out](const Status &Reply) { *Out = Reply; });
   runUntil([Out] { return Out->has_value(); }, CallTimeout * 2);
+  if (*Out && (*Out)->has_value())
+    Restarts.onAccepted(Value, now());
   return *Out ? **Out : Status(noResponse());
 }
 
 Status JobTestBed::cancel(int Host, const std::string &Id) {
+  Restarts.onCancelling(Id);
   auto Out = std::make_shared<std::optional<Status>>();
   if (!host(Host).Process)
     return noResponse();
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -6,6 +6,7 @@
 #include "libjobhost/jobhost.h"
 #include "testing/modelstore.h"
 #include "testing/modelworker.h"
+#include "testing/restartcheck.h"
 
 #include <memory>
 #include <queue>
@@ -103,6 +104,8 @@
   bool IsPaused = false;
   /// Workers that this host cannot reach.
   std::set<std::string> UnreachableWorkers;
+  /// The process is about to end, as planned.
+  bool IsStopping = false;
   /// Callbacks that arrived while the host was paused.
   std::vector<std::function<void()>> Backlog;
 };
@@ -131,6 +134,9 @@
 
   void killHost(int Host);
   void startHost(int Host);
+  /// Stops the process as planned: it hands its shards over, goes on for
+  /// \p Grace, removes its row and ends. It starts again \p Pause later.
+  void restartHost(int Host, milliseconds Grace, milliseconds Pause);
   void pause(int Host) { host(Host).IsPaused = true; }
   void resume(int Host);
   /// Index of the first host that owns a shard, or -1.
@@ -146,6 +152,19 @@
   void publishWorkers();
   /// Adds a worker to the worker list or removes it.
   void setWorkerListed(int Worker, bool Listed);
+  /// Starts a new worker, with a name that no worker had before, and returns
+  /// its index.
+  int addWorker();
+  /// Lists the worker as draining. After \p Stay it ends all its runs, leaves
+  /// the list and does not reply any more.
+  void drainWorker(int Worker, milliseconds Stay);
+  /// Lets the worker crash for good. It stays in the list for \p Listed.
+  void loseWorker(int Worker, milliseconds Listed);
+  /// Returns true if the worker is listed, up and not draining.
+  bool isWorkerUsable(int Worker);
+  /// Ends the run of \p Task as failed, on whichever worker it is. Returns
+  /// false if it does not run.
+  bool failTask(const TaskName &Task);
 
   /// Runs \p Action on the host after \p Delay unless the host was killed or
   /// restarted in the meantime; a paused host runs it when it resumes.
@@ -155,6 +174,7 @@
   const JobTestBedOptions &options() const { return m_options; }
 
   JobOracle Oracle;
+  RestartCheck Restarts;
   ModelStore Store;
   /// Number of calls to the approval service from all hosts.
   int ApprovalCalls = 0;
@@ -173,7 +193,10 @@
 
   std::vector<WorkerEntry> fleet();
   void updateFleet(TestJobHost &Target, const std::vector<WorkerEntry> &Fleet);
+  std::unique_ptr<ModelWorker> newWorker();
   void tickAll();
+  bool isCalm();
+  void checkRestarts();
   void trace(int Host, std::string_view Event, std::string_view Fields) const;
 
   JobTestBedOptions m_options;
@@ -184,6 +207,8 @@
   std::vector<std::unique_ptr<ModelWorker>> m_workers;
   std::unordered_map<std::string, ModelWorker *> m_workersById;
   std::set<int> m_unlisted;
+  /// When a host was last killed.
+  TimePoint m_lastKill{};
   /// Ports of host processes that ended; their last calls may still be in
   /// flight.
   std::vector<std::unique_ptr<HostRowStore>> m_formerStores;
@@ -192,6 +217,9 @@
   std::shared_ptr<const JobQueues> m_queues;
 };
 
+/// Returns a job of \p Tasks long-running tasks of \p Millicores each.
+Job longRunningJob(const std::string &Id, int Tasks, int Millicores = 1000);
+
 /// Returns a job of \p Steps sequential steps with \p Width tasks each.
 Job chainJob(const std::string &Id, int Steps, int Width,
              milliseconds Estimate = milliseconds(400));
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -108,6 +108,19 @@
   return Out;
 }
 
+std::string JobOracle::workerOf(const TaskName &Task) const {
+  auto It = m_running.find(Task);
+  return It == m_running.end() || It->second.empty() ? "" : *It->second.begin();
+}
+
+std::vector<TaskName> JobOracle::tasksOn(const std::string &Worker) const {
+  std::vector<TaskName> Out;
+  for (const auto &[Task, Workers] : m_running)
+    if (Workers.count(Worker))
+      Out.push_back(Task);
+  return Out;
+}
+
 bool JobOracle::allDone(const std::string &Id) const {
   const ModelJob *ParentJob = job(Id);
   if (!ParentJob)
@@ -133,6 +146,20 @@
   return Out;
 }
 
+Resources ModelWorker::freeCapacity() const {
+  Resources Out = Entry.Capacity;
+  Out -= used();
+  return Out;
+}
+
+bool ModelWorker::fail(const TaskName &Task) {
+  advance();
+  if (!m_runs.count(Task))
+    return false;
+  end(Task, RunOutcome::Failed);
+  return true;
+}
+
 void ModelWorker::end(const TaskName &Task, RunOutcome End) {
   int Run = m_runs[Task].Run;
   m_runs.erase(Task);
@@ -253,6 +280,11 @@
 }
 
 void ModelWorker::crash() {
+  leave();
+  m_lastCrash = m_now();
+}
+
+void ModelWorker::leave() {
   for (const auto &[Task, Run] : m_runs)
     m_oracle.onEnd(Entry.Id, Task, Run.Run, RunOutcome::LeaseExpired);
   m_runs.clear();
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -43,11 +43,20 @@
   /// Checks a job state that a host reported.
   void onState(const std::string &Job, JobState State);
 
+  /// Records a violation that another check found.
+  void report(std::string Violation) {
+    m_violations.push_back(std::move(Violation));
+  }
+
   const std::vector<std::string> &violations() const { return m_violations; }
   /// Number of starts of all tasks so far.
   int starts() const { return m_starts; }
   /// Number of runs that are currently on a worker.
   size_t running() const;
+  /// Worker on which \p Task runs; empty if it does not run.
+  std::string workerOf(const TaskName &Task) const;
+  /// Tasks that run on \p Worker.
+  std::vector<TaskName> tasksOn(const std::string &Worker) const;
   bool allDone(const std::string &Job) const;
 
 private:
@@ -101,6 +110,14 @@
   TimePoint incarnation() const { return m_incarnation; }
   /// Ends all runs, drops all state and starts a new incarnation.
   void crash();
+  /// The same as planned work.
+  void leave();
+  /// When the worker last crashed; zero if it never did.
+  TimePoint lastCrash() const { return m_lastCrash; }
+  /// Ends the run of \p Task as failed. Returns false if there is none.
+  bool fail(const TaskName &Task);
+  /// Capacity that no run uses.
+  Resources freeCapacity() const;
 
 private:
   struct CurrentRun {
@@ -118,6 +135,7 @@
   JobOracle &m_oracle;
   std::function<TimePoint()> m_now;
   TimePoint m_incarnation;
+  TimePoint m_lastCrash{};
   uint64_t m_epoch = 0;
   milliseconds m_leaseUntil{0};
   bool m_leaseExpired = false;
