Reproduce stopped starts after a change of owner, and tasks started twice

Five pass and stay as guards: owner killed or paused between release and reply, lost reply of a handover, the tasks of a silent worker after a crash of the owner, and the draining worker that is cut off before a planned handover.

--- /dev/null
+++ b/src/libjobhost/jobhost_takeover_test.cpp
@@ -0,0 +1,316 @@
+// Tests of what runs on and what starts while the owner of a shard changes and
+// workers are silent or leave.
+
+#include "testing/jobtestbed.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time within which tasks that surely run nowhere start after a planned
+/// handover.
+constexpr milliseconds HandoverTime = 1s;
+/// Longest time for which the store's reply to an owner row is under way.
+constexpr milliseconds ReplyTime = 10ms;
+
+JobTestBedOptions traced(JobTestBedOptions Options) {
+  Options.Trace = std::getenv("BASILCHUTE_TRACE") != nullptr;
+  return Options;
+}
+
+void checkNoViolations(const JobTestBed &Bed) {
+  for (const std::string &Violation : Bed.Oracle.violations())
+    FAIL_CHECK(Violation);
+}
+
+bool isRunning(const JobTestBed &Bed, const TaskName &Task) {
+  return !Bed.Oracle.workerOf(Task).empty();
+}
+
+/// Returns a task of \p Job that runs, but not on \p Worker.
+TaskName taskNotOn(const JobTestBed &Bed, const Job &Job,
+                   const std::string &Worker) {
+  for (int Index = 0; Index < Job.Steps[0].Count; ++Index) {
+    TaskName Task{Job.Id, 0, 0, Index};
+    if (isRunning(Bed, Task) && Bed.Oracle.workerOf(Task) != Worker)
+      return Task;
+  }
+  FAIL("no task runs on another worker");
+  return {};
+}
+
+bool allRun(const JobTestBed &Bed, const Job &Job) {
+  for (int Index = 0; Index < Job.Steps[0].Count; ++Index)
+    if (!isRunning(Bed, {Job.Id, 0, 0, Index}))
+      return false;
+  return true;
+}
+
+bool runsAgain(JobTestBed &Bed, const TaskName &Task, milliseconds Limit) {
+  return Bed.runUntil([&] { return isRunning(Bed, Task); }, Limit);
+}
+
+/// Lets the owner hand its shard over, and returns the new owner once it has
+/// the shard.
+int handOver(JobTestBed &Bed) {
+  int OldOwner = Bed.ownerIndex();
+  REQUIRE(OldOwner >= 0);
+  Bed.restartHost(OldOwner, 800ms, 200ms);
+  REQUIRE(Bed.runUntil(
+      [&] { return Bed.ownerIndex() >= 0 && Bed.ownerIndex() != OldOwner; },
+      1s));
+  return Bed.ownerIndex();
+}
+
+void cutWorker(JobTestBed &Bed, const std::string &Worker) {
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.insert(Worker);
+}
+
+void endCuts(JobTestBed &Bed) {
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.clear();
+}
+
+/// A test bed with a job of long-running tasks on all workers.
+struct BusyBed {
+  explicit BusyBed(JobTestBedOptions Options) : Bed(traced(Options)) {
+    Bed.run(3s);
+    REQUIRE(Bed.submit(0, Lasting).has_value());
+    REQUIRE(Bed.runUntil([&] { return allRun(Bed, Lasting); }, 2s));
+    Bed.run(500ms);
+  }
+
+  Job Lasting = longRunningJob("lasting", 12);
+  JobTestBed Bed;
+};
+
+} // namespace
+
+// Guards against a standstill while hosts and workers are replaced one by one:
+// each new owner waited for workers that had just left, and the next handover
+// began that wait anew, so that failed long-running tasks stayed down.
+TEST_CASE("Failed long-running tasks run again while hosts and workers are "
+          "replaced one by one") {
+  JobTestBed Bed(traced({.Hosts = 6, .Workers = 12}));
+  Bed.run(3s);
+  Job Lasting = longRunningJob("lasting", 24);
+  REQUIRE(Bed.submit(0, Lasting).has_value());
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.later(2s * (Host + 1),
+              [&Bed, Host] { Bed.restartHost(Host, 1s, 500ms); });
+  for (int Number = 0; Number < 24; ++Number) {
+    Bed.later(700ms * Number, [&Bed] { Bed.addWorker(); });
+    Bed.later(700ms * Number + 300ms,
+              [&Bed, Number] { Bed.drainWorker(Number, 1500ms); });
+    Bed.later(900ms * Number, [&Bed, Number] {
+      Bed.failTask({"lasting", 0, 0, Number});
+    });
+  }
+  Bed.run(40s);
+  CHECK(allRun(Bed, Lasting));
+  checkNoViolations(Bed);
+}
+
+// Guards against a takeover that waits for one silent worker with the tasks of
+// all others.
+TEST_CASE("After a planned handover tasks that never ran on the silent worker "
+          "start at once") {
+  BusyBed Busy({});
+  JobTestBed &Bed = Busy.Bed;
+  TaskName Failing = taskNotOn(Bed, Busy.Lasting, "w0");
+  Bed.worker(0).IsDown = true;
+  Bed.worker(0).crash();
+  Bed.run(200ms);
+  handOver(Bed);
+  REQUIRE(Bed.failTask(Failing));
+  CHECK(runsAgain(Bed, Failing, HandoverTime));
+  checkNoViolations(Bed);
+}
+
+// Guards against a wait that each handover begins anew: the tasks of the silent
+// worker stayed down for as long as hosts were replaced.
+TEST_CASE("A second planned handover does not begin the wait for a silent "
+          "worker anew") {
+  BusyBed Busy({});
+  JobTestBed &Bed = Busy.Bed;
+  TimePoint CrashedAt = Bed.now();
+  Bed.worker(0).IsDown = true;
+  Bed.worker(0).crash();
+  Bed.run(1s);
+  handOver(Bed);
+  Bed.run(3s);
+  handOver(Bed);
+  CHECK(Bed.runUntil([&] { return allRun(Bed, Busy.Lasting); },
+                     std::chrono::ceil<milliseconds>(
+                         CrashedAt + RestartCheck::LostTime - Bed.now())));
+  checkNoViolations(Bed);
+}
+
+// Guards against a wait after a crash of the owner that keeps tasks down which
+// cannot run on the silent worker.
+TEST_CASE("After the owner's crash a failed long-running task of another "
+          "worker than the silent one runs again") {
+  BusyBed Busy({});
+  JobTestBed &Bed = Busy.Bed;
+  TaskName Failing = taskNotOn(Bed, Busy.Lasting, "w0");
+  cutWorker(Bed, "w0");
+  Bed.killHost(Bed.ownerIndex());
+  REQUIRE(Bed.failTask(Failing));
+  CHECK(runsAgain(Bed, Failing, RestartCheck::LostTime));
+  checkNoViolations(Bed);
+}
+
+// Guards against a second start of a task that runs on a worker which the new
+// owner cannot reach.
+TEST_CASE(
+    "After the owner's crash the tasks of a silent worker are not started "
+    "twice") {
+  BusyBed Busy({});
+  JobTestBed &Bed = Busy.Bed;
+  TaskName Failing = taskNotOn(Bed, Busy.Lasting, "w0");
+  cutWorker(Bed, "w0");
+  Bed.killHost(Bed.ownerIndex());
+  REQUIRE(Bed.failTask(Failing));
+  Bed.run(4s);
+  endCuts(Bed);
+  CHECK(Bed.runUntil([&] { return allRun(Bed, Busy.Lasting); }, 10s));
+  checkNoViolations(Bed);
+}
+
+// Guards against a handover that is lost if the outgoing owner is killed before
+// it has the store's reply.
+TEST_CASE("An owner that is killed while it hands over leaves no task down") {
+  for (milliseconds Delay = 1ms; Delay < ReplyTime; Delay += 2ms) {
+    CAPTURE(Delay.count());
+    BusyBed Busy({});
+    JobTestBed &Bed = Busy.Bed;
+    int Owner = Bed.ownerIndex();
+    TaskName Failing = taskNotOn(Bed, Busy.Lasting, "");
+    REQUIRE(Bed.failTask(Failing));
+    Bed.host(Owner).Process->leave();
+    Bed.run(Delay);
+    Bed.killHost(Owner);
+    CHECK(runsAgain(Bed, Failing, RestartCheck::LostTime));
+    Bed.run(15s);
+    CHECK(Bed.Oracle.starts() == 13);
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against an outgoing owner that goes on with its orders when it resumes
+// after the shard was handed over.
+TEST_CASE("An owner that is paused while it hands over leaves no task down and "
+          "starts none twice") {
+  for (milliseconds Delay = 1ms; Delay < ReplyTime; Delay += 2ms) {
+    CAPTURE(Delay.count());
+    BusyBed Busy({});
+    JobTestBed &Bed = Busy.Bed;
+    int Owner = Bed.ownerIndex();
+    TaskName Failing = taskNotOn(Bed, Busy.Lasting, "");
+    REQUIRE(Bed.failTask(Failing));
+    Bed.host(Owner).Process->leave();
+    Bed.run(Delay);
+    Bed.pause(Owner);
+    CHECK(runsAgain(Bed, Failing, RestartCheck::LostTime));
+    Bed.resume(Owner);
+    Bed.run(15s);
+    CHECK(Bed.Oracle.starts() == 13);
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against a release that nobody can follow: the owner stopped extending
+// the leases before it knew whether the store had taken the handover.
+TEST_CASE("An owner that leaves while the store is unavailable keeps its tasks "
+          "running") {
+  BusyBed Busy({});
+  JobTestBed &Bed = Busy.Bed;
+  Bed.Store.IsDown = true;
+  Bed.restartHost(Bed.ownerIndex(), 9s, 500ms);
+  Bed.run(6500ms);
+  Bed.Store.IsDown = false;
+  Bed.run(15s);
+  CHECK(allRun(Bed, Busy.Lasting));
+  CHECK(Bed.Oracle.starts() == 12);
+  checkNoViolations(Bed);
+}
+
+// Guards against the same if the store takes the handover and its reply is
+// lost.
+TEST_CASE("A handover whose reply is lost leaves no task down") {
+  BusyBed Busy({});
+  JobTestBed &Bed = Busy.Bed;
+  TaskName Failing = taskNotOn(Bed, Busy.Lasting, "");
+  REQUIRE(Bed.failTask(Failing));
+  Bed.Store.LostReplyPercent = 100;
+  Bed.restartHost(Bed.ownerIndex(), 3s, 500ms);
+  Bed.run(ReplyTime);
+  Bed.Store.LostReplyPercent = 0;
+  CHECK(runsAgain(Bed, Failing, RestartCheck::LostTime));
+  Bed.run(15s);
+  CHECK(Bed.Oracle.starts() == 13);
+  checkNoViolations(Bed);
+}
+
+// Guards against the conclusion that a draining worker which is no longer
+// listed has ended its tasks: a worker that is cut off leaves the list too.
+TEST_CASE("The tasks of a draining worker that is cut off and leaves the list "
+          "are not started twice") {
+  BusyBed Busy({});
+  JobTestBed &Bed = Busy.Bed;
+  cutWorker(Bed, "w0");
+  Bed.worker(0).Entry.IsDraining = true;
+  Bed.publishWorkers();
+  Bed.run(3s);
+  Bed.setWorkerListed(0, false);
+  CHECK(Bed.runUntil([&] { return allRun(Bed, Busy.Lasting); }, 15s));
+  Bed.run(5s);
+  checkNoViolations(Bed);
+}
+
+// Guards against the same after a planned handover, whose new owner never
+// reached the worker.
+TEST_CASE(
+    "The tasks of a draining worker that is cut off are not started twice "
+    "after a planned handover") {
+  BusyBed Busy({});
+  JobTestBed &Bed = Busy.Bed;
+  cutWorker(Bed, "w0");
+  Bed.worker(0).Entry.IsDraining = true;
+  Bed.publishWorkers();
+  Bed.run(1s);
+  handOver(Bed);
+  Bed.run(2s);
+  Bed.setWorkerListed(0, false);
+  CHECK(Bed.runUntil([&] { return allRun(Bed, Busy.Lasting); }, 15s));
+  Bed.run(5s);
+  checkNoViolations(Bed);
+}
+
+// Guards against a shard that keeps its long-running job although it has no
+// room left for the job's restarts, while other shards are idle.
+TEST_CASE("A long-running task that fails on a full shard runs again where "
+          "there is room") {
+  JobTestBed Bed(
+      traced({.Workers = 6,
+              .MinShards = 3,
+              .WorkerCapacity = {.Millicores = 4000, .MemoryMib = 16000}}));
+  Bed.run(5s);
+  // The tasks fill both workers of the shard.
+  Job Lasting = longRunningJob("lasting", 8);
+  REQUIRE(Bed.submit(0, Lasting).has_value());
+  REQUIRE(Bed.runUntil([&] { return allRun(Bed, Lasting); }, 6s));
+  ModelWorker *Leaving =
+      Bed.workerById(Bed.Oracle.workerOf({"lasting", 0, 0, 0}));
+  for (int Worker = 0; Worker < Bed.workers(); ++Worker)
+    if (&Bed.worker(Worker) == Leaving)
+      Bed.drainWorker(Worker, 2s);
+  Bed.run(2s + RestartCheck::LostTime);
+  CHECK(allRun(Bed, Lasting));
+  checkNoViolations(Bed);
+}
