Reproduce tasks started twice by an owner that started after a worker left

A worker that is cut off leaves the list after three silent heartbeats and runs its tasks until their leases end. A host that starts after that has never seen the worker: its list is fresh and all listed workers answer, so that as the new owner it starts the tasks again.

Both cases fail on the present code: two tasks are started on w1 and w2 while they run on w0.

--- a/src/libjobhost/jobhost_takeover_test.cpp
+++ b/src/libjobhost/jobhost_takeover_test.cpp
@@ -292,6 +292,41 @@
   checkNoViolations(Bed);
 }
 
+// Guards against a new owner that takes the list of workers for complete: it
+// started after a worker that is cut off had left the list, so it never saw it.
+TEST_CASE("The tasks of a worker that left the list before the new owner "
+          "started are not started twice after a planned handover") {
+  BusyBed Busy({.Hosts = 2});
+  JobTestBed &Bed = Busy.Bed;
+  int Owner = Bed.ownerIndex();
+  Bed.restartHost(1 - Owner, 500ms, 2800ms);
+  cutWorker(Bed, "w0");
+  Bed.run(3s);
+  Bed.setWorkerListed(0, false);
+  Bed.run(2s);
+  CHECK(handOver(Bed) == 1 - Owner);
+  CHECK(Bed.runUntil([&] { return allRun(Bed, Busy.Lasting); }, 15s));
+  Bed.run(5s);
+  checkNoViolations(Bed);
+}
+
+// Guards against the same after a crash, when no previous owner can say what it
+// had started.
+TEST_CASE("The tasks of a worker that left the list before the new owner "
+          "started are not started twice after a crash") {
+  BusyBed Busy({.Hosts = 1});
+  JobTestBed &Bed = Busy.Bed;
+  cutWorker(Bed, "w0");
+  Bed.run(3s);
+  Bed.killHost(0);
+  Bed.setWorkerListed(0, false);
+  Bed.startHost(0);
+  Bed.host(0).UnreachableWorkers.insert("w0");
+  CHECK(Bed.runUntil([&] { return allRun(Bed, Busy.Lasting); }, 20s));
+  Bed.run(5s);
+  checkNoViolations(Bed);
+}
+
 // Guards against a shard that keeps its long-running job although it has no
 // room left for the job's restarts, while other shards are idle.
 TEST_CASE("A long-running task that fails on a full shard runs again where "
