Refuse stored jobs that cannot be counted, and bound what rows say

What callers saw: a row with an impossible job ended the shard's owner while it loaded the shard, then the next owner, and so on. A caller can write such a job: steps times repetitions could wrap below the maximum of 100,000 tasks.

Cause: decodeJob() took counts, predecessors and times as they are. A count below zero or near 2^31 made JobEntry allocate, an index out of range was read in the critical path, and a job without steps has no first step.

Change: decodeJob() applies checkJob(), which now bounds each factor before it multiplies. Amounts and times of a stored job, run numbers, the load and counts in a host's row are brought into bounds, because the sound rest of these rows is needed; slopes that are not finite are left out. A row whose job has another id than its key is refused.

"The tasks of a worker that leaves the list go on" passed before, too: it states what also holds for a worker whose entry turns odd.

--- a/src/libbasilchute/jobestimate.cpp
+++ b/src/libbasilchute/jobestimate.cpp
@@ -1,5 +1,7 @@
 #include "libbasilchute/jobestimate.h"
 
+#include "basilchute/limits.h"
+
 #include <algorithm>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -17,7 +19,7 @@
     Ends.push_back(End);
     Longest = std::max(Longest, End);
   }
-  return Longest;
+  return std::min(Longest, MaxDuration);
 }
 
 double taskWork(const JobStep &Step) {
--- a/src/libbasilchute/jobfrontend.cpp
+++ b/src/libbasilchute/jobfrontend.cpp
@@ -23,9 +23,10 @@
 }
 
 Status checkStep(const JobStep &Step, int Index) {
-  if (Step.Count < 1)
+  if (Step.Count < 1 || Step.Count > MaxTasks)
     return invalidArgument(
-        fmt::format("steps[{}]: the count must be positive", Index));
+        fmt::format("steps[{}]: the count must be positive and at most {}",
+                    Index, MaxTasks));
   const Resources &Demand = Step.Demand;
   bool HasNegative = Demand.Millicores < 0 || Demand.MemoryMib < 0 ||
                      Demand.Accelerators < 0 || Step.MaxPerWorker < 0 ||
@@ -56,6 +57,10 @@
     return invalidArgument("the job has no steps");
   if (Value.Repetitions < 0 || Value.Interval.count() < 0)
     return invalidArgument("the repetitions or the interval is negative");
+  // The product below then fits into 64 bits.
+  if (Value.Repetitions > MaxTasks || Value.Steps.size() > MaxTasks)
+    return invalidArgument(
+        fmt::format("the job has more than {} repetitions or steps", MaxTasks));
   int64_t Tasks = 0;
   for (size_t Index = 0; Index < Value.Steps.size(); ++Index) {
     Status Checked = checkStep(Value.Steps[Index], static_cast<int>(Index));
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -1,8 +1,12 @@
 #include "libbasilchute/jobrows.h"
 
+#include "basilchute/jobfrontend.h"
+#include "basilchute/limits.h"
 #include "schema/jobs.pb.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -14,6 +18,13 @@
 constexpr int RowFormat = 1;
 constexpr std::string_view ShardPartitionPrefix = "shard-";
 constexpr const char *LayoutPartition = "layout";
+/// Bounds of counts and sums in a host's report, which are added up over the
+/// shards.
+constexpr int MaxPendingJobs = 10'000'000;
+constexpr int64_t MaxShardMillicores = 1'000'000 * MaxMillicores;
+/// Highest run number that is read from a row; above what workers may report,
+/// so that numbers go on rising, and with room for later runs.
+constexpr int MaxStoredRun = 2 * MaxReportedRun;
 /// Number of partitions that hold the index of jobs. Must never change, because
 /// the partition of each stored index row depends on it.
 constexpr uint64_t IndexPartitions = 16;
@@ -24,6 +35,19 @@
       fmt::format("the row does not contain a valid {} record", Kind));
 }
 
+milliseconds boundedTime(int64_t Millis, milliseconds Max) {
+  return std::clamp(milliseconds(Millis), milliseconds(0), Max);
+}
+
+int64_t boundedMillicores(int64_t Millicores) {
+  return std::clamp<int64_t>(Millicores, 0, MaxShardMillicores);
+}
+
+/// Returns zero if \p Value is not a positive finite number.
+double positiveOrZero(double Value) {
+  return std::isfinite(Value) ? std::max(Value, 0.0) : 0;
+}
+
 void storeStep(const JobStep &From, v1::StoredJobStep &To) {
   To.set_count(From.Count);
   To.set_millicores(From.Demand.Millicores);
@@ -48,10 +72,13 @@
 
 JobStep loadStep(const v1::StoredJobStep &From) {
   return {.Count = From.count(),
-          .Demand = {.Millicores = From.millicores(),
-                     .MemoryMib = From.memory_mib(),
-                     .Accelerators = From.accelerators()},
-          .EstimatedRunTime = milliseconds(From.estimate_ms()),
+          .Demand = {.Millicores = std::clamp<int64_t>(From.millicores(), 0,
+                                                       MaxMillicores),
+                     .MemoryMib = std::clamp<int64_t>(From.memory_mib(), 0,
+                                                      MaxMemoryMib),
+                     .Accelerators = std::clamp<int64_t>(From.accelerators(), 0,
+                                                         MaxAccelerators)},
+          .EstimatedRunTime = boundedTime(From.estimate_ms(), MaxDuration),
           .Predecessors = {From.after().begin(), From.after().end()},
           .Checkpointing = From.checkpointing(),
           .Gang = From.gang(),
@@ -63,7 +90,7 @@
           .DataRack = From.data_rack(),
           .Image = From.image(),
           .MaxPerWorker = From.max_per_worker(),
-          .TailTarget = milliseconds(From.tail_target_ms()),
+          .TailTarget = boundedTime(From.tail_target_ms(), MaxDuration),
           .MaxUnavailable = From.miss_budget()};
 }
 
@@ -178,13 +205,16 @@
           .Queue = From.queue(),
           .Payload = From.payload(),
           .Repetitions = From.repetitions(),
-          .FirstRun = milliseconds(From.first_run_ms()),
-          .Interval = milliseconds(From.interval_ms()),
-          .AcceptedAt = milliseconds(From.accepted_ms()),
-          .WaitedBeforeTransfer = milliseconds(From.waited_ms()),
+          .FirstRun = boundedTime(From.first_run_ms(), MaxUnixTime),
+          .Interval = boundedTime(From.interval_ms(), MaxDuration),
+          .AcceptedAt = boundedTime(From.accepted_ms(), MaxUnixTime),
+          .WaitedBeforeTransfer = boundedTime(From.waited_ms(), MaxDuration),
           .HadStarted = From.begun()};
   for (const v1::StoredJobStep &Step : From.steps())
     Out.Steps.push_back(loadStep(Step));
+  Status Checked = checkJob(Out);
+  if (!Checked.has_value())
+    return Checked.error();
   return Out;
 }
 
@@ -214,7 +244,7 @@
   for (const v1::StoredTask &Task : From.tasks())
     Out.Tasks.push_back(
         {.Position = Task.position(),
-         .Run = Task.run(),
+         .Run = std::clamp(Task.run(), 0, MaxStoredRun),
          .FailedRuns = {Task.failed_runs().begin(), Task.failed_runs().end()},
          .Done = Task.done(),
          .Checkpoint = Task.checkpoint()});
@@ -258,14 +288,18 @@
   for (const v1::StoredShardCount &Shard : From.shards()) {
     ShardReport &Report = Out.Shards[Shard.shard()];
     Report.Epoch = Shard.epoch();
-    Report.Load = {.CapacityMillicores = Shard.capacity_millicores(),
-                   .LongRunningMillicores = Shard.lasting_millicores(),
-                   .RemainingWork = Shard.backlog(),
-                   .WaitingFillMillicores = Shard.fill_waiting_millicores()};
+    Report.Load = {
+        .CapacityMillicores = boundedMillicores(Shard.capacity_millicores()),
+        .LongRunningMillicores = boundedMillicores(Shard.lasting_millicores()),
+        .RemainingWork = positiveOrZero(Shard.backlog()),
+        .WaitingFillMillicores =
+            boundedMillicores(Shard.fill_waiting_millicores())};
     for (const v1::StoredFillRoom &Room : Shard.fill_room())
-      Report.Load.FillCapacity[Room.image()] = Room.millicores();
+      Report.Load.FillCapacity[Room.image()] =
+          boundedMillicores(Room.millicores());
     for (const v1::StoredQueueCount &Queue : Shard.queues())
-      Report.PendingJobs[Queue.queue()] = Queue.pending();
+      Report.PendingJobs[Queue.queue()] =
+          std::clamp(Queue.pending(), 0, MaxPendingJobs);
   }
   return Out;
 }
@@ -289,10 +323,12 @@
     return badRow("interference model");
   std::vector<ImagePair> Out;
   for (const v1::StoredPairSlope &Pair : From.pairs())
-    Out.push_back({.Serving = Pair.serving(),
-                   .Fill = Pair.fill(),
-                   .Slope = Pair.slope(),
-                   .Variance = Pair.variance()});
+    if (std::isfinite(Pair.slope()) && std::isfinite(Pair.variance()) &&
+        Pair.variance() >= 0)
+      Out.push_back({.Serving = Pair.serving(),
+                     .Fill = Pair.fill(),
+                     .Slope = Pair.slope(),
+                     .Variance = Pair.variance()});
   return Out;
 }
 
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -175,6 +175,12 @@
                     Row.Address.Key, Spec.error().Message));
     return;
   }
+  if (Spec.value().Id != Id) {
+    log("bad_row", fmt::format("table={} key={} message=\"the row names "
+                               "another job\"",
+                               Row.Address.Table, Row.Address.Key));
+    return;
+  }
   auto Stored = m_loadedProgress.find(Id);
   if (Stored != m_loadedProgress.end())
     addStored(Spec.value(), Stored->second);
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -1,5 +1,7 @@
 #include "libbasilchute/jobshard_impl.h"
 
+#include "basilchute/limits.h"
+
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
@@ -39,9 +41,10 @@
     return 0;
   auto Chain = std::chrono::duration_cast<milliseconds>(
       std::max(Entry.criticalPath(), MinChain) * LongestTaskFactor);
-  auto Objective =
+  auto Objective = std::min(
       std::chrono::duration_cast<milliseconds>(Chain * Queue->SlackFactor) +
-      Queue->TargetDuration;
+          Queue->TargetDuration,
+      MaxDuration);
   auto AgeAtEnd =
       m_time.now() - Entry.ArrivedAt + Entry.remainingCriticalPath();
   if (AgeAtEnd < Objective)
--- /dev/null
+++ b/src/libjobhost/badrows_test.cpp
@@ -0,0 +1,214 @@
+// Rows that other programs wrote, or that were damaged, must not end the hosts
+// that read them or keep the hosts from following the other rows.
+
+#include "libbasilchute/jobrows.h"
+#include "schema/jobs.pb.h"
+#include "testing/jobtestbed.h"
+
+#include <doctest/doctest.h>
+#include <limits>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int MaxInt = std::numeric_limits<int>::max();
+constexpr int64_t MaxInt64 = std::numeric_limits<int64_t>::max();
+constexpr int64_t MinInt64 = std::numeric_limits<int64_t>::min();
+
+void write(JobTestBed &Bed, const RowAddress &Address, std::string Value) {
+  RowCommit Commit;
+  Commit.Changes.push_back({.Address = Address, .Value = std::move(Value)});
+  CHECK(Bed.Store.apply(Commit).has_value());
+}
+
+bool completes(JobTestBed &Bed, const std::string &Id) {
+  return Bed.runUntil(
+      [&] {
+        Result<JobState> State = Bed.state(0, Id);
+        return State.has_value() && State.value() == JobState::Completed;
+      },
+      20s);
+}
+
+v1::StoredJob storedJob(const std::string &Id) {
+  v1::StoredJob Out;
+  CHECK(Out.ParseFromString(encodeJob(chainJob(Id, 2, 2))));
+  return Out;
+}
+
+/// Stores an empty progress row and a job row for the job \p Id.
+void writeJob(JobTestBed &Bed, const std::string &Id,
+              const v1::StoredJob &Value) {
+  write(Bed, progressAddress(0, Id), encodeProgress(JobProgress{}));
+  write(Bed, jobAddress(0, Id), Value.SerializeAsString());
+}
+
+} // namespace
+
+// Guards against an owner that ends, as does each next owner, on a job whose
+// steps cannot be counted.
+TEST_CASE("A stored job with impossible steps is refused") {
+  auto IsRefused = [](const std::function<void(v1::StoredJob &)> &Change) {
+    v1::StoredJob Stored = storedJob("a");
+    Change(Stored);
+    return !decodeJob(Stored.SerializeAsString()).has_value();
+  };
+  CHECK_FALSE(IsRefused([](v1::StoredJob &) {}));
+  CHECK(IsRefused([](auto &Stored) { Stored.clear_steps(); }));
+  for (int Count : {-1, 0, 200000, MaxInt, -MaxInt}) {
+    CAPTURE(Count);
+    CHECK(IsRefused(
+        [&](auto &Stored) { Stored.mutable_steps(1)->set_count(Count); }));
+  }
+  for (int Repetitions : {-1, 200000, MaxInt}) {
+    CAPTURE(Repetitions);
+    CHECK(
+        IsRefused([&](auto &Stored) { Stored.set_repetitions(Repetitions); }));
+  }
+  for (int Earlier : {-1, 1, 2, MaxInt}) {
+    CAPTURE(Earlier);
+    CHECK(IsRefused(
+        [&](auto &Stored) { Stored.mutable_steps(1)->set_after(0, Earlier); }));
+  }
+  CHECK(IsRefused(
+      [](auto &Stored) { Stored.mutable_steps(0)->set_max_per_worker(-1); }));
+}
+
+TEST_CASE("Amounts and times of a stored job are brought into bounds") {
+  for (int64_t Value : {MaxInt64, MinInt64}) {
+    CAPTURE(Value);
+    v1::StoredJob Stored = storedJob("a");
+    Stored.set_first_run_ms(Value);
+    Stored.set_interval_ms(Value);
+    Stored.set_accepted_ms(Value);
+    Stored.set_waited_ms(Value);
+    Stored.mutable_steps(0)->set_millicores(Value);
+    Stored.mutable_steps(0)->set_memory_mib(Value);
+    Stored.mutable_steps(0)->set_accelerators(Value);
+    Stored.mutable_steps(0)->set_estimate_ms(Value);
+    Stored.mutable_steps(0)->set_tail_target_ms(Value);
+    Result<Job> Read = decodeJob(Stored.SerializeAsString());
+    REQUIRE(Read.has_value());
+    const Job &Spec = Read.value();
+    const JobStep &Step = Spec.Steps[0];
+    constexpr int64_t MaxMillis =
+        std::numeric_limits<int64_t>::max() / 1'000'000;
+    for (milliseconds Time :
+         {Spec.FirstRun, Spec.Interval, Spec.AcceptedAt,
+          Spec.WaitedBeforeTransfer, Step.EstimatedRunTime, Step.TailTarget}) {
+      CHECK(Time.count() >= 0);
+      CHECK(Time.count() <= MaxMillis / 2);
+    }
+    for (int64_t Amount : {Step.Demand.Millicores, Step.Demand.MemoryMib,
+                           Step.Demand.Accelerators}) {
+      CHECK(Amount >= 0);
+      CHECK(Amount <= MaxInt64 / 1'000'000);
+    }
+  }
+}
+
+// Guards against run numbers that wrap below zero after a takeover.
+TEST_CASE("Run numbers and positions of stored progress stay in bounds") {
+  JobProgress Value{.State = JobState::Running};
+  for (int Number : {MaxInt, MaxInt - 10, -MaxInt, -1})
+    Value.Tasks.push_back(
+        {.Position = Number, .Run = Number, .FailedRuns = {Number, 1}});
+  Result<JobProgress> Read = decodeProgress(encodeProgress(Value));
+  REQUIRE(Read.has_value());
+  for (const TaskProgress &Task : Read.value().Tasks) {
+    CHECK(Task.Run >= 0);
+    CHECK(Task.Run <= MaxInt - 1'000'000);
+  }
+}
+
+TEST_CASE("The load in a stored host row is brought into bounds") {
+  for (int64_t Value : {MaxInt64, MinInt64}) {
+    CAPTURE(Value);
+    v1::StoredHost Stored;
+    Stored.set_weight(1);
+    v1::StoredShardCount &Shard = *Stored.add_shards();
+    Shard.set_capacity_millicores(Value);
+    Shard.set_lasting_millicores(Value);
+    Shard.set_fill_waiting_millicores(Value);
+    Shard.set_backlog(std::numeric_limits<double>::quiet_NaN());
+    v1::StoredFillRoom &Room = *Shard.add_fill_room();
+    Room.set_image("i");
+    Room.set_millicores(Value);
+    v1::StoredQueueCount &Queue = *Shard.add_queues();
+    Queue.set_queue("q");
+    Queue.set_pending(Value < 0 ? -MaxInt : MaxInt);
+    Result<HostRecord> Read = decodeHost(Stored.SerializeAsString());
+    REQUIRE(Read.has_value());
+    const ShardReport &Report = Read.value().Shards.at(0);
+    for (int64_t Millicores :
+         {Report.Load.CapacityMillicores, Report.Load.LongRunningMillicores,
+          Report.Load.WaitingFillMillicores,
+          Report.Load.FillCapacity.at("i")}) {
+      CHECK(Millicores >= 0);
+      CHECK(Millicores <= MaxInt64 / 1000);
+    }
+    CHECK(Report.Load.RemainingWork >= 0);
+    // The counts of all shards are summed.
+    CHECK(Report.PendingJobs.at("q") >= 0);
+    CHECK(Report.PendingJobs.at("q") <= MaxInt / 64);
+  }
+  v1::StoredHost NoWeight;
+  CHECK_FALSE(decodeHost(NoWeight.SerializeAsString()).has_value());
+  NoWeight.set_weight(-5);
+  CHECK_FALSE(decodeHost(NoWeight.SerializeAsString()).has_value());
+}
+
+TEST_CASE("Slopes of a stored model that are not finite are left out") {
+  double Infinity = std::numeric_limits<double>::infinity();
+  double NaN = std::numeric_limits<double>::quiet_NaN();
+  Result<std::vector<ImagePair>> Read =
+      decodeInterference(encodeInterference({{"a", "b", 1.5, 0.1},
+                                             {"c", "d", NaN, 0.1},
+                                             {"e", "f", 1.0, Infinity},
+                                             {"g", "h", -Infinity, 0.1},
+                                             {"i", "j", 1.0, -1.0}}));
+  REQUIRE(Read.has_value());
+  REQUIRE(Read.value().size() == 1);
+  CHECK(Read.value()[0].Serving == "a");
+}
+
+// Guards against hosts that end one after the other on one row.
+TEST_CASE("Jobs run beside rows of jobs that are impossible") {
+  JobTestBed Bed({});
+  int Number = 0;
+  for (int Count : {-1, MaxInt}) {
+    v1::StoredJob Stored = storedJob("odd-" + std::to_string(++Number));
+    Stored.mutable_steps(0)->set_count(Count);
+    writeJob(Bed, Stored.id(), Stored);
+  }
+  v1::StoredJob Backward = storedJob("odd-after");
+  Backward.mutable_steps(1)->set_after(0, -5);
+  writeJob(Bed, Backward.id(), Backward);
+  v1::StoredJob Empty = storedJob("odd-empty");
+  Empty.clear_steps();
+  writeJob(Bed, Empty.id(), Empty);
+  writeJob(Bed, "other-key", storedJob("a-name"));
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 2, 3)).has_value());
+  CHECK(completes(Bed, "a"));
+  for (const std::string &Violation : Bed.Oracle.violations())
+    FAIL_CHECK(Violation);
+}
+
+// An entry that turns odd is left out of the list like one that disappeared.
+TEST_CASE("The tasks of a worker that leaves the list go on") {
+  JobTestBed Bed({});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 24, 15s)).has_value());
+  Bed.run(1s);
+  int Starts = Bed.Oracle.starts();
+  CHECK(Starts == 24);
+  Bed.setWorkerListed(0, false);
+  Bed.publishWorkers();
+  CHECK(completes(Bed, "a"));
+  CHECK(Bed.Oracle.starts() == Starts);
+  for (const std::string &Violation : Bed.Oracle.violations())
+    FAIL_CHECK(Violation);
+}
