Refuse a damaged layout or assignment and write it again

What callers saw: every host that read a number of shards of 2^31 - 1 ended, each time it was started. One assignment that names no shard kept all new workers out.

Cause: the number of shards had no upper bound and is the size of a vector.

Change: a number of shards above MaxShards, or an assignment that is not a number below it, is refused and logged once. The first host writes both again, under the condition that the row is still the refused one; the assigned workers show how many shards there were. A known assignment holds against a refused row.

Failed before: "A stored number of shards out of bounds is not followed" (std::bad_alloc), "A damaged assignment is written again" (not all workers were assigned after 5 s).

Conclusion: a host that starts while the row is damaged and no worker is assigned knows no earlier number of shards; it begins with the fleet's size.

--- a/src/libbasilchute/shardlayout.cpp
+++ b/src/libbasilchute/shardlayout.cpp
@@ -3,7 +3,9 @@
 #include "libbasilchute/jobrows.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fmt/format.h>
+#include <optional>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -16,6 +18,17 @@
 constexpr milliseconds SettleTime{1500};
 constexpr size_t MaxAssignmentsPerCommit = MaxRowsPerCommit / 2;
 
+/// Returns the shard that the value of an assignment row names, or std::nullopt
+/// if there can be no such shard.
+std::optional<int> parseShard(const std::string &Value, int MaxShards) {
+  int Out = 0;
+  const char *Last = Value.data() + Value.size();
+  auto [End, ErrorCode] = std::from_chars(Value.data(), Last, Out);
+  bool IsValid =
+      ErrorCode == std::errc() && End == Last && Out >= 0 && Out < MaxShards;
+  return IsValid ? std::optional(Out) : std::nullopt;
+}
+
 } // namespace
 
 int shardCountFor(size_t Workers, const ShardLayoutOptions &Options) {
@@ -115,26 +128,47 @@
       onLayoutRow(Row);
   bool HasChanged = false;
   for (const StoredRow &Row : Rows) {
-    if (!Row.Address.Partition.empty() || Row.IsRemoved || Row.Value.empty())
+    if (!Row.Address.Partition.empty() || Row.IsRemoved)
       continue;
-    m_assignments[Row.Address.Key] = std::atoi(Row.Value.c_str());
-    HasChanged = true;
+    HasChanged |= onAssignment(Row);
   }
   if (HasChanged && m_options.OnAssigned)
     m_options.OnAssigned();
 }
 
+bool ShardLayout::onAssignment(const StoredRow &Row) {
+  const std::string &Worker = Row.Address.Key;
+  std::optional<int> Shard = parseShard(Row.Value, m_options.MaxShards);
+  if (!Shard) {
+    // A known assignment holds: it never changes.
+    if (m_assignments.count(Worker) || m_refused[Worker] == Row.Version)
+      return false;
+    m_refused[Worker] = Row.Version;
+    log("bad_row",
+        fmt::format("table={} key={} message=\"the row does not name "
+                    "a shard\"",
+                    AssignmentTable, Worker));
+    return false;
+  }
+  m_refused.erase(Worker);
+  m_assignments[Worker] = *Shard;
+  return true;
+}
+
 void ShardLayout::onLayoutRow(const StoredRow &Row) {
   if (Row.IsRemoved || Row.Version <= m_layoutVersion)
     return;
   Result<int> Shards = decodeShardCount(Row.Value);
-  if (!Shards.has_value()) {
-    log("bad_row",
-        fmt::format("table={} key={} message=\"{}\"", Row.Address.Table,
-                    Row.Address.Key, Shards.error().Message));
+  m_layoutVersion = Row.Version;
+  m_isLayoutRefused =
+      !Shards.has_value() || Shards.value() > m_options.MaxShards;
+  if (m_isLayoutRefused) {
+    log("bad_row", fmt::format("table={} key={} message=\"{}\"",
+                               Row.Address.Table, Row.Address.Key,
+                               Shards.has_value() ? "too many shards"
+                                                  : Shards.error().Message));
     return;
   }
-  m_layoutVersion = Row.Version;
   if (Shards.value() <= m_shards)
     return;
   log("shards_grown",
@@ -149,11 +183,15 @@
     return;
   int TargetShards =
       std::max(shardCountFor(m_fleet.size(), m_options), m_shards);
+  // Assigned workers show how many shards there were.
+  if (m_isLayoutRefused)
+    for (const auto &[Worker, Shard] : m_assignments)
+      TargetShards = std::max(TargetShards, Shard + 1);
   if (TargetShards != m_targetShards) {
     m_targetShards = TargetShards;
     m_targetSince = m_time.now();
   }
-  if (TargetShards > m_shards) {
+  if (TargetShards > m_shards || m_isLayoutRefused) {
     grow(TargetShards);
     return;
   }
@@ -208,7 +246,10 @@
     *Smallest += std::max<int64_t>(Worker->Capacity.Millicores, 1);
     RowAddress Address = assignmentAddress(Worker->Id);
     std::string Value = fmt::format("{}", Smallest - ShardCapacity.begin());
-    Commit.Conditions.push_back({.Address = Address, .Version = 0});
+    auto Refused = m_refused.find(Worker->Id);
+    Commit.Conditions.push_back(
+        {.Address = Address,
+         .Version = Refused == m_refused.end() ? 0 : Refused->second});
     Commit.Changes.push_back({.Address = Address, .Value = Value});
     Rows.push_back({.Address = Address, .Value = Value});
   }
--- a/src/libbasilchute/shardlayout.h
+++ b/src/libbasilchute/shardlayout.h
@@ -58,6 +58,8 @@
   void readAssignments(const std::string &Key, uint64_t From);
   void followAssignments(uint64_t From);
   void onRows(const std::vector<StoredRow> &Rows);
+  /// Returns true if the assignment was taken.
+  bool onAssignment(const StoredRow &Row);
   void onLayoutRow(const StoredRow &Row);
   void grow(int TargetShards);
   void assign(const std::vector<const WorkerEntry *> &Unassigned,
@@ -73,8 +75,13 @@
   int m_targetShards = 0;
   TimePoint m_targetSince{};
   std::map<std::string, int> m_assignments;
+  /// Versions of assignment rows that name no shard, by worker. They are
+  /// written again.
+  std::map<std::string, uint64_t> m_refused;
   int m_shards;
   uint64_t m_layoutVersion = 0;
+  /// The layout row cannot be used and is written again.
+  bool m_isLayoutRefused = false;
   bool m_isLayoutRead = false;
   bool m_areAssignmentsRead = false;
   bool m_isWriting = false;
--- a/src/libjobhost/badrows_test.cpp
+++ b/src/libjobhost/badrows_test.cpp
@@ -197,6 +197,46 @@
     FAIL_CHECK(Violation);
 }
 
+// Guards against a host that allocates the shards of a damaged layout row.
+TEST_CASE("A stored number of shards out of bounds is not followed") {
+  for (int Shards : {MaxInt, 1000000, 0, -7}) {
+    CAPTURE(Shards);
+    JobTestBed Bed({});
+    write(Bed, shardCountAddress(), encodeShardCount(Shards));
+    Bed.run(4s);
+    CHECK(Bed.submit(0, chainJob("a", 2, 3)).has_value());
+    CHECK(completes(Bed, "a"));
+    Result<int> Stored =
+        decodeShardCount(Bed.Store
+                             .read({.Table = AssignmentTable,
+                                    .Partition = shardCountAddress().Partition})
+                             .Rows.front()
+                             .Value);
+    REQUIRE(Stored.has_value());
+    CHECK(Stored.value() == 1);
+  }
+}
+
+// Guards against a layout that never assigns a worker again: all are assigned
+// in one commit, which conflicts as long as one row is taken as missing.
+TEST_CASE("A damaged assignment is written again") {
+  for (const char *Value :
+       {"-3", "nonsense", "99999999999999999999", "2147483647", "0x", "1e9"}) {
+    CAPTURE(Value);
+    JobTestBed Bed({});
+    write(Bed, assignmentAddress("w1"), Value);
+    Bed.run(5s);
+    RowPage Page = Bed.Store.read({.Table = AssignmentTable, .Partition = ""});
+    REQUIRE(Page.Rows.size() == static_cast<size_t>(Bed.workers()));
+    for (const StoredRow &Row : Page.Rows)
+      CHECK(Row.Value == "0");
+    // The job needs all workers.
+    CHECK(Bed.submit(0, chainJob("a", 1, 48, 1s)).has_value());
+    CHECK(completes(Bed, "a"));
+    CHECK(Bed.now() < TimePoint(1h) + 9s);
+  }
+}
+
 // An entry that turns odd is left out of the list like one that disappeared.
 TEST_CASE("The tasks of a worker that leaves the list go on") {
   JobTestBed Bed({});
