Log a refused host row once, not at each read

What callers saw: a row of another writer among those of the hosts gave two log lines a second on each host, as long as it was there.

Cause: all host rows are read every 500 ms, and each read logged the row.

Change: the row is logged again only if its version has changed.

Failed before: "A damaged host row is logged once and does not count as a host".

--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -240,6 +240,10 @@
     m_presentHosts.insert(Id);
     Result<HostRecord> Record = decodeHost(Row.Value);
     if (!Record.has_value()) {
+      uint64_t &LoggedVersion = m_refusedHosts[Id];
+      if (LoggedVersion == Row.Version)
+        return;
+      LoggedVersion = Row.Version;
       log("bad_row", fmt::format("table={} key={} message=\"{}\"", HostTable,
                                  Id, Record.error().Message));
       return;
@@ -263,6 +267,9 @@
     // the reads all hosts therefore get the full timeout again.
     bool HadGap = Now > m_lastHostRead + m_options.RenewInterval * 2;
     m_lastHostRead = Now;
+    std::erase_if(m_refusedHosts, [this](const auto &Row) {
+      return !m_presentHosts.count(Row.first);
+    });
     for (auto It = m_hosts.begin(); It != m_hosts.end();) {
       ObservedHost &Host = It->second;
       if (!m_presentHosts.count(It->first)) {
@@ -494,6 +501,8 @@
   std::map<std::string, ObservedHost> m_hosts;
   /// Ids found so far in the current read of the hosts' rows.
   std::set<std::string> m_presentHosts;
+  /// Version of the last row of each host that was refused and logged.
+  std::map<std::string, uint64_t> m_refusedHosts;
   std::vector<ObservedShard> m_shards;
   /// Owned shards whose owner rows must be read before this host may fence a
   /// worker.
--- a/src/libjobhost/badrows_test.cpp
+++ b/src/libjobhost/badrows_test.cpp
@@ -237,6 +237,17 @@
   }
 }
 
+// Guards against a log that a single row fills.
+TEST_CASE("A damaged host row is logged once and does not count as a host") {
+  JobTestBed Bed({});
+  write(Bed, hostAddress("aaa"), "\xff\xff");
+  write(Bed, hostAddress("bbb"), "");
+  Bed.run(10s);
+  CHECK(Bed.submit(0, chainJob("a", 2, 3)).has_value());
+  CHECK(completes(Bed, "a"));
+  CHECK(Bed.LogLines["bad_row"] == 2 * Bed.hosts());
+}
+
 // An entry that turns odd is left out of the list like one that disappeared.
 TEST_CASE("The tasks of a worker that leaves the list go on") {
   JobTestBed Bed({});
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -7,6 +7,7 @@
 #include "testing/modelstore.h"
 #include "testing/modelworker.h"
 
+#include <map>
 #include <memory>
 #include <queue>
 #include <random>
@@ -158,6 +159,8 @@
   ModelStore Store;
   /// Number of calls to the approval service from all hosts.
   int ApprovalCalls = 0;
+  /// Number of log lines of all hosts, by event.
+  std::map<std::string, int> LogLines;
   /// While set, the approval service rejects all calls.
   bool AreApprovalsDown = false;
 
@@ -174,7 +177,7 @@
   std::vector<WorkerEntry> fleet();
   void updateFleet(TestJobHost &Target, const std::vector<WorkerEntry> &Fleet);
   void tickAll();
-  void trace(int Host, std::string_view Event, std::string_view Fields) const;
+  void trace(int Host, std::string_view Event, std::string_view Fields);
 
   JobTestBedOptions m_options;
   ManualClock m_clock;
