Poll a worker that does not answer less often after eight polls

What callers saw: an entry that no worker stands behind was polled each 250 ms after the last time-out, for ever.

Change: the first eight unanswered polls are repeated after 250 ms as before, since a takeover waits for them; later ones after 1 s, so that a worker that answers again is seen within about a second.

Failed before: "A worker that never answers is polled less and less": 40 polls in 30 s, of which each waits 500 ms for its answer; now 15 to 21. "A worker that answers again after a long time is used soon" passed before.

basilchute_tests: 158 cases pass. basilchute_jobfuzz 1 60, without and with shards: 60 passed each.

--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -7,7 +7,13 @@
 
 namespace {
 
+/// Delay before a poll is repeated that was not answered. The first ones are
+/// repeated quickly, since a takeover waits for them.
 constexpr milliseconds MissedPollRetryDelay{250};
+constexpr int MaxQuickRetries = 8;
+/// Delay after more unanswered polls: a worker that answers again is seen
+/// within about this time.
+constexpr milliseconds SlowPollRetryDelay{1000};
 constexpr milliseconds UnstoredPollInterval{300};
 /// Upper bound on the ratio of this host's clock rate to a worker's.
 constexpr double MaxClockRateRatio = 1.03;
@@ -150,7 +156,9 @@
         fmt::format("worker={} shard={} result={} message=\"{}\"",
                     Slot.Entry.Id, m_options.Shard, resultCodeName(Why.Code),
                     Why.Message));
-  Slot.NextPollAt = Now + MissedPollRetryDelay;
+  Slot.NextPollAt =
+      Now + (Slot.MissedPolls <= MaxQuickRetries ? MissedPollRetryDelay
+                                                 : SlowPollRetryDelay);
   // Another incarnation answers at this address; the runs of the previous one
   // are gone.
   if (Why.Code == ResultCode::WrongIncarnation) {
