--- a/src/libjobhost/badrows_test.cpp
+++ b/src/libjobhost/badrows_test.cpp
@@ -263,3 +263,29 @@
   for (const std::string &Violation : Bed.Oracle.violations())
     FAIL_CHECK(Violation);
 }
+
+// Guards against a job that is accepted and never runs: the payload is opaque,
+// and so is a worker's checkpoint.
+TEST_CASE("A job with bytes that are no text is read as it was stored") {
+  std::string Bytes("\xff\xfe\0\xed\xb0\x80", 6);
+  Job Spec = chainJob("a", 1, 1);
+  Spec.Payload = Bytes;
+  Spec.Steps[0].Image = Bytes;
+  Result<Job> Read = decodeJob(encodeJob(Spec));
+  REQUIRE(Read.has_value());
+  CHECK(Read.value().Payload == Bytes);
+  CHECK(Read.value().Steps[0].Image == Bytes);
+  Result<JobProgress> Progress = decodeProgress(encodeProgress(
+      {.Tasks = {{.Position = 0, .Run = 1, .Checkpoint = Bytes}}}));
+  REQUIRE(Progress.has_value());
+  CHECK(Progress.value().Tasks.at(0).Checkpoint == Bytes);
+}
+
+TEST_CASE("A job with a payload that is no text runs") {
+  JobTestBed Bed({});
+  Bed.run(3s);
+  Job Spec = chainJob("a", 1, 1);
+  Spec.Payload = "\xff\xfe";
+  CHECK(Bed.submit(0, Spec).has_value());
+  CHECK(completes(Bed, "a"));
+}
