--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -8,6 +8,7 @@
 #include "testing/modelworker.h"
 #include "testing/restartcheck.h"
 
+#include <map>
 #include <memory>
 #include <queue>
 #include <random>
@@ -178,6 +179,8 @@
   ModelStore Store;
   /// Number of calls to the approval service from all hosts.
   int ApprovalCalls = 0;
+  /// Number of log lines of all hosts, by event.
+  std::map<std::string, int> LogLines;
   /// While set, the approval service rejects all calls.
   bool AreApprovalsDown = false;
 
@@ -197,7 +200,7 @@
   void tickAll();
   bool isCalm();
   void checkRestarts();
-  void trace(int Host, std::string_view Event, std::string_view Fields) const;
+  void trace(int Host, std::string_view Event, std::string_view Fields);
 
   JobTestBedOptions m_options;
   ManualClock m_clock;
