--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -279,6 +279,13 @@
   m_leaseExpired = clock() > m_leaseUntil;
 }
 
+void ModelWorker::failRuns() {
+  while (!m_runs.empty()) {
+    TaskName Task = m_runs.begin()->first;
+    end(Task, RunOutcome::Failed);
+  }
+}
+
 void ModelWorker::crash() {
   leave();
   m_lastCrash = m_now();
