Fuzz hosts and workers that are replaced one by one at the same time

`basilchute_jobfuzz FIRST COUNT rolling` plays series that overlap: hosts are restarted one by one, workers are replaced, crash for good or are cut off and leave the list (draining or not), long-running tasks fail beside short jobs. Hosts hear of changes of the worker list at different times, up to 1 s late.

--- a/src/testing/jobfuzz_test.cpp
+++ b/src/testing/jobfuzz_test.cpp
@@ -1,12 +1,14 @@
 // Fuzzing of job hosts with random faults, checked by the oracle.
 //
-// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards]. Prints each seed that
-// violated an invariant; sessions with the same seed are identical. With
+// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling]. Prints each seed
+// that violated an invariant; sessions with the same seed are identical. With
 // "shards" there are two or three shards, and many workers leave the worker
-// list, so that jobs are transferred between shards. BASILCHUTE_TRACE prints
-// every event of the hosts.
+// list, so that jobs are transferred between shards. With "rolling" hosts and
+// workers are replaced one by one at the same time, see RollingSession.
+// BASILCHUTE_TRACE prints every event of the hosts.
 
 #include "testing/jobtestbed.h"
+#include "testing/rollingsession.h"
 
 #include <cstdlib>
 #include <fmt/format.h>
@@ -190,10 +192,13 @@
 int main(int ArgCount, char **Args) {
   uint64_t First = ArgCount > 1 ? std::strtoull(Args[1], nullptr, 10) : 1;
   uint64_t Count = ArgCount > 2 ? std::strtoull(Args[2], nullptr, 10) : 20;
-  bool ManyShards = ArgCount > 3 && std::string(Args[3]) == "shards";
+  std::string Mode = ArgCount > 3 ? Args[3] : "";
+  bool HasTrace = std::getenv("BASILCHUTE_TRACE") != nullptr;
   uint64_t Failed = 0;
   for (uint64_t Seed = First; Seed < First + Count; ++Seed) {
-    std::vector<std::string> Violations = Session(Seed, ManyShards).run();
+    std::vector<std::string> Violations =
+        Mode == "rolling" ? RollingSession(Seed, HasTrace).run()
+                          : Session(Seed, Mode == "shards").run();
     if (Violations.empty())
       continue;
     ++Failed;
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -223,6 +223,7 @@
   ++Target.Incarnation;
   Target.IsPaused = false;
   Target.IsStopping = false;
+  Target.FleetAsOf = TimePoint{};
   Target.Backlog.clear();
   auto Deliver = [this, Index](milliseconds Delay,
                                std::function<void()> Action) {
@@ -249,7 +250,7 @@
                 if (Store.IsDown || host(Index).Store->IsRefused)
                   return;
                 Deliver(Store.Delay, [this, Index, Fleet = fleet()] {
-                  updateFleet(host(Index), Fleet);
+                  updateFleet(host(Index), Fleet, now());
                 });
               },
           .WallTime =
@@ -326,15 +327,27 @@
 
 void JobTestBed::publishWorkers() {
   std::vector<WorkerEntry> Fleet = fleet();
-  for (TestJobHost &Target : m_hosts)
-    if (Target.Process && !Target.IsPaused)
-      updateFleet(Target, Fleet);
+  for (int Index = 0; Index < hosts(); ++Index) {
+    milliseconds Delay = m_options.MaxListDelay * (Index + 1) / hosts();
+    TestJobHost &Target = host(Index);
+    if (Delay.count() > 0)
+      deliver(Index, Delay, [this, Index, Fleet, AsOf = now()] {
+        if (!Store.IsDown && !host(Index).Store->IsRefused)
+          updateFleet(host(Index), Fleet, AsOf);
+      });
+    else if (Target.Process && !Target.IsPaused)
+      updateFleet(Target, Fleet, now());
+  }
 }
 
 void JobTestBed::updateFleet(TestJobHost &Target,
-                             const std::vector<WorkerEntry> &Fleet) {
+                             const std::vector<WorkerEntry> &Fleet,
+                             TimePoint AsOf) {
+  if (AsOf < Target.FleetAsOf)
+    return;
+  Target.FleetAsOf = AsOf;
   Target.Process->setFleet(Fleet);
-  Target.Process->setFleetTime(now());
+  Target.Process->setFleetTime(AsOf);
 }
 
 void JobTestBed::tickAll() {
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -35,6 +35,10 @@
   nanoseconds ProcessorTimePerOrder{0};
   /// One-way network delay between a host and a worker.
   milliseconds NetworkDelay{3};
+  /// Time after which the last host hears of a change of the worker list; the
+  /// others hear of it earlier. Zero if all hear of it at once, paused ones not
+  /// at all.
+  milliseconds MaxListDelay{0};
   uint64_t Seed = 1;
   /// Prints every event of the hosts with its time and host.
   bool Trace = false;
@@ -106,6 +110,8 @@
   std::set<std::string> UnreachableWorkers;
   /// The process is about to end, as planned.
   bool IsStopping = false;
+  /// When the worker list that the process has was read.
+  TimePoint FleetAsOf{};
   /// Callbacks that arrived while the host was paused.
   std::vector<std::function<void()>> Backlog;
 };
@@ -192,7 +198,8 @@
   };
 
   std::vector<WorkerEntry> fleet();
-  void updateFleet(TestJobHost &Target, const std::vector<WorkerEntry> &Fleet);
+  void updateFleet(TestJobHost &Target, const std::vector<WorkerEntry> &Fleet,
+                   TimePoint AsOf);
   std::unique_ptr<ModelWorker> newWorker();
   void tickAll();
   bool isCalm();
