--- a/src/libjobhost/handover_test.cpp
+++ b/src/libjobhost/handover_test.cpp
@@ -23,12 +23,6 @@
     FAIL_CHECK(Violation);
 }
 
-Job longRunningJob(const std::string &Id, int Tasks) {
-  Job Out = chainJob(Id, 1, Tasks);
-  Out.Steps[0].LongRunning = true;
-  return Out;
-}
-
 /// Returns the index of the first worker that has runs, or has none.
 int findWorker(JobTestBed &Bed, bool HasRuns) {
   for (int Worker = 0; Worker < Bed.workers(); ++Worker)
