End the leases on a worker that has left the list

What callers saw: tasks that ran twice. A worker whose entry turns odd, or is missing for another reason, answers polls as before, and its owner extended its leases without end. When the owner ended or handed the shard over 8 s or more later, the next owner did not know the worker and started its tasks elsewhere.

Cause: JobHost remembers a worker for 10 s after it has left the list, on the ground that it has ended all its tasks by then. Nothing made that true.

Change: the owner extends leases on such a worker for 2 s more, the next owner not at all. With the lease of 6 s the last run ends 8.4 s after the worker has left; 1.6 s are left for hosts that see the list at different times. The worker is polled as before and its completions count. A worker that is listed again in time keeps its tasks.

Failed before: "No task runs twice if the owner of an unlisted worker ends" (crashes from 8 s on, handovers from 10 s on), "The tasks of a worker that leaves the list go on until their leases end" (tasks of 30 s were never started elsewhere). "The tasks of a worker that is listed again go on" passed before.

Open: a host that starts after the worker has left does not know it at all.

--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -437,8 +437,11 @@
 void JobShard::Impl::setWorkers(std::vector<WorkerEntry> Own,
                                 std::vector<WorkerEntry> Fleet) {
   m_fleet = std::move(Fleet);
-  for (auto &[Id, Slot] : m_slots)
+  for (auto &[Id, Slot] : m_slots) {
+    if (Slot.IsListed)
+      Slot.UnlistedSince = m_time.now();
     Slot.IsListed = false;
+  }
   for (WorkerEntry &Worker : Own) {
     auto [It, Added] = m_slots.try_emplace(Worker.Id, Worker);
     WorkerSlot &Slot = It->second;
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -137,6 +137,7 @@
   // Polls of workers and their answers.
   void pollWorkers();
   void poll(WorkerSlot &Slot);
+  bool canExtendLeases(const WorkerSlot &Slot) const;
   milliseconds pollWaitFor(const WorkerSlot &Slot) const;
   void onPoll(const std::string &Worker, TimePoint Sent,
               Result<PollReply> Answer);
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -18,6 +18,10 @@
 /// Upper bound on the ratio of this host's clock rate to a worker's.
 constexpr double MaxClockRateRatio = 1.03;
 constexpr milliseconds LeaseMargin{150};
+/// Time for which leases on a worker are extended that has left the list. With
+/// the lease, and the time by which hosts see the list differently, it is
+/// shorter than the time for which JobHost remembers the worker.
+constexpr milliseconds MaxUnlistedExtension{2000};
 /// Delay before a failed task is started again.
 constexpr milliseconds FailedRestartDelay{20};
 /// Consecutive failed runs after which no tasks are started on a worker for
@@ -77,6 +81,16 @@
   return Wait;
 }
 
+// A poll without an answer may still have extended the leases. Until a poll is
+// answered, further polls do not extend them, so that the leases on an
+// unresponsive worker expire. The next owner does not know a worker that left
+// the list long ago, so that no run may be left on it by then.
+bool JobShard::Impl::canExtendLeases(const WorkerSlot &Slot) const {
+  bool IsKnown =
+      Slot.IsListed || m_time.now() < Slot.UnlistedSince + MaxUnlistedExtension;
+  return IsKnown && Slot.IsFenced && Slot.MissedPolls == 0;
+}
+
 void JobShard::Impl::poll(WorkerSlot &Slot) {
   TimePoint Now = m_time.now();
   PollOrder Order{.Epoch = m_options.Epoch, .Wait = pollWaitFor(Slot)};
@@ -84,10 +98,7 @@
   // its completions from 1 again, so none of them may be acknowledged.
   if (Slot.MissedPolls == 0)
     Order.AcknowledgedCompletions = Slot.LastStoredCompletion;
-  // A poll without an answer may still have extended the leases. Until a poll
-  // is answered, further polls do not extend them, so that the leases on an
-  // unresponsive worker expire.
-  if (Slot.IsFenced && Slot.MissedPolls == 0) {
+  if (canExtendLeases(Slot)) {
     Order.LeaseUntil = Slot.clockAt(Now) + m_options.Lease;
     Slot.LeaseEnd =
         std::max(Slot.LeaseEnd, Now + maxLocalDuration(m_options.Lease));
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -83,6 +83,9 @@
   WorkerEntry Entry;
   /// The worker is still in the platform's list.
   bool IsListed = true;
+  /// When the worker left the list; long ago if it had left before the
+  /// takeover.
+  TimePoint UnlistedSince{};
   /// The worker has answered a poll with this owner's epoch, so that it rejects
   /// orders of previous owners.
   bool IsFenced = false;
