Place restarts of long-running tasks before all other tasks

What callers saw: a long-running task of a begun job failed and ran again 21 s later (LOST), while other jobs waited in its full shard and other shards had room. Cause: a task that had just failed ranked behind short tasks and, until it had waited 1.2 s, behind new long-running jobs that had waited longer. In a full shard these took the room that its run had left, and no other room became free. Another begun job's task that never ran could take it as well. Change: tasks of which this owner knows a run (JobEntry::isRestart) are placed in a pass of their own before all others; their room is kept while the delay of a restart lasts, and if there is none, room is reserved for them at once instead of after 0.8 s. Among the other long-running tasks those of begun jobs come before new jobs, because they cannot move to another shard. Why it works: the room that a task leaves fits the task, and nothing is placed between the end of its run and its restart. Conclusion: no new state. A task whose worker is lost still finds no room in a full shard.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -55,11 +55,14 @@
   }
 
 private:
-  /// Sort key of waiting jobs, lowest first: kind of job (long-running and
-  /// waited long, short, long-running, fill), lateness, priority, started jobs
-  /// before others, and last the negative worth per unit of remaining work for
-  /// started jobs or the age for others.
+  /// Sort key of waiting jobs, lowest first: kind of tasks (restarts of
+  /// long-running tasks, long-running and waited long, short, long-running,
+  /// fill), lateness, priority, started jobs before others, and last the
+  /// negative worth per unit of remaining work for started jobs or the age for
+  /// others.
   using Rank = std::tuple<int, int, int, int, double>;
+  /// Which of the waiting tasks of a job are placed.
+  enum class WaitingTasks { Restarts, Others };
   using Slots = std::map<std::string, WorkerSlot>;
   /// A worker that can take tasks in a round, with the effects of the tasks
   /// that were placed on it in the round.
@@ -162,10 +165,14 @@
 
   // Placement and orders.
   void place();
-  /// Places as many waiting tasks of one job as possible. Returns the number of
-  /// steps with a task that could not be placed.
-  size_t placeJob(JobEntry &Entry, std::vector<PlacementCandidate> &Candidates,
+  std::vector<std::tuple<Rank, std::string, WaitingTasks>> rankedJobs();
+  /// Places as many of the chosen waiting tasks of one job as possible. Returns
+  /// the number of steps with a task that could not be placed.
+  size_t placeJob(JobEntry &Entry, WaitingTasks Which,
+                  std::vector<PlacementCandidate> &Candidates,
                   Rejections &Rejected);
+  void holdRoomUntilDue(std::vector<PlacementCandidate> &Candidates,
+                        const JobEntry &Entry, int Position);
   bool matchesRejection(const Rejections &Rejected, const JobEntry &Entry,
                         int Position) const;
   void recordRejection(Rejections &Rejected, const JobEntry &Entry,
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds UnsuccessfulRoundInterval{45};
 /// Number of steps that could not be placed after which a round ends.
 constexpr size_t MaxUnplacedSteps = 40;
+/// Restarts of long-running tasks come before all other tasks: the room that
+/// they left was theirs.
+constexpr std::tuple<int, int, int, int, double> RestartRank{-2, 0, 0, 0, 0};
 /// Stands for all kinds but those of fill tasks: whether a task that reserves
 /// processors can be placed does not depend on its kind.
 constexpr TaskKind AnyNonFillKind = -1;
@@ -56,24 +59,14 @@
   TimePoint Now = m_time.now();
   if (m_waiting.empty() || Now < m_nextRound || !canSendOrders())
     return;
-  bool IsSettled = isTakeoverComplete();
   m_nextRound = Now + MinRoundInterval;
   uint64_t StartsBefore = m_counts.Starts;
   std::vector<PlacementCandidate> Candidates = placementCandidates();
   m_isLightlyLoaded = isLightlyLoaded(Candidates);
-  std::vector<std::pair<Rank, std::string>> Jobs;
-  for (const auto &[Id, Positions] : m_waiting) {
-    // A job that the previous owner may have started waits until every worker
-    // has reported its running tasks.
-    JobEntry &Entry = *find(Id);
-    if ((IsSettled || arrivedAfterTakeover(Entry)) && canStart(Entry))
-      Jobs.push_back({rankOf(Entry), Id});
-  }
-  std::sort(Jobs.begin(), Jobs.end());
   size_t UnplacedSteps = 0;
   Rejections Rejected;
-  for (const auto &[JobRank, Id] : Jobs) {
-    UnplacedSteps += placeJob(*find(Id), Candidates, Rejected);
+  for (const auto &[JobRank, Id, Which] : rankedJobs()) {
+    UnplacedSteps += placeJob(*find(Id), Which, Candidates, Rejected);
     if (UnplacedSteps >= MaxUnplacedSteps || !m_startWindow.isOpen())
       break;
   }
@@ -89,6 +82,32 @@
     m_nextRound = Now + UnsuccessfulRoundInterval;
 }
 
+// Returns the waiting jobs that may be started, in the order of their
+// placement. A job with restarts appears twice if it also has other waiting
+// tasks.
+std::vector<
+    std::tuple<JobShard::Impl::Rank, std::string, JobShard::Impl::WaitingTasks>>
+JobShard::Impl::rankedJobs() {
+  bool IsSettled = isTakeoverComplete();
+  std::vector<std::tuple<Rank, std::string, WaitingTasks>> Out;
+  for (const auto &[Id, Positions] : m_waiting) {
+    // A job that the previous owner may have started waits until every worker
+    // has reported its running tasks.
+    JobEntry &Entry = *find(Id);
+    if ((!IsSettled && !arrivedAfterTakeover(Entry)) || !canStart(Entry))
+      continue;
+    auto Restarts = static_cast<size_t>(
+        std::count_if(Positions.begin(), Positions.end(),
+                      [&](int Position) { return Entry.isRestart(Position); }));
+    if (Restarts > 0)
+      Out.push_back({RestartRank, Id, WaitingTasks::Restarts});
+    if (Restarts < Positions.size())
+      Out.push_back({rankOf(Entry), Id, WaitingTasks::Others});
+  }
+  std::sort(Out.begin(), Out.end());
+  return Out;
+}
+
 bool JobShard::Impl::canStart(JobEntry &Entry) const {
   if (!Entry.IsOwnershipCertain)
     Entry.IsOwnershipCertain =
@@ -96,14 +115,22 @@
   return Entry.IsOwnershipCertain;
 }
 
-size_t JobShard::Impl::placeJob(JobEntry &Entry,
+size_t JobShard::Impl::placeJob(JobEntry &Entry, WaitingTasks Which,
                                 std::vector<PlacementCandidate> &Candidates,
                                 Rejections &Rejected) {
   TimePoint Now = m_time.now();
   milliseconds WallTime =
       m_options.WallTime ? m_options.WallTime() : milliseconds(0);
   const std::string &Id = Entry.Spec.Id;
-  std::set<int> Positions = m_waiting[Id];
+  auto Waiting = m_waiting.find(Id);
+  if (Waiting == m_waiting.end())
+    return 0;
+  std::set<int> Positions = Waiting->second;
+  std::erase_if(Positions, [&](int Position) {
+    return Entry.isRestart(Position) != (Which == WaitingTasks::Restarts);
+  });
+  if (Positions.empty())
+    return 0;
   if (canStillTransfer(Entry) &&
       !canPlaceWholeStep(Candidates, Entry, *Positions.begin()))
     return 1;
@@ -118,6 +145,8 @@
       break;
     if (!m_waiting.count(Id) || !m_waiting[Id].count(Position))
       continue;
+    if (Task.EarliestStart > Now && Which == WaitingTasks::Restarts)
+      holdRoomUntilDue(Candidates, Entry, Position);
     if (Task.EarliestStart > Now || SkippedSteps.count(StepIndex) ||
         Entry.dueAt(Position) > WallTime)
       continue;
@@ -137,7 +166,8 @@
     }
     ++UnplacedSteps;
     recordRejection(Rejected, Entry, Position);
-    if (Now > Task.WaitingSince + ReserveRoomAfter)
+    if (Which == WaitingTasks::Restarts ||
+        Now > Task.WaitingSince + ReserveRoomAfter)
       reserveCapacity(Candidates, Entry, Position);
   }
   return UnplacedSteps;
@@ -240,6 +270,15 @@
   return Candidates;
 }
 
+// Keeps room for a restart that is not due yet, so that the room that its run
+// has left is not given to other tasks in the meantime.
+void JobShard::Impl::holdRoomUntilDue(
+    std::vector<PlacementCandidate> &Candidates, const JobEntry &Entry,
+    int Position) {
+  if (PlacementCandidate *Best = cheapest(Candidates, Entry, Position, {}))
+    reserveFor(*Best, Entry, Position);
+}
+
 bool JobShard::Impl::placeOne(std::vector<PlacementCandidate> &Candidates,
                               JobEntry &Entry, int Position) {
   PlacementCandidate *Best = cheapest(Candidates, Entry, Position, {});
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -66,9 +66,10 @@
   int Priority = Queue ? Queue->Priority : 0;
   // A short task yields more per core than a long-running one and releases the
   // core soon. A long-running task that has waited long goes first, so that it
-  // does not starve.
+  // does not starve. Tasks of begun jobs cannot move to another shard.
   if (FirstStep.LongRunning)
-    return {hasWaitedLong(Entry) ? -1 : 1, 0, Priority, 0, 0};
+    return {hasWaitedLong(Entry) ? -1 : 1, Entry.hasStarted() ? 0 : 1, Priority,
+            0, 0};
   int KindRank = FirstStep.IsFill ? 2 : 0;
   // Under overload not all jobs can end in time. Started jobs are finished
   // first, then the youngest, which are the most likely to end in time. This
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -95,6 +95,10 @@
   std::string ticketFor(const StepName &Step) const;
   /// Ends runs whose work is done or whose lease expired.
   void advance();
+  /// Returns true if \p Task runs on this worker.
+  bool runs(const TaskName &Task) const { return m_runs.count(Task) > 0; }
+  /// Ends the run of \p Task, which must run here, as failed.
+  void fail(const TaskName &Task) { end(Task, RunOutcome::Failed); }
   /// Returns true if there are completions that were not acknowledged.
   bool hasUnacknowledged() const { return !m_ended.empty(); }
   /// Start time of the current incarnation, which identifies it.
