Transfer long-running jobs of which nothing runs at any age

What callers saw: a long-running job that lost its worker didn't run again, although another shard had room. Cause: a job was transferred only within 8 s of its arrival. After that it stayed in its shard even if none of its tasks ran there, and long-running tasks do not free their room by themselves. The choice of the other shard saw only the room in all, which can be spread over workers of which none takes a task. Owners report the most millicores on one worker that no long-running task reserves (new field of the host row; absent in rows of earlier versions, which then count as before); a long-running job is sent only where that takes its largest task. New: "A long-running job is sent only where a worker has room for its largest task". Why it works: it is the transfer that exists; only the age no longer forbids it, and the wait before each move bounds how often a job can move. Conclusion: covers jobs of one task and jobs whose tasks shared the lost worker. Tasks of a job that still runs elsewhere in a full shard wait as before.

--- a/src/include/basilchute/shardchoice.h
+++ b/src/include/basilchute/shardchoice.h
@@ -19,6 +19,9 @@
   int64_t CapacityMillicores = 0;
   /// Millicores of all long-running tasks, both placed and waiting.
   int64_t LongRunningMillicores = 0;
+  /// Most millicores on one usable worker that no long-running task reserves;
+  /// zero if the owner does not report them.
+  int64_t LargestRoomMillicores = 0;
   /// Remaining work of all other jobs, in millicores times seconds.
   double RemainingWork = 0;
   /// Millicores of waiting fill tasks.
@@ -43,6 +46,8 @@
   bool IsLongRunning = false;
   /// Work in millicores times seconds; for a long-running job its millicores.
   double Amount = 0;
+  /// Millicores of the largest task.
+  int64_t LargestTaskMillicores = 0;
   /// Millicores of the widest step of fill tasks; zero if there is none.
   int64_t FillMillicores = 0;
   /// Images of the job's fill tasks.
@@ -66,7 +71,8 @@
 /// A short job goes to the cheaper of two candidates picked by a hash of its
 /// id: loads are known with a lag, and the cheapest shard would be overloaded
 /// if all hosts chose it. For a long-running job a shard is drawn by a hash of
-/// its id, weighted towards shards where such jobs leave the most capacity.
+/// its id, weighted towards shards where such jobs leave the most capacity and
+/// one worker has room for the largest task.
 int chooseShard(const std::vector<ShardCandidate> &Candidates,
                 const ShardDemand &Demand);
 
@@ -74,10 +80,10 @@
 /// or -1 if the job should stay. A short job is transferred to the cheapest
 /// candidate if the difference exceeds the cost of the transfer. A long-running
 /// job, which only waits if it does not fit, is transferred to the cheapest
-/// candidate if it fits there and such jobs take a smaller fraction of that
-/// shard than of \p Own.
+/// candidate if it fits there, one worker has room for its largest task, and
+/// such jobs take a smaller fraction of that shard than of \p Own.
 int chooseTransferTarget(const ShardCandidate &Own,
-                         const std::vector<ShardCandidate> &Others,
+                         std::vector<ShardCandidate> Others,
                          const ShardDemand &Demand);
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -232,6 +232,7 @@
     To.set_epoch(Report.Epoch);
     To.set_capacity_millicores(Report.Load.CapacityMillicores);
     To.set_lasting_millicores(Report.Load.LongRunningMillicores);
+    To.set_largest_room_millicores(Report.Load.LargestRoomMillicores);
     To.set_backlog(Report.Load.RemainingWork);
     To.set_fill_waiting_millicores(Report.Load.WaitingFillMillicores);
     for (const auto &[Image, Room] : Report.Load.FillCapacity) {
@@ -260,6 +261,7 @@
     Report.Epoch = Shard.epoch();
     Report.Load = {.CapacityMillicores = Shard.capacity_millicores(),
                    .LongRunningMillicores = Shard.lasting_millicores(),
+                   .LargestRoomMillicores = Shard.largest_room_millicores(),
                    .RemainingWork = Shard.backlog(),
                    .WaitingFillMillicores = Shard.fill_waiting_millicores()};
     for (const v1::StoredFillRoom &Room : Shard.fill_room())
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -11,7 +11,8 @@
 constexpr milliseconds TransferInterval{250};
 /// A job is transferred only after it has waited for this long here.
 constexpr milliseconds MinTransferAge{400};
-/// Older jobs stay, so that no job is transferred back and forth for ever.
+/// Older jobs stay, so that no job is transferred back and forth for ever. A
+/// long-running job may move later, each time after a longer wait.
 constexpr milliseconds MaxTransferAge{8000};
 /// Maximum number of jobs in one transfer; each job takes seven rows of a
 /// commit.
@@ -57,9 +58,13 @@
 ShardLoad JobShard::Impl::load() {
   ShardLoad Out;
   addFillLoad(Out);
-  for (const auto &[Id, Slot] : m_slots)
-    if (Slot.IsListed && !Slot.Entry.IsDraining && Slot.MissedPolls == 0)
-      Out.CapacityMillicores += Slot.Entry.Capacity.Millicores;
+  for (const auto &[Id, Slot] : m_slots) {
+    if (!Slot.IsListed || Slot.Entry.IsDraining || Slot.MissedPolls > 0)
+      continue;
+    Out.CapacityMillicores += Slot.Entry.Capacity.Millicores;
+    Out.LargestRoomMillicores = std::max(
+        Out.LargestRoomMillicores, Slot.eventualFreeCapacity().Millicores);
+  }
   for (const auto &[Id, Entry] : m_jobs) {
     if (isFinal(Entry.State))
       continue;
@@ -82,9 +87,15 @@
       Entry.hasPlaced())
     return false;
   // If this shard has no workers, a job can only run in another shard and is
-  // transferred at any age.
+  // transferred at any age. So is a long-running job, because the capacity that
+  // such jobs take does not become free.
   bool IsYoung = Now < Entry.ArrivedAt + MaxTransferAge;
-  if (Now < Entry.ArrivedAt + MinTransferAge || (!IsYoung && hasWorkers()))
+  bool IsLongRunning = Entry.Spec.Steps.front().LongRunning;
+  if (IsLongRunning && (Entry.hasStarted() || !IsYoung) &&
+      !hasWaitedLong(Entry))
+    return false;
+  if (Now < Entry.ArrivedAt + MinTransferAge ||
+      (!IsYoung && !IsLongRunning && hasWorkers()))
     return false;
   // A run that only the previous owner knew of may still be present; by
   // previousRunsEndAt() it has ended.
--- a/src/libbasilchute/shardchoice.cpp
+++ b/src/libbasilchute/shardchoice.cpp
@@ -45,6 +45,14 @@
   return *Out;
 }
 
+/// Returns false if no worker of the shard can take the largest task of a
+/// long-running job: the room that such jobs leave may be spread over many
+/// workers.
+bool hasRoomForLargestTask(const ShardLoad &Load, const ShardDemand &Demand) {
+  return Load.LargestRoomMillicores == 0 ||
+         Load.LargestRoomMillicores >= Demand.LargestTaskMillicores;
+}
+
 /// Draws a candidate by a hash of the job's id, weighted by the square of the
 /// fraction that is left for long-running jobs.
 const ShardCandidate &
@@ -53,8 +61,10 @@
   std::vector<double> Sums;
   double Sum = 0;
   for (const ShardCandidate &Candidate : Candidates) {
-    double Left =
-        std::max(MinFreeFraction, 1 - placementCost(Candidate.Load, Demand));
+    double Left = hasRoomForLargestTask(Candidate.Load, Demand)
+                      ? std::max(MinFreeFraction,
+                                 1 - placementCost(Candidate.Load, Demand))
+                      : MinFreeFraction;
     Sum += Left * Left;
     Sums.push_back(Sum);
   }
@@ -102,11 +112,14 @@
         std::max(Out.FillMillicores, Step.Count * Step.Demand.Millicores);
     Out.FillImages.insert(Step.Image);
   }
-  for (const JobStep &Step : Value.Steps)
+  for (const JobStep &Step : Value.Steps) {
     Out.Amount +=
         Step.Count * (Out.IsLongRunning
                           ? static_cast<double>(Step.Demand.Millicores)
                           : taskWork(Step));
+    Out.LargestTaskMillicores =
+        std::max(Out.LargestTaskMillicores, Step.Demand.Millicores);
+  }
   return Out;
 }
 
@@ -140,8 +153,12 @@
 }
 
 int chooseTransferTarget(const ShardCandidate &Own,
-                         const std::vector<ShardCandidate> &Others,
+                         std::vector<ShardCandidate> Others,
                          const ShardDemand &Demand) {
+  if (Demand.IsLongRunning)
+    std::erase_if(Others, [&](const ShardCandidate &Other) {
+      return !hasRoomForLargestTask(Other.Load, Demand);
+    });
   if (Others.empty())
     return -1;
   if (Demand.IsLongRunning) {
--- a/src/libbasilchute/shardchoice_test.cpp
+++ b/src/libbasilchute/shardchoice_test.cpp
@@ -102,3 +102,28 @@
   Shards[0].Load = {.CapacityMillicores = 0, .RemainingWork = 1e6};
   CHECK(chooseTransferTarget(Shards[0], Others, shortJob(1)) == 2);
 }
+
+// Guards against transfers between shards that have enough room in all, but on
+// no worker enough for one task.
+TEST_CASE("A long-running job is sent only where a worker has room for its "
+          "largest task") {
+  ShardDemand Demand{
+      .JobId = "watch", .IsLongRunning = true, .LargestTaskMillicores = 4000};
+  std::vector<ShardCandidate> Shards = equalShards(3);
+  Shards[1].Load.LargestRoomMillicores = 3000;
+  Shards[2].Load.LargestRoomMillicores = 4000;
+  Shards[2].Load.LongRunningMillicores = 480000;
+  ShardCandidate Full{
+      .Shard = 0,
+      .Load = {.CapacityMillicores = 960000, .LongRunningMillicores = 960000}};
+  CHECK(chooseTransferTarget(Full, {Shards[1], Shards[2]}, Demand) == 2);
+  CHECK(chooseTransferTarget(Full, {Shards[1]}, Demand) == -1);
+  // The owner of the first shard does not report its largest room.
+  CHECK(chooseTransferTarget(Full, {Shards[0], Shards[2]}, Demand) == 0);
+  std::map<int, int> Counts;
+  for (int Number = 0; Number < 600; ++Number) {
+    Demand.JobId = "watch-" + std::to_string(Number);
+    ++Counts[chooseShard({Shards[1], Shards[2]}, Demand)];
+  }
+  CHECK(Counts[1] < 10);
+}
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -35,6 +35,13 @@
   return -1;
 }
 
+/// Returns the shard of the worker that runs \p Task, or -1 if none does.
+int shardOf(JobTestBed &Bed, const TaskName &Task) {
+  int Worker = workerOf(Bed, Task);
+  return Worker < 0 ? -1
+                    : Bed.host(0).Process->shardOf(Bed.worker(Worker).Entry.Id);
+}
+
 bool runsWithin(JobTestBed &Bed, const TaskName &Task, milliseconds Limit) {
   return Bed.runUntil([&] { return workerOf(Bed, Task) >= 0; }, Limit);
 }
@@ -43,6 +50,13 @@
   return Bed.runUntil([&] { return Bed.Oracle.running() == Tasks; }, Limit);
 }
 
+/// Ends \p Worker for good: it does not answer and leaves the list.
+void loseWorker(JobTestBed &Bed, int Worker) {
+  Bed.worker(Worker).IsDown = true;
+  Bed.worker(Worker).crash();
+  Bed.setWorkerListed(Worker, false);
+}
+
 void checkNoViolations(const JobTestBed &Bed) {
   for (const std::string &Violation : Bed.Oracle.violations())
     FAIL_CHECK(Violation);
@@ -100,3 +114,36 @@
   CHECK(runsWithin(Bed, taskOf("full", 1), RestartBound));
   checkNoViolations(Bed);
 }
+
+// Guards against a long-running job that waits for ever in a full shard beside
+// a shard with room: jobs that were older than some seconds were not
+// transferred.
+TEST_CASE("A long-running job that lost its worker moves to a shard with room "
+          "at any age") {
+  JobTestBed Bed({.Workers = 8,
+                  .MinShards = 2,
+                  .WorkerCapacity = {.Millicores = 4000, .MemoryMib = 16000}});
+  Bed.run(3s);
+  for (int Number = 0; Number < 8; ++Number)
+    CHECK(
+        Bed.submit(0, longJob("job-" + std::to_string(Number), 1)).has_value());
+  REQUIRE(allRunWithin(Bed, 8, 20s));
+  Bed.run(10s);
+  TaskName Lost = taskOf("job-0");
+  int Shard = shardOf(Bed, Lost);
+  std::vector<std::string> Others;
+  for (int Number = 1; Number < 8; ++Number)
+    if (shardOf(Bed, taskOf("job-" + std::to_string(Number))) != Shard)
+      Others.push_back("job-" + std::to_string(Number));
+  // Makes room for the job twice over.
+  for (size_t Number = 0; Number < 2; ++Number)
+    CHECK(Bed.cancel(0, Others[Number]).has_value());
+  REQUIRE(allRunWithin(Bed, 6, 2s));
+  Bed.run(2s);
+  loseWorker(Bed, workerOf(Bed, Lost));
+  CHECK(runsWithin(Bed, Lost, RestartBound));
+  CHECK(shardOf(Bed, Lost) == 1 - Shard);
+  CHECK(Bed.cancel(1, Lost.Job).has_value());
+  CHECK(allRunWithin(Bed, 5, 4s));
+  checkNoViolations(Bed);
+}
