--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -262,6 +262,7 @@
     To.set_epoch(Report.Epoch);
     To.set_capacity_millicores(Report.Load.CapacityMillicores);
     To.set_lasting_millicores(Report.Load.LongRunningMillicores);
+    To.set_largest_room_millicores(Report.Load.LargestRoomMillicores);
     To.set_backlog(Report.Load.RemainingWork);
     To.set_fill_waiting_millicores(Report.Load.WaitingFillMillicores);
     for (const auto &[Image, Room] : Report.Load.FillCapacity) {
@@ -291,6 +292,8 @@
     Report.Load = {
         .CapacityMillicores = boundedMillicores(Shard.capacity_millicores()),
         .LongRunningMillicores = boundedMillicores(Shard.lasting_millicores()),
+        .LargestRoomMillicores =
+            boundedMillicores(Shard.largest_room_millicores()),
         .RemainingWork = positiveOrZero(Shard.backlog()),
         .WaitingFillMillicores =
             boundedMillicores(Shard.fill_waiting_millicores())};
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -104,6 +104,8 @@
   std::string ticketFor(const StepName &Step) const;
   /// Ends runs whose work is done or whose lease expired.
   void advance();
+  /// Returns true if \p Task runs on this worker.
+  bool runs(const TaskName &Task) const { return m_runs.count(Task) > 0; }
   /// Returns true if there are completions that were not acknowledged.
   bool hasUnacknowledged() const { return !m_ended.empty(); }
   bool hasRuns() const { return !m_runs.empty(); }
