Keep a shard's tasks running until the next owner has claimed it

Cause: an owner released before anyone could own. It gave the shard up when it decided to, whether or not the write reached the store, and nobody extended the leases until another process could claim. Change: a release for rebalancing is begun only while the store answers and every task's worker is reachable. From the write on the owner starts, stops and writes nothing, but extends leases until a scan or a worker shows the new owner, for the horizon at most; the shard's row bounds its leases by that. If the store was certainly unavailable the owner goes on as before (Committer::commitOnce); after an unknown outcome it is read back. On shutdown a release that failed is repeated after a second, and nothing is granted after one. Why it works: for each outcome of the write either this owner or a later one extends, and the row tells a later one how long this one may.

--- a/src/include/basilchute/committer.h
+++ b/src/include/basilchute/committer.h
@@ -46,6 +46,11 @@
   /// Queues \p Writes, which take effect together, and sets their Writer
   /// tokens.
   void commit(std::vector<Write> Writes, Done OnDone);
+  /// Like commit(), but also fails, with Unavailable, if the store certainly did
+  /// not apply \p Writes. Use it for a write that rests on observations that
+  /// grow old. After an unknown outcome the writes are sent again until their
+  /// outcome is known, because the first transaction may still take effect.
+  void commitOnce(std::vector<Write> Writes, Done OnDone);
   /// Sends the queued writes that are due. Call it every few milliseconds.
   void tick();
   /// Returns true if nothing is queued or in flight.
--- a/src/libbasilchute/committer.cpp
+++ b/src/libbasilchute/committer.cpp
@@ -16,6 +16,8 @@
   bool MayBeApplied = false;
   /// True if the group must be sent in a transaction of its own.
   bool IsSeparate = false;
+  /// True if the group fails when the store is unavailable.
+  bool IsSentOnce = false;
   TimePoint QueuedAt;
 };
 
@@ -26,12 +28,14 @@
   Impl(CommitterOptions Options, TableStore &Store, const Clock &Time)
       : m_options(std::move(Options)), m_store(Store), m_time(Time) {}
 
-  void commit(std::vector<Write> Writes, Done OnDone) {
+  void commit(std::vector<Write> Writes, bool IsSentOnce, Done OnDone) {
     for (Write &Queued : Writes)
       Queued.WriteToken =
           fmt::format("{}.{}", m_options.WriterId, ++m_lastTokenNumber);
     m_queue.push_back(WriteGroup{.Writes = std::move(Writes),
                                  .OnDone = std::move(OnDone),
+                                 .IsSeparate = IsSentOnce,
+                                 .IsSentOnce = IsSentOnce,
                                  .QueuedAt = m_time.now()});
   }
 
@@ -93,10 +97,17 @@
     case ResultCode::OutcomeUnknown:
       return readBack();
     default:
-      return requeue(m_options.RetryInterval);
+      return onNotApplied(Reply.error());
     }
   }
 
+  void onNotApplied(const Error &Failure) {
+    const WriteGroup &First = m_inFlight.front();
+    if (First.IsSentOnce && !First.MayBeApplied)
+      return failAll(makeError(ResultCode::Unavailable, Failure.Message));
+    requeue(m_options.RetryInterval);
+  }
+
   void finishAll(uint64_t Version) {
     m_conflict.reset();
     std::vector<WriteGroup> Written = std::move(m_inFlight);
@@ -211,7 +222,10 @@
     : m_impl(std::make_shared<Impl>(std::move(Options), Store, Time)) {}
 Committer::~Committer() = default;
 void Committer::commit(std::vector<Write> Writes, Done OnDone) {
-  m_impl->commit(std::move(Writes), std::move(OnDone));
+  m_impl->commit(std::move(Writes), false, std::move(OnDone));
+}
+void Committer::commitOnce(std::vector<Write> Writes, Done OnDone) {
+  m_impl->commit(std::move(Writes), true, std::move(OnDone));
 }
 void Committer::tick() { m_impl->tick(); }
 bool Committer::idle() const { return m_impl->idle(); }
--- a/src/libbasilchute/ownership.cpp
+++ b/src/libbasilchute/ownership.cpp
@@ -34,6 +34,11 @@
 
 void Ownership::onRows(const std::vector<Row> &Rows) {
   TimePoint Now = m_time.now();
+  // During a gap the first choice may have died unnoticed.
+  if (m_scannedAt && Now - *m_scannedAt > m_options.RebalanceDelay)
+    for (auto &[Shard, ShardState] : m_shards)
+      ShardState.MisplacedSince.reset();
+  m_scannedAt = Now;
   for (const Row &ShardRow : Rows) {
     std::string Shard = ShardRow.Key.substr(ShardPrefix.size());
     ObservedShard &ShardState = m_shards[Shard];
@@ -46,6 +51,12 @@
     ShardState.Version = ShardRow.Version;
     ShardState.FirstSeen = Now;
     ShardState.OrphanSince.reset();
+    auto Released = m_released.find(Shard);
+    if (Released != m_released.end() &&
+        ShardState.Row.epoch() > Released->second) {
+      m_released.erase(Released);
+      OnHandedOver(Shard);
+    }
     auto Owned = m_owned.find(Shard);
     bool IsLost =
         Owned != m_owned.end() && ShardState.Row.epoch() > Owned->second;
@@ -136,31 +147,50 @@
     return;
   Claim.Version = Reply.value();
   m_owned[Claim.Shard] = Claim.Epoch;
+  m_released.erase(Claim.Shard);
   m_shards[Claim.Shard].MisplacedSince.reset();
   OnClaimed(Claim);
 }
 
 bool Ownership::shouldRelease(const std::string &Shard) const {
   auto It = m_shards.find(Shard);
-  if (It == m_shards.end() || !It->second.MisplacedSince)
+  if (It == m_shards.end() || !It->second.MisplacedSince || !m_scannedAt)
     return false;
-  return m_time.now() - *It->second.MisplacedSince > m_options.RebalanceDelay;
+  // Nobody can claim a released shard while the store is unavailable.
+  bool IsStoreAnswering =
+      m_time.now() - *m_scannedAt <= m_options.ScanInterval * 3 / 2;
+  return IsStoreAnswering &&
+         m_time.now() - *It->second.MisplacedSince > m_options.RebalanceDelay;
 }
 
 void Ownership::release(const ShardClaim &Claim, nanoseconds Residual) {
-  m_owned.erase(Claim.Shard);
-  ObservedShard &ShardState = m_shards[Claim.Shard];
-  ShardState.IsWriting = true;
-  ShardState.MisplacedSince.reset();
+  m_shards[Claim.Shard].IsWriting = true;
   v1::ShardRow Row;
   Row.set_epoch(Claim.Epoch);
   Row.set_residual_lease_ms(std::chrono::ceil<milliseconds>(Residual).count());
-  m_committer.commit({Write{.Key = shardKey(Claim.Shard),
-                            .Value = Row.SerializeAsString(),
-                            .ExpectedVersion = Claim.Version}},
-                     [this, Shard = Claim.Shard](const Result<uint64_t> &) {
-                       m_shards[Shard].IsWriting = false;
-                     });
+  m_committer.commitOnce({Write{.Key = shardKey(Claim.Shard),
+                                .Value = Row.SerializeAsString(),
+                                .ExpectedVersion = Claim.Version}},
+                         [this, Claim](const Result<uint64_t> &Reply) {
+                           onReleaseWritten(Claim, Reply);
+                         });
+}
+
+void Ownership::onReleaseWritten(const ShardClaim &Claim,
+                                 const Result<uint64_t> &Reply) {
+  ObservedShard &ShardState = m_shards[Claim.Shard];
+  ShardState.IsWriting = false;
+  ShardState.MisplacedSince.reset();
+  if (!Reply.has_value()) {
+    OnReleaseFailed(Claim, Reply.error());
+    return;
+  }
+  auto Owned = m_owned.find(Claim.Shard);
+  if (Owned == m_owned.end() || Owned->second != Claim.Epoch)
+    return;
+  m_owned.erase(Owned);
+  m_released[Claim.Shard] = Claim.Epoch;
+  OnReleased(Claim);
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/ownership.h
+++ b/src/libbasilchute/ownership.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -46,18 +47,36 @@
   std::function<void(const ShardClaim &)> OnClaimed;
   /// Called when another process has claimed a shard that this process owned.
   std::function<void(const std::string &)> OnLost;
+  /// Called when the release of a shard has taken effect, and then when another
+  /// process has claimed the shard.
+  std::function<void(const ShardClaim &)> OnReleased;
+  std::function<void(const std::string &)> OnHandedOver;
+  /// Called when a release certainly did not take effect: with Unavailable if
+  /// this process still owns the shard, with Conflict if another one claimed
+  /// it.
+  std::function<void(const ShardClaim &, const Error &)> OnReleaseFailed;
 
   /// Runs the periodic work that has become due.
   void tick();
   void stopClaiming() { m_canClaim = false; }
-  /// Returns true if an owned shard should be handed to another process.
+  /// Returns true if an owned shard should be handed to another process, and
+  /// the store answers.
   bool shouldRelease(const std::string &Shard) const;
-  /// Releases the shard of \p Claim. Leases granted under the claim remain
-  /// valid for up to \p Residual.
+  /// Releases the shard of \p Claim; calls OnReleased or OnReleaseFailed once
+  /// the outcome is known. Unless the release fails, leases granted under the
+  /// claim must not be valid for longer than \p Residual from now.
   void release(const ShardClaim &Claim, nanoseconds Residual);
   /// Removes \p Shard from the owned shards, after its loss was detected
   /// outside this class.
-  void forget(const std::string &Shard) { m_owned.erase(Shard); }
+  void forget(const std::string &Shard) {
+    m_owned.erase(Shard);
+    m_released.erase(Shard);
+  }
+  /// Returns true if this process released \p Shard and nobody is known to have
+  /// claimed it.
+  bool isReleased(const std::string &Shard) const {
+    return m_released.contains(Shard);
+  }
   /// Returns true if no release or claim is being written.
   bool idle() const { return m_committer.idle(); }
 
@@ -81,6 +100,7 @@
   void evaluate(const std::string &Shard, const std::string &FirstChoice);
   void claim(const std::string &Shard);
   void onClaimed(ShardClaim Claim, Result<uint64_t> Reply);
+  void onReleaseWritten(const ShardClaim &Claim, const Result<uint64_t> &Reply);
   /// Returns the time until which leases granted by earlier owners may be
   /// valid.
   TimePoint inheritedLeaseEnd(const ObservedShard &ShardState) const;
@@ -93,7 +113,11 @@
   std::map<std::string, ObservedShard> m_shards;
   /// Epochs of the shards that this process owns.
   std::map<std::string, uint64_t> m_owned;
+  /// Epochs of the shards that this process released and nobody has claimed.
+  std::map<std::string, uint64_t> m_released;
   TimePoint m_nextScan{};
+  /// Time of the last reply to a scan.
+  std::optional<TimePoint> m_scannedAt;
   bool m_isScanning = false;
   bool m_canClaim = true;
   /// Expires with this object, so that pending scans do not use it afterwards.
--- a/src/libbasilchute/scheduler.cpp
+++ b/src/libbasilchute/scheduler.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr milliseconds HandoverTimeout{4000};
+/// Wait after a release that the store did not carry out, on shutdown.
+constexpr milliseconds ReleaseRetryInterval{1000};
 constexpr milliseconds PublishInterval{500};
 
 v1::TaskRow replicaRow(const ServiceSpec &Service, uint32_t Index) {
@@ -45,6 +47,16 @@
     m_ownership.OnLost = [this](const std::string &Shard) {
       onShardLost(Shard);
     };
+    m_ownership.OnReleased = [this](const ShardClaim &Claim) {
+      onShardReleased(Claim);
+    };
+    m_ownership.OnHandedOver = [this](const std::string &Shard) {
+      m_managers.erase(Shard);
+    };
+    m_ownership.OnReleaseFailed = [this](const ShardClaim &Claim,
+                                         const Error &Failure) {
+      onReleaseFailed(Claim, Failure);
+    };
   }
 
   void tick() {
@@ -101,7 +113,7 @@
   std::vector<std::string> ownedShards() const {
     std::vector<std::string> Out;
     for (const auto &[Shard, Manager] : m_managers)
-      if (Manager->isLoaded())
+      if (Manager->isLoaded() && !m_ownership.isReleased(Shard))
         Out.push_back(Shard);
     return Out;
   }
@@ -164,13 +176,46 @@
     reportEvent("shard_lost", fmt::format("shard={}", Shard));
   }
 
+  ShardManager *findManager(const ShardClaim &Claim) const {
+    auto It = m_managers.find(Claim.Shard);
+    bool IsSame =
+        It != m_managers.end() && It->second->claim().Epoch == Claim.Epoch;
+    return IsSame ? It->second.get() : nullptr;
+  }
+
+  // The tasks of a released shard keep running until another process has
+  // claimed it. On shutdown their leases must last until then.
+  void onShardReleased(const ShardClaim &Claim) {
+    ++m_counters.Releases;
+    reportEvent("shard_released", fmt::format("shard={}", Claim.Shard));
+    if (m_onShutDown)
+      m_managers.erase(Claim.Shard);
+  }
+
+  void onReleaseFailed(const ShardClaim &Claim, const Error &Failure) {
+    ShardManager *Manager = findManager(Claim);
+    if (!Manager)
+      return;
+    if (Failure.Code == ResultCode::Unavailable) {
+      m_nextReleaseAt = m_time.now() + ReleaseRetryInterval;
+      Manager->setReleasing(false);
+      reportEvent("release_failed", fmt::format("shard={}", Claim.Shard));
+      return;
+    }
+    onShardLost(Claim.Shard);
+    m_ownership.forget(Claim.Shard);
+  }
+
   void dropFencedShards() {
     std::vector<std::string> FencedShards;
     for (const auto &[Shard, Manager] : m_managers)
       if (Manager->isFencedOut())
         FencedShards.push_back(Shard);
     for (const std::string &Shard : FencedShards) {
-      onShardLost(Shard);
+      if (m_ownership.isReleased(Shard))
+        m_managers.erase(Shard);
+      else
+        onShardLost(Shard);
       m_ownership.forget(Shard);
     }
   }
@@ -240,29 +285,35 @@
   }
 
   // A shard manager must be idle before its shard is released, so that none of
-  // its orders can follow the release. On shutdown the shard is released after
+  // its starts can follow the release. On shutdown the shard is released after
   // HandoverTimeout at the latest.
   void releaseShards() {
-    std::vector<std::string> ReleasedShards;
+    bool HasTimedOut =
+        m_onShutDown && m_time.now() - m_shutDownSince > HandoverTimeout;
+    if (HasTimedOut)
+      std::erase_if(m_managers, [this](const auto &Item) {
+        return m_ownership.isReleased(Item.first);
+      });
     for (auto &[Shard, Manager] : m_managers) {
-      bool ShouldRelease = m_onShutDown || m_ownership.shouldRelease(Shard);
-      Manager->setReleasing(ShouldRelease);
-      if (!ShouldRelease)
+      if (Manager->isHandingOver())
         continue;
-      bool HasTimedOut =
-          m_onShutDown && m_time.now() - m_shutDownSince > HandoverTimeout;
-      if (!Manager->isIdle() && !HasTimedOut)
+      bool ShouldRelease = shouldRelease(Shard, *Manager);
+      Manager->setReleasing(ShouldRelease);
+      if (!ShouldRelease || (!Manager->isIdle() && !HasTimedOut))
         continue;
-      m_ownership.release(Manager->claim(), Manager->residualLease());
-      ReleasedShards.push_back(Shard);
-    }
-    for (const std::string &Shard : ReleasedShards) {
-      ++m_counters.Releases;
-      reportEvent("shard_released", fmt::format("shard={}", Shard));
-      m_managers.erase(Shard);
+      nanoseconds ExtendFor =
+          m_onShutDown ? nanoseconds(0) : m_options.Self.GrantHorizon;
+      m_ownership.release(Manager->claim(), Manager->beginHandover(ExtendFor));
     }
   }
 
+  bool shouldRelease(const std::string &Shard,
+                     const ShardManager &Manager) const {
+    if (m_onShutDown)
+      return m_time.now() >= m_nextReleaseAt;
+    return m_ownership.shouldRelease(Shard) && !Manager.mayHaveUnreachableTasks();
+  }
+
   void leave() {
     m_hasLeft = true;
     m_membership.leave([this] { m_onShutDown(); });
@@ -287,6 +338,8 @@
   TimePoint m_nextPublishAt{};
   std::function<void()> m_onShutDown;
   TimePoint m_shutDownSince{};
+  /// Time before which no shard is released on shutdown.
+  TimePoint m_nextReleaseAt{};
   bool m_hasLeft = false;
   /// Lets a callback detect that this object was destroyed before it ran.
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/src/libbasilchute/shardmanager.cpp
+++ b/src/libbasilchute/shardmanager.cpp
@@ -45,6 +45,8 @@
   TimePoint Now = m_context.Time.now();
   if (!m_isLoaded)
     return load();
+  if (isHandingOver())
+    return syncDueWorkers(Now);
   m_committer.tick();
   if (m_isReleasing)
     return;
@@ -221,6 +223,39 @@
   });
 }
 
+void ShardManager::setReleasing(bool IsReleasing) {
+  m_isReleasing = IsReleasing;
+  if (!IsReleasing)
+    m_handoverGrantEnd.reset();
+}
+
+nanoseconds ShardManager::beginHandover(nanoseconds ExtendFor) {
+  const SchedulerOptions &Options = m_context.Options;
+  m_handoverGrantEnd = m_context.Time.now() + ExtendFor -
+                       ExtendFor * Options.ClockDriftPermille / 1000;
+  if (ExtendFor <= nanoseconds(0))
+    return residualLease();
+  nanoseconds Bound = ExtendFor + Options.TaskLease;
+  Bound += Bound * Options.ClockDriftPermille / 1000;
+  return std::max(residualLease(), Bound);
+}
+
+bool ShardManager::mayHaveUnreachableTasks() const {
+  if (!m_isLoaded)
+    return true;
+  return std::any_of(m_workers.begin(), m_workers.end(), [](const auto &Item) {
+    const WorkerRecord &Record = Item.second;
+    bool CanReach = Record.IsReachable && Record.IsEpochInstalled;
+    return !CanReach && !Record.reservations().empty();
+  });
+}
+
+bool ShardManager::canExtendGrants() const {
+  if (m_handoverGrantEnd && m_context.Time.now() >= *m_handoverGrantEnd)
+    return false;
+  return m_context.CanExtendGrants();
+}
+
 nanoseconds ShardManager::residualLease() const {
   TimePoint Now = m_context.Time.now();
   nanoseconds MaxResidual{0};
--- a/src/libbasilchute/shardmanager.h
+++ b/src/libbasilchute/shardmanager.h
@@ -63,7 +63,16 @@
   bool isFencedOut() const { return m_isFencedOut; }
   /// Suspends all scheduling if \p IsReleasing, otherwise resumes it. A shard
   /// must be idle before it is released.
-  void setReleasing(bool IsReleasing) { m_isReleasing = IsReleasing; }
+  void setReleasing(bool IsReleasing);
+  /// Extends leases of running tasks for up to \p ExtendFor from now; writes no
+  /// row and sends no other order until setReleasing(false). Returns how long
+  /// leases may be valid at most.
+  nanoseconds beginHandover(nanoseconds ExtendFor);
+  /// Returns true between beginHandover() and setReleasing(false).
+  bool isHandingOver() const { return m_handoverGrantEnd.has_value(); }
+  /// Returns true if tasks may run on a worker that this owner cannot reach, so
+  /// that a new owner would have to wait for the end of their leases.
+  bool mayHaveUnreachableTasks() const;
   /// Returns true if no commit and no sync with a worker is in progress.
   bool isIdle() const;
   /// Returns how long leases on the shard's workers may still be valid.
@@ -93,13 +102,19 @@
   void sync(WorkerRecord &Record, TimePoint Now);
   void addOrders(SyncRequest &Request, WorkerRecord &Record, TimePoint Now);
   void addTaskOrders(SyncRequest &Request, TaskEntry &Entry);
+  /// Adds the orders for attempts that are not placed on the worker.
+  static void addUnplacedOrders(SyncRequest &Request,
+                                const WorkerRecord &Record);
   void onSync(const std::string &Worker, Result<SyncReply> Reply);
   void onReport(WorkerRecord &Record, const SyncReply &Report);
+  void onReportWhileReleasing(WorkerRecord &Record, const SyncReply &Report);
   void onTaskReport(WorkerRecord &Record, const TaskReport &Report);
   void onUnplacedAttempt(WorkerRecord &Record, const TaskReport &Report);
   void onAttemptMissing(WorkerRecord &Record, TaskEntry &Entry);
   void onAttemptEnded(TaskEntry &Entry, const TaskReport &Report);
   void checkUnreachableWorkers(TimePoint Now);
+  /// Returns true while leases and credits may be extended.
+  bool canExtendGrants() const;
 
   // Placement, stops and evictions (shardmanager_place.cpp).
   /// Runs a round if one is due.
@@ -192,6 +207,8 @@
   bool m_isLoaded = false;
   bool m_isPolling = false;
   bool m_isReleasing = false;
+  /// During a handover, the time until which leases may be extended.
+  std::optional<TimePoint> m_handoverGrantEnd;
   bool m_isFencedOut = false;
   /// True if free resources or the queue changed since the last round.
   bool m_shouldPlace = true;
--- a/src/libbasilchute/shardmanager_routes.cpp
+++ b/src/libbasilchute/shardmanager_routes.cpp
@@ -69,7 +69,7 @@
                           Known.Version == Answer.Version;
   if (!Answer.IsUnchanged)
     Answer.Routes = m_routes;
-  if (!m_context.CanExtendGrants())
+  if (!canExtendGrants())
     return Answer;
   TimePoint Now = m_context.Time.now();
   for (const CreditDemand &Demand : Request.Demands) {
--- a/src/libbasilchute/shardmanager_sync.cpp
+++ b/src/libbasilchute/shardmanager_sync.cpp
@@ -22,7 +22,7 @@
   SyncRequest Request{.Worker = Record.info().Worker,
                       .Shard = m_claim.Shard,
                       .Epoch = Options.Faults.SkipFence ? 1 : m_claim.Epoch};
-  if (Record.IsEpochInstalled && m_context.CanExtendGrants())
+  if (Record.IsEpochInstalled && canExtendGrants())
     addOrders(Request, Record, Now);
   Record.IsSyncInFlight = true;
   Record.ShouldSyncNow = false;
@@ -52,12 +52,18 @@
     for (const Order &TaskOrder : Request.Orders)
       if (TaskOrder.Kind == OrderKind::Stop)
         Record.release(TaskOrder.Task.Task);
+  if (!isHandingOver())
+    addUnplacedOrders(Request, Record);
+  if (!Options.Faults.ForgetGrants)
+    Record.recordGrant(Options.TaskLease, Options.ClockDriftPermille);
+}
+
+void ShardManager::addUnplacedOrders(SyncRequest &Request,
+                                     const WorkerRecord &Record) {
   for (const TaskAttempt &Attempt : Record.UnplacedAttempts)
     Request.Orders.push_back({.Kind = OrderKind::Stop, .Task = Attempt});
   for (const TaskAttempt &Attempt : Record.AttemptsToForget)
     Request.Orders.push_back({.Kind = OrderKind::Forget, .Task = Attempt});
-  if (!Options.Faults.ForgetGrants)
-    Record.recordGrant(Options.TaskLease, Options.ClockDriftPermille);
 }
 
 // Derives the orders from the task's state at every sync, so that the orders of
@@ -72,7 +78,7 @@
   // the worker's first report to this owner comes before any order and shows
   // whether the attempt runs.
   if (!Entry.IsConfirmed) {
-    if (!m_context.CanStart())
+    if (isHandingOver() || !m_context.CanStart())
       return;
     Entry.IsStartSent = true;
     Request.Orders.push_back({.Kind = OrderKind::Start,
@@ -85,6 +91,8 @@
     return;
   }
   Request.Renewals.push_back(Task);
+  if (isHandingOver())
+    return;
   if (Entry.Phase == StopPhase::Checkpoint)
     Request.Orders.push_back({.Kind = OrderKind::Checkpoint, .Task = Task});
   if (Entry.Phase != StopPhase::Stop)
@@ -102,16 +110,27 @@
   const SyncReply &Report = Reply.value();
   if (Report.Code == ResultCode::StaleEpoch || Report.Epoch > m_claim.Epoch) {
     m_isFencedOut = true;
-    reportEvent("fenced_out", fmt::format("shard={} epoch={} worker={} seen={}",
-                                          m_claim.Shard, m_claim.Epoch, Worker,
-                                          Report.Epoch));
+    // A new owner is what a handover waits for.
+    if (!isHandingOver())
+      reportEvent("fenced_out",
+                  fmt::format("shard={} epoch={} worker={} seen={}",
+                              m_claim.Shard, m_claim.Epoch, Worker,
+                              Report.Epoch));
     return;
   }
   if (m_isReleasing)
-    return;
+    return onReportWhileReleasing(*Record, Report);
   onReport(*Record, Report);
 }
 
+// Keeps only what the next extension of leases needs. The report after a
+// release that was called off shows the tasks again.
+void ShardManager::onReportWhileReleasing(WorkerRecord &Record,
+                                          const SyncReply &Report) {
+  Record.recordReport(Report, m_context.Time.now());
+  Record.ShouldSyncNow |= Report.Code != ResultCode::Ok;
+}
+
 void ShardManager::onReport(WorkerRecord &Record, const SyncReply &Report) {
   TimePoint Now = m_context.Time.now();
   bool IsFirstReport = !Record.IsEpochInstalled;
--- a/src/testing/scheduler_test.cpp
+++ b/src/testing/scheduler_test.cpp
@@ -317,3 +317,95 @@
     CHECK(Starts == 1);
   checkNoViolations(Bed);
 }
+
+namespace {
+
+size_t ownedBy(const TestNode &Node) {
+  return Node.Core ? Node.Core->ownedShards().size() : 0;
+}
+
+/// Lets node 0 own all shards and run long tasks in each, then starts the other
+/// nodes. Five seconds later node 0 has shards to hand over.
+std::vector<TestJob> startWithRebalancingAhead(TestBed &Bed) {
+  for (size_t I = 1; I < Bed.nodes().size(); ++I)
+    Bed.killNode(I);
+  REQUIRE(Bed.runUntil(
+      [&] { return ownedBy(Bed.nodes()[0]) == Bed.layout().shards().size(); },
+      20s));
+  std::vector<TestJob> Jobs = longJobs(Bed, 3, std::chrono::minutes(4));
+  Bed.run(3s);
+  REQUIRE(Bed.oracle().starts().size() == 3 * Jobs.size());
+  for (size_t I = 1; I < Bed.nodes().size(); ++I)
+    Bed.startNode(I);
+  return Jobs;
+}
+
+/// Ends an outage of a minute: no task may have been stopped, and the shards
+/// are distributed afterwards.
+void checkOutageStoppedNoTask(TestBed &Bed, const std::vector<TestJob> &Jobs) {
+  Bed.IsStoreDown = true;
+  Bed.run(60s);
+  uint32_t Stopped = 0;
+  for (auto &[Name, Model] : Bed.workers())
+    for (const auto &[Id, Task] : Model.tasks())
+      Stopped += Task.State != AttemptState::Running;
+  CHECK(Stopped == 0);
+  Bed.LostReplyPercent = 0;
+  Bed.LateCommitDelay = 0ms;
+  Bed.IsStoreDown = false;
+  CHECK(Bed.runUntil(
+      [&] {
+        return std::all_of(
+            Bed.nodes().begin(), Bed.nodes().end(),
+            [](const TestNode &Node) { return ownedBy(Node) == 1; });
+      },
+      40s));
+  CHECK(Bed.runUntil([&] { return allFinished(Bed, Jobs); }, 400s));
+  for (const auto &[Task, Starts] : Bed.oracle().starts())
+    CHECK(Starts == 1);
+  checkNoViolations(Bed);
+}
+
+} // namespace
+
+// Guards against a shard that its owner released while no other process could
+// claim it: nobody extended the leases of its tasks.
+TEST_CASE("an outage of the store stops no task when a rebalancing is due") {
+  for (milliseconds Wait = 5s; Wait < 8s; Wait += 20ms) {
+    TestBed Bed({});
+    std::vector<TestJob> Jobs = startWithRebalancingAhead(Bed);
+    Bed.run(Wait);
+    CAPTURE(Wait.count());
+    checkOutageStoppedNoTask(Bed, Jobs);
+  }
+}
+
+// Guards against a release that took effect although its reply was lost in an
+// outage: neither the previous owner nor a new one extended the leases.
+TEST_CASE("a release whose reply is lost in an outage stops no task") {
+  for (milliseconds Wait = 5s; Wait < 8s; Wait += 40ms) {
+    TestBed Bed({});
+    std::vector<TestJob> Jobs = startWithRebalancingAhead(Bed);
+    Bed.run(Wait);
+    Bed.LostReplyPercent = 100;
+    Bed.run(60ms);
+    CAPTURE(Wait.count());
+    checkOutageStoppedNoTask(Bed, Jobs);
+  }
+}
+
+// Guards against a release that takes effect long after it was sent, when its
+// sender still cannot know the outcome.
+TEST_CASE("a release that takes effect late in an outage stops no task") {
+  for (milliseconds Delay : {1s, 20s, 59s})
+    for (milliseconds Wait = 5s; Wait < 8s; Wait += 60ms) {
+      TestBed Bed({});
+      std::vector<TestJob> Jobs = startWithRebalancingAhead(Bed);
+      Bed.run(Wait);
+      Bed.LateCommitDelay = Delay;
+      Bed.run(60ms);
+      CAPTURE(Wait.count());
+      CAPTURE(Delay.count());
+      checkOutageStoppedNoTask(Bed, Jobs);
+    }
+}
--- a/src/testing/testbed.cpp
+++ b/src/testing/testbed.cpp
@@ -274,6 +274,8 @@
                         TableStore::CommitDone Done) {
   // A write that was sent takes effect even if the writer dies meanwhile.
   bool WasReachable = storeReachable(Node);
+  if (WasReachable && LateCommitDelay > milliseconds(0))
+    return commitLate(Node, std::move(Tx), std::move(Done));
   after(StoreDelay, [this, &Node, Incarnation = Node.Incarnation, WasReachable,
                      Tx = std::move(Tx), Done = std::move(Done)] {
     Result<uint64_t> Reply =
@@ -292,6 +294,18 @@
   });
 }
 
+void TestBed::commitLate(TestNode &Node, Transaction Tx,
+                         TableStore::CommitDone Done) {
+  constexpr milliseconds ReplyTimeout{2000};
+  after(LateCommitDelay, [this, Tx = std::move(Tx)] {
+    ++m_commits;
+    (void)m_tables.commit(Tx);
+  });
+  deliver(Node, ReplyTimeout, [Done = std::move(Done)] {
+    Done(makeError(ResultCode::OutcomeUnknown, "no reply in time"));
+  });
+}
+
 void TestBed::syncFor(TestNode &Node, SyncRequest Request,
                       WorkerPort::SyncDone Done) {
   constexpr milliseconds ReplyTimeout{2000};
--- a/src/testing/testbed.h
+++ b/src/testing/testbed.h
@@ -131,6 +131,9 @@
   milliseconds NetworkDelay{5};
   /// Percentage of commits whose reply is lost after they took effect.
   uint32_t LostReplyPercent = 0;
+  /// If positive, commits get no reply and take effect only after this time,
+  /// even if the store is down by then.
+  milliseconds LateCommitDelay{0};
   /// Loses the reply of commit number N, counted from 1; 0 loses none.
   uint64_t LoseReplyOfCommit = 0;
   /// Percentage of exchanges with workers that are lost, delayed or duplicated,
@@ -188,6 +191,7 @@
     }
   };
 
+  void commitLate(TestNode &Node, Transaction Tx, TableStore::CommitDone Done);
   void updateShares(const Write &Applied);
   void addWorkers();
   void step();
