Do not repeat a claim after a cut from the store

What callers saw: a task could start on a second worker while it ran on the first. Cause: a claim that the store certainly had not carried out was sent again until the store answered, with the horizon of the previous owner as observed at the decision. If the previous owner lived on in the meantime, its horizon had not ended, but the claimant took its leases as expired. Change: such a claim fails and is decided anew. If an unknown outcome is resolved late, the claimant waits a whole horizon from then on. Test: "a claim is not repeated after a cut from the store" failed before at one of its 150 moments ("task cut/0 attempt 2 starts on a-w1 while running on a-w0"). Why it works: a claim takes effect only while the observations behind it are fresh. Conclusion: an owner that renews its row in the few milliseconds between decision and claim is still possible; the horizon then differs by 5 s at most.

--- a/src/libbasilchute/ownership.cpp
+++ b/src/libbasilchute/ownership.cpp
@@ -133,18 +133,27 @@
   Row.set_epoch(Claim.Epoch);
   Row.set_previous_owner(ShardState.Row.owner());
   Row.set_previous_horizon_ms(std::max<int64_t>(Remaining.count(), 0));
-  m_committer.commit({Write{.Key = shardKey(Shard),
-                            .Value = Row.SerializeAsString(),
-                            .ExpectedVersion = ShardState.Version}},
-                     [this, Claim](Result<uint64_t> Reply) {
-                       onClaimed(Claim, std::move(Reply));
-                     });
+  m_committer.commitOnce(
+      {Write{.Key = shardKey(Shard),
+             .Value = Row.SerializeAsString(),
+             .ExpectedVersion = ShardState.Version}},
+      [this, Claim, DecidedAt = m_time.now()](const Result<uint64_t> &Reply) {
+        onClaimed(Claim, DecidedAt, Reply);
+      });
 }
 
-void Ownership::onClaimed(ShardClaim Claim, Result<uint64_t> Reply) {
+void Ownership::onClaimed(ShardClaim Claim, TimePoint DecidedAt,
+                          const Result<uint64_t> &Reply) {
   m_shards[Claim.Shard].IsWriting = false;
   if (!Reply.has_value())
     return;
+  // The previous owner may have renewed its row since the decision.
+  TimePoint Now = m_time.now();
+  if (Now - DecidedAt > m_options.FirstChoiceTimeout &&
+      !m_options.IgnoreHorizon)
+    Claim.InheritedLeaseEnd =
+        std::max(Claim.InheritedLeaseEnd,
+                 Now + m_options.DefaultHorizon + m_options.TaskLease);
   Claim.Version = Reply.value();
   m_owned[Claim.Shard] = Claim.Epoch;
   m_released.erase(Claim.Shard);
--- a/src/libbasilchute/ownership.h
+++ b/src/libbasilchute/ownership.h
@@ -99,7 +99,8 @@
   void onRows(const std::vector<Row> &Rows);
   void evaluate(const std::string &Shard, const std::string &FirstChoice);
   void claim(const std::string &Shard);
-  void onClaimed(ShardClaim Claim, Result<uint64_t> Reply);
+  void onClaimed(ShardClaim Claim, TimePoint DecidedAt,
+                 const Result<uint64_t> &Reply);
   void onReleaseWritten(const ShardClaim &Claim, const Result<uint64_t> &Reply);
   /// Returns the time until which leases granted by earlier owners may be
   /// valid.
--- a/src/testing/scheduler_test.cpp
+++ b/src/testing/scheduler_test.cpp
@@ -409,3 +409,35 @@
       checkOutageStoppedNoTask(Bed, Jobs);
     }
 }
+
+// Guards against a claim that was decided before its sender was cut from the
+// store and takes effect after the cut: the owner renewed its row in the
+// meantime, so that its horizon had not ended.
+TEST_CASE("a claim is not repeated after a cut from the store") {
+  for (milliseconds Wait = 5s; Wait < 8s; Wait += 20ms) {
+    TestBed Bed({.Schedulers = 2, .Domains = 1, .GrantHorizon = 20s});
+    Bed.run(6s);
+    TestJob Job{.Name = "cut", .Shard = "a.0", .Work = 300s};
+    Bed.submit(Job);
+    REQUIRE(Bed.runUntil(
+        [&] { return Bed.oracle().starts().contains("cut/0"); }, 10s));
+    size_t Owner = ownedBy(Bed.nodes()[0]) == 1 ? 0 : 1;
+    TestNode &Other = Bed.nodes()[1 - Owner];
+    for (auto &[Name, Model] : Bed.workers())
+      if (Model.used().Millicores > 0)
+        Other.CutWorkers.insert(Name);
+    Bed.run(3s);
+    // The other process comes to consider the owner dead, and is cut from the
+    // store when it claims the shard.
+    Bed.nodes()[Owner].IsCutFromStore = true;
+    Bed.run(Wait);
+    Other.IsCutFromStore = true;
+    Bed.run(100ms);
+    Bed.nodes()[Owner].IsCutFromStore = false;
+    Bed.run(60s);
+    Other.IsCutFromStore = false;
+    Bed.run(10s);
+    CAPTURE(Wait.count());
+    checkNoViolations(Bed);
+  }
+}
