Plan handovers to hosts that have been restarted already

What callers saw: a rolling restart of the hosts changed the owner of a shard two and more times, and each change holds up the shard's older jobs. Cause: the plan took the least loaded host, and one of many equals by a hash: mostly one with its own stop ahead. A host that came back with a little more weight, or without shards, took shards back at once. Change: among hosts whose loads differ by less than a quarter, a shard without an owner goes to the host that started last, by the order of magnitude of its row's renewals, so that hosts agree although they read the rows at different times. A live owner gives a shard away only for a gain of a quarter, and only if every host has been up for 20 renewals (10 s). Two changes are needed if the owner stops before any host has been restarted. Not measured: real hosts. Why it works: a host that was restarted has no stop ahead, and nothing takes the shard from it before the restart is over. Conclusion: a host that ends and starts again more often than every 10 s keeps the load from being evened out; orphaned shards are still distributed.

--- a/src/include/basilchute/shardplan.h
+++ b/src/include/basilchute/shardplan.h
@@ -5,24 +5,33 @@
 
 #include "basilchute/namespace.h"
 
-#include <map>
+#include <cstdint>
 #include <string>
 #include <vector>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+/// Renewals of its row after which a host counts as settled: 10 s at the
+/// default interval.
+inline constexpr uint64_t SettledRenewals = 20;
+
 /// A host that may own shards.
 struct PlanHost {
   std::string Id;
   /// Capacity relative to other hosts; at least 1.
   int Weight = 1;
+  /// Renewals of the host's row since its start, as a measure of its age.
+  uint64_t RenewalCount = SettledRenewals;
 };
 
 /// Returns the id of the host that should own each shard. \p Owners holds the
 /// present owner of each shard; an id that is not among \p Hosts counts as no
-/// owner. A shard changes its owner only if its owner is gone, or if the change
-/// evens out the load by a whole shard. Returns an empty plan if there are no
-/// hosts.
+/// owner.
+///
+/// A shard without an owner goes to a host with little load, preferably to one
+/// that started lately: in a rolling restart, such a host has no stop ahead. A
+/// live owner gives a shard away only if this evens out the load clearly, and
+/// if no host has started lately. Returns an empty plan if there are no hosts.
 std::vector<std::string> planShards(const std::vector<PlanHost> &Hosts,
                                     const std::vector<std::string> &Owners);
 
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -310,7 +310,9 @@
     for (const auto &[Id, Host] : m_hosts)
       if (isAlive(Host) && !Host.Record.IsLeaving &&
           !(m_isLeaving && Id == m_options.HostId))
-        Out.push_back({.Id = Id, .Weight = Host.Record.Weight});
+        Out.push_back({.Id = Id,
+                       .Weight = Host.Record.Weight,
+                       .RenewalCount = Host.Record.RenewalCount});
     return Out;
   }
 
--- a/src/libbasilchute/shardplan.cpp
+++ b/src/libbasilchute/shardplan.cpp
@@ -1,12 +1,21 @@
 #include "basilchute/shardplan.h"
 
 #include <algorithm>
+#include <bit>
+#include <limits>
 #include <xxhash.h>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
 namespace {
 
+/// Renewals after which a host is known not to have ended right after its
+/// start.
+constexpr uint64_t MinRenewals = 3;
+/// Hosts whose loads differ by a smaller factor count as equally loaded, so
+/// that a shard does not change its owner for a small gain.
+constexpr double MinLoadRatio = 1.25;
+
 /// A host and the number of shards that it owns in the plan.
 struct HostShare {
   const PlanHost *Host;
@@ -24,19 +33,55 @@
   return XXH64(Host.data(), Host.size(), Shard);
 }
 
+bool isLessLoaded(const HostShare &A, const HostShare &B, size_t Shard) {
+  double LoadA = A.loadWith(1);
+  double LoadB = B.loadWith(1);
+  if (LoadA != LoadB)
+    return LoadA < LoadB;
+  return tieBreaker(A.Host->Id, Shard) < tieBreaker(B.Host->Id, Shard);
+}
+
 /// Returns the host with the lowest load after it gets \p Shard.
 HostShare *leastLoaded(std::vector<HostShare> &Shares, size_t Shard) {
   return &*std::min_element(Shares.begin(), Shares.end(),
                             [&](const HostShare &A, const HostShare &B) {
-                              double LoadA = A.loadWith(1);
-                              double LoadB = B.loadWith(1);
-                              if (LoadA != LoadB)
-                                return LoadA < LoadB;
-                              return tieBreaker(A.Host->Id, Shard) <
-                                     tieBreaker(B.Host->Id, Shard);
+                              return isLessLoaded(A, B, Shard);
                             });
 }
 
+/// Returns the order of magnitude of a host's age. Hosts read the rows at
+/// different times, so that their exact counts differ. A host that may end
+/// right after its start, perhaps again and again, counts as the oldest.
+int ageClass(const PlanHost &Host) {
+  if (Host.RenewalCount < MinRenewals)
+    return std::numeric_limits<int>::max();
+  return static_cast<int>(std::bit_width(Host.RenewalCount));
+}
+
+/// Returns the host that should get \p Shard, which has no owner.
+HostShare *nextOwner(std::vector<HostShare> &Shares, size_t Shard) {
+  double LoadLimit = leastLoaded(Shares, Shard)->loadWith(1) * MinLoadRatio;
+  HostShare *Best = nullptr;
+  for (HostShare &Share : Shares) {
+    if (Share.loadWith(1) >= LoadLimit)
+      continue;
+    int Age = ageClass(*Share.Host);
+    int BestAge = Best ? ageClass(*Best->Host) : Age;
+    if (!Best || Age < BestAge ||
+        (Age == BestAge && isLessLoaded(Share, *Best, Shard)))
+      Best = &Share;
+  }
+  return Best;
+}
+
+/// Returns true if no host has started lately: in a rolling restart, a shard
+/// that is moved to even out the load would soon have to move again.
+bool areAllSettled(const std::vector<PlanHost> &Hosts) {
+  return std::all_of(Hosts.begin(), Hosts.end(), [](const PlanHost &Host) {
+    return Host.RenewalCount >= SettledRenewals;
+  });
+}
+
 /// Returns the share of the host \p Id, or null if there is no such host.
 HostShare *findShare(std::vector<HostShare> &Shares, const std::string &Id) {
   auto It =
@@ -66,14 +111,17 @@
   for (size_t Shard = 0; Shard < Plan.size(); ++Shard) {
     if (!Plan[Shard].empty())
       continue;
-    HostShare *Target = leastLoaded(Shares, Shard);
+    HostShare *Target = nextOwner(Shares, Shard);
     Plan[Shard] = Target->Host->Id;
     ++Target->Count;
   }
+  if (!areAllSettled(Hosts))
+    return Plan;
   for (size_t Shard = 0; Shard < Plan.size(); ++Shard) {
     HostShare *Source = findShare(Shares, Plan[Shard]);
     HostShare *Target = leastLoaded(Shares, Shard);
-    if (Target == Source || Target->loadWith(1) >= Source->loadWith(0))
+    if (Target == Source ||
+        Target->loadWith(1) * MinLoadRatio > Source->loadWith(0))
       continue;
     --Source->Count;
     ++Target->Count;
