Plan evictions although one task does not stop

What callers saw: an urgent task waited for ever while one batch task of its shard had been told to stop and went on running, for example with a request in flight. Cause: no eviction was planned in the shard while any stop was in progress on a usable worker, and a stop that has been ordered has no limit. Change: a stop that has taken 5 s longer than the checkpoint or the drain may take no longer counts; other workers are considered. Test: "a task that does not stop holds up no other eviction" failed before (not finished after 60 s), passes now. Why it works: the stuck task keeps its reservation, so that nothing is placed over it.

--- a/src/libbasilchute/shardmanager_place.cpp
+++ b/src/libbasilchute/shardmanager_place.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr milliseconds PlacementRetryInterval{200};
+/// Time within which a task normally ends after its stop order.
+constexpr milliseconds StopTimeout{5000};
 
 bool canPlaceOn(const WorkerRecord &Record) {
   return Record.IsReachable && Record.IsEpochInstalled && Record.IsListed &&
@@ -139,6 +141,10 @@
 }
 
 void ShardManager::planEviction(const TaskEntry &WaitingTask) {
+  const SchedulerOptions &Options = m_context.Options;
+  TimePoint LatestBegin =
+      m_context.Time.now() - StopTimeout -
+      std::max(Options.CheckpointTimeout, Options.RouteDrain);
   std::string BestWorker;
   std::vector<std::string> BestTasks;
   for (auto &[Id, Record] : m_workers) {
@@ -149,7 +155,8 @@
     bool IsStopInProgress = false;
     for (const auto &[Task, Demand] : Record.reservations()) {
       const TaskEntry *Entry = m_tasks.find(Task);
-      IsStopInProgress |= Entry && Entry->Phase != StopPhase::None;
+      IsStopInProgress |= Entry && Entry->Phase != StopPhase::None &&
+                          Entry->PhaseSince > LatestBegin;
       if (!Entry || Entry->taskClass() != TaskClass::Batch ||
           !Entry->IsConfirmed || Entry->Phase != StopPhase::None)
         continue;
@@ -159,7 +166,7 @@
            .Cost = 1.0 + static_cast<double>(Entry->Row.evictions())});
     }
     // A stop in progress on any usable worker already frees resources: plan no
-    // eviction on any worker until it completes.
+    // eviction on any worker until it completes or takes too long.
     if (IsStopInProgress)
       return;
     auto Plan =
--- a/src/testing/scheduler_test.cpp
+++ b/src/testing/scheduler_test.cpp
@@ -441,3 +441,28 @@
     checkNoViolations(Bed);
   }
 }
+
+// Guards against one task that does not end after its stop order: no other task
+// of the shard was evicted as long as it ran.
+TEST_CASE("a task that does not stop holds up no other eviction") {
+  TestBed Bed({.Schedulers = 1, .Domains = 1, .WorkersPerDomain = 2});
+  Bed.run(6s);
+  TestJob Heavy{.Name = "heavy",
+                .Shard = "a.0",
+                .Tasks = 2,
+                .Demand = {.Millicores = 7000, .MemoryMib = 9000},
+                .Work = 300s};
+  Bed.submit(Heavy);
+  REQUIRE(Bed.runUntil([&] { return Bed.oracle().starts().size() == 2; }, 10s));
+  Bed.run(3s);
+  for (auto &[Id, Task] : Bed.workers().at("a-w0").tasks())
+    Task.InFlight = 1;
+  TestJob Urgent{.Name = "urgent",
+                 .Shard = "a.0",
+                 .Demand = {.Millicores = 4000, .MemoryMib = 2000},
+                 .Work = 2s,
+                 .Urgent = true};
+  Bed.submit(Urgent);
+  CHECK(Bed.runUntil([&] { return Bed.jobFinished(Urgent); }, 60s));
+  checkNoViolations(Bed);
+}
