Begin no long-running job that takes the room of a lost worker's tasks

What callers saw: after the loss of a worker its long-running tasks didn't run again; their shard had no room, another one had. Cause: a new long-running job was begun as soon as it fitted whole, also on the last cores of a shard; once begun it stays there. Loads are up to a second old, so that several jobs can be sent to one shard while another is empty. Change: while another shard is better by the reports, a long-running job that has not begun is held back, for up to 4 s, if it would leave no room on the other workers for the long-running tasks of the fullest worker. It is then transferred as a job that does not fit (jobshard_begin.cpp, which takes over the check that the job fits whole). Tests: failed before: "A new long-running job leaves room for the tasks of a lost worker if another shard has it" (not all tasks running 9 s after the loss). Why it works: the reserve is one worker's tasks, the usual loss; it is kept only where that costs nothing, since the job has another place. Conclusion: it is a preference. A fleet that is full keeps no such room.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -4,6 +4,7 @@
 /// - jobshard_poll.cpp: polls of workers and their answers;
 /// - jobshard_rank.cpp: waiting tasks and their order;
 /// - jobshard_place.cpp, jobshard_gang.cpp: choice of workers for tasks;
+/// - jobshard_begin.cpp: whether a long-running job begins in this shard;
 /// - jobshard_orders.cpp: start orders and stop orders;
 /// - jobshard_lagging.cpp: runs that are too slow on their worker;
 /// - jobshard_interference.cpp: interference and the pace of fill tasks;
@@ -184,9 +185,17 @@
                 int Position);
   bool placeGang(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
                  int Position);
+  bool shouldWaitForTransfer(const std::vector<PlacementCandidate> &Candidates,
+                             const JobEntry &Entry, int Position);
   bool canStillTransfer(const JobEntry &Entry) const;
-  bool canPlaceWholeStep(const std::vector<PlacementCandidate> &Candidates,
-                         const JobEntry &Entry, int Position);
+  /// Accounts in \p Candidates for all tasks of the step of \p Position.
+  /// Returns their workers, or nothing if not all of them fit.
+  std::optional<std::vector<const WorkerSlot *>>
+  planWholeStep(std::vector<PlacementCandidate> &Candidates,
+                const JobEntry &Entry, int Position);
+  static bool
+  canLoseWorker(std::vector<PlacementCandidate> Candidates, const JobStep &Step,
+                const std::vector<const WorkerSlot *> &PlannedWorkers);
   bool restartRefusedMember(std::vector<PlacementCandidate> &Candidates,
                             JobEntry &Entry, int Position);
   void finishGang(JobEntry &Entry, int Position);
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -20,9 +20,6 @@
 /// Stands for all kinds but those of fill tasks: whether a task that reserves
 /// processors can be placed does not depend on its kind.
 constexpr TaskKind AnyNonFillKind = -1;
-/// A long-running job that does not fit as a whole is started in part once no
-/// other shard is better, or after this time if that is not known.
-constexpr milliseconds PartialStartAfter{4000};
 /// Room is reserved for a task that has waited for this long.
 constexpr milliseconds ReserveRoomAfter{800};
 /// A job that fits no worker is failed only after this time, since the list of
@@ -131,8 +128,7 @@
   });
   if (Positions.empty())
     return 0;
-  if (canStillTransfer(Entry) &&
-      !canPlaceWholeStep(Candidates, Entry, *Positions.begin()))
+  if (shouldWaitForTransfer(Candidates, Entry, *Positions.begin()))
     return 1;
   // All tasks of a step have the same demand: if one cannot be placed, neither
   // can the others.
@@ -210,31 +206,6 @@
           Step.IsFill ? Kind : AnyNonFillKind};
 }
 
-// Returns true if a long-running job may still be transferred to a shard that
-// has room for all of its tasks; a job that has started stays in its shard.
-bool JobShard::Impl::canStillTransfer(const JobEntry &Entry) const {
-  bool HasOtherShards = m_options.ShardCount && m_options.ShardCount() > 1;
-  if (!HasOtherShards || !Entry.Spec.Steps.front().LongRunning ||
-      Entry.hasStarted())
-    return false;
-  bool WasAsked = Entry.ShardSearchAt > Entry.ArrivedAt;
-  return WasAsked ? Entry.HasBetterShard
-                  : m_time.now() < Entry.ArrivedAt + PartialStartAfter;
-}
-
-bool JobShard::Impl::canPlaceWholeStep(
-    const std::vector<PlacementCandidate> &Candidates, const JobEntry &Entry,
-    int Position) {
-  std::vector<PlacementCandidate> TrialCandidates = Candidates;
-  for (int Member : Entry.groupPositions(Position)) {
-    PlacementCandidate *Best = cheapest(TrialCandidates, Entry, Member, {});
-    if (!Best)
-      return false;
-    reserveFor(*Best, Entry, Member);
-  }
-  return true;
-}
-
 bool JobShard::Impl::isLightlyLoaded(
     const std::vector<PlacementCandidate> &Candidates) const {
   int64_t Free = 0;
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -62,6 +62,19 @@
     FAIL_CHECK(Violation);
 }
 
+/// Returns an id with \p Prefix whose job is sent to \p Shard of two shards
+/// with equal loads.
+std::string idForShard(const std::string &Prefix, int Shard) {
+  ShardLoad Load{.CapacityMillicores = 24000};
+  std::vector<ShardCandidate> Equal{{.Shard = 0, .Load = Load},
+                                    {.Shard = 1, .Load = Load}};
+  for (int Number = 0;; ++Number) {
+    std::string Id = Prefix + std::to_string(Number);
+    if (chooseShard(Equal, demandOf(longJob(Id, 1))) == Shard)
+      return Id;
+  }
+}
+
 } // namespace
 
 // Guards against a failed long-running task that loses its room to jobs that
@@ -147,3 +160,22 @@
   CHECK(allRunWithin(Bed, 5, 4s));
   checkNoViolations(Bed);
 }
+
+// Guards against a shard that new long-running jobs fill to the last core while
+// another shard has room: when it loses a worker, the tasks of the begun jobs
+// have no room and cannot move.
+TEST_CASE("A new long-running job leaves room for the tasks of a lost worker "
+          "if another shard has it") {
+  JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(6s);
+  std::string First = idForShard("first-", 0);
+  std::string Second = idForShard("second-", 0);
+  // Through two hosts, none of which knows yet what the other has sent.
+  CHECK(Bed.submit(0, longJob(First, 4)).has_value());
+  CHECK(Bed.submit(1, longJob(Second, 2)).has_value());
+  REQUIRE(allRunWithin(Bed, 6, 4s));
+  Bed.run(4s);
+  loseWorker(Bed, workerOf(Bed, taskOf(First)));
+  CHECK(allRunWithin(Bed, 6, RestartBound));
+  checkNoViolations(Bed);
+}
