--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -90,6 +90,12 @@
   uint64_t Transfers = 0;
   /// Orders that set the pace of a fill task.
   uint64_t PaceOrders = 0;
+  /// Workers for whose answer ready tasks wait after the takeover, and the
+  /// number of these tasks; updated each second.
+  uint64_t TakeoverSilentWorkers = 0;
+  uint64_t TasksHeldBack = 0;
+  /// Takeovers of shards by this process; only set in sums over shards.
+  uint64_t Takeovers = 0;
 };
 
 /// Runs the jobs of one shard on the shard's workers.
@@ -133,9 +139,9 @@
   /// Returns true once all rows are read.
   bool isLoaded() const;
   uint64_t epoch() const;
-  /// Returns true once all rows are read and every worker was polled, or the
-  /// runs that the previous owner started have ended by
-  /// Options.PreviousRunsTimeout.
+  /// Returns true once all rows are read and no task waits for the end of a run
+  /// that a previous owner may have started: every worker was polled, or these
+  /// runs have ended by Options.PreviousRunsTimeout.
   bool isTakeoverComplete() const;
   /// Returns true once a newer owner was detected; no more orders are sent.
   bool hasLostOwnership() const;
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -1,6 +1,7 @@
 /// \file
 /// Implementation of JobShard, by source file:
 /// - jobshard.cpp: reading, following and committing rows;
+/// - jobshard_takeover.cpp: what previous owners may have left running;
 /// - jobshard_poll.cpp: polls of workers and their answers;
 /// - jobshard_rank.cpp: waiting tasks and their order;
 /// - jobshard_place.cpp, jobshard_gang.cpp: choice of workers for tasks;
@@ -15,6 +16,7 @@
 #include "basilchute/jobshard.h"
 #include "libbasilchute/jobentry.h"
 #include "libbasilchute/orderwindow.h"
+#include "libbasilchute/previousruns.h"
 #include "libbasilchute/workerslot.h"
 
 #include <set>
@@ -121,22 +123,35 @@
   JobEntry *find(const std::string &Id);
   const JobQueue *queueOf(const JobEntry &Entry) const;
   bool canSendOrders() const;
-  /// Returns true if the job arrived after the takeover, so that no previous
-  /// owner has started a task of the job. The epoch cannot show this, since an
-  /// owner may lose a shard and take it over again.
-  bool arrivedAfterTakeover(const JobEntry &Entry) const {
-    return Entry.JobVersion > m_loadVersion;
-  }
   bool canStart(JobEntry &Entry) const;
-  /// Returns the time by which every run that a previous owner started has
+
+  // Takeover from the previous owner.
+  /// Returns the time by which every run that any previous owner started has
   /// ended.
   TimePoint previousRunsEndAt() const {
     return m_takeoverTime + m_options.PreviousRunsTimeout;
   }
+  /// Returns true if a run that a previous owner started may be on a worker
+  /// that has not answered yet: of the task, or of any member of its gang.
+  bool mayHavePreviousRun(const JobEntry &Entry, int Position) const;
+  /// Returns true if any task of the job may have such a run.
+  bool mayHavePreviousRuns(const JobEntry &Entry) const;
+  void initPreviousRuns();
+  /// Returns true if the list of workers is newer than the takeover. An older
+  /// one may lack workers that the previous owner used.
+  bool isFleetComplete() const {
+    return !m_options.FleetTime || m_options.FleetTime() >= m_takeoverTime;
+  }
+  /// Returns true once every worker has answered a poll or missed one.
+  bool wereAllWorkersPolled() const;
+  /// Returns the number of ready tasks that wait for the end of previous runs.
+  size_t countHeldBackTasks() const;
+  void logTakeover();
 
   // Polls of workers and their answers.
   void pollWorkers();
   void poll(WorkerSlot &Slot);
+  bool canExtendLeases(const WorkerSlot &Slot) const;
   milliseconds pollWaitFor(const WorkerSlot &Slot) const;
   void onPoll(const std::string &Worker, TimePoint Sent,
               Result<PollReply> Answer);
@@ -152,6 +167,7 @@
                           TimePoint Sent);
   bool hasLeaseExpired(const WorkerSlot &Slot) const;
   void releaseAllRuns(WorkerSlot &Slot, std::string_view Why);
+  void loseIncarnation(WorkerSlot &Slot, std::string_view Why);
   void releaseRun(WorkerSlot &Slot, const RunKey &Key, std::string_view Why);
   void removeUnlistedWorkers();
 
@@ -313,6 +329,11 @@
   bool m_isLightlyLoaded = false;
   /// Time of the takeover.
   TimePoint m_takeoverTime;
+  /// Runs that previous owners may have left.
+  PreviousRuns m_previousRuns;
+  /// True once the end of the wait for previous runs was logged.
+  bool m_isTakeoverLogged = false;
+  TimePoint m_nextTakeoverLog{};
 };
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -7,11 +7,21 @@
 
 namespace {
 
+/// Delay before a poll is repeated that was not answered. The first ones are
+/// repeated quickly, since a takeover waits for them.
 constexpr milliseconds MissedPollRetryDelay{250};
+constexpr int MaxQuickRetries = 8;
+/// Delay after more unanswered polls: a worker that answers again is seen
+/// within about this time.
+constexpr milliseconds SlowPollRetryDelay{1000};
 constexpr milliseconds UnstoredPollInterval{300};
 /// Upper bound on the ratio of this host's clock rate to a worker's.
 constexpr double MaxClockRateRatio = 1.03;
 constexpr milliseconds LeaseMargin{150};
+/// Time for which leases on a worker are extended that has left the list. With
+/// the lease, and the time by which hosts see the list differently, it is
+/// shorter than the time for which JobHost remembers the worker.
+constexpr milliseconds MaxUnlistedExtension{2000};
 /// Delay before a failed task is started again.
 constexpr milliseconds FailedRestartDelay{20};
 /// Consecutive failed runs after which no tasks are started on a worker for
@@ -71,6 +81,16 @@
   return Wait;
 }
 
+// A poll without an answer may still have extended the leases. Until a poll is
+// answered, further polls do not extend them, so that the leases on an
+// unresponsive worker expire. The next owner does not know a worker that left
+// the list long ago, so that no run may be left on it by then.
+bool JobShard::Impl::canExtendLeases(const WorkerSlot &Slot) const {
+  bool IsKnown =
+      Slot.IsListed || m_time.now() < Slot.UnlistedSince + MaxUnlistedExtension;
+  return IsKnown && Slot.IsFenced && Slot.MissedPolls == 0;
+}
+
 void JobShard::Impl::poll(WorkerSlot &Slot) {
   TimePoint Now = m_time.now();
   PollOrder Order{.Epoch = m_options.Epoch, .Wait = pollWaitFor(Slot)};
@@ -78,10 +98,7 @@
   // its completions from 1 again, so none of them may be acknowledged.
   if (Slot.MissedPolls == 0)
     Order.AcknowledgedCompletions = Slot.LastStoredCompletion;
-  // A poll without an answer may still have extended the leases. Until a poll
-  // is answered, further polls do not extend them, so that the leases on an
-  // unresponsive worker expire.
-  if (Slot.IsFenced && Slot.MissedPolls == 0) {
+  if (canExtendLeases(Slot)) {
     Order.LeaseUntil = Slot.clockAt(Now) + m_options.Lease;
     Slot.LeaseEnd =
         std::max(Slot.LeaseEnd, Now + maxLocalDuration(m_options.Lease));
@@ -110,8 +127,7 @@
   PollReply &Reply = Answer.value();
   TimePoint Now = m_time.now();
   if (Slot.Incarnation.count() != 0 && Reply.Incarnation != Slot.Incarnation) {
-    releaseAllRuns(Slot, "worker_reborn");
-    Slot.resetIncarnation();
+    loseIncarnation(Slot, "worker_reborn");
   }
   Slot.Incarnation = Reply.Incarnation;
   Slot.setClock(Reply.Clock, Now);
@@ -119,6 +135,7 @@
   Slot.MissedPolls = 0;
   bool IsFirstPoll = !Slot.IsFenced;
   Slot.IsFenced = true;
+  m_previousRuns.resolve(Worker);
   std::sort(Reply.Completions.begin(), Reply.Completions.end(),
             [](const Completion &A, const Completion &B) {
               return A.Number < B.Number;
@@ -150,16 +167,21 @@
         fmt::format("worker={} shard={} result={} message=\"{}\"",
                     Slot.Entry.Id, m_options.Shard, resultCodeName(Why.Code),
                     Why.Message));
-  Slot.NextPollAt = Now + MissedPollRetryDelay;
+  Slot.NextPollAt =
+      Now + (Slot.MissedPolls <= MaxQuickRetries ? MissedPollRetryDelay
+                                                 : SlowPollRetryDelay);
   // Another incarnation answers at this address; the runs of the previous one
   // are gone.
   if (Why.Code == ResultCode::WrongIncarnation) {
-    releaseAllRuns(Slot, "worker_replaced");
-    Slot.resetIncarnation();
+    loseIncarnation(Slot, "worker_replaced");
+    m_previousRuns.resolve(Slot.Entry.Id);
     return;
   }
   // A worker that was draining and has left the list has ended all its runs.
   bool HasLeft = Slot.Entry.IsDraining && !Slot.IsListed;
+  if (HasLeft)
+    for (const auto &[Key, Run] : Slot.Runs)
+      m_previousRuns.clearFound(Key.first);
   if (HasLeft || hasLeaseExpired(Slot))
     releaseAllRuns(Slot, HasLeft ? "worker_left" : "lease_over");
 }
@@ -182,6 +204,15 @@
     releaseRun(Slot, Key, Why);
 }
 
+// A previous owner can see too that the incarnation is gone, and may start its
+// tasks again on a worker that has not answered this owner yet.
+void JobShard::Impl::loseIncarnation(WorkerSlot &Slot, std::string_view Why) {
+  for (const auto &[Key, Run] : Slot.Runs)
+    m_previousRuns.clearFound(Key.first);
+  releaseAllRuns(Slot, Why);
+  Slot.resetIncarnation();
+}
+
 void JobShard::Impl::releaseRun(WorkerSlot &Slot, const RunKey &Key,
                                 std::string_view Why) {
   RunPhase Phase = Slot.Runs.at(Key).Phase;
@@ -361,6 +392,10 @@
     const JobStep &Step = Entry->stepOf(Position);
     Reservation.Reserved = Step.reservation();
     Reservation.LongRunning = Step.LongRunning;
+    // A failed run of another task, on a worker that has not answered yet, may
+    // still count as an attempt.
+    if (Step.LongRunning)
+      m_previousRuns.setFound(Run.Task);
     Reservation.FullPaceMillicores = Step.IsFill ? Step.Demand.Millicores : 0;
     Reservation.TailTarget = Step.TailTarget;
     Reservation.Kind = Entry->Kinds[static_cast<size_t>(Run.Task.Step)];
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -1,5 +1,7 @@
 #include "libbasilchute/jobshard_impl.h"
 
+#include "basilchute/limits.h"
+
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
@@ -39,9 +41,10 @@
     return 0;
   auto Chain = std::chrono::duration_cast<milliseconds>(
       std::max(Entry.criticalPath(), MinChain) * LongestTaskFactor);
-  auto Objective =
+  auto Objective = std::min(
       std::chrono::duration_cast<milliseconds>(Chain * Queue->SlackFactor) +
-      Queue->TargetDuration;
+          Queue->TargetDuration,
+      MaxDuration);
   auto AgeAtEnd =
       m_time.now() - Entry.ArrivedAt + Entry.remainingCriticalPath();
   if (AgeAtEnd < Objective)
@@ -109,7 +112,9 @@
   Task.LastRunNeverBegan = false;
   Task.EarliestStart = m_time.now() + Delay;
   Task.WaitingSince = m_time.now();
-  if (!isFinal(Entry.State))
+  // A task of a job that may have been transferred is queued once the transfer
+  // has certainly failed.
+  if (!isFinal(Entry.State) && !Entry.IsTransferring)
     m_waiting[Entry.Spec.Id].insert(Position);
 }
 
@@ -167,15 +172,18 @@
     RunsOverTarget += Slot.runsOverTarget();
   }
   log("shard_state",
-      fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
-                  "free_gib={} most_gib={} waiting_short={} waiting_long={} "
-                  "waiting_fill={} fill_cores={} over_target={} {} {}",
-                  m_options.Shard, m_slots.size(), Candidates.size(),
-                  Free.Millicores / 1000, Largest.Millicores / 1000,
-                  Free.MemoryMib / 1024, Largest.MemoryMib / 1024,
-                  WaitingTasks[0], WaitingTasks[1], WaitingTasks[2],
-                  FillMillicores / 1000, RunsOverTarget,
-                  fillWaitReasons(Candidates), placementFields()));
+      fmt::format(
+          "shard={} workers={} usable={} free_cores={} most_cores={} "
+          "free_gib={} most_gib={} waiting_short={} waiting_long={} "
+          "waiting_fill={} held_back={} fill_cores={} over_target={} {} "
+          "{}",
+          m_options.Shard, m_slots.size(), Candidates.size(),
+          Free.Millicores / 1000, Largest.Millicores / 1000,
+          Free.MemoryMib / 1024, Largest.MemoryMib / 1024, WaitingTasks[0],
+          WaitingTasks[1], WaitingTasks[2],
+          isTakeoverComplete() ? 0 : countHeldBackTasks(),
+          FillMillicores / 1000, RunsOverTarget, fillWaitReasons(Candidates),
+          placementFields()));
 }
 
 // Reports how the rounds since the last log line ended, and the mean round-trip
