--- a/src/libbasilchute/handover.cpp
+++ b/src/libbasilchute/handover.cpp
@@ -15,6 +15,9 @@
 constexpr size_t RowFillBytes = MaxRowBytes / 2;
 /// Maximum number of tasks of one job in one list; longer lists are divided.
 constexpr int MaxTasksPerList = 500;
+/// No run lasts longer without an owner: an upper bound on every lease and on
+/// every horizon.
+constexpr milliseconds MaxRemaining{600000};
 /// Maximum number of rows of one record.
 constexpr size_t MaxRows = MaxCommitBytes / MaxRowBytes;
 
@@ -76,6 +79,19 @@
   size_t m_size = 0;
 };
 
+bool isTimeValid(int64_t Milliseconds) {
+  return Milliseconds >= 0 && Milliseconds <= MaxRemaining.count();
+}
+
+bool isRowValid(const v1::StoredHandover &Row, size_t Rows) {
+  return Row.rows() == static_cast<int>(Rows) &&
+         isTimeValid(Row.unknown_ms()) &&
+         std::all_of(Row.workers().begin(), Row.workers().end(),
+                     [](const v1::StoredWorkerRuns &Runs) {
+                       return isTimeValid(Runs.remaining_ms());
+                     });
+}
+
 } // namespace
 
 RowAddress handoverAddress(int Shard, size_t Index) {
@@ -105,8 +121,7 @@
   HandoverRecord Out;
   for (const std::string &Row : Rows) {
     v1::StoredHandover From;
-    if (!From.ParseFromString(Row) ||
-        From.rows() != static_cast<int>(Rows.size()))
+    if (!From.ParseFromString(Row) || !isRowValid(From, Rows.size()))
       return makeError(ResultCode::InvalidArgument,
                        "the rows are not a complete handover record");
     if (From.unknown_ms() > 0) {
--- a/src/libbasilchute/handover_test.cpp
+++ b/src/libbasilchute/handover_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <limits>
 
 using namespace basilchute;
 
@@ -81,6 +82,29 @@
   CHECK_FALSE(decodeHandover({"not a record"}).has_value());
 }
 
+// Guards against an overflow, and against a wait without an end.
+TEST_CASE("A handover record with an impossible time is refused") {
+  for (int64_t Time : {int64_t(-1), std::numeric_limits<int64_t>::max()}) {
+    HandoverRecord Record = recordOf(1, 1, 1);
+    Record.UnknownRemaining = milliseconds(Time);
+    CHECK_FALSE(decodeHandover(encodeHandover(Record)).has_value());
+    Record = recordOf(1, 1, 1);
+    Record.Workers.begin()->second.Remaining = milliseconds(Time);
+    CHECK_FALSE(decodeHandover(encodeHandover(Record)).has_value());
+  }
+}
+
+// Ids come from callers and workers and need not be text.
+TEST_CASE("A handover record keeps ids that are not valid UTF-8") {
+  HandoverRecord Record;
+  Record.Workers["w\xff"].Tasks.insert({.Job = "j\xfe"});
+  Record.UnknownRemaining = milliseconds(1);
+  Record.ResolvedWorkers = {"w\xfd"};
+  Result<HandoverRecord> Read = decodeHandover(encodeHandover(Record));
+  REQUIRE(Read.has_value());
+  checkSame(Read.value(), Record);
+}
+
 TEST_CASE("A handover record that does not fit into a commit has no rows") {
   CHECK(encodeHandover(recordOf(400, 400, 1)).empty());
 }
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -176,6 +176,12 @@
                     Row.Address.Key, Spec.error().Message));
     return;
   }
+  if (Spec.value().Id != Id) {
+    log("bad_row", fmt::format("table={} key={} message=\"the row names "
+                               "another job\"",
+                               Row.Address.Table, Row.Address.Key));
+    return;
+  }
   auto Stored = m_loadedProgress.find(Id);
   if (Stored != m_loadedProgress.end())
     addStored(Spec.value(), Stored->second);
@@ -431,8 +437,11 @@
 void JobShard::Impl::setWorkers(std::vector<WorkerEntry> Own,
                                 std::vector<WorkerEntry> Fleet) {
   m_fleet = std::move(Fleet);
-  for (auto &[Id, Slot] : m_slots)
+  for (auto &[Id, Slot] : m_slots) {
+    if (Slot.IsListed)
+      Slot.UnlistedSince = m_time.now();
     Slot.IsListed = false;
+  }
   for (WorkerEntry &Worker : Own) {
     auto [It, Added] = m_slots.try_emplace(Worker.Id, Worker);
     WorkerSlot &Slot = It->second;
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -5,6 +5,7 @@
 /// - jobshard_poll.cpp: polls of workers and their answers;
 /// - jobshard_rank.cpp: waiting tasks and their order;
 /// - jobshard_place.cpp, jobshard_gang.cpp: choice of workers for tasks;
+/// - jobshard_begin.cpp: whether a long-running job begins in this shard;
 /// - jobshard_orders.cpp: start orders and stop orders;
 /// - jobshard_lagging.cpp: runs that are too slow on their worker;
 /// - jobshard_interference.cpp: interference and the pace of fill tasks;
@@ -59,11 +60,14 @@
   }
 
 private:
-  /// Sort key of waiting jobs, lowest first: kind of job (long-running and
-  /// waited long, short, long-running, fill), lateness, priority, started jobs
-  /// before others, and last the negative worth per unit of remaining work for
-  /// started jobs or the age for others.
+  /// Sort key of waiting jobs, lowest first: kind of tasks (restarts of
+  /// long-running tasks, long-running and waited long, short, long-running,
+  /// fill), lateness, priority, started jobs before others, and last the
+  /// negative worth per unit of remaining work for started jobs or the age for
+  /// others.
   using Rank = std::tuple<int, int, int, int, double>;
+  /// Which of the waiting tasks of a job are placed.
+  enum class WaitingTasks { Restarts, Others };
   using Slots = std::map<std::string, WorkerSlot>;
   /// A worker that can take tasks in a round, with the effects of the tasks
   /// that were placed on it in the round.
@@ -156,6 +160,7 @@
   // Polls of workers and their answers.
   void pollWorkers();
   void poll(WorkerSlot &Slot);
+  bool canExtendLeases(const WorkerSlot &Slot) const;
   milliseconds pollWaitFor(const WorkerSlot &Slot) const;
   void onPoll(const std::string &Worker, TimePoint Sent,
               Result<PollReply> Answer);
@@ -182,10 +187,14 @@
 
   // Placement and orders.
   void place();
-  /// Places as many waiting tasks of one job as possible. Returns the number of
-  /// steps with a task that could not be placed.
-  size_t placeJob(JobEntry &Entry, std::vector<PlacementCandidate> &Candidates,
+  std::vector<std::tuple<Rank, std::string, WaitingTasks>> rankedJobs();
+  /// Places as many of the chosen waiting tasks of one job as possible. Returns
+  /// the number of steps with a task that could not be placed.
+  size_t placeJob(JobEntry &Entry, WaitingTasks Which,
+                  std::vector<PlacementCandidate> &Candidates,
                   Rejections &Rejected);
+  void holdRoomUntilDue(std::vector<PlacementCandidate> &Candidates,
+                        const JobEntry &Entry, int Position);
   bool matchesRejection(const Rejections &Rejected, const JobEntry &Entry,
                         int Position) const;
   void recordRejection(Rejections &Rejected, const JobEntry &Entry,
@@ -197,9 +206,17 @@
                 int Position);
   bool placeGang(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
                  int Position);
+  bool shouldWaitForTransfer(const std::vector<PlacementCandidate> &Candidates,
+                             const JobEntry &Entry, int Position);
   bool canStillTransfer(const JobEntry &Entry) const;
-  bool canPlaceWholeStep(const std::vector<PlacementCandidate> &Candidates,
-                         const JobEntry &Entry, int Position);
+  /// Accounts in \p Candidates for all tasks of the step of \p Position.
+  /// Returns their workers, or nothing if not all of them fit.
+  std::optional<std::vector<const WorkerSlot *>>
+  planWholeStep(std::vector<PlacementCandidate> &Candidates,
+                const JobEntry &Entry, int Position);
+  static bool
+  canLoseWorker(std::vector<PlacementCandidate> Candidates, const JobStep &Step,
+                const std::vector<const WorkerSlot *> &PlannedWorkers);
   bool restartRefusedMember(std::vector<PlacementCandidate> &Candidates,
                             JobEntry &Entry, int Position);
   void finishGang(JobEntry &Entry, int Position);
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -14,12 +14,12 @@
 constexpr milliseconds UnsuccessfulRoundInterval{45};
 /// Number of steps that could not be placed after which a round ends.
 constexpr size_t MaxUnplacedSteps = 40;
+/// Restarts of long-running tasks come before all other tasks: the room that
+/// they left was theirs.
+constexpr std::tuple<int, int, int, int, double> RestartRank{-2, 0, 0, 0, 0};
 /// Stands for all kinds but those of fill tasks: whether a task that reserves
 /// processors can be placed does not depend on its kind.
 constexpr TaskKind AnyNonFillKind = -1;
-/// A long-running job that does not fit as a whole is started in part once no
-/// other shard is better, or after this time if that is not known.
-constexpr milliseconds PartialStartAfter{4000};
 /// Room is reserved for a task that has waited for this long.
 constexpr milliseconds ReserveRoomAfter{800};
 /// A job that fits no worker is failed only after this time, since the list of
@@ -60,21 +60,10 @@
   uint64_t StartsBefore = m_counts.Starts;
   std::vector<PlacementCandidate> Candidates = placementCandidates();
   m_isLightlyLoaded = isLightlyLoaded(Candidates);
-  std::vector<std::pair<Rank, std::string>> Jobs;
-  for (const auto &[Id, Positions] : m_waiting) {
-    JobEntry &Entry = *find(Id);
-    bool IsHeldBack =
-        std::all_of(Positions.begin(), Positions.end(), [&](int Position) {
-          return mayHavePreviousRun(Entry, Position);
-        });
-    if (!IsHeldBack && canStart(Entry))
-      Jobs.push_back({rankOf(Entry), Id});
-  }
-  std::sort(Jobs.begin(), Jobs.end());
   size_t UnplacedSteps = 0;
   Rejections Rejected;
-  for (const auto &[JobRank, Id] : Jobs) {
-    UnplacedSteps += placeJob(*find(Id), Candidates, Rejected);
+  for (const auto &[JobRank, Id, Which] : rankedJobs()) {
+    UnplacedSteps += placeJob(*find(Id), Which, Candidates, Rejected);
     if (UnplacedSteps >= MaxUnplacedSteps || !m_startWindow.isOpen())
       break;
   }
@@ -90,6 +79,33 @@
     m_nextRound = Now + UnsuccessfulRoundInterval;
 }
 
+// Returns the waiting jobs that may be started, in the order of their
+// placement. A job with restarts appears twice if it also has other waiting
+// tasks.
+std::vector<
+    std::tuple<JobShard::Impl::Rank, std::string, JobShard::Impl::WaitingTasks>>
+JobShard::Impl::rankedJobs() {
+  std::vector<std::tuple<Rank, std::string, WaitingTasks>> Out;
+  for (const auto &[Id, Positions] : m_waiting) {
+    JobEntry &Entry = *find(Id);
+    if (!canStart(Entry))
+      continue;
+    size_t Restarts = 0;
+    size_t Others = 0;
+    for (int Position : Positions) {
+      if (mayHavePreviousRun(Entry, Position))
+        continue;
+      ++(Entry.isRestart(Position) ? Restarts : Others);
+    }
+    if (Restarts > 0)
+      Out.push_back({RestartRank, Id, WaitingTasks::Restarts});
+    if (Others > 0)
+      Out.push_back({rankOf(Entry), Id, WaitingTasks::Others});
+  }
+  std::sort(Out.begin(), Out.end());
+  return Out;
+}
+
 bool JobShard::Impl::canStart(JobEntry &Entry) const {
   if (!Entry.IsOwnershipCertain)
     Entry.IsOwnershipCertain =
@@ -97,16 +113,23 @@
   return Entry.IsOwnershipCertain;
 }
 
-size_t JobShard::Impl::placeJob(JobEntry &Entry,
+size_t JobShard::Impl::placeJob(JobEntry &Entry, WaitingTasks Which,
                                 std::vector<PlacementCandidate> &Candidates,
                                 Rejections &Rejected) {
   TimePoint Now = m_time.now();
   milliseconds WallTime =
       m_options.WallTime ? m_options.WallTime() : milliseconds(0);
   const std::string &Id = Entry.Spec.Id;
-  std::set<int> Positions = m_waiting[Id];
-  if (canStillTransfer(Entry) &&
-      !canPlaceWholeStep(Candidates, Entry, *Positions.begin()))
+  auto Waiting = m_waiting.find(Id);
+  if (Waiting == m_waiting.end())
+    return 0;
+  std::set<int> Positions = Waiting->second;
+  std::erase_if(Positions, [&](int Position) {
+    return Entry.isRestart(Position) != (Which == WaitingTasks::Restarts);
+  });
+  if (Positions.empty())
+    return 0;
+  if (shouldWaitForTransfer(Candidates, Entry, *Positions.begin()))
     return 1;
   // All tasks of a step have the same demand: if one cannot be placed, neither
   // can the others.
@@ -119,6 +142,8 @@
       break;
     if (!m_waiting.count(Id) || !m_waiting[Id].count(Position))
       continue;
+    if (Task.EarliestStart > Now && Which == WaitingTasks::Restarts)
+      holdRoomUntilDue(Candidates, Entry, Position);
     if (Task.EarliestStart > Now || SkippedSteps.count(StepIndex) ||
         Entry.dueAt(Position) > WallTime || mayHavePreviousRun(Entry, Position))
       continue;
@@ -138,7 +163,8 @@
     }
     ++UnplacedSteps;
     recordRejection(Rejected, Entry, Position);
-    if (Now > Task.WaitingSince + ReserveRoomAfter)
+    if (Which == WaitingTasks::Restarts ||
+        Now > Task.WaitingSince + ReserveRoomAfter)
       reserveCapacity(Candidates, Entry, Position);
   }
   return UnplacedSteps;
@@ -181,31 +207,6 @@
           Step.IsFill ? Kind : AnyNonFillKind};
 }
 
-// Returns true if a long-running job may still be transferred to a shard that
-// has room for all of its tasks; a job that has started stays in its shard.
-bool JobShard::Impl::canStillTransfer(const JobEntry &Entry) const {
-  bool HasOtherShards = m_options.ShardCount && m_options.ShardCount() > 1;
-  if (!HasOtherShards || !Entry.Spec.Steps.front().LongRunning ||
-      Entry.hasStarted())
-    return false;
-  bool WasAsked = Entry.ShardSearchAt > Entry.ArrivedAt;
-  return WasAsked ? Entry.HasBetterShard
-                  : m_time.now() < Entry.ArrivedAt + PartialStartAfter;
-}
-
-bool JobShard::Impl::canPlaceWholeStep(
-    const std::vector<PlacementCandidate> &Candidates, const JobEntry &Entry,
-    int Position) {
-  std::vector<PlacementCandidate> TrialCandidates = Candidates;
-  for (int Member : Entry.groupPositions(Position)) {
-    PlacementCandidate *Best = cheapest(TrialCandidates, Entry, Member, {});
-    if (!Best)
-      return false;
-    reserveFor(*Best, Entry, Member);
-  }
-  return true;
-}
-
 bool JobShard::Impl::isLightlyLoaded(
     const std::vector<PlacementCandidate> &Candidates) const {
   int64_t Free = 0;
@@ -241,6 +242,15 @@
   return Candidates;
 }
 
+// Keeps room for a restart that is not due yet, so that the room that its run
+// has left is not given to other tasks in the meantime.
+void JobShard::Impl::holdRoomUntilDue(
+    std::vector<PlacementCandidate> &Candidates, const JobEntry &Entry,
+    int Position) {
+  if (PlacementCandidate *Best = cheapest(Candidates, Entry, Position, {}))
+    reserveFor(*Best, Entry, Position);
+}
+
 bool JobShard::Impl::placeOne(std::vector<PlacementCandidate> &Candidates,
                               JobEntry &Entry, int Position) {
   PlacementCandidate *Best = cheapest(Candidates, Entry, Position, {});
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -7,8 +7,18 @@
 
 namespace {
 
+/// Delay before a poll is repeated that was not answered. The first ones are
+/// repeated quickly, since a takeover waits for them.
 constexpr milliseconds MissedPollRetryDelay{250};
+constexpr int MaxQuickRetries = 8;
+/// Delay after more unanswered polls: a worker that answers again is seen
+/// within about this time.
+constexpr milliseconds SlowPollRetryDelay{1000};
 constexpr milliseconds UnstoredPollInterval{300};
+/// Time for which leases on a worker are extended that has left the list. With
+/// the lease, and the time by which hosts see the list differently, it is
+/// shorter than the time for which JobHost remembers the worker.
+constexpr milliseconds MaxUnlistedExtension{2000};
 /// Delay before a failed task is started again.
 constexpr milliseconds FailedRestartDelay{20};
 /// Consecutive failed runs after which no tasks are started on a worker for
@@ -61,6 +71,16 @@
   return Wait;
 }
 
+// A poll without an answer may still have extended the leases. Until a poll is
+// answered, further polls do not extend them, so that the leases on an
+// unresponsive worker expire. The next owner does not know a worker that left
+// the list long ago, so that no run may be left on it by then.
+bool JobShard::Impl::canExtendLeases(const WorkerSlot &Slot) const {
+  bool IsKnown =
+      Slot.IsListed || m_time.now() < Slot.UnlistedSince + MaxUnlistedExtension;
+  return IsKnown && Slot.IsFenced && Slot.MissedPolls == 0;
+}
+
 void JobShard::Impl::poll(WorkerSlot &Slot) {
   TimePoint Now = m_time.now();
   PollOrder Order{.Epoch = m_options.Epoch, .Wait = pollWaitFor(Slot)};
@@ -68,10 +88,7 @@
   // its completions from 1 again, so none of them may be acknowledged.
   if (Slot.MissedPolls == 0)
     Order.AcknowledgedCompletions = Slot.LastStoredCompletion;
-  // A poll without an answer may still have extended the leases. Until a poll
-  // is answered, further polls do not extend them, so that the leases on an
-  // unresponsive worker expire.
-  if (Slot.IsFenced && Slot.MissedPolls == 0) {
+  if (canExtendLeases(Slot)) {
     Order.LeaseUntil = Slot.clockAt(Now) + m_options.Lease;
     Slot.LeaseEnd =
         std::max(Slot.LeaseEnd, Now + maxLocalDuration(m_options.Lease));
@@ -144,7 +161,9 @@
         fmt::format("worker={} shard={} result={} message=\"{}\"",
                     Slot.Entry.Id, m_options.Shard, resultCodeName(Why.Code),
                     Why.Message));
-  Slot.NextPollAt = Now + MissedPollRetryDelay;
+  Slot.NextPollAt =
+      Now + (Slot.MissedPolls <= MaxQuickRetries ? MissedPollRetryDelay
+                                                 : SlowPollRetryDelay);
   // Another incarnation answers at this address; the runs of the previous one
   // are gone.
   if (Why.Code == ResultCode::WrongIncarnation) {
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -1,5 +1,7 @@
 #include "libbasilchute/jobshard_impl.h"
 
+#include "basilchute/limits.h"
+
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
@@ -39,9 +41,10 @@
     return 0;
   auto Chain = std::chrono::duration_cast<milliseconds>(
       std::max(Entry.criticalPath(), MinChain) * LongestTaskFactor);
-  auto Objective =
+  auto Objective = std::min(
       std::chrono::duration_cast<milliseconds>(Chain * Queue->SlackFactor) +
-      Queue->TargetDuration;
+          Queue->TargetDuration,
+      MaxDuration);
   auto AgeAtEnd =
       m_time.now() - Entry.ArrivedAt + Entry.remainingCriticalPath();
   if (AgeAtEnd < Objective)
@@ -66,9 +69,10 @@
   int Priority = Queue ? Queue->Priority : 0;
   // A short task yields more per core than a long-running one and releases the
   // core soon. A long-running task that has waited long goes first, so that it
-  // does not starve.
+  // does not starve. Tasks of begun jobs cannot move to another shard.
   if (FirstStep.LongRunning)
-    return {hasWaitedLong(Entry) ? -1 : 1, 0, Priority, 0, 0};
+    return {hasWaitedLong(Entry) ? -1 : 1, Entry.hasStarted() ? 0 : 1, Priority,
+            0, 0};
   int KindRank = FirstStep.IsFill ? 2 : 0;
   // Under overload not all jobs can end in time. Started jobs are finished
   // first, then the youngest, which are the most likely to end in time. This
