Release the runs of a departed worker only when they have certainly ended

Seen: tasks that ran twice. A worker that was draining and is cut off from the store and its owner leaves the list, since an entry also goes after three silent heartbeats, and goes on running its tasks. Its owner released them at the first missed poll.

Such a run is now over when another incarnation answers at the address, or when its lease is over. A refused connection is not used: the port does not tell it from other failures to connect, and nothing here has shown what a cut looks like from the other side.

--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -171,13 +171,10 @@
     m_previousRuns.resolve(Slot.Entry.Id);
     return;
   }
-  // A worker that was draining and has left the list has ended all its runs.
-  bool HasLeft = Slot.Entry.IsDraining && !Slot.IsListed;
-  if (HasLeft)
-    for (const auto &[Key, Run] : Slot.Runs)
-      m_previousRuns.clearFound(Key.first);
-  if (HasLeft || hasLeaseExpired(Slot))
-    releaseAllRuns(Slot, HasLeft ? "worker_left" : "lease_over");
+  // A worker can be missing from the list because it is cut off, also if it was
+  // draining, and still run its tasks.
+  if (hasLeaseExpired(Slot))
+    releaseAllRuns(Slot, "lease_over");
 }
 
 // An owner that may have lost the shard must not conclude that the leases have
