Report long-running tasks that wait in a full shard

What on-call saw: nothing told that a task of a begun job waited because its shard was full while another shard had room. Tests: "Long-running tasks that find no room are counted once each", "The shard with the largest room is found only if the task fits". Both are new; there was no counter.

--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -58,6 +58,9 @@
   /// Returns the shard where a job that waits in this shard would wait less, -1
   /// for none.
   std::function<int(const Job &)> ChooseTransferTarget;
+  /// Returns another shard where one worker has room for the largest task of
+  /// the job, -1 for none.
+  std::function<int(const Job &)> FindShardWithRoom;
   /// Returns the number of shards.
   std::function<int()> ShardCount;
   /// Logs one decision: the event's name and its key=value fields.
@@ -88,6 +91,9 @@
   uint64_t RoundsAtStepLimit = 0;
   /// Jobs that were transferred to another shard.
   uint64_t Transfers = 0;
+  /// Long-running tasks of started jobs that waited longer than expected for
+  /// room in the shard.
+  uint64_t LongTaskWaits = 0;
   /// Orders that set the pace of a fill task.
   uint64_t PaceOrders = 0;
 };
--- a/src/include/basilchute/shardchoice.h
+++ b/src/include/basilchute/shardchoice.h
@@ -86,4 +86,9 @@
                          std::vector<ShardCandidate> Others,
                          const ShardDemand &Demand);
 
+/// Returns the candidate with the largest room on one worker that long-running
+/// tasks leave, if that takes the largest task of \p Demand; otherwise -1.
+int shardWithRoom(const std::vector<ShardCandidate> &Candidates,
+                  const ShardDemand &Demand);
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -9,7 +9,8 @@
 /// - jobshard_lagging.cpp: runs that are too slow on their worker;
 /// - jobshard_interference.cpp: interference and the pace of fill tasks;
 /// - jobshard_relocate.cpp: runs that move to another worker;
-/// - jobshard_transfer.cpp: transfer of waiting jobs to another shard.
+/// - jobshard_transfer.cpp: transfer of waiting jobs to another shard;
+/// - jobshard_waits.cpp: report of long-running tasks that find no room.
 #pragma once
 
 #include "basilchute/interference.h"
@@ -29,6 +30,9 @@
 /// processors.
 constexpr double MinFillHeadroom = 1.15;
 constexpr double MaxFillLoad = 1.1;
+/// A long-running task that has waited longer is placed before short tasks, and
+/// its job may be transferred at any age.
+constexpr milliseconds LongRunningMaxWait{1200};
 
 class JobShard::Impl : public std::enable_shared_from_this<JobShard::Impl> {
 public:
@@ -247,6 +251,7 @@
   void relocateStalledRuns();
   void logState();
   std::string placementFields();
+  void logLongTaskWaits(int64_t MostMillicores);
   std::string
   fillWaitReasons(const std::vector<PlacementCandidate> &Candidates) const;
   static bool isFull(const PlacementCandidate &Candidate);
@@ -321,6 +326,8 @@
   TimePoint m_nextRelocate{};
   TimePoint m_nextTransfer{};
   TimePoint m_nextStateLog{};
+  /// When long-running tasks that wait were last counted.
+  TimePoint m_waitsCountedAt{};
   /// Counters at the last `shard_state` log line.
   JobShardCounts m_loggedCounts;
   TimePoint m_commitNotBefore{};
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -14,8 +14,6 @@
 /// A job that ends after this many times its objective has no value left.
 constexpr int NoValueFactor = 3;
 constexpr milliseconds StateLogInterval{1000};
-/// A long-running task that has waited longer is placed before short tasks.
-constexpr milliseconds LongRunningMaxWait{1200};
 /// Part of a job's worth that is the same for all jobs of a queue, whatever
 /// their size.
 constexpr double SizeIndependentWorth = 0.3;
@@ -177,6 +175,7 @@
                   WaitingTasks[0], WaitingTasks[1], WaitingTasks[2],
                   FillMillicores / 1000, RunsOverTarget,
                   fillWaitReasons(Candidates), placementFields()));
+  logLongTaskWaits(Largest.Millicores);
 }
 
 // Reports how the rounds since the last log line ended, and the mean round-trip
--- a/src/libbasilchute/shardchoice.cpp
+++ b/src/libbasilchute/shardchoice.cpp
@@ -176,4 +176,17 @@
              : -1;
 }
 
+int shardWithRoom(const std::vector<ShardCandidate> &Candidates,
+                  const ShardDemand &Demand) {
+  int Out = -1;
+  int64_t LargestRoom = std::max<int64_t>(Demand.LargestTaskMillicores, 1);
+  for (const ShardCandidate &Candidate : Candidates) {
+    if (Candidate.Load.LargestRoomMillicores < LargestRoom)
+      continue;
+    Out = Candidate.Shard;
+    LargestRoom = Candidate.Load.LargestRoomMillicores + 1;
+  }
+  return Out;
+}
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/shardchoice_test.cpp
+++ b/src/libbasilchute/shardchoice_test.cpp
@@ -127,3 +127,15 @@
   }
   CHECK(Counts[1] < 10);
 }
+
+TEST_CASE("The shard with the largest room is found only if the task fits") {
+  std::vector<ShardCandidate> Shards = equalShards(3);
+  Shards[1].Load.LargestRoomMillicores = 3000;
+  Shards[2].Load.LargestRoomMillicores = 5000;
+  ShardDemand Demand{.IsLongRunning = true, .LargestTaskMillicores = 2000};
+  CHECK(shardWithRoom(Shards, Demand) == 2);
+  Demand.LargestTaskMillicores = 6000;
+  CHECK(shardWithRoom(Shards, Demand) == -1);
+  // An unknown room is no room here.
+  CHECK(shardWithRoom({Shards[0]}, {.LargestTaskMillicores = 0}) == -1);
+}
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -71,6 +71,13 @@
   Options.ChooseTransferTarget = [this, Shard](const Job &Value) {
     return chooseTransferFor(Shard, Value);
   };
+  Options.FindShardWithRoom = [this, Shard](const Job &Value) {
+    std::vector<ShardCandidate> Others = candidates(Value);
+    std::erase_if(Others, [Shard](const ShardCandidate &Other) {
+      return Other.Shard == Shard;
+    });
+    return shardWithRoom(Others, demandOf(Value));
+  };
   Options.ShardCount = [this] { return m_cluster.shards(); };
   Options.Log = m_options.Log;
   auto Acquired = std::make_unique<JobShard>(std::move(Options), m_store,
@@ -299,6 +306,7 @@
     Out.RoundsAtStartLimit += Counts.RoundsAtStartLimit;
     Out.RoundsAtStepLimit += Counts.RoundsAtStepLimit;
     Out.Transfers += Counts.Transfers;
+    Out.LongTaskWaits += Counts.LongTaskWaits;
     Out.PaceOrders += Counts.PaceOrders;
   }
   return Out;
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -179,3 +179,16 @@
   CHECK(allRunWithin(Bed, 6, RestartBound));
   checkNoViolations(Bed);
 }
+
+// On-call must see from the metrics that tasks wait because a shard is full.
+TEST_CASE("Long-running tasks that find no room are counted once each") {
+  JobTestBed Bed({.Hosts = 1, .Workers = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longJob("full", 4)).has_value());
+  REQUIRE(allRunWithin(Bed, 4, 2s));
+  Bed.run(3s);
+  CHECK(Bed.host(0).Process->counts().LongTaskWaits == 0);
+  loseWorker(Bed, 0);
+  Bed.run(12s);
+  CHECK(Bed.host(0).Process->counts().LongTaskWaits == 2);
+}
