Keep a server's state for responders that outlive the server

What callers saw: nothing yet. A host that ended while submissions waited for the store could access freed memory, and could end with a signal.

Cause: a connection refers to the state of its server, and a responder kept only the connection. The host destroys its servers before the callbacks that hold responders. A late response also dispatched the next request of the connection to a handler that was gone.

Change: a responder keeps the state, and stop() marks all connections as closed.

Failed before: "a response after the end of the server does no harm" (SIGSEGV), and under AddressSanitizer "Refused commits are distinguished from unknown outcomes" (heap-use-after-free in Connection::sendResponse), a case that existed.

--- a/src/libutil/httpserver.cpp
+++ b/src/libutil/httpserver.cpp
@@ -24,8 +24,9 @@
 
 class Connection;
 
-/// State shared by all connections of one server.
-struct ServerState {
+/// State shared by all connections of one server. A responder keeps it alive,
+/// and may be used after the server has ended.
+struct ServerState : std::enable_shared_from_this<ServerState> {
   HttpServerOptions Options;
   HttpServer::Handler OnRequest;
   SystemClock Clock;
@@ -267,9 +268,10 @@
 /// Connection and form of the response to one request.
 class Responder::Target {
 public:
-  Target(std::shared_ptr<Connection> Destination, bool KeepAlive, bool IsHead)
-      : m_connection(std::move(Destination)), m_keepAlive(KeepAlive),
-        m_isHead(IsHead) {}
+  Target(std::shared_ptr<ServerState> Server,
+         std::shared_ptr<Connection> Destination, bool KeepAlive, bool IsHead)
+      : m_server(std::move(Server)), m_connection(std::move(Destination)),
+        m_keepAlive(KeepAlive), m_isHead(IsHead) {}
 
   void send(HttpResponse Response) {
     if (!m_isUsed.exchange(true))
@@ -277,6 +279,8 @@
   }
 
 private:
+  /// The connection refers to it.
+  std::shared_ptr<ServerState> m_server;
   std::shared_ptr<Connection> m_connection;
   bool m_keepAlive;
   bool m_isHead;
@@ -289,7 +293,8 @@
   ++m_server.InFlight;
   m_server.LastRequestNanos = m_server.Clock.now().time_since_epoch().count();
   Responder Reply(std::make_shared<Responder::Target>(
-      shared_from_this(), Request.KeepAlive, Request.Method == "HEAD"));
+      m_server.shared_from_this(), shared_from_this(), Request.KeepAlive,
+      Request.Method == "HEAD"));
   Guard.unlock();
   m_server.OnRequest(std::move(Request), std::move(Reply));
   Guard.lock();
@@ -364,6 +369,11 @@
     m_sweeper.join();
     m_listener->shutdown();
     m_listener.reset();
+    // A late response must not dispatch the request after it.
+    std::lock_guard Guard(m_state->Lock);
+    for (const std::shared_ptr<Connection> &Client : m_state->Connections)
+      Client->onClosed();
+    m_state->Connections.clear();
   }
 
 private:
--- a/src/libutil/httpserver_test.cpp
+++ b/src/libutil/httpserver_test.cpp
@@ -154,6 +154,34 @@
   }
 }
 
+// Guards against an access to the freed state of the server, which only
+// AddressSanitizer shows, and against a call of the handler after the server
+// has ended: a host ends while submissions wait for the store.
+TEST_CASE("a response after the end of the server does no harm") {
+  std::vector<Responder> Held;
+  std::mutex Lock;
+  int Calls = 0;
+  {
+    HttpServer Server({.Listen = "127.0.0.1:0", .Threads = 1},
+                      [&](const HttpRequest &, Responder Reply) {
+                        std::lock_guard Guard(Lock);
+                        ++Calls;
+                        Held.push_back(std::move(Reply));
+                      });
+    RawClient Client(Server.start().value());
+    Client.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+                "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    while (Server.pendingRequests() == 0)
+      std::this_thread::yield();
+    std::this_thread::sleep_for(50ms);
+    Server.stop();
+  }
+  std::vector<Responder> Late = std::move(Held);
+  REQUIRE(Late.size() == 1);
+  Late[0].send({.Body = "late"});
+  CHECK(Calls == 1);
+}
+
 TEST_CASE("every response closes its connection while draining") {
   EchoServer Echo;
   RawClient Client(Echo.Address);
