--- a/src/libutil/settings_test.cpp
+++ b/src/libutil/settings_test.cpp
@@ -72,3 +72,10 @@
   REQUIRE(Values.missing().size() == 1);
   CHECK(Values.missing()[0].Key == "a.list");
 }
+
+TEST_CASE("a file with very deep nesting is reported") {
+  TempFile File("[a]\nlist = " + std::string(100000, '[') +
+                std::string(100000, ']') + "\n");
+  Settings Values(testSpecs());
+  CHECK(Values.loadFile(File.Name).size() == 1);
+}
