--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -117,6 +117,7 @@
 
 void JobShard::Impl::finishLoad() {
   m_isLoaded = true;
+  initPreviousRuns();
   for (const StoredRow &Row : m_loadedJobs) {
     auto [Id, IsCancel] = parseJobKey(Row.Address.Key);
     // The job row and the progress row of a job are written and removed in one
@@ -445,9 +446,10 @@
   for (WorkerEntry &Worker : Own) {
     auto [It, Added] = m_slots.try_emplace(Worker.Id, Worker);
     WorkerSlot &Slot = It->second;
-    // The previous owner may have extended the leases of runs on the worker.
-    if (Added)
-      Slot.LeaseEnd = previousRunsEndAt();
+    if (Added && m_isLoaded) {
+      m_previousRuns.addWorker(Worker.Id);
+      Slot.LeaseEnd = m_previousRuns.endsAt(Worker.Id);
+    }
     Slot.IsListed = true;
     // A new incarnation of the worker may have another address.
     Slot.Entry = Worker;
@@ -464,13 +466,13 @@
     if (!Added)
       continue;
     It->second.IsListed = false;
-    It->second.LeaseEnd = previousRunsEndAt();
   }
 }
 
 void JobShard::Impl::tick() {
   if (!m_isLoaded || m_hasLostOwnership)
     return;
+  m_previousRuns.setListComplete(isFleetComplete());
   removeUnlistedWorkers();
   stopRunsOnDrainingWorkers();
   relocateStalledRuns();
@@ -478,6 +480,7 @@
   commit();
   transfer();
   place();
+  logTakeover();
   saveModel();
   readPeerModels();
   logState();
@@ -498,17 +501,6 @@
   return Counts;
 }
 
-bool JobShard::Impl::isTakeoverComplete() const {
-  if (!m_isLoaded)
-    return false;
-  if (m_time.now() > previousRunsEndAt())
-    return true;
-  if (m_options.FleetTime && m_options.FleetTime() < m_takeoverTime)
-    return false;
-  return std::all_of(m_slots.begin(), m_slots.end(),
-                     [](const auto &Slot) { return Slot.second.IsFenced; });
-}
-
 JobShard::JobShard(JobShardOptions Options, RowStore &Store,
                    TaskWorkers &Workers, ApprovalService *Approvals,
                    const Clock &Time)
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -1,9 +1,11 @@
 /// \file
 /// Implementation of JobShard, by source file:
 /// - jobshard.cpp: reading, following and committing rows;
+/// - jobshard_takeover.cpp: what previous owners may have left running;
 /// - jobshard_poll.cpp: polls of workers and their answers;
 /// - jobshard_rank.cpp: waiting tasks and their order;
 /// - jobshard_place.cpp, jobshard_gang.cpp: choice of workers for tasks;
+/// - jobshard_begin.cpp: whether a long-running job begins in this shard;
 /// - jobshard_orders.cpp: start orders and stop orders;
 /// - jobshard_lagging.cpp: runs that are too slow on their worker;
 /// - jobshard_interference.cpp: interference and the pace of fill tasks;
@@ -15,6 +17,7 @@
 #include "basilchute/jobshard.h"
 #include "libbasilchute/jobentry.h"
 #include "libbasilchute/orderwindow.h"
+#include "libbasilchute/previousruns.h"
 #include "libbasilchute/workerslot.h"
 
 #include <set>
@@ -55,11 +58,14 @@
   }
 
 private:
-  /// Sort key of waiting jobs, lowest first: kind of job (long-running and
-  /// waited long, short, long-running, fill), lateness, priority, started jobs
-  /// before others, and last the negative worth per unit of remaining work for
-  /// started jobs or the age for others.
+  /// Sort key of waiting jobs, lowest first: kind of tasks (restarts of
+  /// long-running tasks, long-running and waited long, short, long-running,
+  /// fill), lateness, priority, started jobs before others, and last the
+  /// negative worth per unit of remaining work for started jobs or the age for
+  /// others.
   using Rank = std::tuple<int, int, int, int, double>;
+  /// Which of the waiting tasks of a job are placed.
+  enum class WaitingTasks { Restarts, Others };
   using Slots = std::map<std::string, WorkerSlot>;
   /// A worker that can take tasks in a round, with the effects of the tasks
   /// that were placed on it in the round.
@@ -121,18 +127,30 @@
   JobEntry *find(const std::string &Id);
   const JobQueue *queueOf(const JobEntry &Entry) const;
   bool canSendOrders() const;
-  /// Returns true if the job arrived after the takeover, so that no previous
-  /// owner has started a task of the job. The epoch cannot show this, since an
-  /// owner may lose a shard and take it over again.
-  bool arrivedAfterTakeover(const JobEntry &Entry) const {
-    return Entry.JobVersion > m_loadVersion;
-  }
   bool canStart(JobEntry &Entry) const;
-  /// Returns the time by which every run that a previous owner started has
+
+  // Takeover from the previous owner.
+  /// Returns the time by which every run that any previous owner started has
   /// ended.
   TimePoint previousRunsEndAt() const {
     return m_takeoverTime + m_options.PreviousRunsTimeout;
   }
+  /// Returns true if a run that a previous owner started may be on a worker
+  /// that has not answered yet: of the task, or of any member of its gang.
+  bool mayHavePreviousRun(const JobEntry &Entry, int Position) const;
+  /// Returns true if any task of the job may have such a run.
+  bool mayHavePreviousRuns(const JobEntry &Entry) const;
+  void initPreviousRuns();
+  /// Returns true if the list of workers is newer than the takeover. An older
+  /// one may lack workers that the previous owner used.
+  bool isFleetComplete() const {
+    return !m_options.FleetTime || m_options.FleetTime() >= m_takeoverTime;
+  }
+  /// Returns true once every worker has answered a poll or missed one.
+  bool wereAllWorkersPolled() const;
+  /// Returns the number of ready tasks that wait for the end of previous runs.
+  size_t countHeldBackTasks() const;
+  void logTakeover();
 
   // Polls of workers and their answers.
   void pollWorkers();
@@ -153,6 +171,7 @@
                           TimePoint Sent);
   bool hasLeaseExpired(const WorkerSlot &Slot) const;
   void releaseAllRuns(WorkerSlot &Slot, std::string_view Why);
+  void loseIncarnation(WorkerSlot &Slot, std::string_view Why);
   void releaseRun(WorkerSlot &Slot, const RunKey &Key, std::string_view Why);
   void removeUnlistedWorkers();
 
@@ -163,10 +182,14 @@
 
   // Placement and orders.
   void place();
-  /// Places as many waiting tasks of one job as possible. Returns the number of
-  /// steps with a task that could not be placed.
-  size_t placeJob(JobEntry &Entry, std::vector<PlacementCandidate> &Candidates,
+  std::vector<std::tuple<Rank, std::string, WaitingTasks>> rankedJobs();
+  /// Places as many of the chosen waiting tasks of one job as possible. Returns
+  /// the number of steps with a task that could not be placed.
+  size_t placeJob(JobEntry &Entry, WaitingTasks Which,
+                  std::vector<PlacementCandidate> &Candidates,
                   Rejections &Rejected);
+  void holdRoomUntilDue(std::vector<PlacementCandidate> &Candidates,
+                        const JobEntry &Entry, int Position);
   bool matchesRejection(const Rejections &Rejected, const JobEntry &Entry,
                         int Position) const;
   void recordRejection(Rejections &Rejected, const JobEntry &Entry,
@@ -178,9 +201,17 @@
                 int Position);
   bool placeGang(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
                  int Position);
+  bool shouldWaitForTransfer(const std::vector<PlacementCandidate> &Candidates,
+                             const JobEntry &Entry, int Position);
   bool canStillTransfer(const JobEntry &Entry) const;
-  bool canPlaceWholeStep(const std::vector<PlacementCandidate> &Candidates,
-                         const JobEntry &Entry, int Position);
+  /// Accounts in \p Candidates for all tasks of the step of \p Position.
+  /// Returns their workers, or nothing if not all of them fit.
+  std::optional<std::vector<const WorkerSlot *>>
+  planWholeStep(std::vector<PlacementCandidate> &Candidates,
+                const JobEntry &Entry, int Position);
+  static bool
+  canLoseWorker(std::vector<PlacementCandidate> Candidates, const JobStep &Step,
+                const std::vector<const WorkerSlot *> &PlannedWorkers);
   bool restartRefusedMember(std::vector<PlacementCandidate> &Candidates,
                             JobEntry &Entry, int Position);
   void finishGang(JobEntry &Entry, int Position);
@@ -314,6 +345,11 @@
   bool m_isLightlyLoaded = false;
   /// Time of the takeover.
   TimePoint m_takeoverTime;
+  /// Runs that previous owners may have left.
+  PreviousRuns m_previousRuns;
+  /// True once the end of the wait for previous runs was logged.
+  bool m_isTakeoverLogged = false;
+  TimePoint m_nextTakeoverLog{};
 };
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -69,9 +69,10 @@
   int Priority = Queue ? Queue->Priority : 0;
   // A short task yields more per core than a long-running one and releases the
   // core soon. A long-running task that has waited long goes first, so that it
-  // does not starve.
+  // does not starve. Tasks of begun jobs cannot move to another shard.
   if (FirstStep.LongRunning)
-    return {hasWaitedLong(Entry) ? -1 : 1, 0, Priority, 0, 0};
+    return {hasWaitedLong(Entry) ? -1 : 1, Entry.hasStarted() ? 0 : 1, Priority,
+            0, 0};
   int KindRank = FirstStep.IsFill ? 2 : 0;
   // Under overload not all jobs can end in time. Started jobs are finished
   // first, then the youngest, which are the most likely to end in time. This
@@ -112,7 +113,9 @@
   Task.LastRunNeverBegan = false;
   Task.EarliestStart = m_time.now() + Delay;
   Task.WaitingSince = m_time.now();
-  if (!isFinal(Entry.State))
+  // A task of a job that may have been transferred is queued once the transfer
+  // has certainly failed.
+  if (!isFinal(Entry.State) && !Entry.IsTransferring)
     m_waiting[Entry.Spec.Id].insert(Position);
 }
 
@@ -170,15 +173,18 @@
     RunsOverTarget += Slot.runsOverTarget();
   }
   log("shard_state",
-      fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
-                  "free_gib={} most_gib={} waiting_short={} waiting_long={} "
-                  "waiting_fill={} fill_cores={} over_target={} {} {}",
-                  m_options.Shard, m_slots.size(), Candidates.size(),
-                  Free.Millicores / 1000, Largest.Millicores / 1000,
-                  Free.MemoryMib / 1024, Largest.MemoryMib / 1024,
-                  WaitingTasks[0], WaitingTasks[1], WaitingTasks[2],
-                  FillMillicores / 1000, RunsOverTarget,
-                  fillWaitReasons(Candidates), placementFields()));
+      fmt::format(
+          "shard={} workers={} usable={} free_cores={} most_cores={} "
+          "free_gib={} most_gib={} waiting_short={} waiting_long={} "
+          "waiting_fill={} held_back={} fill_cores={} over_target={} {} "
+          "{}",
+          m_options.Shard, m_slots.size(), Candidates.size(),
+          Free.Millicores / 1000, Largest.Millicores / 1000,
+          Free.MemoryMib / 1024, Largest.MemoryMib / 1024, WaitingTasks[0],
+          WaitingTasks[1], WaitingTasks[2],
+          isTakeoverComplete() ? 0 : countHeldBackTasks(),
+          FillMillicores / 1000, RunsOverTarget, fillWaitReasons(Candidates),
+          placementFields()));
 }
 
 // Reports how the rounds since the last log line ended, and the mean round-trip
--- /dev/null
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -0,0 +1,181 @@
+// Tests of shards that long-running tasks have filled.
+
+#include "testing/jobtestbed.h"
+
+#include <doctest/doctest.h>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time after the end of its last run within which a long-running task must run
+/// again while there is capacity for it anywhere.
+constexpr milliseconds RestartBound{9000};
+/// Capacity of a worker in these tests: two tasks of longJob().
+constexpr Resources TwoTasks{.Millicores = 8000, .MemoryMib = 16000};
+
+/// Returns a job with one step of \p Width long-running tasks.
+Job longJob(const std::string &Id, int Width, int64_t Millicores = 4000) {
+  Job Out = chainJob(Id, 1, Width);
+  Out.Steps[0].LongRunning = true;
+  Out.Steps[0].Demand.Millicores = Millicores;
+  return Out;
+}
+
+TaskName taskOf(const std::string &Id, int Index = 0) {
+  return {.Job = Id, .Occurrence = 0, .Step = 0, .Index = Index};
+}
+
+/// Returns the index of the worker that runs \p Task, or -1 if none does.
+int workerOf(JobTestBed &Bed, const TaskName &Task) {
+  for (int Worker = 0; Worker < Bed.workers(); ++Worker)
+    if (Bed.worker(Worker).runs(Task))
+      return Worker;
+  return -1;
+}
+
+/// Returns the shard of the worker that runs \p Task, or -1 if none does.
+int shardOf(JobTestBed &Bed, const TaskName &Task) {
+  int Worker = workerOf(Bed, Task);
+  return Worker < 0 ? -1
+                    : Bed.host(0).Process->shardOf(Bed.worker(Worker).Entry.Id);
+}
+
+bool runsWithin(JobTestBed &Bed, const TaskName &Task, milliseconds Limit) {
+  return Bed.runUntil([&] { return workerOf(Bed, Task) >= 0; }, Limit);
+}
+
+bool allRunWithin(JobTestBed &Bed, size_t Tasks, milliseconds Limit) {
+  return Bed.runUntil([&] { return Bed.Oracle.running() == Tasks; }, Limit);
+}
+
+/// Ends \p Worker for good: it does not answer and leaves the list.
+void loseWorker(JobTestBed &Bed, int Worker) {
+  Bed.worker(Worker).IsDown = true;
+  Bed.worker(Worker).crash();
+  Bed.setWorkerListed(Worker, false);
+}
+
+void checkNoViolations(const JobTestBed &Bed) {
+  for (const std::string &Violation : Bed.Oracle.violations())
+    FAIL_CHECK(Violation);
+}
+
+/// Returns an id with \p Prefix whose job is sent to \p Shard of two shards
+/// with equal loads.
+std::string idForShard(const std::string &Prefix, int Shard) {
+  ShardLoad Load{.CapacityMillicores = 24000};
+  std::vector<ShardCandidate> Equal{{.Shard = 0, .Load = Load},
+                                    {.Shard = 1, .Load = Load}};
+  for (int Number = 0;; ++Number) {
+    std::string Id = Prefix + std::to_string(Number);
+    if (chooseShard(Equal, demandOf(longJob(Id, 1))) == Shard)
+      return Id;
+  }
+}
+
+} // namespace
+
+// Guards against a failed long-running task that loses its room to jobs that
+// have not begun: they waited longer and took the room before the restart was
+// due.
+TEST_CASE("A failed long-running task gets its room back before new jobs") {
+  JobTestBed Bed({.Workers = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longJob("full", 4)).has_value());
+  REQUIRE(allRunWithin(Bed, 4, 2s));
+  for (int Number = 0; Number < 3; ++Number)
+    CHECK(
+        Bed.submit(0, longJob("new-" + std::to_string(Number), 1)).has_value());
+  Bed.run(4s);
+  for (int Index = 0; Index < 4; ++Index) {
+    Bed.worker(workerOf(Bed, taskOf("full", Index)))
+        .fail(taskOf("full", Index));
+    CHECK(runsWithin(Bed, taskOf("full", Index), RestartBound));
+  }
+  checkNoViolations(Bed);
+}
+
+// Guards against a failed long-running task that loses its room to a task of
+// another begun job that never ran.
+TEST_CASE("A failed long-running task gets its room back before tasks of begun "
+          "jobs that never ran") {
+  JobTestBed Bed({.Workers = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longJob("b", 2)).has_value());
+  CHECK(Bed.submit(0, longJob("a", 3)).has_value());
+  REQUIRE(allRunWithin(Bed, 4, 2s));
+  Bed.run(3s);
+  for (const char *Id : {"a", "b"})
+    Bed.worker(workerOf(Bed, taskOf(Id))).fail(taskOf(Id));
+  CHECK(runsWithin(Bed, taskOf("a"), RestartBound));
+  CHECK(runsWithin(Bed, taskOf("b"), RestartBound));
+  checkNoViolations(Bed);
+}
+
+// Guards against a failed long-running task that loses its room to short tasks
+// which run longer than the time within which it must run again.
+TEST_CASE("A failed long-running task gets its room back before short tasks") {
+  JobTestBed Bed({.Workers = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longJob("full", 4)).has_value());
+  REQUIRE(allRunWithin(Bed, 4, 2s));
+  CHECK(Bed.submit(0, chainJob("short", 1, 40, 20s)).has_value());
+  Bed.run(1s);
+  Bed.worker(workerOf(Bed, taskOf("full", 1))).fail(taskOf("full", 1));
+  CHECK(runsWithin(Bed, taskOf("full", 1), RestartBound));
+  checkNoViolations(Bed);
+}
+
+// Guards against a long-running job that waits for ever in a full shard beside
+// a shard with room: jobs that were older than some seconds were not
+// transferred.
+TEST_CASE("A long-running job that lost its worker moves to a shard with room "
+          "at any age") {
+  JobTestBed Bed({.Workers = 8,
+                  .MinShards = 2,
+                  .WorkerCapacity = {.Millicores = 4000, .MemoryMib = 16000}});
+  Bed.run(3s);
+  for (int Number = 0; Number < 8; ++Number)
+    CHECK(
+        Bed.submit(0, longJob("job-" + std::to_string(Number), 1)).has_value());
+  REQUIRE(allRunWithin(Bed, 8, 20s));
+  Bed.run(10s);
+  TaskName Lost = taskOf("job-0");
+  int Shard = shardOf(Bed, Lost);
+  std::vector<std::string> Others;
+  for (int Number = 1; Number < 8; ++Number)
+    if (shardOf(Bed, taskOf("job-" + std::to_string(Number))) != Shard)
+      Others.push_back("job-" + std::to_string(Number));
+  // Makes room for the job twice over.
+  for (size_t Number = 0; Number < 2; ++Number)
+    CHECK(Bed.cancel(0, Others[Number]).has_value());
+  REQUIRE(allRunWithin(Bed, 6, 2s));
+  Bed.run(2s);
+  loseWorker(Bed, workerOf(Bed, Lost));
+  CHECK(runsWithin(Bed, Lost, RestartBound));
+  CHECK(shardOf(Bed, Lost) == 1 - Shard);
+  CHECK(Bed.cancel(1, Lost.Job).has_value());
+  CHECK(allRunWithin(Bed, 5, 4s));
+  checkNoViolations(Bed);
+}
+
+// Guards against a shard that new long-running jobs fill to the last core while
+// another shard has room: when it loses a worker, the tasks of the begun jobs
+// have no room and cannot move.
+TEST_CASE("A new long-running job leaves room for the tasks of a lost worker "
+          "if another shard has it") {
+  JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(6s);
+  std::string First = idForShard("first-", 0);
+  std::string Second = idForShard("second-", 0);
+  // Through two hosts, none of which knows yet what the other has sent.
+  CHECK(Bed.submit(0, longJob(First, 4)).has_value());
+  CHECK(Bed.submit(1, longJob(Second, 2)).has_value());
+  REQUIRE(allRunWithin(Bed, 6, 4s));
+  Bed.run(4s);
+  loseWorker(Bed, workerOf(Bed, taskOf(First)));
+  CHECK(allRunWithin(Bed, 6, RestartBound));
+  checkNoViolations(Bed);
+}
