Show that impossible answers of one worker leave the others in use

Answers within their bounds can still be untrue: runs of tasks that do not exist or have run numbers near the limit, completion numbers that jump to 2^53 and go back, a clock and a start time that jump.

--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -271,6 +271,8 @@
                 .Completions = m_ended};
   for (const auto &[Task, Run] : m_runs)
     Out.Running.push_back({.Task = Task, .Run = Run.Run, .Percent = 100});
+  if (AlterAnswer)
+    AlterAnswer(Out);
   return Out;
 }
 
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -95,6 +95,8 @@
   bool Approved = true;
   /// While set, runs make no progress.
   bool Hangs = false;
+  /// Changes each answer to a poll, if set.
+  std::function<void(PollReply &)> AlterAnswer;
 
   Result<StartReply> start(const StartOrder &Order);
   Status stop(const StopOrder &Order);
