--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -15,9 +15,6 @@
 /// within about this time.
 constexpr milliseconds SlowPollRetryDelay{1000};
 constexpr milliseconds UnstoredPollInterval{300};
-/// Upper bound on the ratio of this host's clock rate to a worker's.
-constexpr double MaxClockRateRatio = 1.03;
-constexpr milliseconds LeaseMargin{150};
 /// Time for which leases on a worker are extended that has left the list. With
 /// the lease, and the time by which hosts see the list differently, it is
 /// shorter than the time for which JobHost remembers the worker.
@@ -30,13 +27,6 @@
 constexpr milliseconds NoStartAfterFailures{3000};
 constexpr milliseconds StopResendInterval{600};
 
-/// Returns the maximum time by this host's clock that \p Lease takes on a
-/// worker's clock.
-nanoseconds maxLocalDuration(milliseconds Lease) {
-  return std::chrono::duration_cast<nanoseconds>(Lease * MaxClockRateRatio) +
-         LeaseMargin;
-}
-
 } // namespace
 
 void JobShard::Impl::pollWorkers() {
@@ -135,6 +125,10 @@
   Slot.MissedPolls = 0;
   bool IsFirstPoll = !Slot.IsFenced;
   Slot.IsFenced = true;
+  // Nobody else can extend the leases any more.
+  if (IsFirstPoll)
+    Slot.LeaseEnd =
+        std::min(Slot.LeaseEnd, Now + maxLocalDuration(m_options.Lease));
   m_previousRuns.resolve(Worker);
   std::sort(Reply.Completions.begin(), Reply.Completions.end(),
             [](const Completion &A, const Completion &B) {
@@ -177,13 +171,10 @@
     m_previousRuns.resolve(Slot.Entry.Id);
     return;
   }
-  // A worker that was draining and has left the list has ended all its runs.
-  bool HasLeft = Slot.Entry.IsDraining && !Slot.IsListed;
-  if (HasLeft)
-    for (const auto &[Key, Run] : Slot.Runs)
-      m_previousRuns.clearFound(Key.first);
-  if (HasLeft || hasLeaseExpired(Slot))
-    releaseAllRuns(Slot, HasLeft ? "worker_left" : "lease_over");
+  // A worker can be missing from the list because it is cut off, also if it was
+  // draining, and still run its tasks.
+  if (hasLeaseExpired(Slot))
+    releaseAllRuns(Slot, "lease_over");
 }
 
 // An owner that may have lost the shard must not conclude that the leases have
@@ -239,6 +230,7 @@
   if (Report.Number <= Slot.LastSeenCompletion)
     return;
   Slot.LastSeenCompletion = Report.Number;
+  Slot.UnstoredCompletions.emplace(Report.Number, Report.Task);
   updateWorkerHealth(Slot, Report.Outcome);
   RunKey Key{Report.Task, Report.Run};
   auto RunIt = Slot.Runs.find(Key);
