Let a leaving host take over a shard that it is given

The shard was handed to a host that had just begun to leave; it did not take the shard over but gave it to the next one without a record, and leaving hosts passed it to and fro. The owner after them waited 12 s.

A leaving host now takes over what it is given, works on it, and passes it on with the record of its predecessor.

Failed before (the line taken out): "Hosts that leave at the same time pass the record on".

--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -465,8 +465,9 @@
     Row.Version = Version;
     if (Row.OwnedEpoch != 0 && Row.OwnedEpoch != Version)
       release(Shard);
-    bool IsOwn = Owner == m_options.HostId && !m_isLeaving;
-    if (!IsOwn || Row.OwnedEpoch != 0)
+    // A leaving host takes a shard over too, since only an owner that has read
+    // its predecessor's record can pass it on.
+    if (Owner != m_options.HostId || Row.OwnedEpoch != 0)
       return;
     Row.OwnedEpoch = Version;
     log("shard_owned", fmt::format("shard={} epoch={}", Shard, Version));
--- a/src/libjobhost/handover_test.cpp
+++ b/src/libjobhost/handover_test.cpp
@@ -325,3 +325,27 @@
   CHECK(Bed.Oracle.starts() == 12);
   checkNoViolations(Bed);
 }
+
+// Guards against a record that is lost on its way: a shard was handed to a host
+// that had just begun to leave, which gave it away without the record.
+TEST_CASE("Hosts that leave at the same time pass the record on") {
+  for (int Remaining = 0; Remaining < 4; ++Remaining) {
+    CAPTURE(Remaining);
+    JobTestBed Bed({.Hosts = 4, .Workers = 3});
+    Bed.run(3s);
+    CHECK(Bed.submit(0, chainJob("a", 1, 30, 2s)).has_value());
+    Bed.run(1s);
+    int Owner = Bed.ownerIndex();
+    if (Owner == Remaining)
+      continue;
+    Bed.worker(0).IsDown = true;
+    Bed.worker(0).crash();
+    for (int Host = 0; Host < Bed.hosts(); ++Host)
+      if (Host != Remaining)
+        leave(Bed, Host);
+    CHECK(Bed.runUntil([&] { return Bed.Oracle.starts() == 30; }, 2s));
+    CHECK(Bed.ownerIndex() == Remaining);
+    CHECK(completes(Bed, "a"));
+    checkNoViolations(Bed);
+  }
+}
