Restart long-running tasks after a crash without waiting for silent workers

Seen: after the owner's crash a long-running task that failed on a sound worker did not run again for 12 s if any other worker was silent: the previous owner might have started it again there.

Change: an owner starts a long-running task again only after it has stored the failed run's number, or, if the run was given up without a report, a higher number. A new owner that gets the report of a failed run which the row does not list, and whose number is not below the row's, knows that the task is nowhere else.

Broken on purpose, each found by a case: the restart not stored ("A long-running task starts again only after its failure is stored"); the row's number not compared, and no higher number stored ("A failure that is reported late does not start a long-running task twice").

--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -35,6 +35,7 @@
         Progress.Position >= static_cast<int>(Tasks.size()))
       continue;
     TaskState &Task = Tasks[static_cast<size_t>(Progress.Position)];
+    Task.StoredRun = Progress.Run;
     Task.LastRun = Progress.Run + RunGap;
     Task.FailedRuns = {Progress.FailedRuns.begin(), Progress.FailedRuns.end()};
     Task.Checkpoint = Progress.Checkpoint;
@@ -147,6 +148,31 @@
   return Out;
 }
 
+void JobEntry::onCommitEnded(bool IsStored) {
+  std::set<int> &Target = IsStored ? m_storedRestarts : m_unstoredRestarts;
+  Target.merge(m_restartsInCommit);
+  m_restartsInCommit.clear();
+}
+
+void JobEntry::clearRestart(int Position) {
+  m_unstoredRestarts.erase(Position);
+  m_restartsInCommit.erase(Position);
+  m_storedRestarts.erase(Position);
+}
+
+// A commit in flight does not contain an end that is reported after it was
+// sent.
+void JobEntry::storeRestart(int Position) {
+  clearRestart(Position);
+  m_unstoredRestarts.insert(Position);
+}
+
+bool JobEntry::isRestartStored(int Position) const {
+  const TaskState &Task = Tasks[static_cast<size_t>(Position)];
+  return !stepOf(Position).LongRunning || Task.LastRun == 0 ||
+         m_storedRestarts.count(Position);
+}
+
 void JobEntry::finish(int Position) {
   TaskState &Task = Tasks[static_cast<size_t>(Position)];
   if (Task.Phase == TaskPhase::Done)
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -37,6 +37,8 @@
   bool LastRunNeverBegan = false;
   /// Duration of the run that succeeded; zero if unknown.
   milliseconds Duration{0};
+  /// Run number in the progress row when this owner read it; zero if none.
+  int StoredRun = 0;
   /// Number of runs that were stopped because they lagged.
   int SlowStops = 0;
   /// When the task became ready, or ready again after a run ended.
@@ -107,6 +109,23 @@
   milliseconds dueAt(int Position) const;
   /// Returns true if any task is in phase Placed.
   bool hasPlaced() const;
+  /// Returns true if a long-running task that ran before may start again: this
+  /// owner has stored the number of the last run since that run ended. Other
+  /// tasks may always start.
+  bool isRestartStored(int Position) const;
+  /// Asks for that in the next commit of the progress.
+  void storeRestart(int Position);
+  /// Returns true if a commit that is pending or in flight will store it.
+  bool isRestartPending(int Position) const {
+    return m_unstoredRestarts.count(Position) ||
+           m_restartsInCommit.count(Position);
+  }
+  /// Must be called when a commit of the progress is sent, and when it has
+  /// succeeded or failed.
+  void onCommitSent() { m_restartsInCommit.swap(m_unstoredRestarts); }
+  void onCommitEnded(bool IsStored);
+  /// Must be called when the task is started.
+  void clearRestart(int Position);
   /// Marks the task done.
   void finish(int Position);
   /// Returns true if every task is done.
@@ -137,6 +156,11 @@
   /// Number of all tasks that are not done.
   int m_tasksLeft = 0;
   bool m_hasStarted = false;
+  /// Tasks that may start again once the next commit, or the present one, has
+  /// succeeded, and those for which one has.
+  std::set<int> m_unstoredRestarts;
+  std::set<int> m_restartsInCommit;
+  std::set<int> m_storedRestarts;
 };
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -319,6 +319,7 @@
       break;
     }
     JobEntry &Entry = *find(Id);
+    Entry.onCommitSent();
     RowAddress Address = progressAddress(m_options.Shard, Id);
     Commit.Conditions.push_back(
         {.Address = Address, .Version = Entry.RowVersion});
@@ -343,8 +344,10 @@
     Result<uint64_t> Answer) {
   m_isCommitting = false;
   if (!Answer.has_value()) {
-    for (const auto &[Id, State] : Jobs)
+    for (const auto &[Id, State] : Jobs) {
+      find(Id)->onCommitEnded(false);
       markDirty(*find(Id));
+    }
     m_commitNotBefore = m_time.now() + RetryDelay;
     log("commit_failed",
         fmt::format("shard={} jobs={} result={} message=\"{}\"",
@@ -357,6 +360,7 @@
   }
   for (const auto &[Id, State] : Jobs) {
     JobEntry &Entry = *find(Id);
+    Entry.onCommitEnded(true);
     Entry.RowVersion = Answer.value();
     Entry.StoredState = State;
     if (Entry.IsTransferring) {
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -146,6 +146,9 @@
   void readHandover();
   void onHandoverRows(const std::vector<StoredRow> &Rows);
   void initPreviousRuns();
+  /// Returns true if the task may start again, see JobEntry::isRestartStored(),
+  /// and so may all members of its gang. Otherwise has that stored.
+  bool isRestartStored(JobEntry &Entry, int Position);
   /// Returns true if the list of workers is newer than the takeover. An older
   /// one may lack workers that the previous owner used.
   bool isFleetComplete() const {
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -18,6 +18,7 @@
   const JobStep &Step = Entry.stepOf(Position);
   removeWaiting(Entry, Position);
   Task.Phase = TaskPhase::Placed;
+  Entry.clearRestart(Position);
   ++Task.LastRun;
   Task.Worker = Slot.Entry.Id;
   RunKey Key{Entry.nameOf(Position), Task.LastRun};
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -142,10 +142,13 @@
       break;
     if (!m_waiting.count(Id) || !m_waiting[Id].count(Position))
       continue;
-    if (Task.EarliestStart > Now && Which == WaitingTasks::Restarts)
+    if (mayHavePreviousRun(Entry, Position))
+      continue;
+    bool IsDue = isRestartStored(Entry, Position) && Task.EarliestStart <= Now;
+    if (!IsDue && Which == WaitingTasks::Restarts)
       holdRoomUntilDue(Candidates, Entry, Position);
-    if (Task.EarliestStart > Now || SkippedSteps.count(StepIndex) ||
-        Entry.dueAt(Position) > WallTime || mayHavePreviousRun(Entry, Position))
+    if (!IsDue || SkippedSteps.count(StepIndex) ||
+        Entry.dueAt(Position) > WallTime)
       continue;
     if (matchesRejection(Rejected, Entry, Position)) {
       SkippedSteps.insert(StepIndex);
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -221,6 +221,10 @@
   log("run_gone", fmt::format("job={} step={} index={} run={} worker={} why={}",
                               Key.first.Job, Key.first.Step, Key.first.Index,
                               Key.second, Slot.Entry.Id, Why));
+  // A completion of the run may still be reported. The number that is stored
+  // before the task starts again shows that this completion came too late.
+  if (Entry->stepOf(Position).LongRunning && !Entry->stepOf(Position).Gang)
+    ++Task.LastRun;
   setWaiting(*Entry, Position, milliseconds(0));
   Task.LastRunNeverBegan =
       Phase == RunPhase::Starting || Phase == RunPhase::Unconfirmed;
@@ -287,6 +291,10 @@
                   Report.Run, Slot.Entry.Id, runOutcomeName(Report.Outcome)));
   if (Report.Outcome == RunOutcome::Failed &&
       Task.FailedRuns.insert(Report.Run).second) {
+    // A previous owner stores that a long-running task has failed before it
+    // starts the task again, and had not stored it.
+    if (Step.LongRunning && !Step.Gang && Report.Run >= Task.StoredRun)
+      m_previousRuns.setFound(Report.Task);
     countFailure(Entry, Position, Report);
     if (isFinal(Entry.State))
       return;
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -111,6 +111,10 @@
   TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
   Task.Phase = TaskPhase::Waiting;
   Task.LastRunNeverBegan = false;
+  if (Entry.stepOf(Position).LongRunning && !isFinal(Entry.State)) {
+    Entry.storeRestart(Position);
+    markDirty(Entry);
+  }
   Task.EarliestStart = m_time.now() + Delay;
   Task.WaitingSince = m_time.now();
   // A task of a job that may have been transferred is queued once the transfer
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -141,6 +141,23 @@
   return false;
 }
 
+bool JobShard::Impl::isRestartStored(JobEntry &Entry, int Position) {
+  std::vector<int> Members = Entry.stepOf(Position).Gang
+                                 ? Entry.groupPositions(Position)
+                                 : std::vector<int>{Position};
+  bool Out = true;
+  for (int Member : Members) {
+    if (Entry.isRestartStored(Member))
+      continue;
+    Out = false;
+    if (Entry.isRestartPending(Member))
+      continue;
+    Entry.storeRestart(Member);
+    markDirty(Entry);
+  }
+  return Out;
+}
+
 bool JobShard::Impl::isTakeoverComplete() const {
   return m_isLoaded && m_previousRuns.isResolved(m_time.now());
 }
--- a/src/libjobhost/handover_test.cpp
+++ b/src/libjobhost/handover_test.cpp
@@ -349,3 +349,68 @@
     checkNoViolations(Bed);
   }
 }
+
+namespace {
+
+const TaskName OnlyTask{.Job = "a"};
+
+void setReachable(JobTestBed &Bed, const std::string &Worker, bool Reachable) {
+  for (int Host = 0; Host < Bed.hosts(); ++Host) {
+    if (Reachable)
+      Bed.host(Host).UnreachableWorkers.erase(Worker);
+    else
+      Bed.host(Host).UnreachableWorkers.insert(Worker);
+  }
+}
+
+} // namespace
+
+// Guards against a second start of a long-running task whose failure was known
+// to its owner but not stored when that owner crashed.
+TEST_CASE("A long-running task starts again only after its failure is stored") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longRunningJob("a", 1)).has_value());
+  Bed.run(500ms);
+  int OldOwner = Bed.ownerIndex();
+  Bed.Store.IsDown = true;
+  REQUIRE(Bed.failTask(OnlyTask));
+  Bed.run(1s);
+  CHECK(Bed.Oracle.starts() == 1);
+  // If the task had been started again, its second worker would be silent now.
+  if (Bed.Oracle.running() > 0)
+    setReachable(Bed, Bed.Oracle.workerOf(OnlyTask), false);
+  Bed.killHost(OldOwner);
+  Bed.Store.IsDown = false;
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.starts() == 2; }, 6s));
+  Bed.run(3s);
+  checkNoViolations(Bed);
+}
+
+// Guards against the conclusion that a failed run was the last one: its worker
+// was silent until its lease was over, and the task was started elsewhere.
+TEST_CASE("A failure that is reported late does not start a long-running task "
+          "twice") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longRunningJob("a", 1)).has_value());
+  Bed.run(500ms);
+  std::string First = Bed.Oracle.workerOf(OnlyTask);
+  setReachable(Bed, First, false);
+  REQUIRE(Bed.failTask(OnlyTask));
+  REQUIRE(Bed.runUntil([&] { return Bed.Oracle.starts() == 2; }, 9s));
+  Bed.run(500ms);
+  std::string Second = Bed.Oracle.workerOf(OnlyTask);
+  REQUIRE(Second != First);
+  setReachable(Bed, Second, false);
+  int OldOwner = Bed.ownerIndex();
+  Bed.killHost(OldOwner);
+  setReachable(Bed, First, true);
+  awaitNewOwner(Bed, OldOwner);
+  Bed.run(3s);
+  CHECK(Bed.Oracle.starts() == 2);
+  setReachable(Bed, Second, true);
+  Bed.run(15s);
+  CHECK(Bed.Oracle.running() == 1);
+  checkNoViolations(Bed);
+}
