Test the owners of a shard in rolling restarts on the bed

Change: a test of 28 rolling restarts of seven hosts, one each two seconds, from each first host; the hosts hand over gracefully.

--- a/src/libjobhost/jobhost_test.cpp
+++ b/src/libjobhost/jobhost_test.cpp
@@ -452,3 +452,55 @@
   Bed.run(1s);
   CHECK(Bed.Oracle.starts() == 3);
 }
+
+namespace {
+
+/// Stops and restarts all hosts one after the other, one each two seconds,
+/// beginning with \p First. Returns how often the only shard changed its owner.
+int ownerChangesInRollingRestart(JobTestBed &Bed, int First) {
+  int Changes = 0;
+  int Owner = Bed.ownerIndex();
+  auto RunAndCount = [&](milliseconds Span) {
+    for (milliseconds Passed{0}; Passed < Span; Passed += 20ms) {
+      Bed.run(20ms);
+      int Now = Bed.ownerIndex();
+      Changes += Now >= 0 && Now != Owner;
+      Owner = Now >= 0 ? Now : Owner;
+    }
+  };
+  for (int I = 0; I < Bed.hosts(); ++I) {
+    int Host = (First + I) % Bed.hosts();
+    Bed.host(Host).Process->leave();
+    RunAndCount(400ms);
+    Bed.host(Host).Process->removeOwnRow();
+    RunAndCount(100ms);
+    Bed.killHost(Host);
+    RunAndCount(100ms);
+    Bed.startHost(Host);
+    RunAndCount(1400ms);
+  }
+  RunAndCount(20s);
+  return Changes;
+}
+
+} // namespace
+
+// Guards against a handover to a host that has its own stop ahead. Two changes
+// are needed if the owner stops first.
+TEST_CASE("A rolling restart of the hosts changes the owner twice at most") {
+  constexpr int Hosts = 7;
+  constexpr int Rounds = 4;
+  int Sum = 0;
+  for (int First = 0; First < Hosts; ++First) {
+    JobTestBed Bed({.Hosts = Hosts});
+    Bed.run(12s);
+    for (int Round = 0; Round < Rounds; ++Round) {
+      int Changes = ownerChangesInRollingRestart(Bed, First);
+      Sum += Changes;
+      CAPTURE(First);
+      CAPTURE(Round);
+      CHECK(Changes <= 2);
+    }
+  }
+  MESSAGE(Sum << " changes in " << Hosts * Rounds << " rolling restarts");
+}
