Replace dead hosts while the store is slow

What callers saw: after a crash of an owner nothing was scheduled in its shards for as long as a read of the hosts' rows took more than a second. Cause: a read that comes a second after the one before counted as a gap, in which hosts may have been unable to renew, and gave every host its full timeout again; with a store that stays slow, each read did so. Change: only the first slow read counts as a gap, and any after a failed read, a pause, or a read that took twice as long as the one before. Why it works: rows of live hosts change between the reads of a slow store, so that three reads tell a dead one.

--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -212,8 +212,10 @@
   void readHosts(const std::string &From) {
     m_isReadingHosts = true;
     m_nextHostRead = m_time.now() + m_options.RenewInterval;
-    if (From.empty())
+    if (From.empty()) {
       m_presentHosts.clear();
+      m_hostReadSentAt = m_time.now();
+    }
     m_store.read({.Table = HostTable, .Partition = "", .From = From},
                  [Weak = weak_from_this()](Result<RowPage> Reply) {
                    auto Self = Weak.lock();
@@ -221,6 +223,7 @@
                      return;
                    if (!Reply.has_value()) {
                      Self->m_isReadingHosts = false;
+                     Self->m_hasHostReadFailed = true;
                      return;
                    }
                    for (const StoredRow &Row : Reply.value().Rows)
@@ -259,10 +262,7 @@
 
   void onHostsRead() {
     TimePoint Now = m_time.now();
-    // No host can renew its row while the store is unavailable. After a gap in
-    // the reads all hosts therefore get the full timeout again.
-    bool HadGap = Now > m_lastHostRead + m_options.RenewInterval * 2;
-    m_lastHostRead = Now;
+    bool HadGap = hadReadGap(Now);
     for (auto It = m_hosts.begin(); It != m_hosts.end();) {
       ObservedHost &Host = It->second;
       if (!m_presentHosts.count(It->first)) {
@@ -282,6 +282,23 @@
     applyPlan();
   }
 
+  // No host can renew its row while the store is unavailable. After a gap in
+  // the reads all hosts therefore get the full timeout again. A store that
+  // stays slow is not unavailable: only the first slow read counts as a gap.
+  bool hadReadGap(TimePoint Now) {
+    nanoseconds Duration = Now - m_hostReadSentAt;
+    nanoseconds Limit =
+        std::max<nanoseconds>(m_options.RenewInterval, m_hostReadDuration) * 2;
+    bool IsSlow = Now > m_lastHostRead + m_options.RenewInterval * 2;
+    bool HadGap = IsSlow && (m_hasHostReadFailed || Duration > Limit ||
+                             m_hostReadSentAt >
+                                 m_lastHostRead + m_options.RenewInterval * 2);
+    m_lastHostRead = Now;
+    m_hostReadDuration = Duration;
+    m_hasHostReadFailed = false;
+    return HadGap;
+  }
+
   // Earlier processes of this host are certainly dead. Once their rows are
   // removed, other hosts need not wait for the timeout.
   void removeFormerProcesses() {
@@ -510,6 +527,11 @@
   TimePoint m_nextRenewal{};
   TimePoint m_nextHostRead{};
   TimePoint m_lastHostRead{};
+  TimePoint m_hostReadSentAt{};
+  /// Time that the last successful read took.
+  nanoseconds m_hostReadDuration{0};
+  /// Whether a read has failed since the last successful one.
+  bool m_hasHostReadFailed = false;
   /// Number of completed reads of the hosts' rows.
   int m_hostReads = 0;
   int m_renewalsInFlight = 0;
--- a/src/libjobhost/jobhost_test.cpp
+++ b/src/libjobhost/jobhost_test.cpp
@@ -504,3 +504,52 @@
   }
   MESSAGE(Sum << " changes in " << Hosts * Rounds << " rolling restarts");
 }
+
+namespace {
+
+/// Lets the store answer slowly from now on. Returns true if the owner is
+/// unchanged after ten seconds.
+bool keepsOwnerWithSlowStore(JobTestBed &Bed, milliseconds Delay) {
+  int Owner = Bed.ownerIndex();
+  Bed.Store.Delay = Delay;
+  Bed.run(10s);
+  return Owner >= 0 && Bed.ownerIndex() == Owner;
+}
+
+} // namespace
+
+// Guards against a wait that began anew with each slow read of the hosts' rows,
+// so that a shard without an owner stayed without one.
+TEST_CASE("A dead owner is replaced while the store is slow") {
+  for (milliseconds Delay : {300ms, 550ms, 700ms, 1000ms}) {
+    CAPTURE(Delay.count());
+    JobTestBed Bed({});
+    Bed.run(5s);
+    CHECK(keepsOwnerWithSlowStore(Bed, Delay));
+    int Owner = Bed.ownerIndex();
+    Bed.killHost(Owner);
+    // Four reads show that the owner's row does not change; a claim and the
+    // read of the shard's rows follow.
+    constexpr int RoundTrips = 8;
+    CHECK(Bed.runUntil(
+        [&] { return Bed.ownerIndex() >= 0 && Bed.ownerIndex() != Owner; },
+        2 * Delay * RoundTrips));
+  }
+}
+
+// Guards against hosts that are considered dead because the store was hung.
+TEST_CASE("A store that hangs for a time makes no host look dead") {
+  for (milliseconds Hang = 500ms; Hang <= 6s; Hang += 250ms) {
+    CAPTURE(Hang.count());
+    JobTestBed Bed({});
+    Bed.run(5s);
+    int Owner = Bed.ownerIndex();
+    Bed.Store.Delay = Hang;
+    Bed.run(20ms);
+    Bed.run(Hang);
+    Bed.Store.Delay = 4ms;
+    Bed.run(10s);
+    CHECK(Bed.ownerIndex() == Owner);
+    CHECK(Bed.host(Owner).Process->counts().Polls > 0);
+  }
+}
