Prefer settled hosts for the shards of a host that is gone

Cause: a process knows only the workers that left the list since its own start, for 10 s. The plan gave shards to hosts that had started a second ago also after a crash, where nobody tells them what ran. The shards of an owner that is gone go to hosts that have been up for 10 s, among hosts with about the same load. Tests: "A shard whose owner is gone goes to a host that started long ago" failed before. Why it works: a settled host has seen every worker that left within the time for which its tasks can go on. Conclusion: if all hosts are young, or a young one has clearly less load, the hole is open.

--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -322,14 +322,15 @@
            Host.UnchangedReads < MinUnchangedReads;
   }
 
-  std::vector<PlanHost> eligibleHosts() const {
+  std::vector<PlanHost> planHosts() const {
     std::vector<PlanHost> Out;
     for (const auto &[Id, Host] : m_hosts)
-      if (isAlive(Host) && !Host.Record.IsLeaving &&
-          !(m_isLeaving && Id == m_options.HostId))
+      if (isAlive(Host))
         Out.push_back({.Id = Id,
                        .Weight = Host.Record.Weight,
-                       .RenewalCount = Host.Record.RenewalCount});
+                       .RenewalCount = Host.Record.RenewalCount,
+                       .IsLeaving = Host.Record.IsLeaving ||
+                                    (m_isLeaving && Id == m_options.HostId)});
     return Out;
   }
 
@@ -339,7 +340,7 @@
     std::vector<std::string> Owners;
     for (const ObservedShard &Shard : m_shards)
       Owners.push_back(Shard.Owner);
-    std::vector<std::string> Plan = planShards(eligibleHosts(), Owners);
+    std::vector<std::string> Plan = planShards(planHosts(), Owners);
     if (Plan.empty())
       return;
     for (size_t Shard = 0; Shard < m_shards.size(); ++Shard)
--- a/src/libbasilchute/shardplan.cpp
+++ b/src/libbasilchute/shardplan.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <bit>
 #include <limits>
+#include <set>
+#include <string>
 #include <xxhash.h>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -58,17 +60,23 @@
   return static_cast<int>(std::bit_width(Host.RenewalCount));
 }
 
-/// Returns the host that should get \p Shard, which has no owner.
-HostShare *nextOwner(std::vector<HostShare> &Shares, size_t Shard) {
+/// Returns the host that should get \p Shard, which has no owner or whose owner
+/// is leaving.
+HostShare *nextOwner(std::vector<HostShare> &Shares, size_t Shard,
+                     bool IsOwnerLeaving) {
   double LoadLimit = leastLoaded(Shares, Shard)->loadWith(1) * MinLoadRatio;
+  auto RankOf = [IsOwnerLeaving](const HostShare &Share) {
+    bool IsYoung = Share.Host->RenewalCount < SettledRenewals;
+    return IsOwnerLeaving ? ageClass(*Share.Host) : static_cast<int>(IsYoung);
+  };
   HostShare *Best = nullptr;
   for (HostShare &Share : Shares) {
     if (Share.loadWith(1) >= LoadLimit)
       continue;
-    int Age = ageClass(*Share.Host);
-    int BestAge = Best ? ageClass(*Best->Host) : Age;
-    if (!Best || Age < BestAge ||
-        (Age == BestAge && isLessLoaded(Share, *Best, Shard)))
+    int Rank = RankOf(Share);
+    int BestRank = Best ? RankOf(*Best) : Rank;
+    if (!Best || Rank < BestRank ||
+        (Rank == BestRank && isLessLoaded(Share, *Best, Shard)))
       Best = &Share;
   }
   return Best;
@@ -78,7 +86,7 @@
 /// that is moved to even out the load would soon have to move again.
 bool areAllSettled(const std::vector<PlanHost> &Hosts) {
   return std::all_of(Hosts.begin(), Hosts.end(), [](const PlanHost &Host) {
-    return Host.RenewalCount >= SettledRenewals;
+    return Host.IsLeaving || Host.RenewalCount >= SettledRenewals;
   });
 }
 
@@ -95,11 +103,16 @@
 
 std::vector<std::string> planShards(const std::vector<PlanHost> &Hosts,
                                     const std::vector<std::string> &Owners) {
-  if (Hosts.empty())
-    return {};
   std::vector<HostShare> Shares;
-  for (const PlanHost &Host : Hosts)
-    Shares.push_back({&Host});
+  std::set<std::string> LeavingHosts;
+  for (const PlanHost &Host : Hosts) {
+    if (Host.IsLeaving)
+      LeavingHosts.insert(Host.Id);
+    else
+      Shares.push_back({&Host});
+  }
+  if (Shares.empty())
+    return {};
   std::vector<std::string> Plan = Owners;
   for (std::string &Owner : Plan) {
     HostShare *Current = findShare(Shares, Owner);
@@ -111,7 +124,8 @@
   for (size_t Shard = 0; Shard < Plan.size(); ++Shard) {
     if (!Plan[Shard].empty())
       continue;
-    HostShare *Target = nextOwner(Shares, Shard);
+    HostShare *Target =
+        nextOwner(Shares, Shard, LeavingHosts.contains(Owners[Shard]));
     Plan[Shard] = Target->Host->Id;
     ++Target->Count;
   }
