Test a worker that left the list before the new owner started

Cause: the takeover waits for the workers that the process has seen; the worker that it never saw may still run tasks. Change: a test of it, on one host.

--- a/src/libjobhost/jobhost_test.cpp
+++ b/src/libjobhost/jobhost_test.cpp
@@ -553,3 +553,19 @@
     CHECK(Bed.host(Owner).Process->counts().Polls > 0);
   }
 }
+
+// Guards against a new process that does not know a worker which left the list
+// between the end of the previous owner and its own start, and still runs
+// tasks.
+TEST_CASE("A worker that left the list before the owner started runs on "
+          "without a second start of its tasks") {
+  JobTestBed Bed({.Hosts = 1, .Workers = 2});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 8, 4s)).has_value());
+  Bed.run(1s);
+  Bed.killHost(0);
+  Bed.setWorkerListed(1, false);
+  Bed.startHost(0);
+  CHECK(reachesState(Bed, "a", JobState::Completed, 30s));
+  checkNoViolations(Bed);
+}
