Fuzz commits that take effect late

What callers saw: nothing; the fuzzer had lost replies but no write that takes effect after its sender gave it up.

--- a/src/testing/fuzzplan.cpp
+++ b/src/testing/fuzzplan.cpp
@@ -29,6 +29,7 @@
                  "store_down",
                  "store_slow",
                  "lose_replies",
+                 "late_commits",
                  "worker_faults",
                  "host_leaves",
                  "host_hidden",
@@ -217,6 +218,9 @@
     case FuzzKind::LoseReplies:
       m_bed.LostReplyPercent = 15 * (Command.FirstArg % 4);
       return;
+    case FuzzKind::LateCommits:
+      m_bed.LateCommitDelay = milliseconds(1500 * (Command.FirstArg % 4));
+      return;
     case FuzzKind::WorkerFaults:
       m_bed.WorkerFaultPercent = 15 * (Command.FirstArg % 4);
       return;
@@ -240,6 +244,7 @@
     m_bed.IsStoreDown = false;
     m_bed.StoreDelay = 5ms;
     m_bed.LostReplyPercent = 0;
+    m_bed.LateCommitDelay = 0ms;
     m_bed.WorkerFaultPercent = 0;
     m_bed.LeavingHosts.clear();
     m_bed.HiddenHosts.clear();
--- a/src/testing/fuzzplan.h
+++ b/src/testing/fuzzplan.h
@@ -33,6 +33,7 @@
   StoreDown,
   StoreSlow,
   LoseReplies,
+  LateCommits,
   WorkerFaults,
   HostLeaves,
   HostHidden,
