--- a/src/libbasilchute/scheduler.cpp
+++ b/src/libbasilchute/scheduler.cpp
@@ -311,7 +311,8 @@
                      const ShardManager &Manager) const {
     if (m_onShutDown)
       return m_time.now() >= m_nextReleaseAt;
-    return m_ownership.shouldRelease(Shard) && !Manager.mayHaveUnreachableTasks();
+    return m_ownership.shouldRelease(Shard) &&
+           !Manager.mayHaveUnreachableTasks();
   }
 
   void leave() {
