--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -163,7 +163,8 @@
   /// its index.
   int addWorker();
   /// Lists the worker as draining. After \p Stay it ends all its runs, leaves
-  /// the list and does not reply any more.
+  /// the list and does not reply any more. That counts as a crash if not all
+  /// hosts had notice of it for long enough to move the worker's tasks.
   void drainWorker(int Worker, milliseconds Stay);
   /// Lets the worker crash for good. It stays in the list for \p Listed.
   void loseWorker(int Worker, milliseconds Listed);
--- a/src/testing/jobtestbed_fleet.cpp
+++ b/src/testing/jobtestbed_fleet.cpp
@@ -12,6 +12,8 @@
 /// Time for which a process still runs after it has sent the removal of its
 /// row.
 constexpr milliseconds EndDelay{50};
+/// Notice that an owner needs to move the tasks of a draining worker.
+constexpr milliseconds MinNotice{1000};
 
 } // namespace
 
@@ -56,9 +58,13 @@
 void JobTestBed::drainWorker(int Index, milliseconds Stay) {
   worker(Index).Entry.IsDraining = true;
   publishWorkers();
-  later(Stay, [this, Index] {
+  bool IsPlanned = Stay >= m_options.MaxListDelay + MinNotice;
+  later(Stay, [this, Index, IsPlanned] {
     worker(Index).IsDown = true;
-    worker(Index).leave();
+    if (IsPlanned)
+      worker(Index).leave();
+    else
+      worker(Index).crash();
     setWorkerListed(Index, false);
   });
 }
