--- a/src/testing/rollingsession.cpp
+++ b/src/testing/rollingsession.cpp
@@ -134,9 +134,10 @@
 void RollingSession::planReplacements() {
   int Count = randomInt(4, 24);
   milliseconds Gap = randomTime(300, 1500);
-  // A few workers leave before all hosts have heard that they are draining.
-  milliseconds Stay = randomTime(300, 3000);
-  if (chance(85))
+  // In the other sessions some workers leave before all hosts have heard that
+  // they are draining.
+  milliseconds Stay = randomTime(300, 4000);
+  if (m_faults == Faults::None)
     Stay += m_bed.options().MaxListDelay + milliseconds(700);
   milliseconds At = randomTime(0, 4000);
   for (int Number = 0; Number < Count; ++Number, At += Gap)
