Start no task of a job whose transfer is pending

Cause: while a transfer of the job was under way, a late completion of an earlier run, from a worker that had been silent, put the task back among those that may be started (setWaiting). The transfer had taken effect, its answer was lost, and both owners started the task. Change: setWaiting leaves the task out while a transfer is pending; when the transfer has failed, queueReady adds it, as it does for all others. Test: "A late completion starts no task of a job that is being transferred".

--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -108,7 +108,8 @@
   Task.LastRunNeverBegan = false;
   Task.EarliestStart = m_time.now() + Delay;
   Task.WaitingSince = m_time.now();
-  if (!isFinal(Entry.State))
+  // While a transfer is pending, the task may already run in another shard.
+  if (!isFinal(Entry.State) && !Entry.IsTransferring)
     m_waiting[Entry.Spec.Id].insert(Position);
 }
 
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -2,6 +2,7 @@
 
 #include "testing/jobtestbed.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace basilchute;
@@ -50,6 +51,16 @@
   return Bed.runUntil([&] { return Bed.Oracle.running() == Tasks; }, Limit);
 }
 
+/// Returns true if the row of the job \p Id is in the table of \p Shard.
+bool holdsJob(JobTestBed &Bed, int Shard, const std::string &Id) {
+  RowPage Page =
+      Bed.Store.read({.Table = "jobs-" + std::to_string(Shard),
+                      .Partition = "shard-" + std::to_string(Shard)});
+  return std::any_of(
+      Page.Rows.begin(), Page.Rows.end(),
+      [&](const StoredRow &Row) { return Row.Address.Key == Id; });
+}
+
 /// Ends \p Worker for good: it does not answer and leaves the list.
 void loseWorker(JobTestBed &Bed, int Worker) {
   Bed.worker(Worker).IsDown = true;
@@ -192,3 +203,34 @@
   Bed.run(12s);
   CHECK(Bed.host(0).Process->counts().LongTaskWaits == 2);
 }
+
+// Guards against a task that is started twice: a late completion of an earlier
+// run made the task startable while the transfer of its job was under way.
+TEST_CASE("A late completion starts no task of a job that is being "
+          "transferred") {
+  JobTestBed Bed({.Workers = 2,
+                  .MinShards = 2,
+                  .WorkerCapacity = TwoTasks,
+                  .Trace = true});
+  Bed.run(6s);
+  CHECK(Bed.submit(0, longJob("a", 1)).has_value());
+  REQUIRE(allRunWithin(Bed, 1, 2s));
+  std::string Worker = Bed.worker(workerOf(Bed, taskOf("a"))).Entry.Id;
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers = {Worker};
+  // The worker ends the run with its lease and keeps the completion.
+  REQUIRE(allRunWithin(Bed, 0, 10s));
+  // Now the owner is certain that the lease has expired.
+  Bed.run(1500ms);
+  // The transfer takes effect, but its sender does not learn of it.
+  int Target = 1 - Bed.host(0).Process->shardOf(Worker);
+  Bed.Store.LostReplyPercent = 100;
+  REQUIRE(Bed.runUntil([&] { return holdsJob(Bed, Target, "a"); }, 3s));
+  Bed.Store.LostReplyPercent = 0;
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.clear();
+  Bed.run(5s);
+  CHECK(workerOf(Bed, taskOf("a")) >= 0);
+  CHECK(Bed.worker(workerOf(Bed, taskOf("a"))).Entry.Id != Worker);
+  checkNoViolations(Bed);
+}
