Delegate waiting tasks of begun jobs to a shard with room

What callers saw: after the loss of a worker its long-running tasks didn't run again (LOST): other tasks of their job ran on, so the job stayed, and its shard was full, while another shard had room for them. Cause: a job has one shard as long as anything of it runs. After an unknown outcome nothing of the job starts until its row was written again or shows the outcome. The owner of the part reads the cancellation and the state of the job once a second. New: delegated tasks after the crash of both owners, after an unknown and a late outcome, and that an earlier version takes a part for no job. Why it works: the mark and the part appear together, so that each task has one shard in every state of the store; a version that knows no parts starts it in neither. Conclusion: two reads a second for each job that has delegated. Tasks are not taken back, and a job delegates once.

--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -94,6 +94,8 @@
   /// Long-running tasks of started jobs that waited longer than expected for
   /// room in the shard.
   uint64_t LongTaskWaits = 0;
+  /// Long-running tasks that were delegated to another shard.
+  uint64_t Delegations = 0;
   /// Orders that set the pace of a fill task.
   uint64_t PaceOrders = 0;
 };
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -156,4 +156,21 @@
   --m_tasksLeft;
 }
 
+void JobEntry::finishAllBut(const std::vector<int> &Positions) {
+  for (int Position = 0; Position < static_cast<int>(Tasks.size()); ++Position)
+    if (std::find(Positions.begin(), Positions.end(), Position) ==
+        Positions.end())
+      finish(Position);
+}
+
+bool JobEntry::hasDelegated() const {
+  if (HomeShard)
+    return false;
+  for (int Position = 0; Position < static_cast<int>(Tasks.size()); ++Position)
+    if (stepOf(Position).LongRunning &&
+        Tasks[static_cast<size_t>(Position)].Phase == TaskPhase::Done)
+      return true;
+  return false;
+}
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -8,6 +8,7 @@
 #include "basilchute/taskworker.h"
 #include "libbasilchute/jobrows.h"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -70,6 +71,12 @@
   bool IsOwnershipCertain = false;
   /// A transfer to another shard is pending; no task of the job may be started.
   bool IsTransferring = false;
+  /// Tasks that a pending commit delegates to another shard.
+  std::vector<int> Delegating;
+  /// Shard that holds the job, if this shard runs only delegated tasks of it.
+  std::optional<int> HomeShard;
+  /// The state of the job in its home shard is being read.
+  bool IsReadingHome = false;
   std::vector<TaskState> Tasks;
   /// By step: kind of its tasks.
   std::vector<int> Kinds;
@@ -93,10 +100,10 @@
   StepName stepName(int Position) const;
   const JobStep &stepOf(int Position) const;
   /// Returns true if the task is long-running and this owner knows of a run of
-  /// it, so that its next run is a restart.
+  /// it, or another shard has delegated it, so that its next run is a restart.
   bool isRestart(int Position) const {
     return stepOf(Position).LongRunning &&
-           !Tasks[static_cast<size_t>(Position)].Worker.empty();
+           (HomeShard || !Tasks[static_cast<size_t>(Position)].Worker.empty());
   }
   /// Returns true if all tasks of all preceding steps are done.
   bool isReady(int Position) const;
@@ -107,8 +114,13 @@
   milliseconds dueAt(int Position) const;
   /// Returns true if any task is in phase Placed.
   bool hasPlaced() const;
-  /// Marks the task done.
+  /// Marks the task done. A long-running task that another shard runs counts as
+  /// done here.
   void finish(int Position);
+  /// Marks all tasks but those at \p Positions done.
+  void finishAllBut(const std::vector<int> &Positions);
+  /// Returns true if another shard runs long-running tasks of the job.
+  bool hasDelegated() const;
   /// Returns true if every task is done.
   bool allDone() const { return m_tasksLeft == 0; }
   /// Returns the duration of the critical path through all steps, by the
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view CancelSuffix = ".cancel";
+constexpr std::string_view PartSuffix = ".part";
 constexpr int RowFormat = 1;
 constexpr std::string_view ShardPartitionPrefix = "shard-";
 constexpr const char *LayoutPartition = "layout";
@@ -67,6 +68,35 @@
           .MaxUnavailable = From.miss_budget()};
 }
 
+void storeJob(const Job &From, v1::StoredJob &To) {
+  To.set_id(From.Id);
+  To.set_queue(From.Queue);
+  To.set_payload(From.Payload);
+  for (const JobStep &Step : From.Steps)
+    storeStep(Step, *To.add_steps());
+  To.set_repetitions(From.Repetitions);
+  To.set_first_run_ms(From.FirstRun.count());
+  To.set_interval_ms(From.Interval.count());
+  To.set_accepted_ms(From.AcceptedAt.count());
+  To.set_waited_ms(From.WaitedBeforeTransfer.count());
+  To.set_begun(From.HadStarted);
+}
+
+Job loadJob(const v1::StoredJob &From) {
+  Job Out{.Id = From.id(),
+          .Queue = From.queue(),
+          .Payload = From.payload(),
+          .Repetitions = From.repetitions(),
+          .FirstRun = milliseconds(From.first_run_ms()),
+          .Interval = milliseconds(From.interval_ms()),
+          .AcceptedAt = milliseconds(From.accepted_ms()),
+          .WaitedBeforeTransfer = milliseconds(From.waited_ms()),
+          .HadStarted = From.begun()};
+  for (const v1::StoredJobStep &Step : From.steps())
+    Out.Steps.push_back(loadStep(Step));
+  return Out;
+}
+
 } // namespace
 
 std::string_view jobStateName(JobState State) {
@@ -107,6 +137,14 @@
       .Table = ProgressTable, .Partition = shardPartition(Shard), .Key = JobId};
 }
 
+RowAddress partAddress(int Shard, const std::string &JobId) {
+  return jobAddress(Shard, JobId + std::string(PartSuffix));
+}
+
+RowAddress partProgressAddress(int Shard, const std::string &JobId) {
+  return progressAddress(Shard, JobId + std::string(PartSuffix));
+}
+
 RowAddress shardOwnerAddress(int Shard) {
   return {
       .Table = ShardTable, .Partition = shardPartition(Shard), .Key = "owner"};
@@ -132,6 +170,12 @@
   return {Key.substr(0, Key.size() - CancelSuffix.size()), true};
 }
 
+std::optional<std::string> parsePartKey(const std::string &Key) {
+  if (!Key.ends_with(PartSuffix))
+    return std::nullopt;
+  return Key.substr(0, Key.size() - PartSuffix.size());
+}
+
 RowAddress shardCountAddress() {
   return {
       .Table = AssignmentTable, .Partition = LayoutPartition, .Key = "shards"};
@@ -156,17 +200,7 @@
 
 std::string encodeJob(const Job &Value) {
   v1::StoredJob Out;
-  Out.set_id(Value.Id);
-  Out.set_queue(Value.Queue);
-  Out.set_payload(Value.Payload);
-  for (const JobStep &Step : Value.Steps)
-    storeStep(Step, *Out.add_steps());
-  Out.set_repetitions(Value.Repetitions);
-  Out.set_first_run_ms(Value.FirstRun.count());
-  Out.set_interval_ms(Value.Interval.count());
-  Out.set_accepted_ms(Value.AcceptedAt.count());
-  Out.set_waited_ms(Value.WaitedBeforeTransfer.count());
-  Out.set_begun(Value.HadStarted);
+  storeJob(Value, Out);
   return Out.SerializeAsString();
 }
 
@@ -174,18 +208,26 @@
   v1::StoredJob From;
   if (!From.ParseFromString(Bytes) || From.id().empty())
     return badRow("job");
-  Job Out{.Id = From.id(),
-          .Queue = From.queue(),
-          .Payload = From.payload(),
-          .Repetitions = From.repetitions(),
-          .FirstRun = milliseconds(From.first_run_ms()),
-          .Interval = milliseconds(From.interval_ms()),
-          .AcceptedAt = milliseconds(From.accepted_ms()),
-          .WaitedBeforeTransfer = milliseconds(From.waited_ms()),
-          .HadStarted = From.begun()};
-  for (const v1::StoredJobStep &Step : From.steps())
-    Out.Steps.push_back(loadStep(Step));
-  return Out;
+  return loadJob(From);
+}
+
+std::string encodePart(const JobPart &Value) {
+  v1::StoredJobPart Out;
+  storeJob(Value.Spec, *Out.mutable_job());
+  Out.set_home_shard(Value.HomeShard);
+  for (int Position : Value.Positions)
+    Out.add_positions(Position);
+  return Out.SerializeAsString();
+}
+
+Result<JobPart> decodePart(const std::string &Bytes) {
+  v1::StoredJobPart From;
+  if (!From.ParseFromString(Bytes) || From.job().id().empty())
+    return badRow("job part");
+  return JobPart{
+      .Spec = loadJob(From.job()),
+      .HomeShard = From.home_shard(),
+      .Positions = {From.positions().begin(), From.positions().end()}};
 }
 
 std::string encodeProgress(const JobProgress &Value) {
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -9,6 +9,7 @@
 #include "basilchute/rowstore.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,15 @@
   std::vector<TaskProgress> Tasks;
 };
 
+/// Tasks of a job that a shard runs for the shard that holds the job.
+struct JobPart {
+  Job Spec;
+  /// Shard that holds the job and its cancellation.
+  int HomeShard = 0;
+  /// Positions of the tasks.
+  std::vector<int> Positions;
+};
+
 /// Stored interference of fill tasks of one image with serving tasks of
 /// another.
 struct ImagePair {
@@ -58,6 +68,10 @@
 RowAddress cancellationAddress(int Shard, const std::string &JobId);
 /// Returns the address of the row with the progress of a job.
 RowAddress progressAddress(int Shard, const std::string &JobId);
+/// Returns the address of the row with the part of a job that \p Shard runs.
+RowAddress partAddress(int Shard, const std::string &JobId);
+/// Returns the address of the row with the progress of that part.
+RowAddress partProgressAddress(int Shard, const std::string &JobId);
 /// Returns the address of the row that names the owner of a shard.
 RowAddress shardOwnerAddress(int Shard);
 /// Returns the address of the row with a shard's interference model.
@@ -88,10 +102,15 @@
 /// the row records the job's cancellation.
 std::pair<std::string, bool> parseJobKey(const std::string &Key);
 
+/// Returns the id of the job if \p Key is that of a part's row.
+std::optional<std::string> parsePartKey(const std::string &Key);
+
 std::string encodeJob(const Job &Value);
 /// This and the other decoders fail with InvalidArgument if \p Bytes are not a
 /// valid record.
 Result<Job> decodeJob(const std::string &Bytes);
+std::string encodePart(const JobPart &Value);
+Result<JobPart> decodePart(const std::string &Bytes);
 std::string encodeProgress(const JobProgress &Value);
 Result<JobProgress> decodeProgress(const std::string &Bytes);
 std::string encodeHost(const HostRecord &Value);
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -160,6 +160,8 @@
 void JobShard::Impl::onJobRow(const StoredRow &Row) {
   if (Row.IsRemoved)
     return;
+  if (std::optional<std::string> PartId = parsePartKey(Row.Address.Key))
+    return onPartRow(*PartId, Row);
   auto [Id, IsCancel] = parseJobKey(Row.Address.Key);
   if (IsCancel) {
     m_cancelled.insert(Id);
@@ -221,6 +223,11 @@
   }
   if (!Stored)
     Entry.ArrivedAt -= Spec.WaitedBeforeTransfer;
+  auto Part = m_parts.find(Spec.Id);
+  if (Part != m_parts.end()) {
+    Entry.HomeShard = Part->second.HomeShard;
+    Entry.finishAllBut(Part->second.Positions);
+  }
   if (isFinal(Entry.State))
     return;
   if (!Stored)
@@ -312,7 +319,7 @@
       break;
     }
     JobEntry &Entry = *find(Id);
-    RowAddress Address = progressAddress(m_options.Shard, Id);
+    RowAddress Address = progressAddressOf(Id);
     Commit.Conditions.push_back(
         {.Address = Address, .Version = Entry.RowVersion});
     Commit.Changes.push_back(
@@ -354,6 +361,7 @@
     Entry.StoredState = State;
     if (Entry.IsTransferring) {
       Entry.IsTransferring = false;
+      Entry.Delegating.clear();
       queueReady(Entry);
     }
   }
@@ -402,11 +410,11 @@
   }
   std::string Id = Jobs.back();
   Jobs.pop_back();
-  RowAddress Address = progressAddress(m_options.Shard, Id);
+  RowAddress Address = progressAddressOf(Id);
   RowRange Range{.Table = Address.Table,
                  .Partition = Address.Partition,
-                 .From = Id,
-                 .To = Id + '\x01'};
+                 .From = Address.Key,
+                 .To = Address.Key + '\x01'};
   m_store.read(
       Range, [Weak = weak_from_this(), Id, Jobs](Result<RowPage> Answer) {
         auto Self = Weak.lock();
@@ -415,7 +423,7 @@
         if (Answer.has_value() && Answer.value().Rows.empty())
           Self->forgetJob(Id, Answer.value().Version);
         else if (Answer.has_value())
-          Self->find(Id)->RowVersion = Answer.value().Rows.front().Version;
+          Self->onCurrentProgress(*Self->find(Id), Answer.value().Rows.front());
         Self->refreshRowVersions(Jobs);
       });
 }
@@ -468,6 +476,8 @@
   pollWorkers();
   commit();
   transfer();
+  delegateTasks();
+  readHomesOfParts();
   place();
   saveModel();
   readPeerModels();
@@ -476,7 +486,7 @@
 
 std::optional<JobState> JobShard::Impl::state(const std::string &Job) const {
   auto It = m_jobs.find(Job);
-  if (It == m_jobs.end())
+  if (It == m_jobs.end() || It->second.HomeShard)
     return std::nullopt;
   return It->second.StoredState;
 }
--- /dev/null
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -0,0 +1,247 @@
+#include "libbasilchute/jobshard_impl.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+namespace {
+
+/// Time between two searches for tasks to delegate.
+constexpr milliseconds DelegationInterval{250};
+/// Time between two reads of the state of a job in its home shard. A cancelled
+/// task runs on for this long, and must stop within 4 s.
+constexpr milliseconds HomeReadInterval{1000};
+
+} // namespace
+
+RowAddress JobShard::Impl::progressAddressOf(const std::string &Id) const {
+  return m_parts.count(Id) ? partProgressAddress(m_options.Shard, Id)
+                           : progressAddress(m_options.Shard, Id);
+}
+
+bool JobShard::Impl::hasRunsOf(const TaskName &Task) const {
+  return std::any_of(m_slots.begin(), m_slots.end(), [&](const auto &Slot) {
+    auto Run = Slot.second.Runs.lower_bound({Task, 0});
+    return Run != Slot.second.Runs.end() && Run->first.first == Task;
+  });
+}
+
+// Returns the long-running tasks of a started job that have waited long and of
+// which no run is present or possible in this shard. A job delegates only once.
+// If none of its tasks runs here, the whole job is transferred instead.
+std::vector<int> JobShard::Impl::delegableTasks(const JobEntry &Entry) const {
+  TimePoint Now = m_time.now();
+  std::vector<int> Out;
+  bool MayDelegate =
+      !isFinal(Entry.State) && !Entry.IsTransferring && !Entry.HomeShard &&
+      !m_dirty.count(Entry.Spec.Id) && Entry.Spec.Repetitions == 0 &&
+      Entry.Spec.Steps.front().LongRunning && Entry.hasPlaced() &&
+      !Entry.hasDelegated() &&
+      (arrivedAfterTakeover(Entry) || Now >= previousRunsEndAt());
+  if (!MayDelegate)
+    return Out;
+  for (int Position : m_waiting.at(Entry.Spec.Id)) {
+    const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+    const JobStep &Step = Entry.stepOf(Position);
+    if (Step.LongRunning && !Step.Gang &&
+        Now > Task.WaitingSince + LongRunningMaxWait &&
+        !hasRunsOf(Entry.nameOf(Position)))
+      Out.push_back(Position);
+  }
+  return Out;
+}
+
+void JobShard::Impl::delegateTasks() {
+  TimePoint Now = m_time.now();
+  if (!m_options.FindShardWithRoom || Now < m_nextDelegation ||
+      m_isCommitting || !canSendOrders() || !isTakeoverComplete())
+    return;
+  m_nextDelegation = Now + DelegationInterval;
+  for (const auto &[Id, Waiting] : m_waiting) {
+    JobEntry &Entry = *find(Id);
+    std::vector<int> Positions = delegableTasks(Entry);
+    int Target =
+        Positions.empty() ? -1 : m_options.FindShardWithRoom(Entry.Spec);
+    if (Target < 0)
+      continue;
+    sendDelegation(Entry, Positions, Target);
+    return;
+  }
+}
+
+// The tasks count as done in this shard, so that no owner starts them here,
+// also one of a version that knows no parts.
+void JobShard::Impl::sendDelegation(JobEntry &Entry,
+                                    const std::vector<int> &Positions,
+                                    int Target) {
+  const std::string &Id = Entry.Spec.Id;
+  Entry.IsTransferring = true;
+  Entry.Delegating = Positions;
+  m_waiting.erase(Id);
+  JobEntry Kept = Entry;
+  JobProgress Moved{.State = Entry.State};
+  for (int Position : Positions) {
+    TaskState &Task = Kept.Tasks[static_cast<size_t>(Position)];
+    Moved.Tasks.push_back(
+        {.Position = Position,
+         .Run = Task.LastRun,
+         .FailedRuns = {Task.FailedRuns.begin(), Task.FailedRuns.end()},
+         .Checkpoint = Task.Checkpoint});
+    // Only tasks with a run number are stored.
+    Task.LastRun = std::max(Task.LastRun, 1);
+    Kept.finish(Position);
+  }
+  RowAddress Progress = progressAddress(m_options.Shard, Id);
+  RowAddress Part = partAddress(Target, Id);
+  RowCommit Commit;
+  Commit.Conditions = {{.Address = shardOwnerAddress(m_options.Shard),
+                        .Version = m_options.Epoch},
+                       {.Address = cancellationAddress(m_options.Shard, Id)},
+                       {.Address = Progress, .Version = Entry.RowVersion},
+                       {.Address = Part}};
+  Commit.Changes = {
+      {.Address = Progress, .Value = encodeProgress(Kept.progress())},
+      {.Address = Part,
+       .Value = encodePart({.Spec = Entry.Spec,
+                            .HomeShard = m_options.Shard,
+                            .Positions = Positions})},
+      {.Address = partProgressAddress(Target, Id),
+       .Value = encodeProgress(Moved)}};
+  m_isCommitting = true;
+  m_store.commit(std::move(Commit), [Weak = weak_from_this(), Id,
+                                     Target](const Result<uint64_t> &Answer) {
+    if (auto Self = Weak.lock())
+      Self->onDelegated(Id, Target, Answer);
+  });
+}
+
+void JobShard::Impl::onDelegated(const std::string &Id, int Target,
+                                 const Result<uint64_t> &Answer) {
+  m_isCommitting = false;
+  JobEntry &Entry = *find(Id);
+  if (Answer.has_value()) {
+    log("tasks_delegated",
+        fmt::format("job={} tasks={} from={} to={}", Id,
+                    Entry.Delegating.size(), m_options.Shard, Target));
+    Entry.RowVersion = Answer.value();
+    finishDelegation(Entry);
+    return;
+  }
+  log("delegation_failed",
+      fmt::format("job={} from={} to={} result={} message=\"{}\"", Id,
+                  m_options.Shard, Target, resultCodeName(Answer.error().Code),
+                  Answer.error().Message));
+  ResultCode Code = Answer.error().Code;
+  if (Code == ResultCode::Unavailable || Code == ResultCode::Overloaded) {
+    Entry.IsTransferring = false;
+    Entry.Delegating.clear();
+    queueReady(Entry);
+    return;
+  }
+  // The commit may still take effect. No task is started until a commit of the
+  // job's progress succeeds, which makes the delegation impossible, or the
+  // progress row shows that it took effect.
+  markDirty(Entry);
+  if (Code == ResultCode::Conflict)
+    verifyOwnership();
+}
+
+void JobShard::Impl::finishDelegation(JobEntry &Entry) {
+  for (int Position : Entry.Delegating) {
+    TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+    Task.LastRun = std::max(Task.LastRun, 1);
+    Entry.finish(Position);
+  }
+  m_counts.Delegations += Entry.Delegating.size();
+  Entry.Delegating.clear();
+  Entry.IsTransferring = false;
+  queueReady(Entry);
+}
+
+// Takes over the version of a progress row that a commit found changed. After a
+// delegation with an unknown outcome, the row shows whether it took effect.
+void JobShard::Impl::onCurrentProgress(JobEntry &Entry, const StoredRow &Row) {
+  Entry.RowVersion = Row.Version;
+  if (Entry.Delegating.empty())
+    return;
+  Result<JobProgress> Stored = decodeProgress(Row.Value);
+  if (!Stored.has_value())
+    return;
+  bool IsDelegated = std::any_of(
+      Stored.value().Tasks.begin(), Stored.value().Tasks.end(),
+      [&](const TaskProgress &Task) {
+        return Task.Done && Task.Position == Entry.Delegating.front();
+      });
+  if (IsDelegated)
+    finishDelegation(Entry);
+}
+
+// Adds tasks that another shard has delegated to this one.
+void JobShard::Impl::onPartRow(const std::string &Id, const StoredRow &Row) {
+  if (m_jobs.count(Id))
+    return;
+  Result<JobPart> Part = decodePart(Row.Value);
+  if (!Part.has_value()) {
+    log("bad_row",
+        fmt::format("table={} key={} message=\"{}\"", Row.Address.Table,
+                    Row.Address.Key, Part.error().Message));
+    return;
+  }
+  const Job Spec = Part.value().Spec;
+  m_parts.emplace(Id, std::move(Part.value()));
+  auto Stored = m_loadedProgress.find(Row.Address.Key);
+  if (Stored == m_loadedProgress.end())
+    return adoptJob(Spec, Row.Version);
+  addStored(Spec, Stored->second);
+  if (JobEntry *Added = find(Id))
+    Added->JobVersion = Row.Version;
+}
+
+void JobShard::Impl::readHomesOfParts() {
+  if (m_parts.empty() || m_time.now() < m_nextHomeRead)
+    return;
+  m_nextHomeRead = m_time.now() + HomeReadInterval;
+  for (const auto &[Id, Part] : m_parts) {
+    JobEntry *Entry = find(Id);
+    if (Entry && !isFinal(Entry->State) && !Entry->IsReadingHome)
+      readHome(*Entry);
+  }
+}
+
+// Ends the delegated tasks once the job is cancelled or has ended in its home
+// shard. The job's row and its cancellation row are neighbours.
+void JobShard::Impl::readHome(JobEntry &Entry) {
+  Entry.IsReadingHome = true;
+  const std::string &Id = Entry.Spec.Id;
+  RowAddress Cancellation = cancellationAddress(*Entry.HomeShard, Id);
+  RowAddress Progress = progressAddress(*Entry.HomeShard, Id);
+  m_store.read({.Table = Cancellation.Table,
+                .Partition = Cancellation.Partition,
+                .From = Cancellation.Key,
+                .To = Cancellation.Key + '\x01'},
+               [Weak = weak_from_this(), Id](const Result<RowPage> &Answer) {
+                 auto Self = Weak.lock();
+                 if (Self && Answer.has_value() && !Answer.value().Rows.empty())
+                   Self->cancelJob(Id);
+               });
+  m_store.read({.Table = Progress.Table,
+                .Partition = Progress.Partition,
+                .From = Progress.Key,
+                .To = Progress.Key + '\x01'},
+               [Weak = weak_from_this(), Id](const Result<RowPage> &Answer) {
+                 auto Self = Weak.lock();
+                 JobEntry *Found = Self ? Self->find(Id) : nullptr;
+                 if (!Found)
+                   return;
+                 Found->IsReadingHome = false;
+                 if (!Answer.has_value() || Answer.value().Rows.empty())
+                   return;
+                 Result<JobProgress> Home =
+                     decodeProgress(Answer.value().Rows.front().Value);
+                 if (Home.has_value() && isFinal(Home.value().State))
+                   Self->cancelJob(Id);
+               });
+}
+
+BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -10,6 +10,7 @@
 /// - jobshard_interference.cpp: interference and the pace of fill tasks;
 /// - jobshard_relocate.cpp: runs that move to another worker;
 /// - jobshard_transfer.cpp: transfer of waiting jobs to another shard;
+/// - jobshard_delegate.cpp: tasks that another shard runs for this one;
 /// - jobshard_waits.cpp: report of long-running tasks that find no room.
 #pragma once
 
@@ -125,6 +126,23 @@
   void forgetJob(const std::string &Id, uint64_t Version);
   bool wasTransferred(const std::string &Id, uint64_t Version);
 
+  // Delegation of waiting long-running tasks to other shards.
+  void delegateTasks();
+  std::vector<int> delegableTasks(const JobEntry &Entry) const;
+  bool hasRunsOf(const TaskName &Task) const;
+  void sendDelegation(JobEntry &Entry, const std::vector<int> &Positions,
+                      int Target);
+  void onDelegated(const std::string &Id, int Target,
+                   const Result<uint64_t> &Answer);
+  void finishDelegation(JobEntry &Entry);
+  void onCurrentProgress(JobEntry &Entry, const StoredRow &Row);
+  void onPartRow(const std::string &Id, const StoredRow &Row);
+  void readHomesOfParts();
+  void readHome(JobEntry &Entry);
+  /// Returns the address of the progress row of a job, or of a part of one, in
+  /// this shard.
+  RowAddress progressAddressOf(const std::string &Id) const;
+
   void log(std::string_view Event, std::string_view Fields) const;
   JobEntry *find(const std::string &Id);
   const JobQueue *queueOf(const JobEntry &Entry) const;
@@ -311,6 +329,10 @@
   /// Jobs that were transferred to another shard, with the version of the
   /// transfer.
   std::map<std::string, uint64_t> m_transferredJobs;
+  /// Parts of other shards' jobs that this shard runs, by job id.
+  std::map<std::string, JobPart> m_parts;
+  TimePoint m_nextDelegation{};
+  TimePoint m_nextHomeRead{};
   uint64_t m_feedFrom = 0;
   /// Version of the store at which reading of the shard's rows began.
   uint64_t m_loadVersion = 0;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -300,7 +300,7 @@
 
 void JobShard::Impl::failIfUnplaceable(JobEntry &Entry, int Position) {
   bool IsOldEnough = m_time.now() > Entry.ArrivedAt + FailUnplaceableAfter;
-  if (IsOldEnough && queueOf(Entry) && !m_fleet.empty() &&
+  if (IsOldEnough && !Entry.HomeShard && queueOf(Entry) && !m_fleet.empty() &&
       !canEverFit(Entry, Position))
     endJob(Entry, JobState::Failed, "fits_no_worker");
 }
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -72,8 +72,10 @@
       Out.RemainingWork += Entry.remainingWork();
       continue;
     }
-    for (const JobStep &Step : Entry.Spec.Steps)
-      Out.LongRunningMillicores += Step.Count * Step.Demand.Millicores;
+    for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
+         ++Position)
+      if (Entry.Tasks[static_cast<size_t>(Position)].Phase != TaskPhase::Done)
+        Out.LongRunningMillicores += Entry.stepOf(Position).Demand.Millicores;
   }
   return Out;
 }
@@ -86,6 +88,10 @@
       m_dirty.count(Entry.Spec.Id) || Entry.Spec.Repetitions > 0 ||
       Entry.hasPlaced())
     return false;
+  // The owner of a delegated task looks for the cancellation in the job's
+  // present shard.
+  if (Entry.HomeShard || Entry.hasDelegated())
+    return false;
   // If this shard has no workers, a job can only run in another shard and is
   // transferred at any age. So is a long-running job, because the capacity that
   // such jobs take does not become free.
@@ -248,7 +254,7 @@
 // Adds a job that had started in another shard and was transferred here. Its
 // progress is read from its progress row.
 void JobShard::Impl::adoptJob(const Job &Spec, uint64_t JobVersion) {
-  RowAddress Address = progressAddress(m_options.Shard, Spec.Id);
+  RowAddress Address = progressAddressOf(Spec.Id);
   RowRange Range{.Table = Address.Table,
                  .Partition = Address.Partition,
                  .From = Address.Key,
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -307,6 +307,7 @@
     Out.RoundsAtStepLimit += Counts.RoundsAtStepLimit;
     Out.Transfers += Counts.Transfers;
     Out.LongTaskWaits += Counts.LongTaskWaits;
+    Out.Delegations += Counts.Delegations;
     Out.PaceOrders += Counts.PaceOrders;
   }
   return Out;
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -1,5 +1,6 @@
 // Tests of shards that long-running tasks have filled.
 
+#include "libbasilchute/jobrows.h"
 #include "testing/jobtestbed.h"
 
 #include <algorithm>
@@ -204,6 +205,99 @@
   CHECK(Bed.host(0).Process->counts().LongTaskWaits == 2);
 }
 
+// Guards against tasks of a begun job that wait for ever in a full shard beside
+// a shard with room, because other tasks of the job still run in the full
+// shard.
+TEST_CASE("Tasks of a lost worker run again in another shard while the rest of "
+          "their job runs on in a full shard") {
+  JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longJob("wide", 6)).has_value());
+  REQUIRE(allRunWithin(Bed, 6, 8s));
+  Bed.run(10s);
+  loseWorker(Bed, workerOf(Bed, taskOf("wide")));
+  CHECK(allRunWithin(Bed, 6, RestartBound));
+  Result<JobState> State = Bed.state(0, "wide");
+  CHECK((State.has_value() && State.value() == JobState::Running));
+  // Cancelled tasks must stop within 4 s, in whichever shard they run.
+  CHECK(Bed.cancel(1, "wide").has_value());
+  CHECK(allRunWithin(Bed, 0, 4s));
+  Bed.run(10s);
+  CHECK(Bed.Oracle.running() == 0);
+  checkNoViolations(Bed);
+}
+
+// Guards against delegated tasks that are started in both shards, or in none,
+// after a change of both owners.
+TEST_CASE("Delegated tasks run on, and only once, after their owners crash") {
+  JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longJob("wide", 6)).has_value());
+  REQUIRE(allRunWithin(Bed, 6, 8s));
+  Bed.run(10s);
+  loseWorker(Bed, workerOf(Bed, taskOf("wide")));
+  REQUIRE(allRunWithin(Bed, 6, RestartBound));
+  Bed.run(1s);
+  int Starts = Bed.Oracle.starts();
+  Bed.killHost(Bed.ownerIndex());
+  Bed.run(12s);
+  Bed.killHost(Bed.ownerIndex());
+  Bed.run(12s);
+  CHECK(Bed.Oracle.running() == 6);
+  CHECK(Bed.Oracle.starts() == Starts);
+  Bed.startHost(0);
+  CHECK(Bed.runUntil([&] { return Bed.cancel(0, "wide").has_value(); }, 20s));
+  CHECK(allRunWithin(Bed, 0, 4s));
+  checkNoViolations(Bed);
+}
+
+// Guards against tasks that run in both shards after a delegation whose outcome
+// its sender did not learn, or which took effect late.
+TEST_CASE("A delegation with an unknown outcome starts no task twice") {
+  for (bool IsLate : {false, true}) {
+    JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
+    Bed.run(6s);
+    std::string Wide = idForShard("a-", 0);
+    std::string Other = idForShard("b-", 0);
+    // Through two hosts, none of which knows yet what the other has sent.
+    CHECK(Bed.submit(0, longJob(Wide, 4)).has_value());
+    CHECK(Bed.submit(1, longJob(Other, 2)).has_value());
+    REQUIRE(allRunWithin(Bed, 6, 8s));
+    Bed.run(10s);
+    REQUIRE(shardOf(Bed, taskOf(Wide)) == 0);
+    REQUIRE(shardOf(Bed, taskOf(Other)) == 0);
+    loseWorker(Bed, workerOf(Bed, taskOf(Wide)));
+    Bed.run(7s);
+    (IsLate ? Bed.Store.DelayedCommitPercent : Bed.Store.LostReplyPercent) =
+        100;
+    Bed.run(1500ms);
+    Bed.Store.DelayedCommitPercent = 0;
+    Bed.Store.LostReplyPercent = 0;
+    CHECK(holdsJob(Bed, 1, Wide + ".part") == !IsLate);
+    // Makes room in the first shard before its owner knows the outcome.
+    CHECK(Bed.cancel(1, Other).has_value());
+    CHECK(allRunWithin(Bed, 4, 15s));
+    Bed.run(10s);
+    CHECK(Bed.Oracle.running() == 4);
+    CHECK(Bed.cancel(0, Wide).has_value());
+    CHECK(allRunWithin(Bed, 0, 4s));
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against an earlier version that reads the row of a part as a job and
+// starts all of its tasks.
+TEST_CASE("A version without parts takes the row of a part for no job") {
+  JobPart Part{.Spec = longJob("wide", 6), .HomeShard = 1, .Positions = {2, 5}};
+  CHECK_FALSE(decodeJob(encodePart(Part)).has_value());
+  Result<JobPart> Decoded = decodePart(encodePart(Part));
+  REQUIRE(Decoded.has_value());
+  CHECK(Decoded.value().Spec.Id == "wide");
+  CHECK(Decoded.value().HomeShard == 1);
+  CHECK(Decoded.value().Positions == std::vector<int>{2, 5});
+  CHECK_FALSE(decodePart(encodeJob(Part.Spec)).has_value());
+}
+
 // Guards against a task that is started twice: a late completion of an earlier
 // run made the task startable while the transfer of its job was under way.
 TEST_CASE("A late completion starts no task of a job that is being "
