Take back the room that new long-running jobs leave for a lost worker's tasks

Since its tasks can be delegated, a lost worker's tasks run again in another shard without it. Change: jobshard_begin.cpp only checks again that the job fits whole.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -210,14 +210,8 @@
   bool shouldWaitForTransfer(const std::vector<PlacementCandidate> &Candidates,
                              const JobEntry &Entry, int Position);
   bool canStillTransfer(const JobEntry &Entry) const;
-  /// Accounts in \p Candidates for all tasks of the step of \p Position.
-  /// Returns their workers, or nothing if not all of them fit.
-  std::optional<std::vector<const WorkerSlot *>>
-  planWholeStep(std::vector<PlacementCandidate> &Candidates,
-                const JobEntry &Entry, int Position);
-  static bool
-  canLoseWorker(std::vector<PlacementCandidate> Candidates, const JobStep &Step,
-                const std::vector<const WorkerSlot *> &PlannedWorkers);
+  bool canPlaceWholeStep(const std::vector<PlacementCandidate> &Candidates,
+                         const JobEntry &Entry, int Position);
   bool restartRefusedMember(std::vector<PlacementCandidate> &Candidates,
                             JobEntry &Entry, int Position);
   void finishGang(JobEntry &Entry, int Position);
