Give a shard up with its record when no other host can take it

Seen: the only host of an installation, or the last of several that are stopped together, handed nothing over.

The ending owner now commits its record with an owner row that names nobody, then removes its own row. The next owner uses the record if its claim replaced that row, which only the reply to the claim shows; a feed that is faster is ignored while the claim is in flight. A host that removes its row renews it no more.

"The record of a host that left alone is not used by a later owner" guards the other side.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -53,8 +53,11 @@
   /// workers. A host that takes over its shards waits at least as long for
   /// workers that it cannot reach.
   milliseconds Horizon{7000};
-  /// Called when this host has become the owner of a shard.
-  std::function<void(int Shard, uint64_t Epoch)> OnAcquired;
+  /// Called when this host has become the owner of a shard. \p ReleaseVersion
+  /// is the version at which the last owner gave the shard up, if nobody has
+  /// owned it since; 0 if that is not known.
+  std::function<void(int Shard, uint64_t Epoch, uint64_t ReleaseVersion)>
+      OnAcquired;
   /// Called before this host hands over a shard that it owns. The callee stops
   /// sending orders for the shard and returns the rows for the new owner, which
   /// are written in one transaction with the owner row; none if the shard
@@ -91,7 +94,8 @@
   void tick();
   /// Hands over all shards and stops claiming shards.
   void leave();
-  /// Removes this host's row. No other call may follow.
+  /// Gives up the shards that no other host could take, and removes this host's
+  /// row. No other call may follow.
   void removeOwnRow();
   /// Reads the owner row of \p Shard again, after a worker or the store showed
   /// that this host may no longer own the shard.
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -42,9 +42,10 @@
   /// Time after the takeover by which every run that the previous owner started
   /// on an unreachable worker has ended, because its lease has expired.
   milliseconds PreviousRunsTimeout{12000};
-  /// This host has owned the shard under this epoch before, so that the
-  /// previous owner's record does not name all runs that are left.
-  bool IsReacquired = false;
+  /// Version of the rows with the previous owner's record. Zero if there is no
+  /// record that names all runs that are left, for example because this host
+  /// has owned the shard under this epoch before.
+  uint64_t HandoverVersion = 0;
   /// Returns whether this host may still send orders; called before each order.
   std::function<bool()> CanSendOrders;
   /// Returns whether no other host can own the shard. Called before the first
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -50,9 +50,13 @@
   /// OnAcquired is called.
   uint64_t OwnedEpoch = 0;
   bool IsWriting = false;
+  /// The row is being written with this host as the owner.
+  bool IsClaiming = false;
   /// Number of consecutive plans that assign this host's shard to another host.
   int HandoverPlans = 0;
-  /// Host to which the shard is being handed over; empty if none.
+  /// The shard is being handed over to HandoverTarget, or given up if that is
+  /// empty.
+  bool IsHandingOver = false;
   std::string HandoverTarget;
   /// A handover may have taken effect, or may still take effect.
   bool IsHandoverUncertain = false;
@@ -77,7 +81,8 @@
 
   void tick() {
     TimePoint Now = m_time.now();
-    if (m_renewalsInFlight < MaxConcurrentRenewals && Now >= m_nextRenewal)
+    if (m_renewalsInFlight < MaxConcurrentRenewals && Now >= m_nextRenewal &&
+        !m_isRemovingRow)
       renew();
     if (!m_isReadingHosts && Now >= m_nextHostRead)
       readHosts("");
@@ -93,7 +98,24 @@
     applyPlan();
   }
 
+  // The row is removed last, so that no other host claims a shard before the
+  // record of its runs is written.
   void removeOwnRow() {
+    m_isRemovingRow = true;
+    for (int Shard = 0; Shard < shards(); ++Shard) {
+      ObservedShard &Row = m_shards[static_cast<size_t>(Shard)];
+      if (Row.OwnedEpoch != 0 && !Row.IsWriting && isSoleOwner())
+        handOver(Shard, "");
+    }
+    removeRowIfIdle();
+  }
+
+  void removeRowIfIdle() {
+    bool IsWriting =
+        std::any_of(m_shards.begin(), m_shards.end(),
+                    [](const ObservedShard &Row) { return Row.IsWriting; });
+    if (!m_isRemovingRow || IsWriting)
+      return;
     RowCommit Commit;
     Commit.Changes.push_back(
         {.Address = hostAddress(m_options.HostId), .IsRemoval = true});
@@ -368,7 +390,7 @@
       return;
     if (Row.OwnedEpoch == 0)
       writeOwner(Shard, Target);
-    else if (Row.HandoverTarget.empty() && isSoleOwner())
+    else if (!Row.IsHandingOver && isSoleOwner())
       handOver(Shard, Target);
   }
 
@@ -392,6 +414,7 @@
       Record = m_options.OnHandover(Shard);
     if (!Record)
       return;
+    Row.IsHandingOver = true;
     Row.HandoverTarget = Target;
     Row.NextHandover = m_time.now() + HandoverRetryDelay;
     writeOwner(Shard, Target, std::move(*Record));
@@ -410,7 +433,7 @@
                     Row.IsHandoverUncertain));
     if (Row.IsHandoverUncertain)
       return;
-    Row.HandoverTarget.clear();
+    Row.IsHandingOver = false;
     if (m_options.OnHandoverFailed)
       m_options.OnHandoverFailed(Shard);
   }
@@ -420,7 +443,7 @@
     if (Row.OwnedEpoch == 0)
       return;
     Row.OwnedEpoch = 0;
-    Row.HandoverTarget.clear();
+    Row.IsHandingOver = false;
     Row.IsHandoverUncertain = false;
     log("shard_released", fmt::format("shard={}", Shard));
     if (m_options.OnReleased)
@@ -431,32 +454,39 @@
                   std::vector<RowChange> Record = {}) {
     ObservedShard &Row = m_shards[static_cast<size_t>(Shard)];
     Row.IsWriting = true;
+    Row.IsClaiming = Owner == m_options.HostId;
     log("shard_claim", fmt::format("shard={} from={} to={}", Shard,
                                    Row.Owner.empty() ? "-" : Row.Owner, Owner));
     RowAddress Address = shardOwnerAddress(Shard);
+    uint64_t ReleaseVersion = Row.Owner.empty() ? Row.Version : 0;
     RowCommit Commit;
     Commit.Conditions.push_back({.Address = Address, .Version = Row.Version});
     Commit.Changes.push_back(
         {.Address = Address, .Value = encodeShardOwner(Owner)});
     std::move(Record.begin(), Record.end(), std::back_inserter(Commit.Changes));
-    m_store.commit(std::move(Commit), [Weak = weak_from_this(), Shard,
-                                       Owner](const Result<uint64_t> &Reply) {
-      auto Self = Weak.lock();
-      if (!Self)
-        return;
-      ObservedShard &Row = Self->m_shards[static_cast<size_t>(Shard)];
-      Row.IsWriting = false;
-      if (Reply.has_value()) {
-        Self->applyOwner(Shard, Owner, Reply.value());
-        return;
-      }
-      if (!Row.HandoverTarget.empty())
-        Self->onHandoverFailed(Shard, Reply.error().Code);
-      Self->readOwnerRow(Shard);
-    });
+    m_store.commit(
+        std::move(Commit), [Weak = weak_from_this(), Shard, Owner,
+                            ReleaseVersion](const Result<uint64_t> &Reply) {
+          auto Self = Weak.lock();
+          if (!Self)
+            return;
+          ObservedShard &Row = Self->m_shards[static_cast<size_t>(Shard)];
+          Row.IsWriting = false;
+          Row.IsClaiming = false;
+          if (Reply.has_value()) {
+            Self->applyOwner(Shard, Owner, Reply.value(), ReleaseVersion);
+            Self->removeRowIfIdle();
+            return;
+          }
+          if (Row.IsHandingOver)
+            Self->onHandoverFailed(Shard, Reply.error().Code);
+          Self->removeRowIfIdle();
+          Self->readOwnerRow(Shard);
+        });
   }
 
-  void applyOwner(int Shard, const std::string &Owner, uint64_t Version) {
+  void applyOwner(int Shard, const std::string &Owner, uint64_t Version,
+                  uint64_t ReleaseVersion = 0) {
     ObservedShard &Row = m_shards[static_cast<size_t>(Shard)];
     Row.IsKnown = true;
     if (Version < Row.Version)
@@ -472,7 +502,7 @@
     Row.OwnedEpoch = Version;
     log("shard_owned", fmt::format("shard={} epoch={}", Shard, Version));
     if (m_options.OnAcquired)
-      m_options.OnAcquired(Shard, Version);
+      m_options.OnAcquired(Shard, Version, ReleaseVersion);
   }
 
   void readOwnerRow(int Shard) {
@@ -508,6 +538,10 @@
                                  Row.Address.Partition, Owner.error().Message));
       return;
     }
+    // Only the reply to this host's claim tells which version it replaced.
+    const ObservedShard &Known = m_shards[static_cast<size_t>(Shard)];
+    if (Known.IsClaiming && Owner.value() == m_options.HostId)
+      return;
     applyOwner(Shard, Owner.value(), Row.Version);
   }
 
@@ -588,6 +622,7 @@
   int m_renewalsInFlight = 0;
   bool m_isReadingHosts = false;
   bool m_isLeaving = false;
+  bool m_isRemovingRow = false;
 };
 
 HostCluster::HostCluster(HostClusterOptions Options, RowStore &Store,
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -35,7 +35,7 @@
 void JobShard::Impl::onHandoverRows(const std::vector<StoredRow> &Rows) {
   std::vector<std::string> Values;
   for (const StoredRow &Row : Rows)
-    if (Row.Version == m_options.Epoch && !m_options.IsReacquired)
+    if (Row.Version == m_options.HandoverVersion)
       Values.push_back(Row.Value);
   if (Values.empty()) {
     log("handover_missing",
--- a/src/libjobhost/handover_test.cpp
+++ b/src/libjobhost/handover_test.cpp
@@ -414,3 +414,39 @@
   CHECK(Bed.Oracle.running() == 1);
   checkNoViolations(Bed);
 }
+
+// Guards against a wait after a restart of the only host: nobody could take its
+// shard, and the next process did not know what it had left.
+TEST_CASE("A host that leaves while no other host is there gives its record to "
+          "the next one") {
+  JobTestBed Bed({.Hosts = 1, .Workers = 3});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 30, 3s)).has_value());
+  Bed.run(1s);
+  REQUIRE(Bed.Oracle.starts() == 24);
+  Bed.worker(0).IsDown = true;
+  Bed.worker(0).crash();
+  Bed.restartHost(0, 500ms, 200ms);
+  // The two other workers are free again 3 s after the tasks started.
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.starts() == 30; }, 3500ms));
+  CHECK(completes(Bed, "a"));
+  checkNoViolations(Bed);
+}
+
+// Guards against a record of a released shard that is used after another owner.
+TEST_CASE("The record of a host that left alone is not used by a later owner") {
+  JobTestBed Bed({.Hosts = 1, .Workers = 3});
+  Bed.run(3s);
+  Bed.restartHost(0, 500ms, 200ms);
+  Bed.run(4s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 12, 4s)).has_value());
+  Bed.run(500ms);
+  setReachable(Bed, "w0", false);
+  Bed.killHost(0);
+  Bed.startHost(0);
+  Bed.run(3s);
+  setReachable(Bed, "w0", true);
+  CHECK(completes(Bed, "a"));
+  CHECK(Bed.Oracle.starts() == 12);
+  checkNoViolations(Bed);
+}
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -49,8 +49,10 @@
           .WorkersPerShard = m_options.WorkersPerShard,
           .MinShards = m_options.MinShards,
           .MaxShards = m_options.CanSpanPartitions ? MaxShards : 1,
-          .OnAcquired = [this](int Shard,
-                               uint64_t Epoch) { acquireShard(Shard, Epoch); },
+          .OnAcquired =
+              [this](int Shard, uint64_t Epoch, uint64_t ReleaseVersion) {
+                acquireShard(Shard, Epoch, ReleaseVersion);
+              },
           .OnHandover = [this](int Shard) { return handOverShard(Shard); },
           .OnHandoverFailed =
               [this](int Shard) { m_ownedShards.at(Shard)->resume(); },
@@ -60,11 +62,13 @@
           .Log = m_options.Log};
 }
 
-void JobHost::acquireShard(int Shard, uint64_t Epoch) {
+void JobHost::acquireShard(int Shard, uint64_t Epoch, uint64_t ReleaseVersion) {
   ++m_takeovers;
   HostClusterOptions Cluster;
   JobShardOptions Options{.Shard = Shard, .Epoch = Epoch};
-  Options.IsReacquired = std::exchange(m_lastEpochs[Shard], Epoch) == Epoch;
+  bool IsReacquired = std::exchange(m_lastEpochs[Shard], Epoch) == Epoch;
+  if (!IsReacquired)
+    Options.HandoverVersion = ReleaseVersion != 0 ? ReleaseVersion : Epoch;
   Options.Lease = std::min(m_options.MaxWorkerLease, MaxTaskLease);
   Options.PreviousRunsTimeout =
       Cluster.Horizon + Options.Lease + LeaseExpiryMargin - Cluster.Timeout;
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -95,7 +95,7 @@
     ShardLoad Load;
   };
 
-  void acquireShard(int Shard, uint64_t Epoch);
+  void acquireShard(int Shard, uint64_t Epoch, uint64_t ReleaseVersion);
   std::optional<std::vector<RowChange>> handOverShard(int Shard);
   void groupWorkers();
   void updateShardWorkers(int Shard);
