--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -245,8 +245,10 @@
   void readHosts(const std::string &From) {
     m_isReadingHosts = true;
     m_nextHostRead = m_time.now() + m_options.RenewInterval;
-    if (From.empty())
+    if (From.empty()) {
       m_presentHosts.clear();
+      m_hostReadSentAt = m_time.now();
+    }
     m_store.read({.Table = HostTable, .Partition = "", .From = From},
                  [Weak = weak_from_this()](Result<RowPage> Reply) {
                    auto Self = Weak.lock();
@@ -254,6 +256,7 @@
                      return;
                    if (!Reply.has_value()) {
                      Self->m_isReadingHosts = false;
+                     Self->m_hasHostReadFailed = true;
                      return;
                    }
                    for (const StoredRow &Row : Reply.value().Rows)
@@ -296,10 +299,7 @@
 
   void onHostsRead() {
     TimePoint Now = m_time.now();
-    // No host can renew its row while the store is unavailable. After a gap in
-    // the reads all hosts therefore get the full timeout again.
-    bool HadGap = Now > m_lastHostRead + m_options.RenewInterval * 2;
-    m_lastHostRead = Now;
+    bool HadGap = hadReadGap(Now);
     std::erase_if(m_refusedHosts, [this](const auto &Row) {
       return !m_presentHosts.count(Row.first);
     });
@@ -322,6 +322,23 @@
     applyPlan();
   }
 
+  // No host can renew its row while the store is unavailable. After a gap in
+  // the reads all hosts therefore get the full timeout again. A store that
+  // stays slow is not unavailable: only the first slow read counts as a gap.
+  bool hadReadGap(TimePoint Now) {
+    nanoseconds Duration = Now - m_hostReadSentAt;
+    nanoseconds Limit =
+        std::max<nanoseconds>(m_options.RenewInterval, m_hostReadDuration) * 2;
+    bool IsSlow = Now > m_lastHostRead + m_options.RenewInterval * 2;
+    bool HadGap = IsSlow && (m_hasHostReadFailed || Duration > Limit ||
+                             m_hostReadSentAt >
+                                 m_lastHostRead + m_options.RenewInterval * 2);
+    m_lastHostRead = Now;
+    m_hostReadDuration = Duration;
+    m_hasHostReadFailed = false;
+    return HadGap;
+  }
+
   // Earlier processes of this host are certainly dead. Once their rows are
   // removed, other hosts need not wait for the timeout.
   void removeFormerProcesses() {
@@ -345,14 +362,15 @@
            Host.UnchangedReads < MinUnchangedReads;
   }
 
-  std::vector<PlanHost> eligibleHosts() const {
+  std::vector<PlanHost> planHosts() const {
     std::vector<PlanHost> Out;
     for (const auto &[Id, Host] : m_hosts)
-      if (isAlive(Host) && !Host.Record.IsLeaving &&
-          !(m_isLeaving && Id == m_options.HostId))
+      if (isAlive(Host))
         Out.push_back({.Id = Id,
                        .Weight = Host.Record.Weight,
-                       .RenewalCount = Host.Record.RenewalCount});
+                       .RenewalCount = Host.Record.RenewalCount,
+                       .IsLeaving = Host.Record.IsLeaving ||
+                                    (m_isLeaving && Id == m_options.HostId)});
     return Out;
   }
 
@@ -362,7 +380,7 @@
     std::vector<std::string> Owners;
     for (const ObservedShard &Shard : m_shards)
       Owners.push_back(Shard.Owner);
-    std::vector<std::string> Plan = planShards(eligibleHosts(), Owners);
+    std::vector<std::string> Plan = planShards(planHosts(), Owners);
     if (Plan.empty())
       return;
     for (size_t Shard = 0; Shard < m_shards.size(); ++Shard)
@@ -617,6 +635,11 @@
   TimePoint m_nextRenewal{};
   TimePoint m_nextHostRead{};
   TimePoint m_lastHostRead{};
+  TimePoint m_hostReadSentAt{};
+  /// Time that the last successful read took.
+  nanoseconds m_hostReadDuration{0};
+  /// Whether a read has failed since the last successful one.
+  bool m_hasHostReadFailed = false;
   /// Number of completed reads of the hosts' rows.
   int m_hostReads = 0;
   int m_renewalsInFlight = 0;
--- a/src/libjobhost/jobhost_test.cpp
+++ b/src/libjobhost/jobhost_test.cpp
@@ -452,3 +452,120 @@
   Bed.run(1s);
   CHECK(Bed.Oracle.starts() == 3);
 }
+
+namespace {
+
+/// Stops and restarts all hosts one after the other, one each two seconds,
+/// beginning with \p First. Returns how often the only shard changed its owner.
+int ownerChangesInRollingRestart(JobTestBed &Bed, int First) {
+  int Changes = 0;
+  int Owner = Bed.ownerIndex();
+  auto RunAndCount = [&](milliseconds Span) {
+    for (milliseconds Passed{0}; Passed < Span; Passed += 20ms) {
+      Bed.run(20ms);
+      int Now = Bed.ownerIndex();
+      Changes += Now >= 0 && Now != Owner;
+      Owner = Now >= 0 ? Now : Owner;
+    }
+  };
+  for (int I = 0; I < Bed.hosts(); ++I) {
+    int Host = (First + I) % Bed.hosts();
+    Bed.host(Host).Process->leave();
+    RunAndCount(400ms);
+    Bed.host(Host).Process->removeOwnRow();
+    RunAndCount(100ms);
+    Bed.killHost(Host);
+    RunAndCount(100ms);
+    Bed.startHost(Host);
+    RunAndCount(1400ms);
+  }
+  RunAndCount(20s);
+  return Changes;
+}
+
+} // namespace
+
+// Guards against a handover to a host that has its own stop ahead. Two changes
+// are needed if the owner stops first.
+TEST_CASE("A rolling restart of the hosts changes the owner twice at most") {
+  constexpr int Hosts = 7;
+  constexpr int Rounds = 4;
+  int Sum = 0;
+  for (int First = 0; First < Hosts; ++First) {
+    JobTestBed Bed({.Hosts = Hosts});
+    Bed.run(12s);
+    for (int Round = 0; Round < Rounds; ++Round) {
+      int Changes = ownerChangesInRollingRestart(Bed, First);
+      Sum += Changes;
+      CAPTURE(First);
+      CAPTURE(Round);
+      CHECK(Changes <= 2);
+    }
+  }
+  MESSAGE(Sum << " changes in " << Hosts * Rounds << " rolling restarts");
+}
+
+namespace {
+
+/// Lets the store answer slowly from now on. Returns true if the owner is
+/// unchanged after ten seconds.
+bool keepsOwnerWithSlowStore(JobTestBed &Bed, milliseconds Delay) {
+  int Owner = Bed.ownerIndex();
+  Bed.Store.Delay = Delay;
+  Bed.run(10s);
+  return Owner >= 0 && Bed.ownerIndex() == Owner;
+}
+
+} // namespace
+
+// Guards against a wait that began anew with each slow read of the hosts' rows,
+// so that a shard without an owner stayed without one.
+TEST_CASE("A dead owner is replaced while the store is slow") {
+  for (milliseconds Delay : {300ms, 550ms, 700ms, 1000ms}) {
+    CAPTURE(Delay.count());
+    JobTestBed Bed({});
+    Bed.run(5s);
+    CHECK(keepsOwnerWithSlowStore(Bed, Delay));
+    int Owner = Bed.ownerIndex();
+    Bed.killHost(Owner);
+    // Four reads show that the owner's row does not change; a claim and the
+    // read of the shard's rows follow.
+    constexpr int RoundTrips = 8;
+    CHECK(Bed.runUntil(
+        [&] { return Bed.ownerIndex() >= 0 && Bed.ownerIndex() != Owner; },
+        2 * Delay * RoundTrips));
+  }
+}
+
+// Guards against hosts that are considered dead because the store was hung.
+TEST_CASE("A store that hangs for a time makes no host look dead") {
+  for (milliseconds Hang = 500ms; Hang <= 6s; Hang += 250ms) {
+    CAPTURE(Hang.count());
+    JobTestBed Bed({});
+    Bed.run(5s);
+    int Owner = Bed.ownerIndex();
+    Bed.Store.Delay = Hang;
+    Bed.run(20ms);
+    Bed.run(Hang);
+    Bed.Store.Delay = 4ms;
+    Bed.run(10s);
+    CHECK(Bed.ownerIndex() == Owner);
+    CHECK(Bed.host(Owner).Process->counts().Polls > 0);
+  }
+}
+
+// Guards against a new process that does not know a worker which left the list
+// between the end of the previous owner and its own start, and still runs
+// tasks.
+TEST_CASE("A worker that left the list before the owner started runs on "
+          "without a second start of its tasks") {
+  JobTestBed Bed({.Hosts = 1, .Workers = 2});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 8, 4s)).has_value());
+  Bed.run(1s);
+  Bed.killHost(0);
+  Bed.setWorkerListed(1, false);
+  Bed.startHost(0);
+  CHECK(reachesState(Bed, "a", JobState::Completed, 30s));
+  checkNoViolations(Bed);
+}
