Name silent workers in the handover record, and keep a restart's rank

Two faults that the review of the handover found.

Seen 1: a task ran twice. An owner crashed while a worker was cut off; its successor waited for the worker; the worker left the list, a host started and was handed the shard during the wait. The record named the workers that had answered, and the new process had never seen the one that had not, so that nothing was silent for it. Change: the record names the silent workers too. They count as silent until they answer or the time is over, whether the new owner knows them or not.

Seen 2: a long-running task that failed around a handover waited for the end of a short task, 8.1 s instead of 0.1 s (review), as the new owner did not know that it had run. Change: a run number in the progress row tells a restart, too. Case: "A long-running task that fails around a handover gets its room back before short tasks".

--- a/src/libbasilchute/handover.cpp
+++ b/src/libbasilchute/handover.cpp
@@ -64,6 +64,11 @@
     m_size += Worker.size() + sizeof(uint32_t);
   }
 
+  void addSilent(const std::string &Worker) {
+    row().add_silent_workers(Worker);
+    m_size += Worker.size() + sizeof(uint32_t);
+  }
+
   std::vector<std::string> finish() {
     std::vector<std::string> Out;
     for (v1::StoredHandover &Row : m_rows) {
@@ -107,6 +112,8 @@
   First.set_unknown_version(Record.UnknownVersion);
   for (const std::string &Worker : Record.ResolvedWorkers)
     Writer.addResolved(Worker);
+  for (const std::string &Worker : Record.SilentWorkers)
+    Writer.addSilent(Worker);
   for (const auto &[Worker, Runs] : Record.Workers)
     Writer.addRuns(Worker, Runs);
   std::vector<std::string> Out = Writer.finish();
@@ -130,6 +137,8 @@
     }
     Out.ResolvedWorkers.insert(From.resolved_workers().begin(),
                                From.resolved_workers().end());
+    Out.SilentWorkers.insert(From.silent_workers().begin(),
+                             From.silent_workers().end());
     for (const v1::StoredWorkerRuns &Stored : From.workers()) {
       HandoverRecord::Runs &Runs = Out.Workers[Stored.worker()];
       Runs.Remaining =
--- a/src/libbasilchute/handover.h
+++ b/src/libbasilchute/handover.h
@@ -34,6 +34,9 @@
   milliseconds UnknownRemaining{0};
   uint64_t UnknownVersion = 0;
   std::set<std::string> ResolvedWorkers;
+  /// Workers on which such tasks may run, as far as the outgoing owner knows
+  /// them. The new owner may never have seen them in the list of workers.
+  std::set<std::string> SilentWorkers;
 };
 
 /// Returns the values of the rows that hold \p Record, or no rows if they would
--- a/src/libbasilchute/handover_test.cpp
+++ b/src/libbasilchute/handover_test.cpp
@@ -32,6 +32,7 @@
   CHECK(Read.UnknownRemaining == Written.UnknownRemaining);
   CHECK(Read.UnknownVersion == Written.UnknownVersion);
   CHECK(Read.ResolvedWorkers == Written.ResolvedWorkers);
+  CHECK(Read.SilentWorkers == Written.SilentWorkers);
 }
 
 } // namespace
@@ -41,6 +42,7 @@
   Record.UnknownRemaining = milliseconds(4500);
   Record.UnknownVersion = 17;
   Record.ResolvedWorkers = {"worker-0", "worker-1"};
+  Record.SilentWorkers = {"worker-9"};
   std::vector<std::string> Rows = encodeHandover(Record);
   REQUIRE(Rows.size() == 1);
   Result<HandoverRecord> Read = decodeHandover(Rows);
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -189,6 +189,12 @@
       finish(Position);
 }
 
+bool JobEntry::isRestart(int Position) const {
+  const TaskState &Task = Tasks[static_cast<size_t>(Position)];
+  return stepOf(Position).LongRunning &&
+         (HomeShard || Task.StoredRun > 0 || !Task.Worker.empty());
+}
+
 bool JobEntry::hasDelegated() const {
   if (HomeShard)
     return false;
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -101,12 +101,10 @@
   TaskName nameOf(int Position) const;
   StepName stepName(int Position) const;
   const JobStep &stepOf(int Position) const;
-  /// Returns true if the task is long-running and this owner knows of a run of
-  /// it, or another shard has delegated it, so that its next run is a restart.
-  bool isRestart(int Position) const {
-    return stepOf(Position).LongRunning &&
-           (HomeShard || !Tasks[static_cast<size_t>(Position)].Worker.empty());
-  }
+  /// Returns true if the task is long-running and its next run is a restart:
+  /// this owner knows of a run of it, a previous owner has stored one, or
+  /// another shard has delegated the task.
+  bool isRestart(int Position) const;
   /// Returns true if all tasks of all preceding steps are done.
   bool isReady(int Position) const;
   /// Returns the positions of all tasks of the same group.
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -69,6 +69,8 @@
       m_previousRuns.addKnown(Worker, Runs.Tasks,
                               m_takeoverTime +
                                   maxLocalDuration(Runs.Remaining));
+    for (const std::string &Worker : m_handover->SilentWorkers)
+      m_previousRuns.addWorker(Worker);
     m_handover.reset();
   }
   m_previousRuns.setListComplete(isFleetComplete());
@@ -93,6 +95,7 @@
     Out.UnknownRemaining = RemainingUntil(m_previousRuns.unknownEndsAt());
     Out.UnknownVersion = m_previousRuns.unknownVersion();
     Out.ResolvedWorkers = m_previousRuns.excluded();
+    Out.SilentWorkers = m_previousRuns.silent();
     for (const auto &[Id, Slot] : m_slots)
       if (Slot.IsFenced)
         Out.ResolvedWorkers.insert(Id);
--- a/src/libbasilchute/previousruns.h
+++ b/src/libbasilchute/previousruns.h
@@ -76,6 +76,8 @@
   uint64_t unknownVersion() const { return m_unknownVersion; }
   TimePoint unknownEndsAt() const { return m_unknownEndsAt; }
   const std::set<std::string> &excluded() const { return m_excluded; }
+  /// Returns the workers that may have unknown runs.
+  const std::set<std::string> &silent() const { return m_silent; }
   /// Returns the known runs on workers that are not resolved, by worker.
   std::map<std::string, Known> known(TimePoint Now) const;
 
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -302,10 +302,11 @@
 // run made the task startable while the transfer of its job was under way.
 TEST_CASE("A late completion starts no task of a job that is being "
           "transferred") {
-  JobTestBed Bed({.Workers = 2,
-                  .MinShards = 2,
-                  .WorkerCapacity = TwoTasks,
-                  .Trace = true});
+  JobTestBed Bed({
+      .Workers = 2,
+      .MinShards = 2,
+      .WorkerCapacity = TwoTasks,
+  });
   Bed.run(6s);
   CHECK(Bed.submit(0, longJob("a", 1)).has_value());
   REQUIRE(allRunWithin(Bed, 1, 2s));
--- a/src/libjobhost/jobhost_takeover_test.cpp
+++ b/src/libjobhost/jobhost_takeover_test.cpp
@@ -310,6 +310,66 @@
   checkNoViolations(Bed);
 }
 
+// Guards against a handover record that names the workers which answered, but
+// not those that are waited for: the new process never saw the cut worker.
+TEST_CASE("The tasks of a worker that left the list are not started twice by a "
+          "new process that is handed the shard during the wait after a "
+          "crash") {
+  int Handovers = 0;
+  for (milliseconds Boot = 800ms; Boot <= 2400ms; Boot += 400ms) {
+    CAPTURE(Boot.count());
+    BusyBed Busy({});
+    JobTestBed &Bed = Busy.Bed;
+    int Owner = Bed.ownerIndex();
+    int Booting = (Owner + 1) % Bed.hosts();
+    Bed.restartHost(Booting, 10ms, 60s);
+    Bed.run(200ms);
+    cutWorker(Bed, "w0");
+    Bed.killHost(Owner);
+    Bed.run(600ms);
+    Bed.setWorkerListed(0, false);
+    Bed.run(Boot - 600ms);
+    Bed.startHost(Booting);
+    cutWorker(Bed, "w0");
+    REQUIRE(Bed.runUntil([&] { return Bed.ownerIndex() >= 0; }, 6s));
+    int Successor = Bed.ownerIndex();
+    Bed.run(2s);
+    Bed.restartHost(Successor, 800ms, 60s);
+    Bed.run(900ms);
+    Handovers += Successor != Booting && Bed.ownerIndex() == Booting;
+    CHECK(Bed.runUntil([&] { return allRun(Bed, Busy.Lasting); }, 20s));
+    checkNoViolations(Bed);
+  }
+  CHECK(Handovers > 0);
+}
+
+// Guards against a restart that counts as a new task for the next owner: other
+// tasks took its room.
+TEST_CASE("A long-running task that fails around a handover gets its room back "
+          "before short tasks") {
+  for (milliseconds FailAfter : {0ms, 4ms, 12ms, 30ms}) {
+    CAPTURE(FailAfter.count());
+    JobTestBed Bed(
+        traced({.Workers = 2,
+                .WorkerCapacity = {.Millicores = 2000, .MemoryMib = 16000}}));
+    Bed.run(3s);
+    Job Lasting = longRunningJob("lasting", 4);
+    REQUIRE(Bed.submit(0, Lasting).has_value());
+    REQUIRE(Bed.runUntil([&] { return allRun(Bed, Lasting); }, 2s));
+    for (int Number = 0; Number < 3; ++Number)
+      REQUIRE(
+          Bed.submit(0, chainJob("short-" + std::to_string(Number), 1, 4, 8s))
+              .has_value());
+    Bed.run(1s);
+    Bed.host(Bed.ownerIndex()).Process->leave();
+    Bed.run(FailAfter);
+    TaskName Failing = {"lasting", 0, 0, 1};
+    REQUIRE(Bed.failTask(Failing));
+    CHECK(runsAgain(Bed, Failing, HandoverTime));
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against the same after a crash, when no previous owner can say what it
 // had started.
 TEST_CASE("The tasks of a worker that left the list before the new owner "
