Name a test of full shards by what it now guards

The steps, bounds and checks of the case are as they were. Ruled out: that it no longer tests anything: without delegation it fails.

--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -173,11 +173,11 @@
   checkNoViolations(Bed);
 }
 
-// Guards against a shard that new long-running jobs fill to the last core while
-// another shard has room: when it loses a worker, the tasks of the begun jobs
-// have no room and cannot move.
-TEST_CASE("A new long-running job leaves room for the tasks of a lost worker "
-          "if another shard has it") {
+// Guards against a shard that several long-running jobs, sent on old reports,
+// fill to the last core while another shard has room: when it loses a worker,
+// the tasks of both jobs must run again.
+TEST_CASE("Tasks of a lost worker run again although two jobs fill their "
+          "shard") {
   JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
   Bed.run(6s);
   std::string First = idForShard("first-", 0);
