Test that the room of a failed long-running task is kept until it is due

Cause: with holdRoomUntilDue taken out no case failed: the cases fail several runs on one worker, which then gets no starts for 3 s. Test: "The room of a failed long-running task is kept until the task is due"; it fails without holdRoomUntilDue.

--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -109,6 +109,24 @@
   checkNoViolations(Bed);
 }
 
+// Guards against room that is given away in the short time before a failed
+// long-running task may be started again.
+TEST_CASE("The room of a failed long-running task is kept until the task is "
+          "due") {
+  // At several times relative to the rounds of placement.
+  for (int Time = 0; Time < 8; ++Time) {
+    JobTestBed Bed({.Workers = 2, .WorkerCapacity = TwoTasks});
+    Bed.run(3s);
+    CHECK(Bed.submit(0, longJob("full", 4)).has_value());
+    REQUIRE(allRunWithin(Bed, 4, 2s));
+    CHECK(Bed.submit(0, longJob("new", 1)).has_value());
+    Bed.run(4s + 7ms * Time);
+    Bed.worker(workerOf(Bed, taskOf("full"))).fail(taskOf("full"));
+    CHECK(runsWithin(Bed, taskOf("full"), RestartBound));
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against a failed long-running task that loses its room to a task of
 // another begun job that never ran.
 TEST_CASE("A failed long-running task gets its room back before tasks of begun "
