Move the observation of the hosts' rows into a file of its own

HostRegistry reads the rows of all hosts and says which are alive; HostCluster keeps the plan, the owner rows and the handover. No behaviour changes.

--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -1,6 +1,7 @@
 #include "basilchute/hostcluster.h"
 
 #include "basilchute/shardplan.h"
+#include "libbasilchute/hostregistry.h"
 #include "libbasilchute/jobrows.h"
 #include "libbasilchute/shardlayout.h"
 
@@ -20,9 +21,6 @@
 /// Allowance for the difference between the times at which two hosts see one
 /// renewal.
 constexpr milliseconds FenceMargin{400};
-/// Number of consecutive reads in which a row must be unchanged before its host
-/// is considered dead.
-constexpr int MinUnchangedReads = 3;
 /// Number of consecutive plans that must ask for a handover before the shard is
 /// handed over.
 constexpr int MinHandoverPlans = 2;
@@ -30,16 +28,6 @@
 /// repeated.
 constexpr milliseconds HandoverRetryDelay{150};
 
-/// State of a host as read from its row.
-struct ObservedHost {
-  HostRecord Record;
-  uint64_t Version = 0;
-  /// Time at which the row was last seen to change.
-  TimePoint ChangedAt{};
-  /// Number of reads since then.
-  int UnchangedReads = 0;
-};
-
 /// State of a shard's owner row.
 struct ObservedShard {
   std::string Owner;
@@ -69,7 +57,9 @@
     : public std::enable_shared_from_this<HostCluster::Impl> {
 public:
   Impl(HostClusterOptions Options, RowStore &Store, const Clock &Time)
-      : m_options(std::move(Options)), m_store(Store), m_time(Time) {}
+      : m_options(std::move(Options)), m_store(Store), m_time(Time),
+        m_hosts(
+            std::make_shared<HostRegistry>(registryOptions(), Store, Time)) {}
 
   void start() {
     m_layout = std::make_shared<ShardLayout>(layoutOptions(), m_store, m_time);
@@ -84,8 +74,7 @@
     if (m_renewalsInFlight < MaxConcurrentRenewals && Now >= m_nextRenewal &&
         !m_isRemovingRow)
       renew();
-    if (!m_isReadingHosts && Now >= m_nextHostRead)
-      readHosts("");
+    m_hosts->tick();
     updateLayout();
     if (m_isLeaving)
       applyPlan();
@@ -154,12 +143,12 @@
     if (Shard < 0 || Shard >= shards())
       return nullptr;
     const ObservedShard &Row = m_shards[static_cast<size_t>(Shard)];
-    auto Owner = m_hosts.find(Row.Owner);
-    if (Owner == m_hosts.end() || !isAlive(Owner->second))
+    const HostRecord *Owner = m_hosts->findLive(Row.Owner);
+    if (!Owner)
       return nullptr;
-    auto It = Owner->second.Record.Shards.find(Shard);
-    bool HasReport = It != Owner->second.Record.Shards.end() &&
-                     It->second.Epoch == Row.Version;
+    auto It = Owner->Shards.find(Shard);
+    bool HasReport =
+        It != Owner->Shards.end() && It->second.Epoch == Row.Version;
     return HasReport ? &It->second : nullptr;
   }
 
@@ -179,6 +168,15 @@
             .Log = m_options.Log};
   }
 
+  HostRegistryOptions registryOptions() {
+    return {.HostName = m_options.HostName,
+            .HostId = m_options.HostId,
+            .ReadInterval = m_options.RenewInterval,
+            .Timeout = m_options.Timeout,
+            .OnRead = [this] { applyPlan(); },
+            .Log = m_options.Log};
+  }
+
   void onGrown() {
     int OldCount = shards();
     m_shards.resize(static_cast<size_t>(m_layout->shards()));
@@ -242,140 +240,15 @@
   // this host dead.
   nanoseconds maxSafeAge() const { return m_options.Timeout - FenceMargin; }
 
-  void readHosts(const std::string &From) {
-    m_isReadingHosts = true;
-    m_nextHostRead = m_time.now() + m_options.RenewInterval;
-    if (From.empty()) {
-      m_presentHosts.clear();
-      m_hostReadSentAt = m_time.now();
-    }
-    m_store.read({.Table = HostTable, .Partition = "", .From = From},
-                 [Weak = weak_from_this()](Result<RowPage> Reply) {
-                   auto Self = Weak.lock();
-                   if (!Self)
-                     return;
-                   if (!Reply.has_value()) {
-                     Self->m_isReadingHosts = false;
-                     Self->m_hasHostReadFailed = true;
-                     return;
-                   }
-                   for (const StoredRow &Row : Reply.value().Rows)
-                     Self->onHostRow(Row);
-                   if (Reply.value().HasMore && !Reply.value().Rows.empty()) {
-                     Self->readHosts(Reply.value().Rows.back().Address.Key +
-                                     '\x01');
-                     return;
-                   }
-                   Self->m_isReadingHosts = false;
-                   Self->onHostsRead();
-                 });
-  }
-
-  void onHostRow(const StoredRow &Row) {
-    const std::string &Id = Row.Address.Key;
-    m_presentHosts.insert(Id);
-    Result<HostRecord> Record = decodeHost(Row.Value);
-    if (!Record.has_value()) {
-      uint64_t &LoggedVersion = m_refusedHosts[Id];
-      if (LoggedVersion == Row.Version)
-        return;
-      LoggedVersion = Row.Version;
-      log("bad_row", fmt::format("table={} key={} message=\"{}\"", HostTable,
-                                 Id, Record.error().Message));
-      return;
-    }
-    ObservedHost &Host = m_hosts[Id];
-    if (Host.Version == Row.Version)
-      return;
-    bool IsNew = Host.Version == 0;
-    Host.Record = Record.value();
-    Host.Version = Row.Version;
-    Host.ChangedAt = m_time.now();
-    Host.UnchangedReads = 0;
-    if (IsNew)
-      log("host_seen",
-          fmt::format("host={} weight={}", Id, Host.Record.Weight));
-  }
-
-  void onHostsRead() {
-    TimePoint Now = m_time.now();
-    bool HadGap = hadReadGap(Now);
-    std::erase_if(m_refusedHosts, [this](const auto &Row) {
-      return !m_presentHosts.count(Row.first);
-    });
-    for (auto It = m_hosts.begin(); It != m_hosts.end();) {
-      ObservedHost &Host = It->second;
-      if (!m_presentHosts.count(It->first)) {
-        It = m_hosts.erase(It);
-        continue;
-      }
-      if (HadGap) {
-        Host.ChangedAt = Now;
-        Host.UnchangedReads = 0;
-      }
-      ++Host.UnchangedReads;
-      ++It;
-    }
-    if (m_hostReads == 0)
-      removeFormerProcesses();
-    ++m_hostReads;
-    applyPlan();
-  }
-
-  // No host can renew its row while the store is unavailable. After a gap in
-  // the reads all hosts therefore get the full timeout again. A store that
-  // stays slow is not unavailable: only the first slow read counts as a gap.
-  bool hadReadGap(TimePoint Now) {
-    nanoseconds Duration = Now - m_hostReadSentAt;
-    nanoseconds Limit =
-        std::max<nanoseconds>(m_options.RenewInterval, m_hostReadDuration) * 2;
-    bool IsSlow = Now > m_lastHostRead + m_options.RenewInterval * 2;
-    bool HadGap = IsSlow && (m_hasHostReadFailed || Duration > Limit ||
-                             m_hostReadSentAt >
-                                 m_lastHostRead + m_options.RenewInterval * 2);
-    m_lastHostRead = Now;
-    m_hostReadDuration = Duration;
-    m_hasHostReadFailed = false;
-    return HadGap;
-  }
-
-  // Earlier processes of this host are certainly dead. Once their rows are
-  // removed, other hosts need not wait for the timeout.
-  void removeFormerProcesses() {
-    for (auto It = m_hosts.begin(); It != m_hosts.end();) {
-      const std::string &Id = It->first;
-      if (Id == m_options.HostId ||
-          !Id.starts_with(m_options.HostName + HostIdSeparator)) {
-        ++It;
-        continue;
-      }
-      log("former_self_removed", fmt::format("host={}", Id));
-      RowCommit Commit;
-      Commit.Changes.push_back({.Address = hostAddress(Id), .IsRemoval = true});
-      m_store.commit(std::move(Commit), [](const Result<uint64_t> &) {});
-      It = m_hosts.erase(It);
-    }
-  }
-
-  bool isAlive(const ObservedHost &Host) const {
-    return m_time.now() < Host.ChangedAt + m_options.Timeout ||
-           Host.UnchangedReads < MinUnchangedReads;
-  }
-
   std::vector<PlanHost> planHosts() const {
-    std::vector<PlanHost> Out;
-    for (const auto &[Id, Host] : m_hosts)
-      if (isAlive(Host))
-        Out.push_back({.Id = Id,
-                       .Weight = Host.Record.Weight,
-                       .RenewalCount = Host.Record.RenewalCount,
-                       .IsLeaving = Host.Record.IsLeaving ||
-                                    (m_isLeaving && Id == m_options.HostId)});
+    std::vector<PlanHost> Out = m_hosts->liveHosts();
+    for (PlanHost &Host : Out)
+      Host.IsLeaving |= m_isLeaving && Host.Id == m_options.HostId;
     return Out;
   }
 
   void applyPlan() {
-    if (m_hostReads < MinUnchangedReads && !m_isLeaving)
+    if (m_hosts->reads() < HostRegistry::MinUnchangedReads && !m_isLeaving)
       return;
     std::vector<std::string> Owners;
     for (const ObservedShard &Shard : m_shards)
@@ -394,8 +267,7 @@
     bool IsOwn = Row.Owner == m_options.HostId;
     if (!IsOwn && Target == m_options.HostId && Row.Owner != Target) {
       // A live owner hands the shard over itself, also while it is leaving.
-      auto Current = m_hosts.find(Row.Owner);
-      if (Current != m_hosts.end() && isAlive(Current->second))
+      if (m_hosts->findLive(Row.Owner))
         return;
       writeOwner(Shard, m_options.HostId);
       return;
@@ -602,25 +474,20 @@
 
   // The first live host, by id, manages the layout for all hosts.
   void updateLayout() {
-    bool IsFirst = !m_hosts.empty() && !m_isLeaving;
-    for (const auto &[Id, Host] : m_hosts) {
-      if (!isAlive(Host) || Host.Record.IsLeaving)
-        continue;
-      IsFirst = Id == m_options.HostId;
-      break;
-    }
-    if (IsFirst && m_hostReads >= 2)
+    std::vector<PlanHost> Hosts = m_hosts->liveHosts();
+    auto First =
+        std::find_if(Hosts.begin(), Hosts.end(),
+                     [](const PlanHost &Host) { return !Host.IsLeaving; });
+    bool IsFirst = First == Hosts.end() ? !m_hosts->isEmpty() && !m_isLeaving
+                                        : First->Id == m_options.HostId;
+    if (IsFirst && m_hosts->reads() >= 2)
       m_layout->growAndAssign();
   }
 
   HostClusterOptions m_options;
   RowStore &m_store;
   const Clock &m_time;
-  std::map<std::string, ObservedHost> m_hosts;
-  /// Ids found so far in the current read of the hosts' rows.
-  std::set<std::string> m_presentHosts;
-  /// Version of the last row of each host that was refused and logged.
-  std::map<std::string, uint64_t> m_refusedHosts;
+  std::shared_ptr<HostRegistry> m_hosts;
   std::vector<ObservedShard> m_shards;
   /// Owned shards whose owner rows must be read before this host may fence a
   /// worker.
@@ -633,17 +500,7 @@
   /// Counter that changes the row with each renewal.
   uint64_t m_renewalCount = 0;
   TimePoint m_nextRenewal{};
-  TimePoint m_nextHostRead{};
-  TimePoint m_lastHostRead{};
-  TimePoint m_hostReadSentAt{};
-  /// Time that the last successful read took.
-  nanoseconds m_hostReadDuration{0};
-  /// Whether a read has failed since the last successful one.
-  bool m_hasHostReadFailed = false;
-  /// Number of completed reads of the hosts' rows.
-  int m_hostReads = 0;
   int m_renewalsInFlight = 0;
-  bool m_isReadingHosts = false;
   bool m_isLeaving = false;
   bool m_isRemovingRow = false;
 };
--- /dev/null
+++ b/src/libbasilchute/hostregistry.cpp
@@ -0,0 +1,160 @@
+#include "libbasilchute/hostregistry.h"
+
+#include "basilchute/hostcluster.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+HostRegistry::HostRegistry(HostRegistryOptions Options, RowStore &Store,
+                           const Clock &Time)
+    : m_options(std::move(Options)), m_store(Store), m_time(Time) {}
+
+void HostRegistry::log(std::string_view Event, std::string_view Fields) const {
+  if (m_options.Log)
+    m_options.Log(Event, Fields);
+}
+
+void HostRegistry::tick() {
+  if (!m_isReading && m_time.now() >= m_nextRead)
+    read("");
+}
+
+const HostRecord *HostRegistry::findLive(const std::string &Id) const {
+  auto It = m_hosts.find(Id);
+  return It != m_hosts.end() && isAlive(It->second) ? &It->second.Record
+                                                    : nullptr;
+}
+
+std::vector<PlanHost> HostRegistry::liveHosts() const {
+  std::vector<PlanHost> Out;
+  for (const auto &[Id, Host] : m_hosts)
+    if (isAlive(Host))
+      Out.push_back({.Id = Id,
+                     .Weight = Host.Record.Weight,
+                     .RenewalCount = Host.Record.RenewalCount,
+                     .IsLeaving = Host.Record.IsLeaving});
+  return Out;
+}
+
+void HostRegistry::read(const std::string &From) {
+  m_isReading = true;
+  m_nextRead = m_time.now() + m_options.ReadInterval;
+  if (From.empty()) {
+    m_present.clear();
+    m_readSentAt = m_time.now();
+  }
+  m_store.read({.Table = HostTable, .Partition = "", .From = From},
+               [Weak = weak_from_this()](Result<RowPage> Reply) {
+                 auto Self = Weak.lock();
+                 if (!Self)
+                   return;
+                 if (!Reply.has_value()) {
+                   Self->m_isReading = false;
+                   Self->m_hasReadFailed = true;
+                   return;
+                 }
+                 for (const StoredRow &Row : Reply.value().Rows)
+                   Self->onRow(Row);
+                 if (Reply.value().HasMore && !Reply.value().Rows.empty()) {
+                   Self->read(Reply.value().Rows.back().Address.Key + '\x01');
+                   return;
+                 }
+                 Self->m_isReading = false;
+                 Self->onRead();
+               });
+}
+
+void HostRegistry::onRow(const StoredRow &Row) {
+  const std::string &Id = Row.Address.Key;
+  m_present.insert(Id);
+  Result<HostRecord> Record = decodeHost(Row.Value);
+  if (!Record.has_value()) {
+    uint64_t &LoggedVersion = m_refused[Id];
+    if (LoggedVersion == Row.Version)
+      return;
+    LoggedVersion = Row.Version;
+    log("bad_row", fmt::format("table={} key={} message=\"{}\"", HostTable, Id,
+                               Record.error().Message));
+    return;
+  }
+  ObservedHost &Host = m_hosts[Id];
+  if (Host.Version == Row.Version)
+    return;
+  bool IsNew = Host.Version == 0;
+  Host.Record = Record.value();
+  Host.Version = Row.Version;
+  Host.ChangedAt = m_time.now();
+  Host.UnchangedReads = 0;
+  if (IsNew)
+    log("host_seen", fmt::format("host={} weight={}", Id, Host.Record.Weight));
+}
+
+void HostRegistry::onRead() {
+  TimePoint Now = m_time.now();
+  bool HadGap = hadReadGap(Now);
+  std::erase_if(m_refused, [this](const auto &Row) {
+    return !m_present.count(Row.first);
+  });
+  for (auto It = m_hosts.begin(); It != m_hosts.end();) {
+    ObservedHost &Host = It->second;
+    if (!m_present.count(It->first)) {
+      It = m_hosts.erase(It);
+      continue;
+    }
+    if (HadGap) {
+      Host.ChangedAt = Now;
+      Host.UnchangedReads = 0;
+    }
+    ++Host.UnchangedReads;
+    ++It;
+  }
+  if (m_reads == 0)
+    removeFormerProcesses();
+  ++m_reads;
+  if (m_options.OnRead)
+    m_options.OnRead();
+}
+
+// No host can renew its row while the store is unavailable. After a gap in
+// the reads all hosts therefore get the full timeout again. A store that
+// stays slow is not unavailable: only the first slow read counts as a gap.
+bool HostRegistry::hadReadGap(TimePoint Now) {
+  nanoseconds Duration = Now - m_readSentAt;
+  nanoseconds Limit =
+      std::max<nanoseconds>(m_options.ReadInterval, m_readDuration) * 2;
+  bool IsSlow = Now > m_lastRead + m_options.ReadInterval * 2;
+  bool HadGap =
+      IsSlow && (m_hasReadFailed || Duration > Limit ||
+                 m_readSentAt > m_lastRead + m_options.ReadInterval * 2);
+  m_lastRead = Now;
+  m_readDuration = Duration;
+  m_hasReadFailed = false;
+  return HadGap;
+}
+
+// Earlier processes of this host are certainly dead. Once their rows are
+// removed, other hosts need not wait for the timeout.
+void HostRegistry::removeFormerProcesses() {
+  for (auto It = m_hosts.begin(); It != m_hosts.end();) {
+    const std::string &Id = It->first;
+    if (Id == m_options.HostId ||
+        !Id.starts_with(m_options.HostName + HostIdSeparator)) {
+      ++It;
+      continue;
+    }
+    log("former_self_removed", fmt::format("host={}", Id));
+    RowCommit Commit;
+    Commit.Changes.push_back({.Address = hostAddress(Id), .IsRemoval = true});
+    m_store.commit(std::move(Commit), [](const Result<uint64_t> &) {});
+    It = m_hosts.erase(It);
+  }
+}
+
+bool HostRegistry::isAlive(const ObservedHost &Host) const {
+  return m_time.now() < Host.ChangedAt + m_options.Timeout ||
+         Host.UnchangedReads < MinUnchangedReads;
+}
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/hostregistry.h
@@ -0,0 +1,97 @@
+/// \file
+/// Which hosts are alive, by their rows in the store.
+#pragma once
+
+#include "basilchute/clock.h"
+#include "basilchute/rowstore.h"
+#include "basilchute/shardplan.h"
+#include "libbasilchute/jobrows.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// Settings of a HostRegistry.
+struct HostRegistryOptions {
+  /// Name of this host, on which only one process runs.
+  std::string HostName;
+  /// HostName with a suffix that is unique for each start of the process.
+  std::string HostId;
+  /// Interval between two reads of the rows.
+  milliseconds ReadInterval{500};
+  /// A host whose row has not changed for this long is considered dead.
+  milliseconds Timeout{1700};
+  /// Called after each complete read.
+  std::function<void()> OnRead;
+  /// Receives one line for each decision: event and key=value fields.
+  std::function<void(std::string_view, std::string_view)> Log;
+};
+
+/// Reads the rows of all hosts again and again, and observes which of them
+/// change.
+///
+/// Not thread-safe. Must be owned by a std::shared_ptr.
+class HostRegistry : public std::enable_shared_from_this<HostRegistry> {
+public:
+  /// Number of consecutive reads in which a row must be unchanged before its
+  /// host is considered dead.
+  static constexpr int MinUnchangedReads = 3;
+
+  HostRegistry(HostRegistryOptions Options, RowStore &Store, const Clock &Time);
+
+  /// Reads the rows if the next read is due.
+  void tick();
+  /// Returns the number of complete reads.
+  int reads() const { return m_reads; }
+  /// Returns the row of the live host \p Id, or null if there is none.
+  const HostRecord *findLive(const std::string &Id) const;
+  /// Returns true if no host has a row.
+  bool isEmpty() const { return m_hosts.empty(); }
+  /// Returns all live hosts, in the order of their ids.
+  std::vector<PlanHost> liveHosts() const;
+
+private:
+  /// A host as read from its row.
+  struct ObservedHost {
+    HostRecord Record;
+    uint64_t Version = 0;
+    /// Time at which the row was last seen to change.
+    TimePoint ChangedAt{};
+    /// Number of reads since then.
+    int UnchangedReads = 0;
+  };
+
+  void read(const std::string &From);
+  void onRow(const StoredRow &Row);
+  void onRead();
+  bool hadReadGap(TimePoint Now);
+  void removeFormerProcesses();
+  bool isAlive(const ObservedHost &Host) const;
+  void log(std::string_view Event, std::string_view Fields) const;
+
+  HostRegistryOptions m_options;
+  RowStore &m_store;
+  const Clock &m_time;
+  std::map<std::string, ObservedHost> m_hosts;
+  /// Ids found so far in the current read.
+  std::set<std::string> m_present;
+  /// Version of the last row of each host that was refused and logged.
+  std::map<std::string, uint64_t> m_refused;
+  TimePoint m_nextRead{};
+  TimePoint m_lastRead{};
+  TimePoint m_readSentAt{};
+  /// Time that the last successful read took.
+  nanoseconds m_readDuration{0};
+  /// Whether a read has failed since the last successful one.
+  bool m_hasReadFailed = false;
+  bool m_isReading = false;
+  int m_reads = 0;
+};
+
+BASILCHUTE_NAMESPACE_END
