Name what previous owners have resolved and workers have reported by one word each

The record called resolved workers what PreviousRuns called excluded, a found task was one that a worker has reported, endsAt() meant two things, and m_isRetired was named after a call that is gone (review). Renames only.

--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -37,7 +37,7 @@
 }
 
 bool JobShard::Impl::canSendOrders() const {
-  return m_isLoaded && !m_hasLostOwnership && !m_isRetired &&
+  return m_isLoaded && !m_hasLostOwnership && !m_isHandingOver &&
          (!m_options.CanSendOrders || m_options.CanSendOrders());
 }
 
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -50,7 +50,7 @@
   void addFormerWorkers(const std::vector<WorkerEntry> &Workers);
   void setQueues(std::shared_ptr<const JobQueues> Queues);
   std::optional<HandoverRecord> handOver();
-  void resume() { m_isRetired = false; }
+  void resume() { m_isHandingOver = false; }
   std::optional<JobState> state(const std::string &Job) const;
   std::map<std::string, int> pendingJobs() const;
   ShardLoad load();
@@ -361,7 +361,7 @@
   bool m_isLoaded = false;
   bool m_hasLostOwnership = false;
   /// True while a handover is in progress: no orders are sent.
-  bool m_isRetired = false;
+  bool m_isHandingOver = false;
   bool m_isCommitting = false;
   TimePoint m_nextRound{};
   TimePoint m_nextRelocate{};
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -199,7 +199,7 @@
 // tasks again on a worker that has not answered this owner yet.
 void JobShard::Impl::loseIncarnation(WorkerSlot &Slot, std::string_view Why) {
   for (const auto &[Key, Run] : Slot.Runs)
-    m_previousRuns.clearFound(Key.first);
+    m_previousRuns.clearReported(Key.first);
   releaseAllRuns(Slot, Why);
   Slot.resetIncarnation();
 }
@@ -294,7 +294,7 @@
     // A previous owner stores that a long-running task has failed before it
     // starts the task again, and had not stored it.
     if (Step.LongRunning && !Step.Gang && Report.Run >= Task.StoredRun)
-      m_previousRuns.setFound(Report.Task);
+      m_previousRuns.setReported(Report.Task);
     countFailure(Entry, Position, Report);
     if (isFinal(Entry.State))
       return;
@@ -395,7 +395,7 @@
     // A failed run of another task, on a worker that has not answered yet, may
     // still count as an attempt.
     if (Step.LongRunning)
-      m_previousRuns.setFound(Run.Task);
+      m_previousRuns.setReported(Run.Task);
     Reservation.FullPaceMillicores = Step.IsFill ? Step.Demand.Millicores : 0;
     Reservation.TailTarget = Step.TailTarget;
     Reservation.Kind = Entry->Kinds[static_cast<size_t>(Run.Task.Step)];
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -84,7 +84,7 @@
 std::optional<HandoverRecord> JobShard::Impl::handOver() {
   if (!m_isLoaded || m_hasLostOwnership)
     return std::nullopt;
-  m_isRetired = true;
+  m_isHandingOver = true;
   TimePoint Now = m_time.now();
   auto RemainingUntil = [Now](TimePoint End) {
     return std::max(milliseconds(0),
@@ -94,7 +94,7 @@
   if (m_previousRuns.hasUnknown(Now)) {
     Out.UnknownRemaining = RemainingUntil(m_previousRuns.unknownEndsAt());
     Out.UnknownVersion = m_previousRuns.unknownVersion();
-    Out.ResolvedWorkers = m_previousRuns.excluded();
+    Out.ResolvedWorkers = m_previousRuns.resolvedBefore();
     Out.SilentWorkers = m_previousRuns.silent();
     for (const auto &[Id, Slot] : m_slots)
       if (Slot.IsFenced)
@@ -204,7 +204,7 @@
   std::vector<std::string> Silent = m_previousRuns.workers(Now);
   m_counts.TakeoverSilentWorkers = Silent.size();
   m_counts.TasksHeldBack = countHeldBackTasks();
-  TimePoint Until = m_previousRuns.endsAt(Now);
+  TimePoint Until = m_previousRuns.lastEnd(Now);
   size_t SilentCount = Silent.size();
   Silent.resize(std::min(SilentCount, MaxLoggedWorkers));
   std::string Names =
--- a/src/libbasilchute/previousruns.cpp
+++ b/src/libbasilchute/previousruns.cpp
@@ -5,12 +5,12 @@
 BASILCHUTE_NAMESPACE_BEGIN
 
 void PreviousRuns::setUnknown(uint64_t Version, TimePoint EndsAt,
-                              std::set<std::string> Excluded) {
+                              std::set<std::string> ResolvedBefore) {
   m_unknownVersion = Version;
   m_unknownEndsAt = EndsAt;
-  m_excluded = std::move(Excluded);
+  m_resolvedBefore = std::move(ResolvedBefore);
   std::erase_if(m_silent, [&](const std::string &Worker) {
-    return m_excluded.count(Worker) > 0;
+    return m_resolvedBefore.count(Worker) > 0;
   });
 }
 
@@ -25,7 +25,7 @@
 }
 
 void PreviousRuns::addWorker(const std::string &Worker) {
-  if (!m_excluded.count(Worker))
+  if (!m_resolvedBefore.count(Worker))
     m_silent.insert(Worker);
 }
 
@@ -34,14 +34,14 @@
   m_knownEnds.erase(Worker);
 }
 
-void PreviousRuns::setFound(const TaskName &Task) {
+void PreviousRuns::setReported(const TaskName &Task) {
   m_workersOf.erase(Task);
-  m_found.insert(Task);
+  m_reported.insert(Task);
 }
 
 bool PreviousRuns::mayRun(const TaskName &Task, uint64_t Version,
                           TimePoint Now) const {
-  if (hasUnknown(Now) && Version <= m_unknownVersion && !m_found.count(Task))
+  if (hasUnknown(Now) && Version <= m_unknownVersion && !m_reported.count(Task))
     return true;
   auto It = m_workersOf.find(Task);
   if (It == m_workersOf.end())
@@ -69,7 +69,7 @@
   return {Out.begin(), Out.end()};
 }
 
-TimePoint PreviousRuns::endsAt(TimePoint Now) const {
+TimePoint PreviousRuns::lastEnd(TimePoint Now) const {
   TimePoint Out = hasUnknown(Now) ? m_unknownEndsAt : Now;
   for (const auto &[Worker, End] : m_knownEnds)
     Out = std::max(Out, End);
@@ -77,7 +77,8 @@
 }
 
 TimePoint PreviousRuns::endsAt(const std::string &Worker) const {
-  TimePoint Out = m_excluded.count(Worker) ? TimePoint{} : m_unknownEndsAt;
+  TimePoint Out =
+      m_resolvedBefore.count(Worker) ? TimePoint{} : m_unknownEndsAt;
   auto End = m_knownEnds.find(Worker);
   return End == m_knownEnds.end() ? Out : std::max(Out, End->second);
 }
--- a/src/libbasilchute/previousruns.h
+++ b/src/libbasilchute/previousruns.h
@@ -21,7 +21,7 @@
 /// Two kinds of runs are kept apart:
 /// - known runs: a previous owner has named the tasks by worker;
 /// - unknown runs: any task of a job that is old enough may run on any worker
-///   that is neither resolved nor excluded.
+///   that is neither resolved now nor by a previous owner.
 class PreviousRuns {
 public:
   /// Known runs by worker.
@@ -32,13 +32,14 @@
   };
 
   /// Any task of a job that was accepted at a version up to \p Version may run
-  /// until \p EndsAt on any worker but those in \p Excluded.
+  /// until \p EndsAt on any worker but those in \p ResolvedBefore.
   void setUnknown(uint64_t Version, TimePoint EndsAt,
-                  std::set<std::string> Excluded = {});
+                  std::set<std::string> ResolvedBefore = {});
   /// \p Tasks may run on \p Worker until \p EndsAt.
   void addKnown(const std::string &Worker, const std::set<TaskName> &Tasks,
                 TimePoint EndsAt);
-  /// Adds a worker that may have unknown runs; no effect if it is excluded.
+  /// Adds a worker that may have unknown runs; no effect if a previous
+  /// owner has resolved it.
   void addWorker(const std::string &Worker);
   /// Whether the list of workers is complete. As long as it is not, unknown
   /// runs may be on workers that addWorker() was not called for.
@@ -47,11 +48,11 @@
   void resolve(const std::string &Worker);
   /// A resolved worker has reported a run of \p Task. An owner starts a task
   /// only when the run before has certainly ended, so no run is elsewhere.
-  void setFound(const TaskName &Task);
-  /// Reverts setFound() as far as unknown runs are concerned. Must be called if
-  /// the reported run ended in a way that a previous owner can have seen too,
-  /// who may have started the task again.
-  void clearFound(const TaskName &Task) { m_found.erase(Task); }
+  void setReported(const TaskName &Task);
+  /// Reverts setReported() as far as unknown runs are concerned. Must be called
+  /// if the reported run ended in a way that a previous owner can have seen
+  /// too, who may have started the task again.
+  void clearReported(const TaskName &Task) { m_reported.erase(Task); }
 
   /// Returns true if a run of \p Task may be on a worker that is not resolved.
   /// \p Version is the version at which the task's job was accepted.
@@ -66,7 +67,7 @@
   /// Returns the workers that are waited for.
   std::vector<std::string> workers(TimePoint Now) const;
   /// Returns the time by which all runs that are waited for have ended.
-  TimePoint endsAt(TimePoint Now) const;
+  TimePoint lastEnd(TimePoint Now) const;
   /// Returns the time by which all runs on \p Worker have ended.
   TimePoint endsAt(const std::string &Worker) const;
   /// Returns true while there may be unknown runs.
@@ -75,7 +76,9 @@
   }
   uint64_t unknownVersion() const { return m_unknownVersion; }
   TimePoint unknownEndsAt() const { return m_unknownEndsAt; }
-  const std::set<std::string> &excluded() const { return m_excluded; }
+  const std::set<std::string> &resolvedBefore() const {
+    return m_resolvedBefore;
+  }
   /// Returns the workers that may have unknown runs.
   const std::set<std::string> &silent() const { return m_silent; }
   /// Returns the known runs on workers that are not resolved, by worker.
@@ -90,8 +93,8 @@
   TimePoint m_unknownEndsAt{};
   /// Workers that may have unknown runs.
   std::set<std::string> m_silent;
-  std::set<std::string> m_excluded;
-  std::set<TaskName> m_found;
+  std::set<std::string> m_resolvedBefore;
+  std::set<TaskName> m_reported;
   bool m_isListComplete = true;
 };
 
--- a/src/libbasilchute/previousruns_test.cpp
+++ b/src/libbasilchute/previousruns_test.cpp
@@ -35,7 +35,7 @@
   CHECK(Runs.mayRun(task("b"), 1, Start + 3s));
   CHECK_FALSE(Runs.mayRun(task("b"), 1, Start + 3s + 1ms));
   CHECK_FALSE(Runs.isResolved(Start + 4s));
-  CHECK(Runs.endsAt(Start) == Start + 6s);
+  CHECK(Runs.lastEnd(Start) == Start + 6s);
   Runs.resolve("w0");
   CHECK_FALSE(Runs.mayRun(task("a"), 1, Start));
   CHECK(Runs.isResolved(Start + 4s));
@@ -82,7 +82,7 @@
   CHECK_FALSE(Runs.mayRun(task("a"), 10, Start));
 }
 
-TEST_CASE("Unknown runs are not on excluded workers") {
+TEST_CASE("Unknown runs are not on workers that were resolved before") {
   PreviousRuns Runs;
   Runs.addWorker("w0");
   Runs.setUnknown(10, Start + 12s, {"w0", "w1"});
@@ -101,9 +101,9 @@
   Runs.setUnknown(10, Start + 12s);
   Runs.addWorker("w0");
   Runs.addKnown("w1", {task("a")}, Start + 6s);
-  Runs.setFound(task("a"));
+  Runs.setReported(task("a"));
   CHECK_FALSE(Runs.mayRun(task("a"), 10, Start));
   CHECK(Runs.mayRun(task("a", 1), 10, Start));
-  Runs.clearFound(task("a"));
+  Runs.clearReported(task("a"));
   CHECK(Runs.mayRun(task("a"), 10, Start));
 }
