Take back the replacement of dead hosts while the store is slow

Cause: counted only the first slow read as a gap, so that owners whose renewals were slow looked dead. Change: the rule of before: after any gap in the reads all hosts get the full timeout again.

--- a/src/libbasilchute/hostregistry.cpp
+++ b/src/libbasilchute/hostregistry.cpp
@@ -41,10 +41,8 @@
 void HostRegistry::read(const std::string &From) {
   m_isReading = true;
   m_nextRead = m_time.now() + m_options.ReadInterval;
-  if (From.empty()) {
+  if (From.empty())
     m_present.clear();
-    m_readSentAt = m_time.now();
-  }
   m_store.read({.Table = HostTable, .Partition = "", .From = From},
                [Weak = weak_from_this()](Result<RowPage> Reply) {
                  auto Self = Weak.lock();
@@ -52,7 +50,6 @@
                    return;
                  if (!Reply.has_value()) {
                    Self->m_isReading = false;
-                   Self->m_hasReadFailed = true;
                    return;
                  }
                  for (const StoredRow &Row : Reply.value().Rows)
@@ -93,7 +90,10 @@
 
 void HostRegistry::onRead() {
   TimePoint Now = m_time.now();
-  bool HadGap = hadReadGap(Now);
+  // No host can renew its row while the store is unavailable. After a gap in
+  // the reads all hosts therefore get the full timeout again.
+  bool HadGap = Now > m_lastRead + m_options.ReadInterval * 2;
+  m_lastRead = Now;
   std::erase_if(m_refused, [this](const auto &Row) {
     return !m_present.count(Row.first);
   });
@@ -117,23 +117,6 @@
     m_options.OnRead();
 }
 
-// No host can renew its row while the store is unavailable. After a gap in
-// the reads all hosts therefore get the full timeout again. A store that
-// stays slow is not unavailable: only the first slow read counts as a gap.
-bool HostRegistry::hadReadGap(TimePoint Now) {
-  nanoseconds Duration = Now - m_readSentAt;
-  nanoseconds Limit =
-      std::max<nanoseconds>(m_options.ReadInterval, m_readDuration) * 2;
-  bool IsSlow = Now > m_lastRead + m_options.ReadInterval * 2;
-  bool HadGap =
-      IsSlow && (m_hasReadFailed || Duration > Limit ||
-                 m_readSentAt > m_lastRead + m_options.ReadInterval * 2);
-  m_lastRead = Now;
-  m_readDuration = Duration;
-  m_hasReadFailed = false;
-  return HadGap;
-}
-
 // Earlier processes of this host are certainly dead. Once their rows are
 // removed, other hosts need not wait for the timeout.
 void HostRegistry::removeFormerProcesses() {
--- a/src/libbasilchute/hostregistry.h
+++ b/src/libbasilchute/hostregistry.h
@@ -70,7 +70,6 @@
   void read(const std::string &From);
   void onRow(const StoredRow &Row);
   void onRead();
-  bool hadReadGap(TimePoint Now);
   void removeFormerProcesses();
   bool isAlive(const ObservedHost &Host) const;
   void log(std::string_view Event, std::string_view Fields) const;
@@ -85,11 +84,6 @@
   std::map<std::string, uint64_t> m_refused;
   TimePoint m_nextRead{};
   TimePoint m_lastRead{};
-  TimePoint m_readSentAt{};
-  /// Time that the last successful read took.
-  nanoseconds m_readDuration{0};
-  /// Whether a read has failed since the last successful one.
-  bool m_hasReadFailed = false;
   bool m_isReading = false;
   int m_reads = 0;
 };
