Show that a silent worker's tasks wait too long after a crash of the owner

What callers saw: a long-running task of a worker that is gone stays down for more than the 9 s that are left to it after its last run, if the owner of its shard crashes too. Cause: the new owner waits for everything that the previous one may have started on a worker that does not answer: horizon (7 s) and lease (6 s) together, 12 s from the takeover. Change: tests only. Three cases let a worker crash unseen 0 s, 1 s, 3 s and 5 s before the owner, which restarts after 1 s or does not come back, at five moments of the renewals: long-running tasks and short ones run again within 9 s of their last run or 7 s of the kill, whichever is later.

--- /dev/null
+++ b/src/libjobhost/jobhost_leases_test.cpp
@@ -0,0 +1,240 @@
+// Tests of the time for which tasks wait for the leases that a previous owner
+// may have extended, and of what an owner does while the store is away.
+
+#include "testing/jobtestbed.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time after a task's last run within which it should run again, and the same
+/// counted from the last crash; the later one holds.
+constexpr milliseconds MaxDown = RestartCheck::LostTime;
+constexpr milliseconds MaxDownAfterCrash =
+    RestartCheck::CalmTime + RestartCheck::IdleTime;
+/// Hosts that have been up for longer know which workers were there.
+constexpr milliseconds SettleTime = 12s;
+
+JobTestBedOptions traced(JobTestBedOptions Options) {
+  Options.Trace = std::getenv("BASILCHUTE_TRACE") != nullptr;
+  return Options;
+}
+
+void checkNoViolations(const JobTestBed &Bed) {
+  for (const std::string &Violation : Bed.Oracle.violations())
+    FAIL_CHECK(Violation);
+}
+
+bool allRun(const JobTestBed &Bed, const Job &Job) {
+  for (int Index = 0; Index < Job.Steps[0].Count; ++Index)
+    if (Bed.Oracle.workerOf({Job.Id, 0, 0, Index}).empty())
+      return false;
+  return true;
+}
+
+/// A test bed with \p Lasting on all workers, whose hosts have been up for a
+/// while.
+struct SettledBed {
+  SettledBed(JobTestBedOptions Options, const Job &Lasting)
+      : Bed(traced(Options)) {
+    Bed.run(3s);
+    REQUIRE(Bed.submit(0, Lasting).has_value());
+    REQUIRE(Bed.runUntil([&] { return allRun(Bed, Lasting); }, 2s));
+    Bed.run(SettleTime);
+  }
+  JobTestBed Bed;
+};
+
+/// Lets a worker crash for good without a sign \p Before the owner is killed,
+/// and checks that all tasks of \p Lasting run again in time. The kill is tried
+/// at several moments of the hosts' renewals.
+void checkRestartAfterCrashes(const Job &Lasting, milliseconds Before,
+                              bool DoesHostRestart) {
+  for (milliseconds Phase = 0ms; Phase < 500ms; Phase += 100ms) {
+    CAPTURE(Phase.count());
+    SettledBed Settled({}, Lasting);
+    JobTestBed &Bed = Settled.Bed;
+    Bed.run(Phase);
+    TimePoint CrashedAt = Bed.now();
+    Bed.worker(0).IsDown = true;
+    Bed.worker(0).crash();
+    Bed.run(Before);
+    int Owner = Bed.ownerIndex();
+    TimePoint KilledAt = Bed.now();
+    Bed.killHost(Owner);
+    if (DoesHostRestart)
+      Bed.later(1s, [&Bed, Owner] { Bed.startHost(Owner); });
+    TimePoint Until =
+        std::max(CrashedAt + MaxDown, KilledAt + MaxDownAfterCrash);
+    CHECK(Bed.runUntil([&] { return allRun(Bed, Lasting); },
+                       std::chrono::ceil<milliseconds>(Until - Bed.now())));
+    checkNoViolations(Bed);
+  }
+}
+
+/// Lets the store be away for \p Outage at several moments of the owner's
+/// renewals and checks that no run ends.
+void checkRunsOutlast(milliseconds Outage) {
+  for (milliseconds Phase = 0ms; Phase < 500ms; Phase += 100ms) {
+    CAPTURE(Phase.count());
+    Job Lasting = longRunningJob("lasting", 12);
+    SettledBed Settled({}, Lasting);
+    JobTestBed &Bed = Settled.Bed;
+    Bed.run(Phase);
+    Bed.Store.IsDown = true;
+    Bed.run(Outage);
+    Bed.Store.IsDown = false;
+    Bed.run(15s);
+    CHECK(Bed.Oracle.starts() == 12);
+    CHECK(allRun(Bed, Lasting));
+    checkNoViolations(Bed);
+  }
+}
+
+/// Random cuts around a change of the owner: the old owner loses the store and
+/// goes on with the workers that it reaches, and the new one reaches others.
+class CutSession {
+public:
+  CutSession(uint64_t Seed, int Workers)
+      : m_random(Seed * 64 + static_cast<uint64_t>(Workers)),
+        m_job(longRunningJob("lasting", 2 * Workers + 1)),
+        m_settled({.Hosts = 3, .Workers = Workers, .Seed = Seed}, m_job),
+        m_bed(m_settled.Bed) {}
+
+  const std::vector<std::string> &run() {
+    m_bed.run(milliseconds(randomInt(0, 500)));
+    int Owner = m_bed.ownerIndex();
+    cutHosts(Owner);
+    m_bed.run(milliseconds(randomInt(0, 1500)));
+    m_bed.host(Owner).Store->IsRefused = true;
+    bool HasSecondCrash = randomInt(0, 3) == 0;
+    bool DoesGrow = randomInt(0, 4) == 0;
+    for (int Step = 0; Step < 40; ++Step) {
+      m_bed.run(milliseconds(randomInt(50, 700)));
+      switch (randomInt(0, 6)) {
+      case 0:
+      case 1:
+      case 2:
+        (void)m_bed.failTask({"lasting", 0, 0, randomInt(0, tasks())});
+        break;
+      case 3:
+        togglePause(Owner);
+        break;
+      case 4:
+        if (HasSecondCrash && Step > 8)
+          crashSuccessor(Owner);
+        break;
+      default:
+        if (DoesGrow)
+          (void)m_bed.addWorker();
+        break;
+      }
+    }
+    return m_bed.Oracle.violations();
+  }
+
+private:
+  int randomInt(int Min, int End) {
+    return Min + static_cast<int>(m_random() % static_cast<uint64_t>(
+                                                   std::max(1, End - Min)));
+  }
+  int tasks() const { return m_job.Steps[0].Count; }
+
+  /// Of each worker, the old owner or all others or neither of them lose sight.
+  void cutHosts(int Owner) {
+    for (int Worker = 0; Worker < m_bed.workers(); ++Worker) {
+      int Cut = randomInt(0, 4);
+      for (int Host = 0; Host < m_bed.hosts(); ++Host)
+        if ((Cut == 0 && Host == Owner) || (Cut == 1 && Host != Owner))
+          m_bed.host(Host).UnreachableWorkers.insert(
+              m_bed.worker(Worker).Entry.Id);
+    }
+  }
+
+  void togglePause(int Host) {
+    if (m_bed.host(Host).IsPaused)
+      m_bed.resume(Host);
+    else
+      m_bed.pause(Host);
+  }
+
+  void crashSuccessor(int Owner) {
+    for (int Host = 0; Host < m_bed.hosts(); ++Host) {
+      if (Host == Owner || !m_bed.host(Host).Process ||
+          m_bed.host(Host).Process->ownedShards() == 0)
+        continue;
+      m_bed.killHost(Host);
+      m_bed.later(1s, [this, Host] { m_bed.startHost(Host); });
+      return;
+    }
+  }
+
+  std::mt19937_64 m_random;
+  Job m_job;
+  SettledBed m_settled;
+  JobTestBed &m_bed;
+};
+
+} // namespace
+
+// Guards against a wait for horizon and lease together: the tasks of a worker
+// that is gone stayed down for 12 s after each change of the owner.
+TEST_CASE("Long-running tasks of a worker that crashes unseen up to 1 s before "
+          "its owner run again in time") {
+  for (milliseconds Before : {0ms, 1000ms}) {
+    CAPTURE(Before.count());
+    checkRestartAfterCrashes(longRunningJob("lasting", 12), Before, false);
+    checkRestartAfterCrashes(longRunningJob("lasting", 12), Before, true);
+  }
+}
+
+// The same, where the leases that the killed owner gave are nearly over.
+TEST_CASE("Long-running tasks of a worker that crashes unseen 3 s to 5 s "
+          "before its owner run again in time") {
+  for (milliseconds Before : {3000ms, 5000ms}) {
+    CAPTURE(Before.count());
+    checkRestartAfterCrashes(longRunningJob("lasting", 12), Before, false);
+    checkRestartAfterCrashes(longRunningJob("lasting", 12), Before, true);
+  }
+}
+
+// The same for tasks that end by themselves, of which nothing is stored.
+TEST_CASE("Short tasks of a worker that crashes unseen before its owner run "
+          "again in time") {
+  Job Short = chainJob("short", 1, 12, 120s);
+  for (milliseconds Before : {0ms, 1000ms, 3000ms, 5000ms}) {
+    CAPTURE(Before.count());
+    checkRestartAfterCrashes(Short, Before, false);
+    checkRestartAfterCrashes(Short, Before, true);
+  }
+}
+
+// Guards against leases that end with the renewals: all work would stop in an
+// outage of the store.
+TEST_CASE("Long-running tasks go on while the store is away for 9 s") {
+  checkRunsOutlast(9s);
+}
+
+TEST_CASE("Long-running tasks go on while the store is away for 12 s") {
+  checkRunsOutlast(12s);
+}
+
+// Guards against a new owner that takes leases for ended which the old owner,
+// cut off from the store, still extends on a worker that only it reaches.
+TEST_CASE("An owner without the store and its successor, with different "
+          "workers in reach, start no task twice") {
+  const char *More = std::getenv("BASILCHUTE_SEEDS");
+  uint64_t Seeds = More ? std::strtoull(More, nullptr, 10) : 25;
+  for (int Workers : {1, 2, 3, 5, 9})
+    for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      CAPTURE(Workers);
+      CAPTURE(Seed);
+      for (const std::string &Violation : CutSession(Seed, Workers).run())
+        FAIL_CHECK(Violation);
+    }
+}
