Let tasks crash workers in the test bed

Change: the oracle knows deadly tasks by name. The worker that starts one crashes a settable time later (before it answers the order, 10 ms or 1 s), ends all its runs without completions, does not answer, stays in the list and is back as a new incarnation after 3 s. A herd of workers can crash at one moment in the same way. The list names the incarnation of a worker that is up. Gangs end as the protocol says: all members as done together, or each by itself when another one ended or never came; until now a gang ended member by member.

The oracle counts the starts of a deadly task and the crashes under it. It reports the third start after the third crash, and a job that is shown as failed although no task has used up its attempts, every task fits on a worker and no deadly task of the job has crashed two workers. The check that long-running tasks run again leaves out deadly tasks, whose runs are too short for it to see, and jobs that may be given up; it is the same for all others. The test bed counts the workers that are down at a time because of deadly tasks.

No code outside the tests is changed.

--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -107,6 +107,11 @@
       return;
     }
     Result<StartReply> Out = Model->start(Order);
+    // A deadly task may have crashed the worker.
+    if (Model->IsDown) {
+      reply(OrderTimeout, [Done] { Done(noResponse()); });
+      return;
+    }
     m_expiredStarts +=
         Out.has_value() && Out.value().Outcome == StartOutcome::TooLate;
     reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
@@ -197,6 +202,11 @@
   Out->FailPercent = m_options.FailPercent;
   Out->NeedsTicket = m_options.ApprovalValidity.count() > 0;
   Out->Approved = workers() % 2 == 0;
+  Out->RunAfter = [this](milliseconds Delay, std::function<void()> Action) {
+    later(Delay, std::move(Action));
+  };
+  Out->ReturnAfter = m_options.WorkerReturn;
+  Out->OnReturn = [this] { publishWorkers(); };
   return Out;
 }
 
@@ -320,9 +330,15 @@
 
 std::vector<WorkerEntry> JobTestBed::fleet() {
   std::vector<WorkerEntry> Out;
-  for (int Index = 0; Index < workers(); ++Index)
+  for (int Index = 0; Index < workers(); ++Index) {
+    ModelWorker &Worker = worker(Index);
+    // The list names a new incarnation once it is up.
+    if (!Worker.IsDown)
+      Worker.Entry.Incarnation = std::chrono::duration_cast<milliseconds>(
+          Worker.incarnation().time_since_epoch());
     if (!m_unlisted.count(Index))
-      Out.push_back(worker(Index).Entry);
+      Out.push_back(Worker.Entry);
+  }
   return Out;
 }
 
@@ -358,6 +374,7 @@
     if (Target.Process && !Target.IsPaused)
       Target.Process->tick();
   checkRestarts();
+  countDownByTasks();
   later(Tick, [this] { tickAll(); });
 }
 
@@ -385,7 +402,9 @@
 }
 
 Status JobTestBed::submit(int Host, const Job &Value) {
-  Oracle.addJob({.Spec = Value, .MaxAttempts = m_options.MaxAttempts});
+  Oracle.addJob({.Spec = Value,
+                 .MaxAttempts = m_options.MaxAttempts,
+                 .CanRun = canRun(Value)});
   auto Out = std::make_shared<std::optional<Status>>();
   if (!host(Host).Process)
     return noResponse();
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -40,6 +40,8 @@
   /// others hear of it earlier. Zero if all hear of it at once, paused ones not
   /// at all.
   milliseconds MaxListDelay{0};
+  /// Time from a crash by a deadly task or of a herd until the worker is back.
+  milliseconds WorkerReturn{3000};
   uint64_t Seed = 1;
   /// Prints every event of the hosts with its time and host.
   bool Trace = false;
@@ -168,6 +170,13 @@
   void drainWorker(int Worker, milliseconds Stay);
   /// Lets the worker crash for good. It stays in the list for \p Listed.
   void loseWorker(int Worker, milliseconds Listed);
+  /// Lets those of \p Workers that are up crash at the same moment. They stay
+  /// in the list and are back, as new incarnations, after Options.WorkerReturn.
+  void crashWorkers(const std::vector<int> &Workers);
+  /// Largest number of workers that were down at a time because deadly tasks
+  /// crashed them.
+  int maxDownByTasks() const { return m_maxDownByTasks; }
+  bool isWorkerListed(int Worker) const { return !m_unlisted.count(Worker); }
   /// Returns true if the worker is listed, up and not draining.
   bool isWorkerUsable(int Worker);
   /// Ends the run of \p Task as failed, on whichever worker it is. Returns
@@ -208,6 +217,9 @@
   void tickAll();
   bool isCalm();
   void checkRestarts();
+  void countDownByTasks();
+  /// Returns true if each task of \p Value fits on a worker that it may run on.
+  bool canRun(const Job &Value) const;
   void trace(int Host, std::string_view Event, std::string_view Fields);
 
   JobTestBedOptions m_options;
@@ -218,6 +230,7 @@
   std::vector<std::unique_ptr<ModelWorker>> m_workers;
   std::unordered_map<std::string, ModelWorker *> m_workersById;
   std::set<int> m_unlisted;
+  int m_maxDownByTasks = 0;
   /// When a host was last killed.
   TimePoint m_lastKill{};
   /// Ports of host processes that ended; their last calls may still be in
--- a/src/testing/jobtestbed_fleet.cpp
+++ b/src/testing/jobtestbed_fleet.cpp
@@ -75,6 +75,32 @@
   later(Listed, [this, Index] { setWorkerListed(Index, false); });
 }
 
+void JobTestBed::crashWorkers(const std::vector<int> &Workers) {
+  for (int Index : Workers)
+    worker(Index).crashAndReturn();
+}
+
+bool JobTestBed::canRun(const Job &Value) const {
+  return std::all_of(
+      Value.Steps.begin(), Value.Steps.end(), [this](const JobStep &Step) {
+        return std::any_of(
+            m_workers.begin(), m_workers.end(),
+            [&](const std::unique_ptr<ModelWorker> &Worker) {
+              return Step.reservation().fits(Worker->Entry.Capacity) &&
+                     (Step.RequiredLabel.empty() ||
+                      Worker->Entry.hasLabel(Step.RequiredLabel));
+            });
+      });
+}
+
+void JobTestBed::countDownByTasks() {
+  auto Down = std::count_if(m_workers.begin(), m_workers.end(),
+                            [](const std::unique_ptr<ModelWorker> &Worker) {
+                              return Worker->isDownByTask();
+                            });
+  m_maxDownByTasks = std::max(m_maxDownByTasks, static_cast<int>(Down));
+}
+
 bool JobTestBed::isWorkerUsable(int Index) {
   const ModelWorker &Worker = worker(Index);
   return !m_unlisted.count(Index) && !Worker.IsDown && !Worker.Hangs &&
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -7,7 +7,9 @@
 #include "basilchute/taskworker.h"
 #include "testing/modelstore.h"
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +22,33 @@
   int MaxAttempts = 3;
   /// When the cancellation was acknowledged to the caller; zero if it was not.
   TimePoint CancelledAt{};
+  /// Every task fits on a worker of the installation.
+  bool CanRun = true;
+};
+
+/// A task that crashes each worker that starts it.
+struct DeadlyTask {
+  /// Time from a start to the crash. Zero if the worker crashes before it
+  /// answers the order.
+  milliseconds CrashAfter{10};
+  /// Number of starts.
+  int Starts = 0;
+  /// Number of crashes of workers that the task has caused.
+  int Crashes = 0;
+  /// Number of crashes of workers, for any cause, while the task ran on them.
+  int CrashesBeside = 0;
+  /// Number of starts after crash number JobOracle::CrashesUntilLimit.
+  int LateStarts = 0;
+};
+
+/// One run of a gang.
+struct GangRun {
+  /// Indexes of the members that run.
+  std::set<int> Present;
+  /// When all members ran together for the first time; zero if never.
+  TimePoint WholeAt{};
+  /// A member has ended as done, which represents all of them.
+  bool IsDone = false;
 };
 
 /// Checks every start and completion of a run against the invariants.
@@ -27,15 +56,36 @@
 public:
   /// Time for which a cancelled job may still start tasks.
   static constexpr milliseconds CancelTime{3000};
+  /// Number of crashes under a task after which its job may be failed.
+  static constexpr int CrashesUntilFailed = 2;
+  /// Number of crashes that a task has caused after which it may be started
+  /// MaxLateStarts times more.
+  static constexpr int CrashesUntilLimit = 3;
+  static constexpr int MaxLateStarts = 2;
 
   void addJob(const ModelJob &Job) { m_jobs[Job.Spec.Id] = Job; }
   void cancelled(const std::string &Job, TimePoint Now);
   const ModelJob *job(const std::string &Id) const;
+  /// Lets \p Task crash each worker that starts it, \p CrashAfter after the
+  /// start.
+  void setDeadly(const TaskName &Task,
+                 milliseconds CrashAfter = milliseconds(10));
+  /// Returns null if \p Task is not deadly.
+  const DeadlyTask *deadly(const TaskName &Task) const;
+  /// Returns true if the job has a deadly task under which enough workers have
+  /// crashed for the job to be failed.
+  bool mayGiveUp(const std::string &Job) const;
+
+  /// Called at each start of a deadly task, if set.
+  std::function<void()> OnDeadlyStart;
 
   void onStart(const std::string &Worker, const TaskName &Task, int Run,
                TimePoint Now);
   void onEnd(const std::string &Worker, const TaskName &Task, int Run,
              RunOutcome End);
+  /// Called when a worker crashes while \p Tasks run on it. \p Cause is the
+  /// deadly task that crashed it, or null.
+  void onCrash(const std::vector<TaskName> &Tasks, const TaskName *Cause);
   /// Called when a host acknowledged the completion to the worker.
   void onAcknowledged(const TaskName &Task, int Run, RunOutcome End);
   void onCapacity(const std::string &Worker, const Resources &Used,
@@ -43,6 +93,9 @@
   /// Checks a job state that a host reported.
   void onState(const std::string &Job, JobState State);
 
+  /// Returns the run \p Run of the gang that \p Task belongs to.
+  const GangRun &gangRun(const TaskName &Task, int Run) const;
+
   /// Records a violation that another check found.
   void report(std::string Violation) {
     m_violations.push_back(std::move(Violation));
@@ -61,12 +114,25 @@
 
 private:
   void violate(const TaskName &Task, int Run, std::string Problem);
+  void updateGang(const TaskName &Task, int Run, bool IsPresent, TimePoint Now);
+  void countDeadlyStart(const TaskName &Task, int Run);
+  /// Returns true if a task of \p Job, or the members of a gang together, had
+  /// as many failed runs as are allowed.
+  bool usedAllAttempts(const ModelJob &Job) const;
+  /// Returns the problem with the report that \p Job has failed; empty if there
+  /// is none.
+  std::string problemOfFailure(const std::string &Job) const;
 
   std::map<std::string, ModelJob> m_jobs;
+  std::map<TaskName, DeadlyTask> m_deadly;
+  /// Runs of gangs. The name is that of the gang's first member.
+  std::map<std::pair<TaskName, int>, GangRun> m_gangRuns;
   /// Workers on which each task runs.
   std::map<TaskName, std::set<std::string>> m_running;
   std::set<TaskName> m_doneTasks;
   std::set<TaskName> m_acknowledgedDone;
+  /// Numbers of all failed runs of each task.
+  std::map<TaskName, std::set<int>> m_failures;
   /// Numbers of the failed runs of each task that were acknowledged.
   std::map<TaskName, std::set<int>> m_acknowledgedFailures;
   std::vector<std::string> m_violations;
@@ -76,6 +142,9 @@
 /// One worker on the virtual clock.
 class ModelWorker {
 public:
+  /// Time for which a member of a gang waits for the others.
+  static constexpr milliseconds GangTimeout{3000};
+
   ModelWorker(WorkerEntry Entry, JobOracle &Oracle,
               std::function<TimePoint()> Now)
       : Entry(std::move(Entry)), m_oracle(Oracle), m_now(std::move(Now)),
@@ -97,6 +166,13 @@
   bool Hangs = false;
   /// Changes each answer to a poll, if set.
   std::function<void(PollReply &)> AlterAnswer;
+  /// Runs a function after a delay. If it is not set, deadly tasks do not crash
+  /// the worker.
+  std::function<void(milliseconds, std::function<void()>)> RunAfter;
+  /// Time from a crash by a deadly task until the worker is back.
+  milliseconds ReturnAfter{3000};
+  /// Called when the worker is back after a crash, if set.
+  std::function<void()> OnReturn;
 
   Result<StartReply> start(const StartOrder &Order);
   Status stop(const StopOrder &Order);
@@ -119,6 +195,11 @@
   void crash();
   /// The same as planned work.
   void leave();
+  /// Lets the worker crash, if it is up, and be down until it is back as a new
+  /// incarnation. Needs RunAfter.
+  void crashAndReturn();
+  /// Returns true while the worker is down because a deadly task crashed it.
+  bool isDownByTask() const { return IsDown && m_crashedByTask; }
   /// When the worker last crashed; zero if it never did.
   TimePoint lastCrash() const { return m_lastCrash; }
   /// Ends the run of \p Task as failed. Returns false if there is none.
@@ -129,6 +210,7 @@
 private:
   struct CurrentRun {
     int Run = 0;
+    TimePoint StartedAt{};
     TimePoint Ends{};
     bool Fails = false;
   };
@@ -136,6 +218,16 @@
   /// Time since the start of the incarnation.
   milliseconds clock() const;
   void extend(milliseconds LeaseUntil);
+  /// Returns how the run of \p Task ends now; nothing if it goes on.
+  std::optional<RunOutcome> outcomeNow(const TaskName &Task,
+                                       const CurrentRun &Run) const;
+  std::optional<RunOutcome> gangOutcomeNow(const TaskName &Task,
+                                           const CurrentRun &Run) const;
+  /// Crashes the worker after \p Delay if the run still goes on.
+  void scheduleCrash(const TaskName &Task, int Run, milliseconds Delay);
+  void goDown(const TaskName *Cause);
+  void comeBack();
+  std::vector<TaskName> tasks() const;
   void end(const TaskName &Task, RunOutcome End);
   Resources used() const;
 
@@ -143,6 +235,9 @@
   std::function<TimePoint()> m_now;
   TimePoint m_incarnation;
   TimePoint m_lastCrash{};
+  bool m_crashedByTask = false;
+  /// Number of times that all state was dropped.
+  int m_resets = 0;
   uint64_t m_epoch = 0;
   milliseconds m_leaseUntil{0};
   bool m_leaseExpired = false;
--- a/src/testing/restartcheck.cpp
+++ b/src/testing/restartcheck.cpp
@@ -60,6 +60,9 @@
     Since = roomSince({.Millicores = Demand.first, .MemoryMib = Demand.second},
                       Conditions);
   for (auto &[Name, Task] : m_tasks) {
+    // The run of a deadly task may be too short to be seen here.
+    if (Oracle.deadly(Name) || Oracle.mayGiveUp(Name.Job))
+      continue;
     if (!Oracle.workerOf(Name).empty()) {
       Task.LastRan = Now;
       Task.WasReported = false;
