Add failing tests of tasks that crash their workers

Change: tests of a short, a long-running and a fill task, of a gang and a wide step with one deadly task, which crash before the start is answered, 10 ms or 1 s after it; beside owners that are killed after each start or hand over; and of three such jobs among 40 others. Each must be started five times at most and its job shown as failed within 20 s (60 s while owners change), with all other jobs unharmed. Three more tests must go on passing: a job whose workers crash twice for another reason, one whose workers are cut off three times, and all jobs when a third of the workers crash at one moment, twice, complete.

Conclusion: a crash counts as no attempt, for no kind of task.

--- /dev/null
+++ b/src/libjobhost/crashingtask_test.cpp
@@ -0,0 +1,363 @@
+// Tests of tasks that crash each worker that starts them, and of workers that
+// crash for other reasons.
+
+#include "testing/jobtestbed.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Largest number of starts that a deadly task may have.
+constexpr int MaxDeadlyStarts =
+    JobOracle::CrashesUntilLimit + JobOracle::MaxLateStarts;
+/// Time from the acceptance of a job with a deadly task until it must be shown
+/// as failed. A worker is back 3 s after a crash, and the task crashes two or
+/// three workers, one after the other.
+constexpr milliseconds GiveUpTime = 20s;
+/// The same while owners are replaced.
+constexpr milliseconds GiveUpTimeWithoutOwners = 60s;
+/// Time within which innocent jobs must complete beside deadly tasks.
+constexpr milliseconds InnocentTime = 40s;
+/// Time from the start to the crash of a deadly task after which the start was
+/// answered.
+constexpr milliseconds ShortRun = 10ms;
+
+JobTestBedOptions traced(JobTestBedOptions Options) {
+  Options.Trace = std::getenv("BASILCHUTE_TRACE") != nullptr;
+  return Options;
+}
+
+void checkNoViolations(const JobTestBed &Bed) {
+  for (const std::string &Violation : Bed.Oracle.violations())
+    FAIL_CHECK(Violation);
+}
+
+/// Returns the state of the job, as the first host that runs knows it.
+Result<JobState> stateOf(JobTestBed &Bed, const std::string &Id) {
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    if (Bed.host(Host).Process)
+      return Bed.state(Host, Id);
+  return makeError(ResultCode::Unavailable, "no host runs");
+}
+
+bool reachesState(JobTestBed &Bed, const std::string &Id, JobState State,
+                  milliseconds Limit) {
+  TimePoint Until = Bed.now() + Limit;
+  while (Bed.now() < Until) {
+    Result<JobState> Now = stateOf(Bed, Id);
+    if (Now.has_value() && isFinal(Now.value()))
+      return Now.value() == State;
+    Bed.run(100ms);
+  }
+  return false;
+}
+
+/// Innocent jobs beside which deadly tasks run.
+class InnocentJobs {
+public:
+  explicit InnocentJobs(JobTestBed &Bed) : m_bed(Bed) {
+    REQUIRE(Bed.submit(0, m_lasting).has_value());
+    for (int Number = 0; Number < 6; ++Number) {
+      m_short.push_back(fmt::format("innocent-{}", Number));
+      REQUIRE(
+          Bed.submit(0, chainJob(m_short.back(), 3, 3, 1500ms)).has_value());
+    }
+    Bed.run(500ms);
+  }
+
+  /// Checks that all short jobs complete and all long-running tasks run.
+  void checkUnharmed() {
+    for (const std::string &Id : m_short)
+      CHECK(reachesState(m_bed, Id, JobState::Completed, InnocentTime));
+    CHECK(
+        m_bed.runUntil([&] { return lastingRuns(); }, RestartCheck::LostTime));
+    Result<JobState> State = stateOf(m_bed, m_lasting.Id);
+    CHECK((State.has_value() && !isFinal(State.value())));
+  }
+
+private:
+  bool lastingRuns() {
+    for (int Index = 0; Index < m_lasting.Steps[0].Count; ++Index)
+      if (m_bed.Oracle.workerOf({m_lasting.Id, 0, 0, Index}).empty())
+        return false;
+    return true;
+  }
+
+  JobTestBed &m_bed;
+  Job m_lasting = longRunningJob("lasting", 4);
+  std::vector<std::string> m_short;
+};
+
+int startsOf(const JobTestBed &Bed, const TaskName &Task) {
+  return Bed.Oracle.deadly(Task)->Starts;
+}
+
+/// Runs until the deadly task \p Task has started \p Count times. Returns false
+/// if \p Limit passes first.
+bool awaitStarts(JobTestBed &Bed, const TaskName &Task, int Count,
+                 milliseconds Limit) {
+  TimePoint Until = Bed.now() + Limit;
+  while (startsOf(Bed, Task) < Count && Bed.now() < Until)
+    Bed.run(1ms);
+  return startsOf(Bed, Task) >= Count;
+}
+
+/// Checks that the deadly task's job is given up in time and that innocent jobs
+/// are unharmed.
+void checkGivenUp(JobTestBed &Bed, const TaskName &Task, InnocentJobs &Innocent,
+                  milliseconds Limit = GiveUpTime) {
+  CHECK(reachesState(Bed, Task.Job, JobState::Failed, Limit));
+  Innocent.checkUnharmed();
+  Bed.run(10s);
+  CHECK(startsOf(Bed, Task) <= MaxDeadlyStarts);
+  checkNoViolations(Bed);
+}
+
+/// Submits \p Value, whose first task is deadly, beside innocent jobs and
+/// checks that it is given up.
+void checkDeadlyJob(const Job &Value, milliseconds CrashAfter) {
+  CAPTURE(CrashAfter.count());
+  JobTestBed Bed(traced({}));
+  Bed.run(3s);
+  InnocentJobs Innocent(Bed);
+  TaskName Task{Value.Id, 0, 0, 0};
+  Bed.Oracle.setDeadly(Task, CrashAfter);
+  REQUIRE(Bed.submit(0, Value).has_value());
+  checkGivenUp(Bed, Task, Innocent);
+}
+
+/// Lets \p Change befall the owner shortly after each of the first \p Count
+/// starts of a deadly task, and checks that its job is given up.
+void checkOwnerChanges(
+    const Job &Value, int Count, milliseconds Delay,
+    const std::function<void(JobTestBed &, int Owner)> &Change) {
+  CAPTURE(Count);
+  CAPTURE(Delay.count());
+  JobTestBed Bed(traced({}));
+  Bed.run(12s);
+  InnocentJobs Innocent(Bed);
+  TaskName Task{Value.Id, 0, 0, 0};
+  Bed.Oracle.setDeadly(Task, ShortRun);
+  REQUIRE(Bed.submit(0, Value).has_value());
+  for (int Number = 1; Number <= Count; ++Number) {
+    // A job that is given up sooner is not started as often.
+    if (!awaitStarts(Bed, Task, Number, GiveUpTime))
+      break;
+    Bed.run(Delay);
+    if (int Owner = Bed.ownerIndex(); Owner >= 0)
+      Change(Bed, Owner);
+  }
+  checkGivenUp(Bed, Task, Innocent, GiveUpTimeWithoutOwners);
+}
+
+void killAndRestart(JobTestBed &Bed, int Owner) {
+  Bed.killHost(Owner);
+  Bed.later(1s, [&Bed, Owner] {
+    if (!Bed.host(Owner).Process)
+      Bed.startHost(Owner);
+  });
+}
+
+void handOver(JobTestBed &Bed, int Owner) {
+  Bed.restartHost(Owner, 800ms, 200ms);
+}
+
+Job gangJob(const std::string &Id) {
+  Job Out = chainJob(Id, 1, 4, 2s);
+  Out.Steps[0].Gang = true;
+  Out.Steps[0].Demand.Millicores = 4000;
+  return Out;
+}
+
+Job fillJob(const std::string &Id) {
+  Job Out = chainJob(Id, 1, 1, 2s);
+  Out.Steps[0].IsFill = true;
+  return Out;
+}
+
+} // namespace
+
+// Guards against a task that crashes one worker after the other until the end
+// of the day: a crash counted as no attempt.
+TEST_CASE("A short task that crashes its workers is given up") {
+  checkDeadlyJob(chainJob("deadly", 1, 1), ShortRun);
+}
+
+// Guards against the same if the owner never hears that the task started.
+TEST_CASE("A task that crashes its workers before the start is answered is "
+          "given up") {
+  checkDeadlyJob(chainJob("deadly", 1, 1), 0ms);
+}
+
+// Guards against the same if the run was seen at work before the crash.
+TEST_CASE("A task that crashes its workers a second after its start is given "
+          "up") {
+  checkDeadlyJob(chainJob("deadly", 1, 1, 3s), 1s);
+}
+
+// Guards against the same for a task that has no limit of attempts.
+TEST_CASE("A long-running task that crashes its workers is given up") {
+  for (milliseconds CrashAfter : {0ms, 10ms, 1000ms})
+    checkDeadlyJob(longRunningJob("deadly", 1), CrashAfter);
+}
+
+// Guards against the same for a gang, whose members restart together, and
+// against blame for the members beside which only one is deadly.
+TEST_CASE("A gang with a member that crashes its workers is given up") {
+  checkDeadlyJob(gangJob("deadly"), ShortRun);
+}
+
+// Guards against the same for a task that reserves no processor time.
+TEST_CASE("A fill task that crashes its workers is given up") {
+  checkDeadlyJob(fillJob("deadly"), ShortRun);
+}
+
+// Guards against blame for the other tasks of the job's step, each of which
+// would crash further workers or be held back.
+TEST_CASE("A job with one task among many that crashes its workers is given "
+          "up") {
+  checkDeadlyJob(chainJob("deadly", 1, 12, 1500ms), ShortRun);
+}
+
+// Guards against a count of crashes that the owner takes with it when it
+// crashes: the next owner began to count anew.
+TEST_CASE("A task that crashes its workers is given up although the owner is "
+          "killed after a start") {
+  for (milliseconds Delay : {1ms, 7ms, 50ms, 2000ms, 3500ms})
+    checkOwnerChanges(chainJob("deadly", 1, 1), 1, Delay, killAndRestart);
+}
+
+// Guards against the same with a series of owners.
+TEST_CASE("A task that crashes its workers is given up although owners are "
+          "killed after each start") {
+  for (milliseconds Delay : {1ms, 7ms, 50ms, 2000ms, 3500ms})
+    checkOwnerChanges(chainJob("deadly", 1, 1), 3, Delay, killAndRestart);
+}
+
+// Guards against the same for a task that lasts.
+TEST_CASE("A long-running task that crashes its workers is given up although "
+          "owners are killed after each start") {
+  for (milliseconds Delay : {1ms, 50ms, 3500ms})
+    checkOwnerChanges(longRunningJob("deadly", 1), 3, Delay, killAndRestart);
+}
+
+// Guards against a handover record that does not name the crashes, nor the run
+// whose worker has just gone.
+TEST_CASE("A task that crashes its workers is given up across planned "
+          "handovers") {
+  for (int Count : {1, 3})
+    for (milliseconds Delay : {1ms, 7ms, 50ms, 2000ms, 3500ms})
+      checkOwnerChanges(chainJob("deadly", 1, 1), Count, Delay, handOver);
+}
+
+// Guards against the harm that retries of several such tasks do to a small
+// fleet.
+TEST_CASE("Three deadly jobs among many innocent ones take down few workers") {
+  JobTestBed Bed(traced({.Workers = 12}));
+  Bed.run(3s);
+  std::vector<std::string> Innocent;
+  std::vector<TaskName> Deadly;
+  for (int Number = 0; Number < 43; ++Number) {
+    bool IsDeadly = Number % 14 == 7;
+    std::string Id =
+        fmt::format("{}-{}", IsDeadly ? "deadly" : "innocent", Number);
+    if (IsDeadly) {
+      Deadly.push_back({Id, 0, 0, 0});
+      Bed.Oracle.setDeadly(Deadly.back(), ShortRun);
+    } else {
+      Innocent.push_back(Id);
+    }
+    REQUIRE(Bed.submit(Number % Bed.hosts(),
+                       chainJob(Id, IsDeadly ? 1 : 2, IsDeadly ? 1 : 3, 1s))
+                .has_value());
+    Bed.run(100ms);
+  }
+  REQUIRE(Deadly.size() == 3);
+  for (const std::string &Id : Innocent)
+    CHECK(reachesState(Bed, Id, JobState::Completed, InnocentTime));
+  for (const TaskName &Task : Deadly) {
+    CHECK(reachesState(Bed, Task.Job, JobState::Failed, 2 * GiveUpTime));
+    CHECK(startsOf(Bed, Task) <= MaxDeadlyStarts);
+  }
+  CHECK(Bed.maxDownByTasks() <= Bed.workers() / 4);
+  checkNoViolations(Bed);
+}
+
+// Guards against a job that is given up because it was unlucky twice.
+TEST_CASE("A job whose workers crash twice for another reason completes") {
+  for (int Tasks : {1, 4}) {
+    for (milliseconds CrashAfter : {5ms, 100ms, 1000ms}) {
+      CAPTURE(Tasks);
+      CAPTURE(CrashAfter.count());
+      JobTestBed Bed(traced({}));
+      Bed.run(3s);
+      REQUIRE(Bed.submit(0, chainJob("innocent", 1, Tasks, 2s)).has_value());
+      TaskName Task{"innocent", 0, 0, 0};
+      int Crashes = 0;
+      for (; Crashes < 2; ++Crashes) {
+        REQUIRE(Bed.runUntil([&] { return !Bed.Oracle.workerOf(Task).empty(); },
+                             20s));
+        Bed.run(CrashAfter);
+        ModelWorker *Worker = Bed.workerById(Bed.Oracle.workerOf(Task));
+        REQUIRE(Worker);
+        Worker->crashAndReturn();
+      }
+      CHECK(reachesState(Bed, "innocent", JobState::Completed, InnocentTime));
+      checkNoViolations(Bed);
+    }
+  }
+}
+
+// Guards against blame for the tasks of workers that crash at the same moment,
+// as those of one rack do.
+TEST_CASE("No job is failed when a third of the workers crash at one moment, "
+          "twice") {
+  JobTestBed Bed(traced({.Workers = 9}));
+  Bed.run(3s);
+  InnocentJobs Innocent(Bed);
+  REQUIRE(Bed.submit(0, gangJob("gang")).has_value());
+  REQUIRE(Bed.submit(0, fillJob("fill")).has_value());
+  for (int Number = 0; Number < 20; ++Number)
+    REQUIRE(Bed.submit(0, chainJob(fmt::format("job-{}", Number), 2, 3, 1s))
+                .has_value());
+  Bed.crashWorkers({0, 3, 6});
+  Bed.run(4s);
+  Bed.crashWorkers({0, 4, 8});
+  for (int Number = 0; Number < 20; ++Number)
+    CHECK(reachesState(Bed, fmt::format("job-{}", Number), JobState::Completed,
+                       InnocentTime));
+  CHECK(reachesState(Bed, "gang", JobState::Completed, InnocentTime));
+  CHECK(reachesState(Bed, "fill", JobState::Completed, InnocentTime));
+  Innocent.checkUnharmed();
+  checkNoViolations(Bed);
+}
+
+// Guards against a count of workers that were only cut off: their runs end with
+// their leases, and the workers come back in the same incarnation.
+TEST_CASE("A job whose workers are cut off three times completes") {
+  JobTestBed Bed(traced({}));
+  Bed.run(3s);
+  // Longer than the lease and the cut.
+  REQUIRE(Bed.submit(0, chainJob("innocent", 1, 1, 10s)).has_value());
+  TaskName Task{"innocent", 0, 0, 0};
+  for (int Number = 0; Number < 3; ++Number) {
+    REQUIRE(
+        Bed.runUntil([&] { return !Bed.Oracle.workerOf(Task).empty(); }, 20s));
+    std::string Worker = Bed.Oracle.workerOf(Task);
+    for (int Host = 0; Host < Bed.hosts(); ++Host)
+      Bed.host(Host).UnreachableWorkers.insert(Worker);
+    Bed.later(7s, [&Bed, Worker] {
+      for (int Host = 0; Host < Bed.hosts(); ++Host)
+        Bed.host(Host).UnreachableWorkers.erase(Worker);
+    });
+    REQUIRE(
+        Bed.runUntil([&] { return Bed.Oracle.workerOf(Task) != Worker; }, 10s));
+  }
+  CHECK(reachesState(Bed, "innocent", JobState::Completed, InnocentTime));
+  checkNoViolations(Bed);
+}
