Bound what a silent worker may still run by evidence, not by the horizon

What callers saw: after a crash of an owner beside a silent worker, tasks that may run there stay down for 12 s more; 9 s after the last run are allowed. Cause: a previous owner may extend leases for its whole horizon while it is away from the store, so the wait is horizon and lease together (7 s + 6 s). Change: an owner whose renewal is young (sole owner) gives leases of 4.7 s. Any other one extends leases and starts tasks only with evidence: more than two thirds of the listed workers have answered, with the incarnation that the sole owner knew, a poll sent within 1.5 s; and only by 2.4 s. A new owner that has fenced so many workers that the silent ones are at most a third of those it has known for 10 s knows that any later evidence would need one it fenced: all leases have ended 4.7 s after the last moment of a sole owner, and 3.9 s after that third, clock rates added. Otherwise it waits 12 s as before. The horizon is 10.6 s, so that runs outlast a store that is away as long as before; hosts answer from memory for 7 s as before. For that a sole owner must be one for certain: a claim has the version of the old owner's row as a condition; a gap counts until the renewal's answer comes; a read of the owner row sent before the gap ended does not count; the horizon counts from the last renewal at which ownership was certain. Hosts say in their row that they keep to the bounds; as long as one of an earlier version may have given leases, the wait is 12 s.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -50,9 +50,14 @@
   /// A host whose row has not changed for this long is considered dead.
   milliseconds Timeout{1700};
   /// Time after the last renewal during which this host may send orders to
-  /// workers. A host that takes over its shards waits at least as long for
-  /// workers that it cannot reach.
-  milliseconds Horizon{7000};
+  /// workers, if they still accept them. With the lease that such an owner
+  /// gives (2.4 s), running tasks outlast a store that is away for 12 s.
+  milliseconds Horizon{10600};
+  /// Time after the last renewal during which this host answers for jobs of its
+  /// shards from memory.
+  milliseconds AnswerHorizon{7000};
+  /// Whether conditions of a commit may name rows of several partitions.
+  bool CanSpanPartitions = true;
   /// Called when this host has become the owner of a shard. \p ReleaseVersion
   /// is the version at which the last owner gave the shard up, if nobody has
   /// owned it since; 0 if that is not known.
@@ -104,8 +109,18 @@
   /// without a shard are assigned to one.
   void setFleet(const std::vector<WorkerEntry> &Fleet);
 
-  /// Returns true if this host's row was renewed within the horizon.
+  /// Returns true if this host's row was renewed within the horizon, and this
+  /// host certainly owned its shards then.
   bool canSendOrders() const;
+  /// Returns true if this host may answer for jobs of its shards from memory.
+  bool canAnswer() const;
+  /// Returns a time from which no previous owner of \p Shard was a sole owner
+  /// any more, see isSoleOwner(); at the latest the time of the call. \p Shard
+  /// must be owned by this host.
+  TimePoint previousSoleUntil(int Shard) const;
+  /// Returns true if no host that may have given leases in the last \p Span was
+  /// of an earlier version, which gave longer ones.
+  bool haveBoundedLeases(milliseconds Span) const;
   /// Returns true if no other host can have taken over this host's shards
   /// before a job's row was written with version \p RowVersion. A new owner
   /// starts jobs that were accepted later without knowing what runs on workers
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -4,6 +4,7 @@
 
 #include "basilchute/approval.h"
 #include "basilchute/job.h"
+#include "basilchute/leasetimes.h"
 #include "basilchute/rowstore.h"
 #include "basilchute/shardchoice.h"
 #include "basilchute/taskworker.h"
@@ -26,8 +27,8 @@
   /// Version of the shard's owner row. Workers refuse orders with a lower
   /// epoch than the highest that they have seen.
   uint64_t Epoch = 0;
-  /// Duration of the lease that a poll gives to the runs on a worker.
-  milliseconds Lease{6000};
+  /// Bounds on the leases that polls give to the runs on a worker.
+  LeaseTimes Leases;
   /// Time for which a start order is valid.
   milliseconds StartLease{500};
   /// Maximum time that a poll waits at the worker for a completion.
@@ -42,6 +43,13 @@
   /// Time after the takeover by which every run that the previous owner started
   /// on an unreachable worker has ended, because its lease has expired.
   milliseconds PreviousRunsTimeout{12000};
+  /// Time from which no previous owner was a sole owner any more; the takeover
+  /// if none.
+  std::optional<TimePoint> PreviousSoleUntil;
+  /// Number of the shard's workers that have been in the list for so long that
+  /// every previous owner counts them. Zero if that is not known, or if a
+  /// previous owner may not have kept to LeaseTimes.
+  size_t SettledWorkers = 0;
   /// Version of the rows with the previous owner's record. Zero if there is no
   /// record that names all runs that are left, for example because this host
   /// has owned the shard under this epoch before.
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -3,12 +3,12 @@
 #include "basilchute/shardplan.h"
 #include "libbasilchute/hostregistry.h"
 #include "libbasilchute/jobrows.h"
+#include "libbasilchute/renewalrecord.h"
 #include "libbasilchute/shardlayout.h"
 
 #include <algorithm>
 #include <fmt/format.h>
 #include <optional>
-#include <set>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -21,6 +21,12 @@
 /// Allowance for the difference between the times at which two hosts see one
 /// renewal.
 constexpr milliseconds FenceMargin{400};
+/// Upper bound on the difference between two hosts' clocks over the time for
+/// which a host is a sole owner after a renewal.
+constexpr milliseconds ClockRateMargin{40};
+/// Allowance for clock rates in the time for which a row must be unchanged
+/// before another host claims the shard.
+constexpr milliseconds ClaimMargin{100};
 /// Number of consecutive plans that must ask for a handover before the shard is
 /// handed over.
 constexpr int MinHandoverPlans = 2;
@@ -32,6 +38,10 @@
 struct ObservedShard {
   std::string Owner;
   uint64_t Version = 0;
+  /// When this host first saw this version.
+  TimePoint SeenAt{};
+  /// See HostCluster::previousSoleUntil(); set while a claim takes effect.
+  std::optional<TimePoint> PreviousSoleUntil;
   /// Whether the row was read or written at least once.
   bool IsKnown = false;
   /// Epoch under which this host owns the shard, or 0 if it does not. Set when
@@ -58,8 +68,8 @@
 public:
   Impl(HostClusterOptions Options, RowStore &Store, const Clock &Time)
       : m_options(std::move(Options)), m_store(Store), m_time(Time),
-        m_hosts(
-            std::make_shared<HostRegistry>(registryOptions(), Store, Time)) {}
+        m_hosts(std::make_shared<HostRegistry>(registryOptions(), Store, Time)),
+        m_renewals(m_options.Timeout - ClaimMargin) {}
 
   void start() {
     m_layout = std::make_shared<ShardLayout>(layoutOptions(), m_store, m_time);
@@ -121,7 +131,23 @@
   }
 
   bool canSendOrders() const {
-    return m_lastRenewal && m_time.now() < *m_lastRenewal + m_options.Horizon;
+    return m_renewals.isYoungerThan(m_options.Horizon, m_time.now());
+  }
+
+  bool canAnswer() const {
+    return m_renewals.isYoungerThan(m_options.AnswerHorizon, m_time.now());
+  }
+
+  TimePoint previousSoleUntil(int Shard) const {
+    const ObservedShard &Row = m_shards[static_cast<size_t>(Shard)];
+    return std::min(Row.PreviousSoleUntil.value_or(m_time.now()), m_time.now());
+  }
+
+  // Hosts of earlier versions claim without a look at the owner's row, so the
+  // claim's condition is part of the bounds.
+  bool haveBoundedLeases(milliseconds Span) const {
+    return m_options.CanSpanPartitions &&
+           m_hosts->haveBoundedLeases(m_time.now() - Span);
   }
 
   bool wasOwnerAt(uint64_t RowVersion) const {
@@ -129,8 +155,8 @@
   }
 
   bool isSoleOwner() const {
-    return m_lastRenewal && m_time.now() < *m_lastRenewal + maxSafeAge() &&
-           m_unverifiedShards.empty();
+    return m_renewals.isCertain() &&
+           m_renewals.isYoungerThan(maxSafeAge(), m_time.now());
   }
 
   int shards() const { return static_cast<int>(m_shards.size()); }
@@ -195,7 +221,8 @@
     ++m_renewalsInFlight;
     HostRecord Record{.Weight = m_options.Weight,
                       .RenewalCount = ++m_renewalCount,
-                      .IsLeaving = m_isLeaving};
+                      .IsLeaving = m_isLeaving,
+                      .BoundsLeases = m_options.CanSpanPartitions};
     if (m_options.Report)
       Record.Shards = m_options.Report();
     RowCommit Commit;
@@ -212,26 +239,27 @@
     });
   }
 
-  // A renewal does not show who owns the shards. After a gap in which another
-  // host may have taken over shards, their owner rows are read again.
+  // After a gap in which another host may have claimed shards, their owner rows
+  // are read again.
   void onRenewed(TimePoint SentAt, uint64_t Version) {
-    if (m_lastRenewal && SentAt <= *m_lastRenewal)
+    if (!m_renewals.isNewer(SentAt))
       return;
-    bool IsFirst = !m_lastRenewal;
-    nanoseconds Gap = IsFirst ? nanoseconds(0) : SentAt - *m_lastRenewal;
-    m_lastRenewal = SentAt;
-    if (IsFirst || Gap <= maxSafeAge()) {
-      if (m_unverifiedShards.empty())
-        m_verifiedVersion = std::max(m_verifiedVersion, Version);
-      return;
-    }
+    nanoseconds Gap = m_renewals.sinceLast(SentAt);
+    if (m_renewals.hasGap(m_time.now()))
+      verifyShards(Gap);
+    else if (m_renewals.isCertain())
+      m_verifiedVersion = std::max(m_verifiedVersion, Version);
+    m_renewals.add(SentAt);
+  }
+
+  void verifyShards(nanoseconds Gap) {
     log("renewed_after_gap", fmt::format("gap_ms={}", Gap / milliseconds(1)));
     for (int Shard = 0; Shard < shards(); ++Shard) {
       if (m_shards[static_cast<size_t>(Shard)].OwnedEpoch == 0)
         continue;
       if (Gap > m_options.Horizon)
         release(Shard);
-      m_unverifiedShards.insert(Shard);
+      m_renewals.setUnverified(Shard, m_time.now());
       readOwnerRow(Shard);
     }
   }
@@ -240,6 +268,17 @@
   // this host dead.
   nanoseconds maxSafeAge() const { return m_options.Timeout - FenceMargin; }
 
+  // Returns a time from which neither the host in the owner row nor one before
+  // it was a sole owner any more. A host is a sole owner for maxSafeAge() after
+  // the sending of a renewal; owners before it were none when its row was
+  // written.
+  std::optional<TimePoint> soleUntil(const ObservedShard &Row) const {
+    std::optional<TimePoint> Renewed = m_hosts->lastChange(Row.Owner);
+    if (!Renewed || !m_options.CanSpanPartitions)
+      return std::nullopt;
+    return std::max(Row.SeenAt, *Renewed + maxSafeAge() + ClockRateMargin);
+  }
+
   std::vector<PlanHost> planHosts() const {
     std::vector<PlanHost> Out = m_hosts->liveHosts();
     for (PlanHost &Host : Out)
@@ -351,28 +390,39 @@
     uint64_t ReleaseVersion = Row.Owner.empty() ? Row.Version : 0;
     RowCommit Commit;
     Commit.Conditions.push_back({.Address = Address, .Version = Row.Version});
+    std::optional<TimePoint> SoleUntil;
+    // The owner may have renewed its row since it was read, and then counts as
+    // the sole owner.
+    if (Row.IsClaiming && !Row.Owner.empty() && Row.Owner != Owner &&
+        m_options.CanSpanPartitions) {
+      Commit.Conditions.push_back({.Address = hostAddress(Row.Owner),
+                                   .Version = m_hosts->rowVersion(Row.Owner)});
+      SoleUntil = soleUntil(Row);
+    }
     Commit.Changes.push_back(
         {.Address = Address, .Value = encodeShardOwner(Owner)});
     std::move(Record.begin(), Record.end(), std::back_inserter(Commit.Changes));
-    m_store.commit(
-        std::move(Commit), [Weak = weak_from_this(), Shard, Owner,
-                            ReleaseVersion](const Result<uint64_t> &Reply) {
-          auto Self = Weak.lock();
-          if (!Self)
-            return;
-          ObservedShard &Row = Self->m_shards[static_cast<size_t>(Shard)];
-          Row.IsWriting = false;
-          Row.IsClaiming = false;
-          if (Reply.has_value()) {
-            Self->applyOwner(Shard, Owner, Reply.value(), ReleaseVersion);
-            Self->removeRowIfIdle();
-            return;
-          }
-          if (Row.IsHandingOver)
-            Self->onHandoverFailed(Shard, Reply.error().Code);
-          Self->removeRowIfIdle();
-          Self->readOwnerRow(Shard);
-        });
+    m_store.commit(std::move(Commit), [Weak = weak_from_this(), Shard, Owner,
+                                       ReleaseVersion, SoleUntil](
+                                          const Result<uint64_t> &Reply) {
+      auto Self = Weak.lock();
+      if (!Self)
+        return;
+      ObservedShard &Row = Self->m_shards[static_cast<size_t>(Shard)];
+      Row.IsWriting = false;
+      Row.IsClaiming = false;
+      if (Reply.has_value()) {
+        Row.PreviousSoleUntil = SoleUntil;
+        Self->applyOwner(Shard, Owner, Reply.value(), ReleaseVersion);
+        Row.PreviousSoleUntil.reset();
+        Self->removeRowIfIdle();
+        return;
+      }
+      if (Row.IsHandingOver)
+        Self->onHandoverFailed(Shard, Reply.error().Code);
+      Self->removeRowIfIdle();
+      Self->readOwnerRow(Shard);
+    });
   }
 
   void applyOwner(int Shard, const std::string &Owner, uint64_t Version,
@@ -382,6 +432,8 @@
     if (Version < Row.Version)
       return;
     Row.Owner = Owner;
+    if (Version != Row.Version)
+      Row.SeenAt = m_time.now();
     Row.Version = Version;
     if (Row.OwnedEpoch != 0 && Row.OwnedEpoch != Version)
       release(Shard);
@@ -398,7 +450,8 @@
   void readOwnerRow(int Shard) {
     RowAddress Address = shardOwnerAddress(Shard);
     m_store.read({.Table = Address.Table, .Partition = Address.Partition},
-                 [Weak = weak_from_this(), Shard](Result<RowPage> Reply) {
+                 [Weak = weak_from_this(), Shard,
+                  SentAt = m_time.now()](Result<RowPage> Reply) {
                    auto Self = Weak.lock();
                    if (!Self)
                      return;
@@ -406,16 +459,16 @@
                      Self->readOwnerRow(Shard);
                      return;
                    }
-                   Self->onOwnerRowRead(Shard, Reply.value());
+                   Self->onOwnerRowRead(Shard, SentAt, Reply.value());
                  });
   }
 
-  void onOwnerRowRead(int Shard, const RowPage &Page) {
+  void onOwnerRowRead(int Shard, TimePoint SentAt, const RowPage &Page) {
     ObservedShard &Row = m_shards[static_cast<size_t>(Shard)];
     Row.IsKnown = true;
-    m_unverifiedShards.erase(Shard);
     for (const StoredRow &OwnerRow : Page.Rows)
       onOwnerRow(OwnerRow);
+    m_renewals.onOwnerRead(Shard, SentAt);
   }
 
   void onOwnerRow(const StoredRow &Row) {
@@ -489,12 +542,8 @@
   const Clock &m_time;
   std::shared_ptr<HostRegistry> m_hosts;
   std::vector<ObservedShard> m_shards;
-  /// Owned shards whose owner rows must be read before this host may fence a
-  /// worker.
-  std::set<int> m_unverifiedShards;
   std::shared_ptr<ShardLayout> m_layout;
-  /// Send time of the last successful renewal.
-  std::optional<TimePoint> m_lastRenewal;
+  RenewalRecord m_renewals;
   /// Version of the last renewal at which this host certainly owned its shards.
   uint64_t m_verifiedVersion = 0;
   /// Counter that changes the row with each renewal.
@@ -518,6 +567,13 @@
   m_impl->setFleet(Fleet);
 }
 bool HostCluster::canSendOrders() const { return m_impl->canSendOrders(); }
+bool HostCluster::canAnswer() const { return m_impl->canAnswer(); }
+TimePoint HostCluster::previousSoleUntil(int Shard) const {
+  return m_impl->previousSoleUntil(Shard);
+}
+bool HostCluster::haveBoundedLeases(milliseconds Span) const {
+  return m_impl->haveBoundedLeases(Span);
+}
 bool HostCluster::wasOwnerAt(uint64_t RowVersion) const {
   return m_impl->wasOwnerAt(RowVersion);
 }
--- a/src/libbasilchute/hostregistry.cpp
+++ b/src/libbasilchute/hostregistry.cpp
@@ -38,6 +38,31 @@
   return Out;
 }
 
+uint64_t HostRegistry::rowVersion(const std::string &Id) const {
+  auto Refused = m_refused.find(Id);
+  if (Refused != m_refused.end())
+    return Refused->second;
+  auto It = m_hosts.find(Id);
+  return It == m_hosts.end() ? 0 : It->second.Version;
+}
+
+std::optional<TimePoint> HostRegistry::lastChange(const std::string &Id) const {
+  auto It = m_hosts.find(Id);
+  if (It == m_hosts.end() || m_refused.count(Id))
+    return std::nullopt;
+  return It->second.ChangedAt;
+}
+
+// A row of a host whose process has ended stays in the table for ever if the
+// host does not come back.
+bool HostRegistry::haveBoundedLeases(TimePoint Since) const {
+  return m_refused.empty() &&
+         std::all_of(m_hosts.begin(), m_hosts.end(), [&](const auto &Host) {
+           return Host.second.Record.BoundsLeases ||
+                  Host.second.ChangedAt < Since;
+         });
+}
+
 void HostRegistry::read(const std::string &From) {
   m_isReading = true;
   m_nextRead = m_time.now() + m_options.ReadInterval;
--- a/src/libbasilchute/hostregistry.h
+++ b/src/libbasilchute/hostregistry.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -55,6 +56,15 @@
   bool isEmpty() const { return m_hosts.empty(); }
   /// Returns all live hosts, in the order of their ids.
   std::vector<PlanHost> liveHosts() const;
+  /// Returns the version of the row of host \p Id as last read, zero if there
+  /// was none.
+  uint64_t rowVersion(const std::string &Id) const;
+  /// Returns a time before which the host \p Id sent every renewal of its row
+  /// that had taken effect by the last read; none if it has no valid row.
+  std::optional<TimePoint> lastChange(const std::string &Id) const;
+  /// Returns true if every host whose row may have changed since \p Since
+  /// bounds its leases, see HostRecord::BoundsLeases.
+  bool haveBoundedLeases(TimePoint Since) const;
 
 private:
   /// A host as read from its row.
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -303,6 +303,7 @@
   Out.set_weight(Value.Weight);
   Out.set_beat(Value.RenewalCount);
   Out.set_leaving(Value.IsLeaving);
+  Out.set_bounds_leases(Value.BoundsLeases);
   for (const auto &[Shard, Report] : Value.Shards) {
     v1::StoredShardCount &To = *Out.add_shards();
     To.set_shard(Shard);
@@ -332,7 +333,8 @@
     return badRow("host");
   HostRecord Out{.Weight = From.weight(),
                  .RenewalCount = From.beat(),
-                 .IsLeaving = From.leaving()};
+                 .IsLeaving = From.leaving(),
+                 .BoundsLeases = From.bounds_leases()};
   for (const v1::StoredShardCount &Shard : From.shards()) {
     ShardReport &Report = Out.Shards[Shard.shard()];
     Report.Epoch = Shard.epoch();
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -56,6 +56,9 @@
   /// Incremented by each renewal of the row.
   uint64_t RenewalCount = 0;
   bool IsLeaving = false;
+  /// The host keeps to LeaseTimes, and claims a shard only while the row of its
+  /// owner is unchanged. Hosts of earlier versions do not.
+  bool BoundsLeases = false;
   /// Reports on the shards that the host owns and whose rows it has read.
   std::map<int, ShardReport> Shards;
 };
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -28,7 +28,11 @@
                      const Clock &Time)
     : m_options(std::move(Options)), m_store(Store), m_workers(Workers),
       m_time(Time), m_approvals({}, Approvals, Time),
-      m_takeoverTime(Time.now()) {}
+      m_takeoverTime(Time.now()),
+      m_previousLeases(m_options.Leases,
+                       m_options.PreviousSoleUntil.value_or(m_takeoverTime),
+                       m_options.SettledWorkers),
+      m_leaseEvidence(m_options.Leases.MaxEvidenceAge) {}
 
 void JobShard::Impl::log(std::string_view Event,
                          std::string_view Fields) const {
@@ -465,6 +469,9 @@
     // A new incarnation of the worker may have another address.
     Slot.Entry = Worker;
   }
+  for (const auto &[Id, Slot] : m_slots)
+    if (!Slot.IsListed)
+      m_leaseEvidence.forget(Id);
   pollWorkers();
   place();
 }
@@ -484,6 +491,7 @@
   if (!m_isLoaded || m_hasLostOwnership)
     return;
   m_previousRuns.setListComplete(isFleetComplete());
+  limitPreviousRuns();
   removeUnlistedWorkers();
   stopRunsOnDrainingWorkers();
   relocateStalledRuns();
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -19,6 +19,7 @@
 #include "basilchute/jobshard.h"
 #include "libbasilchute/handover.h"
 #include "libbasilchute/jobentry.h"
+#include "libbasilchute/leaseevidence.h"
 #include "libbasilchute/orderwindow.h"
 #include "libbasilchute/previousruns.h"
 #include "libbasilchute/workerslot.h"
@@ -151,6 +152,13 @@
   JobEntry *find(const std::string &Id);
   const JobQueue *queueOf(const JobEntry &Entry) const;
   bool canSendOrders() const;
+  bool isSoleOwner() const {
+    return !m_options.IsSoleOwner || m_options.IsSoleOwner();
+  }
+  /// Returns the longest lease that may be given now. None if a new owner may
+  /// exist that takes the leases of this one for ended; then nothing may be
+  /// started either.
+  std::optional<milliseconds> leaseToGive() const;
   bool canStart(JobEntry &Entry) const;
 
   // Takeover from the previous owner.
@@ -168,6 +176,9 @@
   void readHandover();
   void onHandoverRows(const std::vector<StoredRow> &Rows);
   void initPreviousRuns();
+  /// Ends the wait for unknown runs earlier if the workers that have answered
+  /// show that their leases end earlier.
+  void limitPreviousRuns();
   /// Returns true if the task may start again, see JobEntry::isRestartStored(),
   /// and so may all members of its gang. Otherwise has that stored.
   bool isRestartStored(JobEntry &Entry, int Position);
@@ -381,6 +392,8 @@
   std::optional<HandoverRecord> m_handover;
   /// Runs that previous owners may have left.
   PreviousRuns m_previousRuns;
+  PreviousLeases m_previousLeases;
+  LeaseEvidence m_leaseEvidence;
   /// True once the end of the wait for previous runs was logged.
   bool m_isTakeoverLogged = false;
   TimePoint m_nextTakeoverLog{};
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -54,7 +54,8 @@
 // bounded; the remaining tasks wait for the next round.
 void JobShard::Impl::place() {
   TimePoint Now = m_time.now();
-  if (m_waiting.empty() || Now < m_nextRound || !canSendOrders())
+  if (m_waiting.empty() || Now < m_nextRound || !canSendOrders() ||
+      !leaseToGive())
     return;
   m_nextRound = Now + MinRoundInterval;
   uint64_t StartsBefore = m_counts.Starts;
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -15,6 +15,9 @@
 /// within about this time.
 constexpr milliseconds SlowPollRetryDelay{1000};
 constexpr milliseconds UnstoredPollInterval{300};
+/// Maximum time that a poll waits at the worker while the owner needs evidence
+/// for its orders; several polls fit into the time for which one counts.
+constexpr milliseconds MaxPollWaitForEvidence{300};
 /// Time for which leases on a worker are extended that has left the list. With
 /// the lease, and the time by which hosts see the list differently, it is
 /// shorter than the time for which JobHost remembers the worker.
@@ -33,7 +36,7 @@
   if (!canSendOrders())
     return;
   TimePoint Now = m_time.now();
-  bool MayFence = !m_options.IsSoleOwner || m_options.IsSoleOwner();
+  bool MayFence = isSoleOwner();
   for (auto &[Id, Slot] : m_slots) {
     if (!Slot.IsFenced && !MayFence)
       continue;
@@ -57,6 +60,8 @@
   bool HasFill = false;
   bool HasServing = false;
   milliseconds Wait = m_options.MaxPollWait;
+  if (!isSoleOwner())
+    Wait = std::min(Wait, MaxPollWaitForEvidence);
   milliseconds WorkerClock = Slot.clockAt(m_time.now());
   for (const auto &[Key, Run] : Slot.Runs) {
     HasFill |= Run.FullPaceMillicores > 0;
@@ -74,11 +79,24 @@
 // A poll without an answer may still have extended the leases. Until a poll is
 // answered, further polls do not extend them, so that the leases on an
 // unresponsive worker expire. The next owner does not know a worker that left
-// the list long ago, so that no run may be left on it by then.
+// the list long ago, so that no run may be left on it by then. The worker's
+// clock is not known well enough if it has answered nothing for a lease's time.
 bool JobShard::Impl::canExtendLeases(const WorkerSlot &Slot) const {
   bool IsKnown =
       Slot.IsListed || m_time.now() < Slot.UnlistedSince + MaxUnlistedExtension;
-  return IsKnown && Slot.IsFenced && Slot.MissedPolls == 0;
+  return IsKnown && Slot.IsFenced && Slot.MissedPolls == 0 &&
+         m_time.now() < Slot.LastAnswer + m_options.Leases.Sole;
+}
+
+std::optional<milliseconds> JobShard::Impl::leaseToGive() const {
+  if (isSoleOwner())
+    return m_options.Leases.Sole;
+  auto Listed = static_cast<size_t>(
+      std::count_if(m_slots.begin(), m_slots.end(),
+                    [](const auto &Slot) { return Slot.second.IsListed; }));
+  if (m_leaseEvidence.isSufficient(Listed, m_time.now()))
+    return m_options.Leases.OnEvidence;
+  return std::nullopt;
 }
 
 void JobShard::Impl::poll(WorkerSlot &Slot) {
@@ -88,10 +106,11 @@
   // its completions from 1 again, so none of them may be acknowledged.
   if (Slot.MissedPolls == 0)
     Order.AcknowledgedCompletions = Slot.LastStoredCompletion;
-  if (canExtendLeases(Slot)) {
-    Order.LeaseUntil = Slot.clockAt(Now) + m_options.Lease;
-    Slot.LeaseEnd =
-        std::max(Slot.LeaseEnd, Now + maxLocalDuration(m_options.Lease));
+  std::optional<milliseconds> Lease =
+      canExtendLeases(Slot) ? leaseToGive() : std::nullopt;
+  if (Lease) {
+    Order.LeaseUntil = Slot.clockAt(Now) + *Lease;
+    Slot.LeaseEnd = std::max(Slot.LeaseEnd, Now + maxLocalDuration(*Lease));
   }
   Slot.IsPollPending = true;
   ++m_counts.Polls;
@@ -128,7 +147,9 @@
   // Nobody else can extend the leases any more.
   if (IsFirstPoll)
     Slot.LeaseEnd =
-        std::min(Slot.LeaseEnd, Now + maxLocalDuration(m_options.Lease));
+        std::min(Slot.LeaseEnd, Now + maxLocalDuration(m_options.Leases.Sole));
+  if (Slot.IsListed)
+    m_leaseEvidence.onAnswer(Worker, Reply.Incarnation, Sent, isSoleOwner());
   m_previousRuns.resolve(Worker);
   std::sort(Reply.Completions.begin(), Reply.Completions.end(),
             [](const Completion &A, const Completion &B) {
@@ -180,8 +201,7 @@
 // An owner that may have lost the shard must not conclude that the leases have
 // expired: the new owner may have polled the worker and extended them.
 bool JobShard::Impl::hasLeaseExpired(const WorkerSlot &Slot) const {
-  return m_time.now() > Slot.LeaseEnd &&
-         (!m_options.IsSoleOwner || m_options.IsSoleOwner());
+  return m_time.now() > Slot.LeaseEnd && isSoleOwner();
 }
 
 void JobShard::Impl::releaseAllRuns(WorkerSlot &Slot, std::string_view Why) {
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -81,6 +81,26 @@
   }
 }
 
+void JobShard::Impl::limitPreviousRuns() {
+  TimePoint Now = m_time.now();
+  if (!m_previousRuns.hasUnknown(Now) || !isFleetComplete())
+    return;
+  auto Silent = static_cast<size_t>(
+      std::count_if(m_slots.begin(), m_slots.end(),
+                    [](const auto &Slot) { return !Slot.second.IsFenced; }));
+  m_previousLeases.onFenced(Silent, Now);
+  std::optional<TimePoint> End = m_previousLeases.endAt();
+  if (!End || m_previousRuns.unknownEndsAt() <= *End)
+    return;
+  m_previousRuns.limitUnknown(*End);
+  for (auto &[Id, Slot] : m_slots)
+    if (!Slot.IsFenced)
+      Slot.LeaseEnd = std::min(Slot.LeaseEnd, m_previousRuns.endsAt(Id));
+  log("previous_leases_limited",
+      fmt::format("shard={} epoch={} silent={} until_ms={}", m_options.Shard,
+                  m_options.Epoch, Silent, (*End - Now) / milliseconds(1)));
+}
+
 std::optional<HandoverRecord> JobShard::Impl::handOver() {
   if (!m_isLoaded || m_hasLostOwnership)
     return std::nullopt;
--- /dev/null
+++ b/src/libbasilchute/leaseevidence.h
@@ -0,0 +1,78 @@
+/// \file
+/// For how long an owner that may have lost its shard may go on giving orders,
+/// and when a new owner knows that the leases from such orders have ended.
+///
+/// A sole owner, whose renewal is so young that no other host can have claimed
+/// the shard, gives orders freely. Any other owner gives orders only with
+/// evidence: most of the shard's workers have accepted its epoch within the
+/// last moments. The new owner's first answered poll of a worker ends that
+/// worker's evidence for all previous owners. Once it has fenced so many
+/// workers that any evidence would need one of them, previous owners give no
+/// more orders, except on evidence that is about to grow too old.
+#pragma once
+
+#include "basilchute/clock.h"
+#include "basilchute/leasetimes.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// What an owner knows of the workers that still accept its epoch.
+class LeaseEvidence {
+public:
+  explicit LeaseEvidence(milliseconds MaxAge) : m_maxAge(MaxAge) {}
+
+  /// Records that \p Worker has answered a poll that was sent at \p Sent. The
+  /// answer counts only if the same incarnation has answered while this host
+  /// was the sole owner: a later one may not know of a newer owner.
+  void onAnswer(const std::string &Worker, milliseconds Incarnation,
+                TimePoint Sent, bool IsSoleOwner);
+  /// The worker has left the list. Must be called then: the new owner may never
+  /// have heard of the worker.
+  void forget(const std::string &Worker) { m_workers.erase(Worker); }
+  /// Returns true if more than two thirds of \p Listed workers have accepted
+  /// this owner's epoch lately.
+  bool isSufficient(size_t Listed, TimePoint Now) const;
+
+private:
+  struct Acceptance {
+    /// Incarnation that has answered the sole owner.
+    milliseconds Incarnation{0};
+    /// When the last poll that it answered was sent.
+    TimePoint Sent{};
+  };
+
+  milliseconds m_maxAge;
+  std::map<std::string, Acceptance> m_workers;
+};
+
+/// What a new owner knows of the leases that previous owners gave.
+class PreviousLeases {
+public:
+  /// \p SoleUntil is the time by which no previous owner was a sole owner any
+  /// more. \p Settled is the number of the shard's workers that have been in
+  /// the list for so long that every previous owner counts them.
+  PreviousLeases(LeaseTimes Times, TimePoint SoleUntil, size_t Settled)
+      : m_times(Times), m_soleUntil(SoleUntil), m_settled(Settled) {}
+
+  /// Records that at \p Now all workers but \p Silent, of those in the list and
+  /// those that left it lately, have accepted the new owner's epoch.
+  void onFenced(size_t Silent, TimePoint Now);
+  /// Returns the time by which all leases that previous owners gave to workers
+  /// that have not accepted the new epoch have ended; none if that cannot be
+  /// concluded from the workers that have.
+  std::optional<TimePoint> endAt() const;
+
+private:
+  LeaseTimes m_times;
+  TimePoint m_soleUntil;
+  size_t m_settled;
+  /// When enough workers had accepted the new epoch.
+  std::optional<TimePoint> m_noEvidenceFrom;
+};
+
+BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/previousruns.h
+++ b/src/libbasilchute/previousruns.h
@@ -5,6 +5,7 @@
 #include "basilchute/clock.h"
 #include "basilchute/job.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -35,6 +36,10 @@
   /// until \p EndsAt on any worker but those in \p ResolvedBefore.
   void setUnknown(uint64_t Version, TimePoint EndsAt,
                   std::set<std::string> ResolvedBefore = {});
+  /// Unknown runs have ended by \p EndsAt, if not by an earlier time.
+  void limitUnknown(TimePoint EndsAt) {
+    m_unknownEndsAt = std::min(m_unknownEndsAt, EndsAt);
+  }
   /// \p Tasks may run on \p Worker until \p EndsAt.
   void addKnown(const std::string &Worker, const std::set<TaskName> &Tasks,
                 TimePoint EndsAt);
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -10,16 +10,14 @@
 
 namespace {
 
-/// Longest lease that a shard grants to running tasks. The tasks of a crashed
-/// worker are not restarted before their lease has expired.
-constexpr milliseconds MaxTaskLease{6000};
 /// Allowance for differences in clock rate and for orders in transit.
 constexpr milliseconds LeaseExpiryMargin{700};
 /// Maximum number of shards if transactions may span partitions; otherwise
 /// there is only one shard.
 constexpr int MaxShards = 64;
 /// A worker that was removed from the list longer ago than this has ended all
-/// its tasks.
+/// its tasks. A worker that has been in the list for as long is known to every
+/// previous owner that may still give leases.
 constexpr milliseconds FormerWorkerRetention{10000};
 /// Time after which an owner's report includes the work sent to that owner.
 constexpr milliseconds ReportLag{1000};
@@ -49,6 +47,7 @@
           .WorkersPerShard = m_options.WorkersPerShard,
           .MinShards = m_options.MinShards,
           .MaxShards = m_options.CanSpanPartitions ? MaxShards : 1,
+          .CanSpanPartitions = m_options.CanSpanPartitions,
           .OnAcquired =
               [this](int Shard, uint64_t Epoch, uint64_t ReleaseVersion) {
                 acquireShard(Shard, Epoch, ReleaseVersion);
@@ -69,9 +68,15 @@
   bool IsReacquired = std::exchange(m_lastEpochs[Shard], Epoch) == Epoch;
   if (!IsReacquired)
     Options.HandoverVersion = ReleaseVersion != 0 ? ReleaseVersion : Epoch;
-  Options.Lease = std::min(m_options.MaxWorkerLease, MaxTaskLease);
+  LeaseTimes &Leases = Options.Leases;
+  Leases.Sole = std::min(m_options.MaxWorkerLease, Leases.Sole);
+  Leases.OnEvidence = std::min(m_options.MaxWorkerLease, Leases.OnEvidence);
   Options.PreviousRunsTimeout =
-      Cluster.Horizon + Options.Lease + LeaseExpiryMargin - Cluster.Timeout;
+      Cluster.Horizon + Leases.OnEvidence + LeaseExpiryMargin - Cluster.Timeout;
+  Options.PreviousSoleUntil = m_cluster.previousSoleUntil(Shard);
+  if (m_cluster.haveBoundedLeases(Options.PreviousRunsTimeout +
+                                  Cluster.Timeout))
+    Options.SettledWorkers = settledWorkersOf(Shard);
   Options.CanSendOrders = [this] { return m_cluster.canSendOrders(); };
   Options.IsSoleOwner = [this] { return m_cluster.isSoleOwner(); };
   Options.WasOwnerAt = [this](uint64_t Version) {
@@ -115,10 +120,16 @@
 
 void JobHost::groupWorkers() {
   m_workersByShard.clear();
+  std::map<std::string, TimePoint> KnownSince = std::move(m_knownSince);
+  m_knownSince.clear();
   for (const WorkerEntry &Worker : m_fleet) {
     int Shard = m_cluster.shardOf(Worker.Id);
-    if (Shard >= 0)
-      m_workersByShard[Shard].push_back(Worker);
+    if (Shard < 0)
+      continue;
+    m_workersByShard[Shard].push_back(Worker);
+    auto Known = KnownSince.find(Worker.Id);
+    m_knownSince[Worker.Id] =
+        Known == KnownSince.end() ? m_time.now() : Known->second;
   }
   for (const auto &[Shard, Owner] : m_ownedShards)
     updateShardWorkers(Shard);
@@ -267,6 +278,18 @@
   return Out;
 }
 
+size_t JobHost::settledWorkersOf(int Shard) const {
+  auto Workers = m_workersByShard.find(Shard);
+  if (Workers == m_workersByShard.end())
+    return 0;
+  TimePoint Latest = m_time.now() - FormerWorkerRetention;
+  return static_cast<size_t>(
+      std::count_if(Workers->second.begin(), Workers->second.end(),
+                    [&](const WorkerEntry &Worker) {
+                      return m_knownSince.at(Worker.Id) <= Latest;
+                    }));
+}
+
 void JobHost::setQueues(std::shared_ptr<const JobQueues> Queues) {
   m_queues = std::move(Queues);
   for (const auto &[Shard, Owner] : m_ownedShards)
@@ -299,7 +322,7 @@
 }
 
 std::optional<JobState> JobHost::localState(const std::string &JobId) const {
-  if (!m_cluster.canSendOrders())
+  if (!m_cluster.canAnswer())
     return std::nullopt;
   for (const auto &[Shard, Owner] : m_ownedShards) {
     std::optional<JobState> Out =
