Let workers of the test bed shrink and grow

By reading, starts stop on a worker that has shrunk; nothing showed it. Change: JobTestBed::setCapacity() changes it in the list and at the worker. The oracle reports a start that brings a worker over its present capacity and over any that it had within an allowance before; without a change the check is as it was. Sessions of jobfuzz with "capacity" shrink and grow workers at random times, drawn from a source of their own; sessions without it are as they were.

--- /dev/null
+++ b/src/libjobhost/capacity_test.cpp
@@ -0,0 +1,243 @@
+// Tests of workers whose capacity shrinks and grows while they run.
+
+#include "testing/jobtestbed.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Resources Full{.Millicores = 8000, .MemoryMib = 16000};
+/// Room for two of the tasks of chainJob().
+constexpr Resources TwoTasks{.Millicores = 2000, .MemoryMib = 16000};
+constexpr Resources OneTask{.Millicores = 1000, .MemoryMib = 16000};
+
+Job jobWith(const std::string &Id, int Tasks, int64_t Millicores,
+            milliseconds Estimate = 400ms) {
+  Job Out = chainJob(Id, 1, Tasks, Estimate);
+  Out.Steps[0].Demand.Millicores = Millicores;
+  return Out;
+}
+
+bool reaches(JobTestBed &Bed, const std::string &Id, JobState State,
+             milliseconds Limit) {
+  return Bed.runUntil(
+      [&] {
+        Result<JobState> Seen = Bed.state(0, Id);
+        return Seen.has_value() && Seen.value() == State;
+      },
+      Limit);
+}
+
+bool allRunWithin(JobTestBed &Bed, size_t Tasks, milliseconds Limit) {
+  return Bed.runUntil([&] { return Bed.Oracle.running() == Tasks; }, Limit);
+}
+
+size_t runsOn(JobTestBed &Bed, int Worker) {
+  return Bed.Oracle.tasksOn(Bed.worker(Worker).Entry.Id).size();
+}
+
+uint64_t polls(JobTestBed &Bed) {
+  uint64_t Out = 0;
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    if (Bed.host(Host).Process)
+      Out += Bed.host(Host).Process->counts().Polls;
+  return Out;
+}
+
+void checkNoViolations(const JobTestBed &Bed) {
+  for (const std::string &Violation : Bed.Oracle.violations())
+    FAIL_CHECK(Violation);
+}
+
+} // namespace
+
+// Guards the oracle of these tests.
+TEST_CASE("The oracle reports a start above a capacity that has shrunk") {
+  JobOracle Oracle;
+  ManualClock Time;
+  ModelWorker Worker({.Id = "w", .Capacity = Full}, Oracle,
+                     [&] { return Time.now(); });
+  Oracle.addJob({.Spec = chainJob("a", 1, 6, 60s)});
+  auto Start = [&](int Index) {
+    (void)Worker.start({.Task = {"a", 0, 0, Index},
+                        .Run = 1,
+                        .LeaseUntil = milliseconds(600000)});
+  };
+  Start(0);
+  Start(1);
+  Start(2);
+  Worker.setCapacity(OneTask, 500ms);
+  Time.advance(400ms);
+  Start(3);
+  CHECK(Oracle.violations().empty());
+  Time.advance(200ms);
+  CHECK(Oracle.violations().empty());
+  Start(4);
+  CHECK(Oracle.violations().size() == 1);
+  Worker.setCapacity(Full, 500ms);
+  Start(5);
+  CHECK(Oracle.violations().size() == 1);
+}
+
+// Guards against starts on a worker whose room is taken, and against runs that
+// are ended since their worker has become too small for them.
+TEST_CASE(
+    "A worker that shrinks below what runs on it keeps its runs and takes "
+    "no starts until it grows") {
+  JobTestBed Bed({.Workers = 1});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longRunningJob("lasting", 4)).has_value());
+  REQUIRE(allRunWithin(Bed, 4, 2s));
+  Bed.setCapacity(0, TwoTasks);
+  CHECK(Bed.submit(0, chainJob("short", 1, 3)).has_value());
+  Bed.run(20s);
+  CHECK(Bed.Oracle.starts() == 4);
+  CHECK(Bed.Oracle.running() == 4);
+  Bed.setCapacity(0, Full);
+  CHECK(reaches(Bed, "short", JobState::Completed, 2s));
+  CHECK(Bed.Oracle.running() == 4);
+  checkNoViolations(Bed);
+}
+
+TEST_CASE("Memory and accelerators that shrink stop starts as processors do") {
+  Resources WithAccelerators = Full;
+  WithAccelerators.Accelerators = 2;
+  for (Resources Less :
+       {Resources{.Millicores = 8000, .MemoryMib = 2500, .Accelerators = 2},
+        Resources{.Millicores = 8000, .MemoryMib = 16000, .Accelerators = 0}}) {
+    JobTestBed Bed({.Workers = 1, .WorkerCapacity = WithAccelerators});
+    Bed.run(3s);
+    Job Value = longRunningJob("lasting", 2);
+    Value.Steps[0].Demand.Accelerators = 1;
+    CHECK(Bed.submit(0, Value).has_value());
+    REQUIRE(allRunWithin(Bed, 2, 2s));
+    Bed.setCapacity(0, Less);
+    CHECK(Bed.submit(0, chainJob("short", 1, 1)).has_value());
+    Bed.run(5s);
+    CHECK(Bed.Oracle.starts() == 2);
+    Bed.setCapacity(0, WithAccelerators);
+    CHECK(reaches(Bed, "short", JobState::Completed, 2s));
+    CHECK(Bed.Oracle.running() == 2);
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against starts that the owner orders from an older capacity after it
+// has heard of a lower one.
+TEST_CASE("Start orders on their way at a change are the last above the new "
+          "capacity") {
+  // At several times relative to the orders.
+  for (int Time = 0; Time < 8; ++Time) {
+    JobTestBed Bed({.Workers = 1, .NetworkDelay = 80ms});
+    Bed.run(3s);
+    CHECK(Bed.submit(0, chainJob("a", 1, 30, 60s)).has_value());
+    Bed.run(10ms * Time);
+    Bed.setCapacity(0, TwoTasks);
+    Bed.run(600ms);
+    int Starts = Bed.Oracle.starts();
+    CHECK(Starts <= 8);
+    Bed.run(5s);
+    CHECK(Bed.Oracle.starts() == std::max(Starts, 2));
+    Bed.setCapacity(0, Full);
+    CHECK(allRunWithin(Bed, 8, 2s));
+    checkNoViolations(Bed);
+  }
+}
+
+// A task that is being stopped still takes its room.
+TEST_CASE("Tasks that end on a worker that has shrunk make room only below the "
+          "new capacity") {
+  JobTestBed Bed({.Workers = 1});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("a", 1, 8, 60s)).has_value());
+  REQUIRE(allRunWithin(Bed, 8, 2s));
+  Bed.setCapacity(0, TwoTasks);
+  CHECK(Bed.submit(0, chainJob("b", 1, 8, 500ms)).has_value());
+  Bed.run(2s);
+  CHECK(Bed.cancel(0, "a").has_value());
+  CHECK(Bed.runUntil([&] { return runsOn(Bed, 0) <= 2; }, 2s));
+  for (int Step = 0; Step < 40; ++Step) {
+    Bed.run(100ms);
+    CHECK(runsOn(Bed, 0) <= 2);
+  }
+  CHECK(reaches(Bed, "b", JobState::Completed, 2s));
+  checkNoViolations(Bed);
+}
+
+TEST_CASE("A gang waits as a whole while one of its workers has shrunk") {
+  JobTestBed Bed({.Workers = 2});
+  Bed.run(3s);
+  Bed.setCapacity(0, OneTask);
+  Job Value = jobWith("gang", 4, 4000);
+  Value.Steps[0].Gang = true;
+  CHECK(Bed.submit(0, Value).has_value());
+  Bed.run(10s);
+  CHECK(Bed.Oracle.starts() == 0);
+  Bed.setCapacity(0, Full);
+  CHECK(reaches(Bed, "gang", JobState::Completed, 3s));
+  CHECK(Bed.Oracle.starts() == 4);
+  checkNoViolations(Bed);
+}
+
+TEST_CASE("A long-running task that ends on a worker that has shrunk starts "
+          "again once the worker has grown") {
+  JobTestBed Bed({.Workers = 1});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longRunningJob("lasting", 2, 4000)).has_value());
+  REQUIRE(allRunWithin(Bed, 2, 2s));
+  Bed.setCapacity(0, {.Millicores = 5000, .MemoryMib = 16000});
+  CHECK(Bed.failTask({"lasting", 0, 0, 0}));
+  Bed.run(10s);
+  CHECK(Bed.Oracle.running() == 1);
+  CHECK(Bed.Oracle.starts() == 2);
+  Bed.setCapacity(0, Full);
+  CHECK(allRunWithin(Bed, 2, 2s));
+  checkNoViolations(Bed);
+}
+
+// Guards against long-running tasks that wait in a shard whose workers have
+// shrunk beside one that has room.
+TEST_CASE("Long-running tasks find room in another shard while their own has "
+          "shrunk") {
+  JobTestBed Bed({.Workers = 4, .MinShards = 2});
+  Bed.run(4s);
+  CHECK(Bed.submit(0, longRunningJob("lasting", 2, 3000)).has_value());
+  REQUIRE(allRunWithin(Bed, 2, 2s));
+  int Shard = -1;
+  for (int Worker = 0; Worker < Bed.workers(); ++Worker)
+    if (Bed.worker(Worker).hasRuns())
+      Shard = Bed.host(0).Process->shardOf(Bed.worker(Worker).Entry.Id);
+  for (int Worker = 0; Worker < Bed.workers(); ++Worker)
+    if (Bed.host(0).Process->shardOf(Bed.worker(Worker).Entry.Id) == Shard)
+      Bed.setCapacity(Worker, OneTask);
+  Bed.run(2s);
+  CHECK(Bed.Oracle.running() == 2);
+  CHECK(Bed.failTask({"lasting", 0, 0, 0}));
+  CHECK(allRunWithin(Bed, 2, 9s));
+  checkNoViolations(Bed);
+}
+
+// Guards against starts above a capacity that the previous owner knew and the
+// new one does not.
+TEST_CASE("A worker that has shrunk takes no starts from the owner that "
+          "follows") {
+  JobTestBed Bed({.Workers = 2});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longRunningJob("lasting", 10)).has_value());
+  REQUIRE(allRunWithin(Bed, 10, 2s));
+  Bed.setCapacity(0, TwoTasks);
+  Bed.setCapacity(1, OneTask);
+  CHECK(Bed.submit(0, chainJob("short", 1, 6)).has_value());
+  Bed.killHost(Bed.ownerIndex());
+  Bed.run(30s);
+  CHECK(Bed.Oracle.running() == 10);
+  CHECK(Bed.Oracle.starts() == 10);
+  Bed.setCapacity(0, Full);
+  Bed.setCapacity(1, Full);
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("short"); }, 3s));
+  checkNoViolations(Bed);
+}
--- a/src/testing/jobfuzz_test.cpp
+++ b/src/testing/jobfuzz_test.cpp
@@ -1,18 +1,22 @@
 // Fuzzing of job hosts with random faults, checked by the oracle.
 //
-// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling]. Prints each seed
-// that violated an invariant; sessions with the same seed are identical. With
-// "shards" there are two or three shards, and many workers leave the worker
-// list, so that jobs are transferred between shards. With "rolling" hosts and
-// workers are replaced one by one at the same time, see RollingSession.
+// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling] [capacity].
+// Prints each seed that violated an invariant; sessions with the same seed are
+// identical. With "shards" there are two or three shards, and many workers
+// leave the worker list, so that jobs are transferred between shards. With
+// "rolling" hosts and workers are replaced one by one at the same time, see
+// RollingSession. With "capacity" workers shrink and grow meanwhile.
 // BASILCHUTE_TRACE prints every event of the hosts.
 
+#include "testing/capacitychanges.h"
 #include "testing/jobtestbed.h"
 #include "testing/rollingsession.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <random>
+#include <set>
 
 using namespace basilchute;
 using namespace std::chrono_literals;
@@ -20,24 +24,34 @@
 namespace {
 
 constexpr int CommandsPerSession = 70;
+/// Time until a worker that has shrunk must take no more starts: the time after
+/// which a host is in touch again, and one report of the worker.
+constexpr milliseconds CapacityAllowance{4000};
+/// A session ends earlier.
+constexpr milliseconds MaxSessionTime{600000};
 
 /// One session of random commands and faults.
 class Session {
 public:
-  Session(uint64_t Seed, bool ManyShards)
+  Session(uint64_t Seed, bool ManyShards, bool ChangesCapacity)
       : m_random(Seed), m_manyShards(ManyShards),
+        m_changesCapacity(ChangesCapacity),
         m_bed({.Hosts = 3,
                .Workers = ManyShards ? 6 : 5,
                .MinShards = ManyShards ? 2 + static_cast<int>(Seed % 2)
                                        : 1 + static_cast<int>(Seed % 3),
                .FailPercent = 5,
                .MaxAttempts = 3,
+               .CapacityAllowance = CapacityAllowance,
                .Seed = Seed,
-               .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr}) {}
+               .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr}),
+        m_capacities(m_bed, Seed) {}
 
   /// Returns the violations of invariants and the jobs that did not end.
   std::vector<std::string> run() {
     m_bed.run(3s);
+    if (m_changesCapacity)
+      m_capacities.start(MaxSessionTime);
     for (int Index = 0; Index < CommandsPerSession; ++Index) {
       runRandomCommand();
       m_bed.run(milliseconds(randomInt(10, 700)));
@@ -49,6 +63,9 @@
       Result<JobState> State = m_bed.state(0, Id);
       if (!State.has_value() || !isFinal(State.value()))
         Out.push_back(fmt::format("job {} did not end", Id));
+      else if (State.value() == JobState::Failed &&
+               !m_bed.Oracle.hasCauseToFail(Id))
+        Out.push_back(fmt::format("job {} failed without cause", Id));
     }
     return Out;
   }
@@ -122,10 +139,12 @@
 
   void togglePause() {
     int Host = randomHost();
-    if (m_bed.host(Host).IsPaused)
-      m_bed.resume(Host);
-    else
-      m_bed.pause(Host);
+    if (!m_bed.host(Host).IsPaused)
+      return m_bed.pause(Host);
+    m_bed.resume(Host);
+    // The host has missed the changes since it was paused.
+    if (m_changesCapacity)
+      m_bed.publishWorkers();
   }
 
   void toggleCutWorker() {
@@ -177,11 +196,15 @@
     for (int Worker : m_unlisted)
       m_bed.setWorkerListed(Worker, true);
     m_bed.publishWorkers();
+    if (m_changesCapacity)
+      m_capacities.end();
   }
 
   std::mt19937_64 m_random;
   bool m_manyShards;
+  bool m_changesCapacity;
   JobTestBed m_bed;
+  CapacityChanges m_capacities;
   std::set<int> m_unlisted;
   std::vector<std::string> m_accepted;
   int m_jobs = 0;
@@ -192,13 +215,15 @@
 int main(int ArgCount, char **Args) {
   uint64_t First = ArgCount > 1 ? std::strtoull(Args[1], nullptr, 10) : 1;
   uint64_t Count = ArgCount > 2 ? std::strtoull(Args[2], nullptr, 10) : 20;
-  std::string Mode = ArgCount > 3 ? Args[3] : "";
+  std::set<std::string> Modes(Args + std::min(ArgCount, 3), Args + ArgCount);
+  bool ChangesCapacity = Modes.count("capacity") > 0;
   bool HasTrace = std::getenv("BASILCHUTE_TRACE") != nullptr;
   uint64_t Failed = 0;
   for (uint64_t Seed = First; Seed < First + Count; ++Seed) {
     std::vector<std::string> Violations =
-        Mode == "rolling" ? RollingSession(Seed, HasTrace).run()
-                          : Session(Seed, Mode == "shards").run();
+        Modes.count("rolling")
+            ? RollingSession(Seed, ChangesCapacity, HasTrace).run()
+            : Session(Seed, Modes.count("shards") > 0, ChangesCapacity).run();
     if (Violations.empty())
       continue;
     ++Failed;
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -127,7 +127,10 @@
   });
 }
 
-void HostTaskWorkers::pace(const WorkerEntry &, PaceOrder, OrderDone Done) {
+void HostTaskWorkers::pace(const WorkerEntry &Worker, PaceOrder Order,
+                           OrderDone Done) {
+  if (ModelWorker *Model = m_bed.workerById(Worker.Id))
+    Model->Paces.push_back(Order.Percent);
   reply(m_bed.options().NetworkDelay, [Done] { Done(okStatus()); });
 }
 
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -40,6 +40,10 @@
   /// others hear of it earlier. Zero if all hear of it at once, paused ones not
   /// at all.
   milliseconds MaxListDelay{0};
+  /// Time after a change of a worker's capacity in which starts may still fill
+  /// the worker up to the previous capacity. Zero for the time in which all
+  /// hosts hear of it and their orders on the way arrive.
+  milliseconds CapacityAllowance{0};
   uint64_t Seed = 1;
   /// Prints every event of the hosts with its time and host.
   bool Trace = false;
@@ -162,6 +166,9 @@
   /// Starts a new worker, with a name that no worker had before, and returns
   /// its index.
   int addWorker();
+  /// Changes the worker's capacity and lists it so. The oracle reports starts
+  /// that bring the worker over it later than all hosts must have heard of it.
+  void setCapacity(int Worker, const Resources &Capacity);
   /// Lists the worker as draining. After \p Stay it ends all its runs, leaves
   /// the list and does not reply any more. That counts as a crash if not all
   /// hosts had notice of it for long enough to move the worker's tasks.
--- a/src/testing/jobtestbed_fleet.cpp
+++ b/src/testing/jobtestbed_fleet.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds EndDelay{50};
 /// Notice that an owner needs to move the tasks of a draining worker.
 constexpr milliseconds MinNotice{1000};
+/// Time after a host has heard of a lower capacity in which its orders that are
+/// on their way may still be carried out.
+constexpr milliseconds OrdersOnTheirWay{600};
 
 } // namespace
 
@@ -55,6 +58,13 @@
   return workers() - 1;
 }
 
+void JobTestBed::setCapacity(int Index, const Resources &Capacity) {
+  worker(Index).setCapacity(
+      Capacity, std::max(m_options.CapacityAllowance,
+                         m_options.MaxListDelay + OrdersOnTheirWay));
+  publishWorkers();
+}
+
 void JobTestBed::drainWorker(int Index, milliseconds Stay) {
   worker(Index).Entry.IsDraining = true;
   publishWorkers();
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -70,9 +70,11 @@
   m_running[Task].insert(Worker);
 }
 
-void JobOracle::onEnd(const std::string &Worker, const TaskName &Task, int,
+void JobOracle::onEnd(const std::string &Worker, const TaskName &Task, int Run,
                       RunOutcome End) {
   m_running[Task].erase(Worker);
+  if (End == RunOutcome::Failed)
+    m_failures[Task].insert(Run);
   if (End == RunOutcome::Done)
     m_doneTasks.insert(Task);
 }
@@ -134,6 +136,17 @@
   return true;
 }
 
+bool JobOracle::hasCauseToFail(const std::string &Id) const {
+  const ModelJob *ParentJob = job(Id);
+  return ParentJob &&
+         std::any_of(m_failures.begin(), m_failures.end(),
+                     [&](const auto &Task) {
+                       return Task.first.Job == Id &&
+                              static_cast<int>(Task.second.size()) >=
+                                  ParentJob->MaxAttempts;
+                     });
+}
+
 milliseconds ModelWorker::clock() const {
   return std::chrono::duration_cast<milliseconds>(m_now() - m_incarnation);
 }
@@ -152,6 +165,25 @@
   return Out;
 }
 
+void ModelWorker::setCapacity(const Resources &Capacity,
+                              milliseconds Allowance) {
+  m_formerCapacities.push_back(
+      {.Capacity = Entry.Capacity, .Until = m_now() + Allowance});
+  Entry.Capacity = Capacity;
+}
+
+void ModelWorker::checkCapacity() {
+  std::erase_if(m_formerCapacities, [Now = m_now()](const auto &Former) {
+    return Now > Former.Until;
+  });
+  Resources Used = used();
+  bool FitsFormer = std::any_of(
+      m_formerCapacities.begin(), m_formerCapacities.end(),
+      [&](const auto &Former) { return Used.fits(Former.Capacity); });
+  if (!FitsFormer)
+    m_oracle.onCapacity(Entry.Id, Used, Entry.Capacity);
+}
+
 bool ModelWorker::fail(const TaskName &Task) {
   advance();
   if (!m_runs.count(Task))
@@ -231,7 +263,7 @@
   Run.Fails = static_cast<int>(Hash % 100) < FailPercent;
   m_runs[Order.Task] = Run;
   m_oracle.onStart(Entry.Id, Order.Task, Order.Run, m_now());
-  m_oracle.onCapacity(Entry.Id, used(), Entry.Capacity);
+  checkCapacity();
   return Out;
 }
 
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -58,6 +58,9 @@
   /// Tasks that run on \p Worker.
   std::vector<TaskName> tasksOn(const std::string &Worker) const;
   bool allDone(const std::string &Job) const;
+  /// Returns true if runs of one task of \p Job have ended as failed as often
+  /// as its queue allows.
+  bool hasCauseToFail(const std::string &Job) const;
 
 private:
   void violate(const TaskName &Task, int Run, std::string Problem);
@@ -69,6 +72,8 @@
   std::set<TaskName> m_acknowledgedDone;
   /// Numbers of the failed runs of each task that were acknowledged.
   std::map<TaskName, std::set<int>> m_acknowledgedFailures;
+  /// Numbers of all failed runs of each task.
+  std::map<TaskName, std::set<int>> m_failures;
   std::vector<std::string> m_violations;
   int m_starts = 0;
 };
@@ -97,6 +102,8 @@
   bool Hangs = false;
   /// Changes each answer to a poll, if set.
   std::function<void(PollReply &)> AlterAnswer;
+  /// Percentages of all pace orders that were received, in their order.
+  std::vector<int> Paces;
 
   Result<StartReply> start(const StartOrder &Order);
   Status stop(const StopOrder &Order);
@@ -123,6 +130,10 @@
   TimePoint lastCrash() const { return m_lastCrash; }
   /// Ends the run of \p Task as failed. Returns false if there is none.
   bool fail(const TaskName &Task);
+  /// Changes the capacity; runs go on. For \p Allowance, starts may still fill
+  /// the worker up to the previous capacity, since owners learn of the change
+  /// later.
+  void setCapacity(const Resources &Capacity, milliseconds Allowance);
   /// Capacity that no run uses.
   Resources freeCapacity() const;
 
@@ -138,6 +149,8 @@
   void extend(milliseconds LeaseUntil);
   void end(const TaskName &Task, RunOutcome End);
   Resources used() const;
+  /// Reports a start that has brought the worker over its capacity.
+  void checkCapacity();
 
   JobOracle &m_oracle;
   std::function<TimePoint()> m_now;
@@ -156,6 +169,12 @@
   std::map<TaskName, int> m_highestRun;
   std::vector<Completion> m_ended;
   uint64_t m_lastEndNumber = 0;
+  /// A capacity up to which the worker may still be filled.
+  struct FormerCapacity {
+    Resources Capacity;
+    TimePoint Until{};
+  };
+  std::vector<FormerCapacity> m_formerCapacities;
 };
 
 BASILCHUTE_NAMESPACE_END
--- a/src/testing/rollingsession.cpp
+++ b/src/testing/rollingsession.cpp
@@ -16,6 +16,9 @@
 /// Largest part of the fleet that long-running tasks reserve, in percent.
 constexpr int MaxLongRunningPercent = 40;
 constexpr int InitialLongRunningJobs = 4;
+/// Time until a worker that has shrunk must take no more starts: the time after
+/// which a host is in touch again, and one report of the worker.
+constexpr milliseconds CapacityAllowance{4000};
 
 /// What befalls a host during a handover.
 enum StrikeKind { Kill, Pause, RefuseStore, LoseReplies, DelayCommits };
@@ -27,15 +30,17 @@
           .FailPercent = 5,
           .MaxAttempts = 6,
           .MaxListDelay = milliseconds(Seed % 5 * 250),
+          .CapacityAllowance = CapacityAllowance,
           .Seed = Seed,
           .Trace = Trace};
 }
 
 } // namespace
 
-RollingSession::RollingSession(uint64_t Seed, bool Trace)
+RollingSession::RollingSession(uint64_t Seed, bool ChangesCapacity, bool Trace)
     : m_random(Seed), m_faults(static_cast<Faults>(Seed % 3)),
-      m_bed(bedOptions(Seed, Trace)),
+      m_bed(bedOptions(Seed, Trace)), m_capacities(m_bed, Seed),
+      m_changesCapacity(ChangesCapacity),
       m_minUsableWorkers(m_bed.workers() * 2 / 3) {}
 
 int RollingSession::randomInt(int Min, int End) {
@@ -80,6 +85,8 @@
   }
   if (m_faults == Faults::All)
     planStoreFaults();
+  if (m_changesCapacity)
+    m_capacities.start(SeriesTime);
   runPlan();
   endFaults();
   m_bed.run(SettleTime);
@@ -316,6 +323,8 @@
       m_bed.resume(Index);
   }
   m_bed.publishWorkers();
+  if (m_changesCapacity)
+    m_capacities.end();
 }
 
 void RollingSession::findUnfinished(std::vector<std::string> &Out) {
--- a/src/testing/rollingsession.h
+++ b/src/testing/rollingsession.h
@@ -3,6 +3,7 @@
 /// workers are replaced, crash or fall silent.
 #pragma once
 
+#include "testing/capacitychanges.h"
 #include "testing/jobtestbed.h"
 
 #include <functional>
@@ -16,7 +17,8 @@
 /// One session of random series. Sessions with the same seed are identical.
 class RollingSession {
 public:
-  RollingSession(uint64_t Seed, bool Trace);
+  /// With \p ChangesCapacity, workers shrink and grow meanwhile.
+  RollingSession(uint64_t Seed, bool ChangesCapacity, bool Trace);
 
   /// Returns the violations of invariants, the jobs that did not end and the
   /// long-running tasks that do not run at the end.
@@ -63,6 +65,8 @@
   std::mt19937_64 m_random;
   Faults m_faults;
   JobTestBed m_bed;
+  CapacityChanges m_capacities;
+  bool m_changesCapacity;
   int m_minUsableWorkers;
   std::multimap<milliseconds, std::function<void()>> m_plan;
   std::vector<Job> m_longRunning;
