Do not fail a job because its only worker has shrunk for a while

Seen: a job that fits only on one worker is shown as failed 0.3 s after it came while that worker has shrunk, though it could run once the worker has grown again. Cause: canEverFit() compared the tasks with the present capacities. A job that fits on no worker's largest capacity is told at once as before. Failed before: "A job is not failed while the only worker that it fits on has shrunk" (state 3, failed, at each look instead of 0), "The owner that follows does not fail a job whose only worker has shrunk" (not done 3 s after the growth). "A job that never fitted ..." and "A job that fitted only on a worker that has left fails soon" passed and stay. Conclusion: holds as long as one host process that has seen the larger capacity owns the shard. What a process that starts later cannot know is open.

--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -130,7 +130,8 @@
   /// Starts to read the shard's rows, and polls the workers once all are read.
   void load();
   /// Replaces the list of workers: \p Own are the workers of this shard,
-  /// \p Fleet those of all shards.
+  /// \p Fleet those of all shards with the largest capacity that each has had.
+  /// A job whose tasks fit on none of \p Fleet is failed.
   void setWorkers(std::vector<WorkerEntry> Own, std::vector<WorkerEntry> Fleet);
   /// Adds workers of this shard that left the list recently: they may still run
   /// tasks that the previous owner started. Must be called before load().
--- a/src/include/basilchute/resources.h
+++ b/src/include/basilchute/resources.h
@@ -4,6 +4,7 @@
 
 #include "basilchute/namespace.h"
 
+#include <algorithm>
 #include <cstdint>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -33,6 +34,13 @@
   friend Resources operator+(Resources A, const Resources &B) { return A += B; }
   friend Resources operator-(Resources A, const Resources &B) { return A -= B; }
 
+  /// Returns the larger amount of each resource.
+  friend Resources larger(const Resources &A, const Resources &B) {
+    return {.Millicores = std::max(A.Millicores, B.Millicores),
+            .MemoryMib = std::max(A.MemoryMib, B.MemoryMib),
+            .Accelerators = std::max(A.Accelerators, B.Accelerators)};
+  }
+
   /// Returns true if this demand does not exceed \p Available in any dimension.
   bool fits(const Resources &Available) const {
     return Millicores <= Available.Millicores &&
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -320,6 +320,8 @@
   /// Progress rows by job id, kept until loading is complete.
   std::map<std::string, StoredRow> m_loadedProgress;
   Slots m_slots;
+  /// All workers with the largest capacity that each has had: a worker that has
+  /// shrunk may grow again.
   std::vector<WorkerEntry> m_fleet;
   /// All queues that were ever configured, since jobs outlive their queue.
   JobQueues m_queues;
--- a/src/libjobhost/capacity_test.cpp
+++ b/src/libjobhost/capacity_test.cpp
@@ -168,6 +168,70 @@
   checkNoViolations(Bed);
 }
 
+// Guards against a job that is given up though it can run once its worker has
+// grown again.
+TEST_CASE("A job is not failed while the only worker that it fits on has "
+          "shrunk") {
+  for (Resources Less : {TwoTasks, Resources{}}) {
+    JobTestBed Bed({.Workers = 3});
+    Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+    Bed.run(3s);
+    Bed.setCapacity(0, Less);
+    CHECK(Bed.submit(0, jobWith("large", 1, 20000)).has_value());
+    for (int Second = 0; Second < 15; ++Second) {
+      Bed.run(1s);
+      Result<JobState> State = Bed.state(0, "large");
+      REQUIRE(State.has_value());
+      CHECK(State.value() == JobState::Queued);
+    }
+    Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+    CHECK(reaches(Bed, "large", JobState::Completed, 3s));
+    checkNoViolations(Bed);
+  }
+}
+
+TEST_CASE("A job that never fitted on any worker fails soon also while workers "
+          "have shrunk") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.run(3s);
+  Bed.setCapacity(0, TwoTasks);
+  CHECK(Bed.submit(0, jobWith("large", 1, 8001)).has_value());
+  CHECK(reaches(Bed, "large", JobState::Failed, 1s));
+  CHECK(Bed.submit(0, jobWith("small", 1, 8000)).has_value());
+  CHECK(reaches(Bed, "small", JobState::Completed, 3s));
+  checkNoViolations(Bed);
+}
+
+// Guards against a worker that left for good and still counts as one on which
+// jobs fit.
+TEST_CASE("A job that fitted only on a worker that has left fails soon") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+  Bed.run(3s);
+  Bed.setCapacity(0, Full);
+  Bed.run(1s);
+  Bed.loseWorker(0, 500ms);
+  Bed.run(1s);
+  CHECK(Bed.submit(0, jobWith("large", 1, 20000)).has_value());
+  CHECK(reaches(Bed, "large", JobState::Failed, 2s));
+}
+
+TEST_CASE("The owner that follows does not fail a job whose only worker has "
+          "shrunk") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+  Bed.run(3s);
+  Bed.setCapacity(0, TwoTasks);
+  CHECK(Bed.submit(0, jobWith("large", 1, 20000)).has_value());
+  Bed.run(1s);
+  Bed.killHost(Bed.ownerIndex());
+  Bed.run(15s);
+  REQUIRE(Bed.ownerIndex() >= 0);
+  Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("large"); }, 3s));
+  checkNoViolations(Bed);
+}
+
 TEST_CASE("A gang waits as a whole while one of its workers has shrunk") {
   JobTestBed Bed({.Workers = 2});
   Bed.run(3s);
@@ -183,6 +247,32 @@
   checkNoViolations(Bed);
 }
 
+// Guards against room that stays reserved on a worker that has become too small
+// for the task, and against small tasks that keep a large one out afterwards.
+TEST_CASE("A large task reserves room again once its worker has grown") {
+  JobTestBed Bed({.Workers = 1});
+  Bed.run(3s);
+  // Late jobs, which come after the large one.
+  for (int Number = 0; Number < 40; ++Number) {
+    std::string Id = "small-" + std::to_string(Number);
+    CHECK(Bed.submit(0, chainJob(Id, 1, 2, 700ms)).has_value());
+  }
+  Bed.setCapacity(0, TwoTasks);
+  Bed.run(5s);
+  CHECK(Bed.submit(0, jobWith("large", 1, 8000, 20s)).has_value());
+  int Before = Bed.Oracle.starts();
+  Bed.run(4s);
+  CHECK(Bed.Oracle.starts() >= Before + 8);
+  Bed.setCapacity(0, Full);
+  CHECK(Bed.runUntil(
+      [&] {
+        return Bed.worker(0).runs({"large", 0, 0, 0});
+      },
+      2s));
+  CHECK(Bed.Oracle.starts() < 80);
+  checkNoViolations(Bed);
+}
+
 TEST_CASE("A long-running task that ends on a worker that has shrunk starts "
           "again once the worker has grown") {
   JobTestBed Bed({.Workers = 1});
