Keep a worker in the list whose capacity has shrunk to nothing

Seen: the entry of a worker whose processors or memory are 0 for a while is refused as unsound. The worker counts as gone from the list: its leases are not extended for longer than 2 s, so that everything that runs there is killed. A worker without processors or without memory takes no starts, not even fill tasks, which reserve no processors; it is polled and keeps its runs. Shares of such a worker are finite: updatePaces() divided by its processors, and a pace that is no number was converted to an integer. Conclusion: runs outlive a capacity of zero.

--- a/src/include/basilchute/taskworker.h
+++ b/src/include/basilchute/taskworker.h
@@ -32,6 +32,17 @@
   bool hasLabel(const std::string &Label) const {
     return std::find(Labels.begin(), Labels.end(), Label) != Labels.end();
   }
+  /// Returns false if the worker's capacity has shrunk to nothing. Such a
+  /// worker keeps its runs and takes no others, not even tasks that reserve no
+  /// processor time.
+  bool hasCapacity() const {
+    return Capacity.Millicores > 0 && Capacity.MemoryMib > 0;
+  }
+  /// Returns true if a task of \p Step fits on the worker while nothing else
+  /// runs there.
+  bool canHold(const JobStep &Step) const {
+    return hasCapacity() && Step.reservation().fits(Capacity);
+  }
 };
 
 /// How a run ended.
--- a/src/libbasilchute/jobshard_interference.cpp
+++ b/src/libbasilchute/jobshard_interference.cpp
@@ -55,7 +55,7 @@
     return;
   std::vector<FillLoad> Fills;
   std::vector<RunKey> Keys;
-  auto Capacity = static_cast<double>(Slot.Entry.Capacity.Millicores);
+  double Capacity = Slot.millicores();
   for (const auto &[Key, Run] : Slot.Runs) {
     if (Run.FullPaceMillicores == 0 || Run.Phase != RunPhase::Running)
       continue;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -227,7 +227,8 @@
   std::vector<PlacementCandidate> Candidates;
   for (auto &[Id, Slot] : m_slots) {
     bool IsUsable = Slot.IsFenced && Slot.IsListed && !Slot.Entry.IsDraining &&
-                    Slot.MissedPolls == 0 && Now >= Slot.NextStartAt &&
+                    Slot.Entry.hasCapacity() && Slot.MissedPolls == 0 &&
+                    Now >= Slot.NextStartAt &&
                     Now < Slot.LastAnswer + MaxAnswerAge;
     if (!IsUsable)
       continue;
@@ -404,14 +405,13 @@
 bool JobShard::Impl::canEverFit(const JobEntry &Entry, int Position) const {
   const JobQueue *Queue = queueOf(Entry);
   const JobStep &Step = Entry.stepOf(Position);
-  return std::any_of(
-      m_fleet.begin(), m_fleet.end(), [&](const WorkerEntry &Worker) {
-        bool HasLabel = Step.RequiredLabel.empty() ||
-                        std::find(Worker.Labels.begin(), Worker.Labels.end(),
-                                  Step.RequiredLabel) != Worker.Labels.end();
-        return Worker.Service == Queue->Service && HasLabel &&
-               Step.reservation().fits(Worker.Capacity);
-      });
+  return std::any_of(m_fleet.begin(), m_fleet.end(),
+                     [&](const WorkerEntry &Worker) {
+                       bool HasLabel = Step.RequiredLabel.empty() ||
+                                       Worker.hasLabel(Step.RequiredLabel);
+                       return Worker.Service == Queue->Service && HasLabel &&
+                              Worker.canHold(Step);
+                     });
 }
 
 double JobShard::Impl::headroomWith(const PlacementCandidate &Candidate,
--- a/src/libbasilchute/jobshard_relocate.cpp
+++ b/src/libbasilchute/jobshard_relocate.cpp
@@ -79,8 +79,7 @@
     const JobQueue *Queue = queueOf(Entry);
     const WorkerEntry &Worker = Candidate.Slot->Entry;
     bool CanRun =
-        Queue && Worker.Service == Queue->Service &&
-        Step.reservation().fits(Worker.Capacity) &&
+        Queue && Worker.Service == Queue->Service && Worker.canHold(Step) &&
         (Step.RequiredLabel.empty() ||
          Candidate.Slot->hasLabel(Step.RequiredLabel)) &&
         (Step.MaxPerWorker == 0 ||
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -126,6 +126,9 @@
   /// Returns the worker's clock at \p Now. The result is ahead of the worker by
   /// at most 2% of the time since the last answer.
   milliseconds clockAt(TimePoint Now) const;
+  /// Returns the worker's millicores, at least 1 because callers divide by
+  /// them.
+  double millicores() const;
   /// Capacity that no run reserves.
   Resources freeCapacity() const;
   /// Capacity that no long-running run reserves: it is free or becomes free
@@ -154,10 +157,6 @@
   void resetIncarnation();
 
 private:
-  /// Returns the worker's millicores, at least 1 because callers divide by
-  /// them.
-  double millicores() const;
-
   /// The worker's clock at its last answer, and when that answer arrived.
   milliseconds m_workerClock{0};
   TimePoint m_answeredAt{};
--- a/src/libjobhost/capacity_test.cpp
+++ b/src/libjobhost/capacity_test.cpp
@@ -168,6 +168,80 @@
   checkNoViolations(Bed);
 }
 
+// Guards against a worker without room that counts as gone: its runs would be
+// lost.
+TEST_CASE("A worker without any room is polled, keeps its runs and takes no "
+          "starts") {
+  for (Resources None : {Resources{}, Resources{.MemoryMib = 16000},
+                         Resources{.Millicores = 8000}}) {
+    JobTestBed Bed({.Workers = 1});
+    Bed.run(3s);
+    CHECK(Bed.submit(0, longRunningJob("lasting", 3)).has_value());
+    REQUIRE(allRunWithin(Bed, 3, 2s));
+    Bed.setCapacity(0, None);
+    CHECK(Bed.submit(0, chainJob("short", 1, 1)).has_value());
+    uint64_t Before = polls(Bed);
+    Bed.run(20s);
+    CHECK(polls(Bed) > Before + 15);
+    CHECK(Bed.Oracle.starts() == 3);
+    CHECK(Bed.Oracle.running() == 3);
+    Bed.setCapacity(0, Full);
+    CHECK(reaches(Bed, "short", JobState::Completed, 2s));
+    CHECK(Bed.Oracle.starts() == 4);
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against fill tasks, which reserve no processor time, on a worker that
+// has no processors.
+TEST_CASE("No fill task starts on a worker without processors") {
+  JobTestBed Bed({.Workers = 1});
+  Bed.run(3s);
+  Bed.setCapacity(0, {.Millicores = 0, .MemoryMib = 16000});
+  Job Value = chainJob("fill", 1, 2);
+  Value.Steps[0].IsFill = true;
+  CHECK(Bed.submit(0, Value).has_value());
+  Bed.run(3s);
+  CHECK(Bed.Oracle.starts() == 0);
+  Bed.setCapacity(0, Full);
+  CHECK(reaches(Bed, "fill", JobState::Completed, 2s));
+  checkNoViolations(Bed);
+}
+
+// Guards against a pace that is no number: shares of a worker without
+// processors are not finite.
+TEST_CASE("Fill tasks beside serving tasks run on while their worker has no "
+          "processors") {
+  JobTestBed Bed({.Workers = 1});
+  Bed.run(3s);
+  Job Serving = longRunningJob("serving", 2);
+  Serving.Steps[0].TailTarget = 100ms;
+  Job Fill = chainJob("fill", 1, 2, 8s);
+  Fill.Steps[0].IsFill = true;
+  Fill.Steps[0].Image = "fill";
+  CHECK(Bed.submit(0, Serving).has_value());
+  CHECK(Bed.submit(0, Fill).has_value());
+  REQUIRE(allRunWithin(Bed, 4, 3s));
+  Bed.worker(0).AlterAnswer = [](PollReply &Answer) {
+    for (RunningTask &Run : Answer.Running)
+      Run.Usage = Run.Task.Job == "fill" ? 900 : 30;
+  };
+  Bed.run(1s);
+  Bed.setCapacity(0, {});
+  Bed.run(3s);
+  CHECK(Bed.Oracle.running() == 4);
+  for (int Percent : Bed.worker(0).Paces) {
+    CHECK(Percent >= 0);
+    CHECK(Percent <= 100);
+  }
+  Bed.setCapacity(0, Full);
+  Bed.run(2s);
+  REQUIRE(!Bed.worker(0).Paces.empty());
+  CHECK(Bed.worker(0).Paces.back() > 0);
+  CHECK(reaches(Bed, "fill", JobState::Completed, 8s));
+  checkNoViolations(Bed);
+}
+
 // Guards against a job that is given up though it can run once its worker has
 // grown again.
 TEST_CASE("A job is not failed while the only worker that it fits on has "
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -146,7 +146,7 @@
                                     !Worker.IsDraining &&
                                     (Step.RequiredLabel.empty() ||
                                      Worker.hasLabel(Step.RequiredLabel)) &&
-                                    Step.reservation().fits(Worker.Capacity);
+                                    Worker.canHold(Step);
                            });
       });
 }
