--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -275,6 +275,25 @@
   return Out;
 }
 
+void ModelWorker::setCapacity(const Resources &Capacity,
+                              milliseconds Allowance) {
+  m_formerCapacities.push_back(
+      {.Capacity = Entry.Capacity, .Until = m_now() + Allowance});
+  Entry.Capacity = Capacity;
+}
+
+void ModelWorker::checkCapacity() {
+  std::erase_if(m_formerCapacities, [Now = m_now()](const auto &Former) {
+    return Now > Former.Until;
+  });
+  Resources Used = used();
+  bool FitsFormer = std::any_of(
+      m_formerCapacities.begin(), m_formerCapacities.end(),
+      [&](const auto &Former) { return Used.fits(Former.Capacity); });
+  if (!FitsFormer)
+    m_oracle.onCapacity(Entry.Id, Used, Entry.Capacity);
+}
+
 bool ModelWorker::fail(const TaskName &Task) {
   advance();
   if (!m_runs.count(Task))
@@ -382,7 +401,7 @@
   Run.Fails = static_cast<int>(Hash % 100) < FailPercent;
   m_runs[Order.Task] = Run;
   m_oracle.onStart(Entry.Id, Order.Task, Order.Run, m_now());
-  m_oracle.onCapacity(Entry.Id, used(), Entry.Capacity);
+  checkCapacity();
   if (const DeadlyTask *Deadly = m_oracle.deadly(Order.Task))
     scheduleCrash(Order.Task, Order.Run, Deadly->CrashAfter);
   return Out;
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -173,6 +173,8 @@
   milliseconds ReturnAfter{3000};
   /// Called when the worker is back after a crash, if set.
   std::function<void()> OnReturn;
+  /// Percentages of all pace orders that were received, in their order.
+  std::vector<int> Paces;
 
   Result<StartReply> start(const StartOrder &Order);
   Status stop(const StopOrder &Order);
@@ -204,6 +206,10 @@
   TimePoint lastCrash() const { return m_lastCrash; }
   /// Ends the run of \p Task as failed. Returns false if there is none.
   bool fail(const TaskName &Task);
+  /// Changes the capacity; runs go on. For \p Allowance, starts may still fill
+  /// the worker up to the previous capacity, since owners learn of the change
+  /// later.
+  void setCapacity(const Resources &Capacity, milliseconds Allowance);
   /// Capacity that no run uses.
   Resources freeCapacity() const;
 
@@ -230,6 +236,8 @@
   std::vector<TaskName> tasks() const;
   void end(const TaskName &Task, RunOutcome End);
   Resources used() const;
+  /// Reports a start that has brought the worker over its capacity.
+  void checkCapacity();
 
   JobOracle &m_oracle;
   std::function<TimePoint()> m_now;
@@ -251,6 +259,12 @@
   std::map<TaskName, int> m_highestRun;
   std::vector<Completion> m_ended;
   uint64_t m_lastEndNumber = 0;
+  /// A capacity up to which the worker may still be filled.
+  struct FormerCapacity {
+    Resources Capacity;
+    TimePoint Until{};
+  };
+  std::vector<FormerCapacity> m_formerCapacities;
 };
 
 BASILCHUTE_NAMESPACE_END
