Transfer a job of any age that no worker of its shard can hold

Seen: a job that came while the only worker that it fits on had shrunk goes to any shard. Once it is 8 s old it stays there for good, also after the worker of another shard has grown again. Cause: only a shard without any worker gave such old jobs, and late ones, away. Besides, the cost of waiting in a shard that cannot run the job was taken from the work that waits there: none, in an idle shard, so that no other shard seemed cheaper, at any age. Change: what counts is whether the shard's workers can hold each step of the job; waiting where they cannot costs more than anything else. Conclusion: a job reaches the worker that it fits on however long that had shrunk.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -121,7 +121,7 @@
   void transfer();
   std::vector<std::string> transferable() const;
   bool canTransfer(const JobEntry &Entry) const;
-  bool hasWorkers() const;
+  bool hasWorkersFor(const JobEntry &Entry) const;
   bool hasRunsOf(const JobEntry &Entry) const;
   void adoptJob(const Job &Spec, uint64_t JobVersion);
   void sendTransfer(const std::map<std::string, int> &Moves);
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -92,16 +92,16 @@
   // present shard.
   if (Entry.HomeShard || Entry.hasDelegated())
     return false;
-  // If this shard has no workers, a job can only run in another shard and is
-  // transferred at any age. So is a long-running job, because the capacity that
-  // such jobs take does not become free.
+  // If no worker of this shard can hold the job, it can only run in another
+  // shard and is transferred at any age. So is a long-running job, because the
+  // capacity that such jobs take does not become free.
   bool IsYoung = Now < Entry.ArrivedAt + MaxTransferAge;
   bool IsLongRunning = Entry.Spec.Steps.front().LongRunning;
   if (IsLongRunning && (Entry.hasStarted() || !IsYoung) &&
       !hasWaitedLong(Entry))
     return false;
   if (Now < Entry.ArrivedAt + MinTransferAge ||
-      (!IsYoung && !IsLongRunning && hasWorkers()))
+      (!IsYoung && !IsLongRunning && hasWorkersFor(Entry)))
     return false;
   if (m_previousRuns.isWithinUnknownTime(Entry.JobVersion, Now) ||
       mayHavePreviousRuns(Entry))
@@ -109,9 +109,20 @@
   return !Entry.hasStarted() || !hasRunsOf(Entry);
 }
 
-bool JobShard::Impl::hasWorkers() const {
-  return std::any_of(m_slots.begin(), m_slots.end(),
-                     [](const auto &Slot) { return Slot.second.IsListed; });
+// Returns true if every step of the job fits on some worker of this shard.
+bool JobShard::Impl::hasWorkersFor(const JobEntry &Entry) const {
+  const JobQueue *Queue = queueOf(Entry);
+  const std::vector<JobStep> &Steps = Entry.Spec.Steps;
+  return std::all_of(Steps.begin(), Steps.end(), [&](const JobStep &Step) {
+    return std::any_of(m_slots.begin(), m_slots.end(), [&](const auto &Slot) {
+      const WorkerEntry &Worker = Slot.second.Entry;
+      return Slot.second.IsListed &&
+             (!Queue || Worker.Service == Queue->Service) &&
+             (Step.RequiredLabel.empty() ||
+              Worker.hasLabel(Step.RequiredLabel)) &&
+             Worker.canHold(Step);
+    });
+  });
 }
 
 bool JobShard::Impl::hasRunsOf(const JobEntry &Entry) const {
@@ -134,7 +145,7 @@
       continue;
     if (Entry.Spec.Steps.front().LongRunning)
       Ranked.push_back({{-1, 0, 0, 0, 0}, Id});
-    else if (latenessOf(Entry) == 0 || !hasWorkers())
+    else if (latenessOf(Entry) == 0 || !hasWorkersFor(Entry))
       Ranked.push_back({{0, 0, 0, 0, -std::get<4>(rankOf(Entry))}, Id});
   }
   std::sort(Ranked.begin(), Ranked.end());
--- a/src/libjobhost/capacity_test.cpp
+++ b/src/libjobhost/capacity_test.cpp
@@ -306,6 +306,25 @@
   checkNoViolations(Bed);
 }
 
+// Guards against a job that stays for good in a shard where it fits on no
+// worker: no shard had a worker for it when it came, and it is too old to be
+// transferred when the worker of another shard grows.
+TEST_CASE("A job finds the worker that grows in another shard after a long "
+          "time") {
+  for (int Number = 0; Number < 6; ++Number) {
+    JobTestBed Bed({.Workers = 4, .MinShards = 2});
+    Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+    Bed.run(4s);
+    Bed.setCapacity(0, TwoTasks);
+    std::string Id = "large-" + std::to_string(Number);
+    CHECK(Bed.submit(0, jobWith(Id, 1, 20000)).has_value());
+    Bed.run(15s);
+    Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+    CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone(Id); }, 5s));
+    checkNoViolations(Bed);
+  }
+}
+
 TEST_CASE("A gang waits as a whole while one of its workers has shrunk") {
   JobTestBed Bed({.Workers = 2});
   Bed.run(3s);
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -4,6 +4,7 @@
 #include "libbasilchute/jobrows.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -222,9 +223,12 @@
     Own.Load.RemainingWork -= Demand.Amount;
   Own.Load.WaitingFillMillicores -=
       std::min(Own.Load.WaitingFillMillicores, Demand.FillMillicores);
-  // On a shard that cannot run the job, the job would never start.
-  if (!canRun(Shard, Value))
+  // On a shard that cannot run the job, the job would never start, not even if
+  // nothing else waits there.
+  if (!canRun(Shard, Value)) {
     Own.Load.CapacityMillicores = 0;
+    Own.Load.RemainingWork = std::numeric_limits<double>::max();
+  }
   std::vector<ShardCandidate> Others = candidates(Value);
   std::erase_if(Others, [&](const ShardCandidate &Other) {
     return Other.Shard == Shard;
