Reserve the whole worker for a run of unknown demand also after it has grown

Seen by reading: a run that the owner can't match to a job reserves the capacity that its worker has when the run is first reported. If the worker had shrunk and grows while the run is being stopped, the rest counts as free, and a start can bring it over its capacity. Change: such a run reserves what the worker has at any time. Failed before: "A run of unknown demand reserves the whole worker also after the worker has grown", with the reservation fixed as before: load 0.5 instead of 1, and capacity free.

--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -378,7 +378,7 @@
 void JobShard::Impl::adoptRun(WorkerSlot &Slot, const RunningTask &Run) {
   RunKey Key{Run.Task, Run.Run};
   ReservedRun Reservation{.Phase = RunPhase::Running,
-                          .Reserved = Slot.Entry.Capacity,
+                          .ReservesAll = true,
                           .ConfirmedAt = m_time.now(),
                           .Percent = Run.Percent,
                           .Usage = Run.Usage,
@@ -391,6 +391,7 @@
   if (Position >= 0) {
     const JobStep &Step = Entry->stepOf(Position);
     Reservation.Reserved = Step.reservation();
+    Reservation.ReservesAll = false;
     Reservation.LongRunning = Step.LongRunning;
     // A failed run of another task, on a worker that has not answered yet, may
     // still count as an attempt.
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -68,7 +68,7 @@
 Resources WorkerSlot::freeCapacity() const {
   Resources Out = Entry.Capacity;
   for (const auto &[Key, Run] : Runs)
-    Out -= Run.Reserved;
+    Out -= reservedBy(Run);
   return Out;
 }
 
@@ -76,7 +76,7 @@
   Resources Out = Entry.Capacity;
   for (const auto &[Key, Run] : Runs)
     if (Run.LongRunning)
-      Out -= Run.Reserved;
+      Out -= reservedBy(Run);
   return Out;
 }
 
@@ -84,7 +84,7 @@
   double Used = 0;
   for (const auto &[Key, Run] : Runs)
     Used += (Run.LongRunning ? LongRunningUsage : 1.0) *
-            static_cast<double>(Run.Reserved.Millicores);
+            static_cast<double>(reservedBy(Run).Millicores);
   return Used / millicores();
 }
 
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -29,6 +29,9 @@
 struct ReservedRun {
   RunPhase Phase = RunPhase::Starting;
   Resources Reserved;
+  /// The run's demand is not known; it reserves the whole worker, also after
+  /// the worker has grown.
+  bool ReservesAll = false;
   /// The run has no end of its own; it lasts until its job is cancelled.
   bool LongRunning = false;
   /// Millicores that a fill run uses at full pace; zero for other runs.
@@ -157,6 +160,10 @@
   void resetIncarnation();
 
 private:
+  const Resources &reservedBy(const ReservedRun &Run) const {
+    return Run.ReservesAll ? Entry.Capacity : Run.Reserved;
+  }
+
   /// The worker's clock at its last answer, and when that answer arrived.
   milliseconds m_workerClock{0};
   TimePoint m_answeredAt{};
