Count the workers that the previous owner reports, not those known for long

What callers saw: where hosts and workers are replaced one after the other, the wait after a crash of the owner was 12 s still. Cause: the new owner compared the silent workers with those it had known for 10 s, and knew few or none. Change: an owner reports the number of its workers in its host row, and counts evidence against the largest number that a reader of its row can have seen since its last certain renewal; without a certain renewal that has a report it gives no orders on evidence. The new owner compares the silent workers with the smallest number that any host reports on the shard and whose row may have changed since then; without a report of the previous owner under its epoch it waits 12 s. Rows of hosts that were removed count for 15 s on. A host row that was once not readable no longer keeps others from claiming its shards when it is readable again. handover_test's handover during the wait takes place after 2 s in place of 6 s, as the wait there is 4.2 s now, and must end by 5.5 s in place of 13 s. Two faults of the tests of this issue: the case of two owners read the violations of a session that had ended, and its restarted workers were back at once; both are mended. Conclusion: long waits are left where more than a third of the shard's workers are silent, former ones included, or where the owner had not reported yet.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -22,6 +22,8 @@
 struct ShardReport {
   /// Epoch under which the host owns the shard.
   uint64_t Epoch = 0;
+  /// Number of listed workers that the owner counts; zero if unknown.
+  uint32_t Workers = 0;
   /// Number of jobs without a started task, by queue.
   std::map<std::string, int> PendingJobs;
   ShardLoad Load;
@@ -118,9 +120,14 @@
   /// any more, see isSoleOwner(); at the latest the time of the call. \p Shard
   /// must be owned by this host.
   TimePoint previousSoleUntil(int Shard) const;
-  /// Returns true if no host that may have given leases in the last \p Span was
-  /// of an earlier version, which gave longer ones.
-  bool haveBoundedLeases(milliseconds Span) const;
+  /// Returns a number of workers that every previous owner of \p Shard that may
+  /// still give leases has counted in its reports; zero if that is not known.
+  /// Only known while OnAcquired is called, after a claim.
+  uint32_t previousWorkers(int Shard) const;
+  /// Returns the largest number of workers that any report on \p Shard counts
+  /// which other hosts may read, zero if they may have no report. \p Shard must
+  /// be owned by this host.
+  uint32_t publishedWorkers(int Shard) const;
   /// Returns true if no other host can have taken over this host's shards
   /// before a job's row was written with version \p RowVersion. A new owner
   /// starts jobs that were accepted later without knowing what runs on workers
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -46,10 +46,10 @@
   /// Time from which no previous owner was a sole owner any more; the takeover
   /// if none.
   std::optional<TimePoint> PreviousSoleUntil;
-  /// Number of the shard's workers that have been in the list for so long that
-  /// every previous owner counts them. Zero if that is not known, or if a
-  /// previous owner may not have kept to LeaseTimes.
-  size_t SettledWorkers = 0;
+  /// Number of workers that every previous owner counts at least when it looks
+  /// for evidence. Zero if that is not known, or if a previous owner may not
+  /// have kept to LeaseTimes.
+  size_t PreviousWorkers = 0;
   /// Version of the rows with the previous owner's record. Zero if there is no
   /// record that names all runs that are left, for example because this host
   /// has owned the shard under this epoch before.
@@ -60,6 +60,9 @@
   /// poll of an incarnation of a worker: a new incarnation has not seen the
   /// epoch of a newer owner and would accept the poll of a stale one.
   std::function<bool()> IsSoleOwner;
+  /// Returns the number of workers that a new owner may count, see
+  /// PreviousWorkers; zero if it may have none.
+  std::function<size_t()> PublishedWorkers;
   /// Returns whether this host certainly owned the shard at a version of the
   /// store. Called with the version at which a job was accepted, before the
   /// first start of the job.
@@ -160,6 +163,8 @@
   std::optional<JobState> state(const std::string &Job) const;
   /// Returns the number of jobs without a started task, by queue.
   std::map<std::string, int> pendingJobs() const;
+  /// Returns the number of the shard's workers in the list.
+  size_t listedWorkers() const;
   /// Returns the load that the shard's owner reports for the choice of shards.
   ShardLoad currentLoad();
   /// Returns true once all rows are read.
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -3,6 +3,8 @@
 #include "basilchute/shardplan.h"
 #include "libbasilchute/hostregistry.h"
 #include "libbasilchute/jobrows.h"
+#include "libbasilchute/observedshard.h"
+#include "libbasilchute/publishedworkers.h"
 #include "libbasilchute/renewalrecord.h"
 #include "libbasilchute/shardlayout.h"
 
@@ -34,33 +36,6 @@
 /// repeated.
 constexpr milliseconds HandoverRetryDelay{150};
 
-/// State of a shard's owner row.
-struct ObservedShard {
-  std::string Owner;
-  uint64_t Version = 0;
-  /// When this host first saw this version.
-  TimePoint SeenAt{};
-  /// See HostCluster::previousSoleUntil(); set while a claim takes effect.
-  std::optional<TimePoint> PreviousSoleUntil;
-  /// Whether the row was read or written at least once.
-  bool IsKnown = false;
-  /// Epoch under which this host owns the shard, or 0 if it does not. Set when
-  /// OnAcquired is called.
-  uint64_t OwnedEpoch = 0;
-  bool IsWriting = false;
-  /// The row is being written with this host as the owner.
-  bool IsClaiming = false;
-  /// Number of consecutive plans that assign this host's shard to another host.
-  int HandoverPlans = 0;
-  /// The shard is being handed over to HandoverTarget, or given up if that is
-  /// empty.
-  bool IsHandingOver = false;
-  std::string HandoverTarget;
-  /// A handover may have taken effect, or may still take effect.
-  bool IsHandoverUncertain = false;
-  TimePoint NextHandover{};
-};
-
 } // namespace
 
 class HostCluster::Impl
@@ -69,7 +44,8 @@
   Impl(HostClusterOptions Options, RowStore &Store, const Clock &Time)
       : m_options(std::move(Options)), m_store(Store), m_time(Time),
         m_hosts(std::make_shared<HostRegistry>(registryOptions(), Store, Time)),
-        m_renewals(m_options.Timeout - ClaimMargin) {}
+        m_renewals(m_options.Timeout - ClaimMargin),
+        m_published(m_options.Horizon) {}
 
   void start() {
     m_layout = std::make_shared<ShardLayout>(layoutOptions(), m_store, m_time);
@@ -143,11 +119,13 @@
     return std::min(Row.PreviousSoleUntil.value_or(m_time.now()), m_time.now());
   }
 
-  // Hosts of earlier versions claim without a look at the owner's row, so the
-  // claim's condition is part of the bounds.
-  bool haveBoundedLeases(milliseconds Span) const {
-    return m_options.CanSpanPartitions &&
-           m_hosts->haveBoundedLeases(m_time.now() - Span);
+  uint32_t previousWorkers(int Shard) const {
+    return m_shards[static_cast<size_t>(Shard)].PreviousWorkers;
+  }
+
+  uint32_t publishedWorkers(int Shard) const {
+    return m_published.most(Shard,
+                            m_shards[static_cast<size_t>(Shard)].OwnedEpoch);
   }
 
   bool wasOwnerAt(uint64_t RowVersion) const {
@@ -225,6 +203,7 @@
                       .BoundsLeases = m_options.CanSpanPartitions};
     if (m_options.Report)
       Record.Shards = m_options.Report();
+    m_published.onSent(Now, Record.Shards);
     RowCommit Commit;
     Commit.Changes.push_back({.Address = hostAddress(m_options.HostId),
                               .Value = encodeHost(Record)});
@@ -250,6 +229,7 @@
     else if (m_renewals.isCertain())
       m_verifiedVersion = std::max(m_verifiedVersion, Version);
     m_renewals.add(SentAt);
+    m_published.onCertain(m_renewals.lastCertain());
   }
 
   void verifyShards(nanoseconds Gap) {
@@ -279,6 +259,14 @@
     return std::max(Row.SeenAt, *Renewed + maxSafeAge() + ClockRateMargin);
   }
 
+  // Hosts of earlier versions may give longer leases, without evidence.
+  uint32_t previousWorkers(int Shard, const ObservedShard &Row) const {
+    TimePoint Since = m_time.now() - m_options.Horizon - m_options.Timeout;
+    if (!m_hosts->haveBoundedLeases(Since))
+      return 0;
+    return m_hosts->fewestWorkers(Shard, Row.Owner, Row.Version, Since);
+  }
+
   std::vector<PlanHost> planHosts() const {
     std::vector<PlanHost> Out = m_hosts->liveHosts();
     for (PlanHost &Host : Out)
@@ -391,6 +379,7 @@
     RowCommit Commit;
     Commit.Conditions.push_back({.Address = Address, .Version = Row.Version});
     std::optional<TimePoint> SoleUntil;
+    uint32_t PreviousWorkers = 0;
     // The owner may have renewed its row since it was read, and then counts as
     // the sole owner.
     if (Row.IsClaiming && !Row.Owner.empty() && Row.Owner != Owner &&
@@ -398,31 +387,35 @@
       Commit.Conditions.push_back({.Address = hostAddress(Row.Owner),
                                    .Version = m_hosts->rowVersion(Row.Owner)});
       SoleUntil = soleUntil(Row);
+      PreviousWorkers = previousWorkers(Shard, Row);
     }
     Commit.Changes.push_back(
         {.Address = Address, .Value = encodeShardOwner(Owner)});
     std::move(Record.begin(), Record.end(), std::back_inserter(Commit.Changes));
-    m_store.commit(std::move(Commit), [Weak = weak_from_this(), Shard, Owner,
-                                       ReleaseVersion, SoleUntil](
-                                          const Result<uint64_t> &Reply) {
-      auto Self = Weak.lock();
-      if (!Self)
-        return;
-      ObservedShard &Row = Self->m_shards[static_cast<size_t>(Shard)];
-      Row.IsWriting = false;
-      Row.IsClaiming = false;
-      if (Reply.has_value()) {
-        Row.PreviousSoleUntil = SoleUntil;
-        Self->applyOwner(Shard, Owner, Reply.value(), ReleaseVersion);
-        Row.PreviousSoleUntil.reset();
-        Self->removeRowIfIdle();
-        return;
-      }
-      if (Row.IsHandingOver)
-        Self->onHandoverFailed(Shard, Reply.error().Code);
-      Self->removeRowIfIdle();
-      Self->readOwnerRow(Shard);
-    });
+    m_store.commit(
+        std::move(Commit),
+        [Weak = weak_from_this(), Shard, Owner, ReleaseVersion, SoleUntil,
+         PreviousWorkers](const Result<uint64_t> &Reply) {
+          auto Self = Weak.lock();
+          if (!Self)
+            return;
+          ObservedShard &Row = Self->m_shards[static_cast<size_t>(Shard)];
+          Row.IsWriting = false;
+          Row.IsClaiming = false;
+          if (Reply.has_value()) {
+            Row.PreviousSoleUntil = SoleUntil;
+            Row.PreviousWorkers = PreviousWorkers;
+            Self->applyOwner(Shard, Owner, Reply.value(), ReleaseVersion);
+            Row.PreviousSoleUntil.reset();
+            Row.PreviousWorkers = 0;
+            Self->removeRowIfIdle();
+            return;
+          }
+          if (Row.IsHandingOver)
+            Self->onHandoverFailed(Shard, Reply.error().Code);
+          Self->removeRowIfIdle();
+          Self->readOwnerRow(Shard);
+        });
   }
 
   void applyOwner(int Shard, const std::string &Owner, uint64_t Version,
@@ -469,6 +462,7 @@
     for (const StoredRow &OwnerRow : Page.Rows)
       onOwnerRow(OwnerRow);
     m_renewals.onOwnerRead(Shard, SentAt);
+    m_published.onCertain(m_renewals.lastCertain());
   }
 
   void onOwnerRow(const StoredRow &Row) {
@@ -544,6 +538,7 @@
   std::vector<ObservedShard> m_shards;
   std::shared_ptr<ShardLayout> m_layout;
   RenewalRecord m_renewals;
+  PublishedWorkers m_published;
   /// Version of the last renewal at which this host certainly owned its shards.
   uint64_t m_verifiedVersion = 0;
   /// Counter that changes the row with each renewal.
@@ -571,8 +566,11 @@
 TimePoint HostCluster::previousSoleUntil(int Shard) const {
   return m_impl->previousSoleUntil(Shard);
 }
-bool HostCluster::haveBoundedLeases(milliseconds Span) const {
-  return m_impl->haveBoundedLeases(Span);
+uint32_t HostCluster::previousWorkers(int Shard) const {
+  return m_impl->previousWorkers(Shard);
+}
+uint32_t HostCluster::publishedWorkers(int Shard) const {
+  return m_impl->publishedWorkers(Shard);
 }
 bool HostCluster::wasOwnerAt(uint64_t RowVersion) const {
   return m_impl->wasOwnerAt(RowVersion);
--- a/src/libbasilchute/hostregistry.cpp
+++ b/src/libbasilchute/hostregistry.cpp
@@ -7,6 +7,13 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+namespace {
+
+/// Longer than any host goes on with orders after the last change of its row.
+constexpr milliseconds RemovedRetention{15000};
+
+} // namespace
+
 HostRegistry::HostRegistry(HostRegistryOptions Options, RowStore &Store,
                            const Clock &Time)
     : m_options(std::move(Options)), m_store(Store), m_time(Time) {}
@@ -63,6 +70,33 @@
          });
 }
 
+uint32_t HostRegistry::fewestWorkers(int Shard, const std::string &Owner,
+                                     uint64_t Epoch, TimePoint Since) const {
+  std::optional<uint32_t> Out;
+  bool HasOwner = false;
+  for (const auto *Hosts : {&m_hosts, &m_removed})
+    for (const auto &[Id, Host] : *Hosts) {
+      auto Report = Host.Record.Shards.find(Shard);
+      bool Counts = Id != m_options.HostId && Host.ChangedAt >= Since &&
+                    Report != Host.Record.Shards.end();
+      if (!Counts)
+        continue;
+      HasOwner |= Id == Owner && Report->second.Epoch == Epoch;
+      Out = std::min(Out.value_or(Report->second.Workers),
+                     Report->second.Workers);
+    }
+  return HasOwner ? *Out : 0;
+}
+
+void HostRegistry::remove(const std::string &Id) {
+  auto It = m_hosts.find(Id);
+  if (It == m_hosts.end())
+    return;
+  It->second.ChangedAt = m_time.now();
+  m_removed[Id] = std::move(It->second);
+  m_hosts.erase(It);
+}
+
 void HostRegistry::read(const std::string &From) {
   m_isReading = true;
   m_nextRead = m_time.now() + m_options.ReadInterval;
@@ -101,6 +135,8 @@
                                Record.error().Message));
     return;
   }
+  m_refused.erase(Id);
+  m_removed.erase(Id);
   ObservedHost &Host = m_hosts[Id];
   if (Host.Version == Row.Version)
     return;
@@ -125,7 +161,7 @@
   for (auto It = m_hosts.begin(); It != m_hosts.end();) {
     ObservedHost &Host = It->second;
     if (!m_present.count(It->first)) {
-      It = m_hosts.erase(It);
+      remove((It++)->first);
       continue;
     }
     if (HadGap) {
@@ -135,6 +171,9 @@
     ++Host.UnchangedReads;
     ++It;
   }
+  std::erase_if(m_removed, [&](const auto &Host) {
+    return Now > Host.second.ChangedAt + RemovedRetention;
+  });
   if (m_reads == 0)
     removeFormerProcesses();
   ++m_reads;
@@ -156,7 +195,7 @@
     RowCommit Commit;
     Commit.Changes.push_back({.Address = hostAddress(Id), .IsRemoval = true});
     m_store.commit(std::move(Commit), [](const Result<uint64_t> &) {});
-    It = m_hosts.erase(It);
+    remove((It++)->first);
   }
 }
 
--- a/src/libbasilchute/hostregistry.h
+++ b/src/libbasilchute/hostregistry.h
@@ -65,6 +65,12 @@
   /// Returns true if every host whose row may have changed since \p Since
   /// bounds its leases, see HostRecord::BoundsLeases.
   bool haveBoundedLeases(TimePoint Since) const;
+  /// Returns the smallest number of workers in any report on \p Shard by
+  /// another host whose row may have changed since \p Since or was removed
+  /// since then. Zero if there is no report of host \p Owner under \p Epoch, or
+  /// if one has no number.
+  uint32_t fewestWorkers(int Shard, const std::string &Owner, uint64_t Epoch,
+                         TimePoint Since) const;
 
 private:
   /// A host as read from its row.
@@ -80,6 +86,7 @@
   void read(const std::string &From);
   void onRow(const StoredRow &Row);
   void onRead();
+  void remove(const std::string &Id);
   void removeFormerProcesses();
   bool isAlive(const ObservedHost &Host) const;
   void log(std::string_view Event, std::string_view Fields) const;
@@ -88,6 +95,9 @@
   RowStore &m_store;
   const Clock &m_time;
   std::map<std::string, ObservedHost> m_hosts;
+  /// Hosts whose rows were removed lately, as they were before; their ChangedAt
+  /// is the time of the removal.
+  std::map<std::string, ObservedHost> m_removed;
   /// Ids found so far in the current read.
   std::set<std::string> m_present;
   /// Version of the last row of each host that was refused and logged.
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -308,6 +308,7 @@
     v1::StoredShardCount &To = *Out.add_shards();
     To.set_shard(Shard);
     To.set_epoch(Report.Epoch);
+    To.set_workers(Report.Workers);
     To.set_capacity_millicores(Report.Load.CapacityMillicores);
     To.set_lasting_millicores(Report.Load.LongRunningMillicores);
     To.set_largest_room_millicores(Report.Load.LargestRoomMillicores);
@@ -338,6 +339,7 @@
   for (const v1::StoredShardCount &Shard : From.shards()) {
     ShardReport &Report = Out.Shards[Shard.shard()];
     Report.Epoch = Shard.epoch();
+    Report.Workers = Shard.workers();
     Report.Load = {
         .CapacityMillicores = boundedMillicores(Shard.capacity_millicores()),
         .LongRunningMillicores = boundedMillicores(Shard.lasting_millicores()),
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -31,7 +31,7 @@
       m_takeoverTime(Time.now()),
       m_previousLeases(m_options.Leases,
                        m_options.PreviousSoleUntil.value_or(m_takeoverTime),
-                       m_options.SettledWorkers),
+                       m_options.PreviousWorkers),
       m_leaseEvidence(m_options.Leases.MaxEvidenceAge) {}
 
 void JobShard::Impl::log(std::string_view Event,
@@ -552,6 +552,7 @@
 }
 ShardLoad JobShard::currentLoad() { return m_impl->load(); }
 bool JobShard::isLoaded() const { return m_impl->isLoaded(); }
+size_t JobShard::listedWorkers() const { return m_impl->listedWorkers(); }
 uint64_t JobShard::epoch() const { return m_impl->epoch(); }
 bool JobShard::isTakeoverComplete() const {
   return m_impl->isTakeoverComplete();
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -54,6 +54,7 @@
   void resume() { m_isHandingOver = false; }
   std::optional<JobState> state(const std::string &Job) const;
   std::map<std::string, int> pendingJobs() const;
+  size_t listedWorkers() const;
   ShardLoad load();
   bool isLoaded() const { return m_isLoaded; }
   uint64_t epoch() const { return m_options.Epoch; }
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -91,14 +91,25 @@
 std::optional<milliseconds> JobShard::Impl::leaseToGive() const {
   if (isSoleOwner())
     return m_options.Leases.Sole;
-  auto Listed = static_cast<size_t>(
-      std::count_if(m_slots.begin(), m_slots.end(),
-                    [](const auto &Slot) { return Slot.second.IsListed; }));
-  if (m_leaseEvidence.isSufficient(Listed, m_time.now()))
+  // A new owner relies on the number that it may have read.
+  size_t Counted = listedWorkers();
+  if (m_options.PublishedWorkers) {
+    size_t Published = m_options.PublishedWorkers();
+    if (Published == 0)
+      return std::nullopt;
+    Counted = std::max(Counted, Published);
+  }
+  if (m_leaseEvidence.isSufficient(Counted, m_time.now()))
     return m_options.Leases.OnEvidence;
   return std::nullopt;
 }
 
+size_t JobShard::Impl::listedWorkers() const {
+  return static_cast<size_t>(
+      std::count_if(m_slots.begin(), m_slots.end(),
+                    [](const auto &Slot) { return Slot.second.IsListed; }));
+}
+
 void JobShard::Impl::poll(WorkerSlot &Slot) {
   TimePoint Now = m_time.now();
   PollOrder Order{.Epoch = m_options.Epoch, .Wait = pollWaitFor(Slot)};
--- a/src/libbasilchute/leaseevidence.cpp
+++ b/src/libbasilchute/leaseevidence.cpp
@@ -22,19 +22,20 @@
     m_workers.erase(It);
 }
 
-bool LeaseEvidence::isSufficient(size_t Listed, TimePoint Now) const {
+bool LeaseEvidence::isSufficient(size_t Counted, TimePoint Now) const {
   auto Accepting = static_cast<size_t>(
       std::count_if(m_workers.begin(), m_workers.end(), [&](const auto &Entry) {
         return Now <= Entry.second.Sent + m_maxAge;
       }));
-  return 3 * Accepting > 2 * Listed;
+  return 3 * Accepting > 2 * Counted;
 }
 
-// Evidence needs more than two thirds of the settled workers. A third of them
-// would be enough to rule it out if both owners saw the same workers; the
-// second third allows for workers that only the previous owner still counted.
+// Evidence needs more than two thirds of the counted workers, none of which
+// this owner has fenced. Two thirds of silent workers would already be too few
+// if this owner knew all workers; the second third allows for those that left
+// the list before this host started, or that it does not know yet.
 void PreviousLeases::onFenced(size_t Silent, TimePoint Now) {
-  if (!m_noEvidenceFrom && m_settled > 0 && 3 * Silent <= m_settled)
+  if (!m_noEvidenceFrom && m_counted > 0 && 3 * Silent <= m_counted)
     m_noEvidenceFrom = Now;
 }
 
--- a/src/libbasilchute/leaseevidence.h
+++ b/src/libbasilchute/leaseevidence.h
@@ -34,9 +34,9 @@
   /// The worker has left the list. Must be called then: the new owner may never
   /// have heard of the worker.
   void forget(const std::string &Worker) { m_workers.erase(Worker); }
-  /// Returns true if more than two thirds of \p Listed workers have accepted
+  /// Returns true if more than two thirds of \p Counted workers have accepted
   /// this owner's epoch lately.
-  bool isSufficient(size_t Listed, TimePoint Now) const;
+  bool isSufficient(size_t Counted, TimePoint Now) const;
 
 private:
   struct Acceptance {
@@ -54,10 +54,10 @@
 class PreviousLeases {
 public:
   /// \p SoleUntil is the time by which no previous owner was a sole owner any
-  /// more. \p Settled is the number of the shard's workers that have been in
-  /// the list for so long that every previous owner counts them.
-  PreviousLeases(LeaseTimes Times, TimePoint SoleUntil, size_t Settled)
-      : m_times(Times), m_soleUntil(SoleUntil), m_settled(Settled) {}
+  /// more. \p Counted is a number of workers that every previous owner counts
+  /// at least; zero if that is not known.
+  PreviousLeases(LeaseTimes Times, TimePoint SoleUntil, size_t Counted)
+      : m_times(Times), m_soleUntil(SoleUntil), m_counted(Counted) {}
 
   /// Records that at \p Now all workers but \p Silent, of those in the list and
   /// those that left it lately, have accepted the new owner's epoch.
@@ -70,7 +70,7 @@
 private:
   LeaseTimes m_times;
   TimePoint m_soleUntil;
-  size_t m_settled;
+  size_t m_counted;
   /// When enough workers had accepted the new epoch.
   std::optional<TimePoint> m_noEvidenceFrom;
 };
--- a/src/libbasilchute/leaseevidence_test.cpp
+++ b/src/libbasilchute/leaseevidence_test.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-TEST_CASE("Evidence needs more than two thirds of the listed workers") {
+TEST_CASE("Evidence needs more than two thirds of the counted workers") {
   for (int Listed = 1; Listed <= 12; ++Listed)
     for (int Accepting = 0; Accepting <= Listed; ++Accepting) {
       CAPTURE(Listed);
@@ -78,16 +78,16 @@
 }
 
 TEST_CASE("The end of previous leases is unknown while more than a third of "
-          "the settled workers are silent") {
-  for (size_t Settled = 0; Settled <= 12; ++Settled)
+          "the counted workers are silent") {
+  for (size_t Counted = 0; Counted <= 12; ++Counted)
     for (size_t Silent = 0; Silent <= 12; ++Silent) {
-      CAPTURE(Settled);
+      CAPTURE(Counted);
       CAPTURE(Silent);
-      PreviousLeases Leases(Times, Start, Settled);
+      PreviousLeases Leases(Times, Start, Counted);
       CHECK_FALSE(Leases.endAt());
       Leases.onFenced(Silent, Start + 1s);
       CHECK(Leases.endAt().has_value() ==
-            (Settled > 0 && 3 * Silent <= Settled));
+            (Counted > 0 && 3 * Silent <= Counted));
     }
 }
 
--- a/src/libbasilchute/renewalrecord.h
+++ b/src/libbasilchute/renewalrecord.h
@@ -49,6 +49,10 @@
     return m_lastCertain && Now < *m_lastCertain + Age;
   }
 
+  /// Returns when the last renewal at which this host certainly owned its
+  /// shards was sent.
+  std::optional<TimePoint> lastCertain() const { return m_lastCertain; }
+
 private:
   nanoseconds m_maxUnclaimedAge;
   /// Send time of the last renewal, ...
--- a/src/libjobhost/handover_test.cpp
+++ b/src/libjobhost/handover_test.cpp
@@ -193,14 +193,14 @@
   Bed.killHost(Crashed);
   int Second = awaitNewOwner(Bed, Crashed);
   TimePoint Takeover = Bed.now();
-  Bed.run(6s);
+  Bed.run(2s);
   CHECK(Bed.Oracle.starts() == 24);
   leave(Bed, Second);
   Bed.run(1s);
   // The task may have been started by the first owner on the silent worker.
   CHECK(Bed.Oracle.starts() == 24);
   milliseconds Left =
-      std::chrono::ceil<milliseconds>(Takeover + 13s - Bed.now());
+      std::chrono::ceil<milliseconds>(Takeover + 5500ms - Bed.now());
   CHECK(Bed.runUntil([&] { return Bed.Oracle.starts() == 38; }, Left));
   CHECK(completes(Bed, "a"));
   checkNoViolations(Bed);
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -16,8 +16,7 @@
 /// there is only one shard.
 constexpr int MaxShards = 64;
 /// A worker that was removed from the list longer ago than this has ended all
-/// its tasks. A worker that has been in the list for as long is known to every
-/// previous owner that may still give leases.
+/// its tasks.
 constexpr milliseconds FormerWorkerRetention{10000};
 /// Time after which an owner's report includes the work sent to that owner.
 constexpr milliseconds ReportLag{1000};
@@ -74,9 +73,10 @@
   Options.PreviousRunsTimeout =
       Cluster.Horizon + Leases.OnEvidence + LeaseExpiryMargin - Cluster.Timeout;
   Options.PreviousSoleUntil = m_cluster.previousSoleUntil(Shard);
-  if (m_cluster.haveBoundedLeases(Options.PreviousRunsTimeout +
-                                  Cluster.Timeout))
-    Options.SettledWorkers = settledWorkersOf(Shard);
+  Options.PreviousWorkers = m_cluster.previousWorkers(Shard);
+  Options.PublishedWorkers = [this, Shard]() -> size_t {
+    return m_cluster.publishedWorkers(Shard);
+  };
   Options.CanSendOrders = [this] { return m_cluster.canSendOrders(); };
   Options.IsSoleOwner = [this] { return m_cluster.isSoleOwner(); };
   Options.WasOwnerAt = [this](uint64_t Version) {
@@ -120,16 +120,10 @@
 
 void JobHost::groupWorkers() {
   m_workersByShard.clear();
-  std::map<std::string, TimePoint> KnownSince = std::move(m_knownSince);
-  m_knownSince.clear();
   for (const WorkerEntry &Worker : m_fleet) {
     int Shard = m_cluster.shardOf(Worker.Id);
-    if (Shard < 0)
-      continue;
-    m_workersByShard[Shard].push_back(Worker);
-    auto Known = KnownSince.find(Worker.Id);
-    m_knownSince[Worker.Id] =
-        Known == KnownSince.end() ? m_time.now() : Known->second;
+    if (Shard >= 0)
+      m_workersByShard[Shard].push_back(Worker);
   }
   for (const auto &[Shard, Owner] : m_ownedShards)
     updateShardWorkers(Shard);
@@ -278,18 +272,6 @@
   return Out;
 }
 
-size_t JobHost::settledWorkersOf(int Shard) const {
-  auto Workers = m_workersByShard.find(Shard);
-  if (Workers == m_workersByShard.end())
-    return 0;
-  TimePoint Latest = m_time.now() - FormerWorkerRetention;
-  return static_cast<size_t>(
-      std::count_if(Workers->second.begin(), Workers->second.end(),
-                    [&](const WorkerEntry &Worker) {
-                      return m_knownSince.at(Worker.Id) <= Latest;
-                    }));
-}
-
 void JobHost::setQueues(std::shared_ptr<const JobQueues> Queues) {
   m_queues = std::move(Queues);
   for (const auto &[Shard, Owner] : m_ownedShards)
@@ -301,6 +283,7 @@
   for (const auto &[Shard, Owner] : m_ownedShards)
     if (Owner->isLoaded() && !Owner->hasLostOwnership())
       Out[Shard] = {.Epoch = Owner->epoch(),
+                    .Workers = static_cast<uint32_t>(Owner->listedWorkers()),
                     .PendingJobs = Owner->pendingJobs(),
                     .Load = Owner->currentLoad()};
   return Out;
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -133,13 +133,8 @@
 
   void updateFormerWorkers(const std::vector<WorkerEntry> &OldFleet);
   std::vector<WorkerEntry> formerWorkersOf(int Shard) const;
-  /// Returns the number of workers of \p Shard that have been in the list, and
-  /// assigned to the shard, for longer than former workers are remembered.
-  size_t settledWorkersOf(int Shard) const;
 
   std::map<std::string, FormerWorker> m_formerWorkers;
-  /// Since when each worker has been in the list and assigned to a shard.
-  std::map<std::string, TimePoint> m_knownSince;
   /// All workers by shard.
   std::map<int, std::vector<WorkerEntry>> m_workersByShard;
   std::deque<SentWork> m_sentWork;
--- a/src/libjobhost/jobhost_leases_test.cpp
+++ b/src/libjobhost/jobhost_leases_test.cpp
@@ -17,8 +17,10 @@
 constexpr milliseconds MaxDown = RestartCheck::LostTime;
 constexpr milliseconds MaxDownAfterCrash =
     RestartCheck::CalmTime + RestartCheck::IdleTime;
-/// Hosts that have been up for longer know which workers were there.
-constexpr milliseconds SettleTime = 12s;
+/// Time for which hosts and workers have been up when a test begins. After the
+/// longer one, hosts know which workers left the list lately.
+constexpr milliseconds ShortUptime = 500ms;
+constexpr milliseconds LongUptime = 12s;
 
 JobTestBedOptions traced(JobTestBedOptions Options) {
   Options.Trace = std::getenv("BASILCHUTE_TRACE") != nullptr;
@@ -37,15 +39,14 @@
   return true;
 }
 
-/// A test bed with \p Lasting on all workers, whose hosts have been up for a
-/// while.
-struct SettledBed {
-  SettledBed(JobTestBedOptions Options, const Job &Lasting)
+/// A test bed with \p Lasting on all workers for \p Uptime.
+struct BusyBed {
+  BusyBed(JobTestBedOptions Options, const Job &Lasting, milliseconds Uptime)
       : Bed(traced(Options)) {
     Bed.run(3s);
     REQUIRE(Bed.submit(0, Lasting).has_value());
     REQUIRE(Bed.runUntil([&] { return allRun(Bed, Lasting); }, 2s));
-    Bed.run(SettleTime);
+    Bed.run(Uptime);
   }
   JobTestBed Bed;
 };
@@ -54,11 +55,12 @@
 /// and checks that all tasks of \p Lasting run again in time. The kill is tried
 /// at several moments of the hosts' renewals.
 void checkRestartAfterCrashes(const Job &Lasting, milliseconds Before,
-                              bool DoesHostRestart) {
+                              bool DoesHostRestart,
+                              milliseconds Uptime = LongUptime) {
   for (milliseconds Phase = 0ms; Phase < 500ms; Phase += 100ms) {
     CAPTURE(Phase.count());
-    SettledBed Settled({}, Lasting);
-    JobTestBed &Bed = Settled.Bed;
+    BusyBed Busy({}, Lasting, Uptime);
+    JobTestBed &Bed = Busy.Bed;
     Bed.run(Phase);
     TimePoint CrashedAt = Bed.now();
     Bed.worker(0).IsDown = true;
@@ -83,8 +85,8 @@
   for (milliseconds Phase = 0ms; Phase < 500ms; Phase += 100ms) {
     CAPTURE(Phase.count());
     Job Lasting = longRunningJob("lasting", 12);
-    SettledBed Settled({}, Lasting);
-    JobTestBed &Bed = Settled.Bed;
+    BusyBed Busy({}, Lasting, LongUptime);
+    JobTestBed &Bed = Busy.Bed;
     Bed.run(Phase);
     Bed.Store.IsDown = true;
     Bed.run(Outage);
@@ -103,8 +105,12 @@
   CutSession(uint64_t Seed, int Workers)
       : m_random(Seed * 64 + static_cast<uint64_t>(Workers)),
         m_job(longRunningJob("lasting", 2 * Workers + 1)),
-        m_settled({.Hosts = 3, .Workers = Workers, .Seed = Seed}, m_job),
-        m_bed(m_settled.Bed) {}
+        m_busy({.Hosts = 3,
+                .Workers = Workers,
+                .MaxListDelay = 300ms * (Seed % 2),
+                .Seed = Seed},
+               m_job, Seed % 3 == 0 ? ShortUptime : LongUptime),
+        m_bed(m_busy.Bed) {}
 
   const std::vector<std::string> &run() {
     m_bed.run(milliseconds(randomInt(0, 500)));
@@ -116,7 +122,7 @@
     bool DoesGrow = randomInt(0, 4) == 0;
     for (int Step = 0; Step < 40; ++Step) {
       m_bed.run(milliseconds(randomInt(50, 700)));
-      switch (randomInt(0, 6)) {
+      switch (randomInt(0, 7)) {
       case 0:
       case 1:
       case 2:
@@ -129,6 +135,9 @@
         if (HasSecondCrash && Step > 8)
           crashSuccessor(Owner);
         break;
+      case 5:
+        restartWorker(randomInt(0, m_bed.workers()));
+        break;
       default:
         if (DoesGrow)
           (void)m_bed.addWorker();
@@ -163,6 +172,13 @@
       m_bed.pause(Host);
   }
 
+  /// The new incarnation has not seen any epoch.
+  void restartWorker(int Index) {
+    m_bed.worker(Index).IsDown = true;
+    m_bed.worker(Index).crash();
+    m_bed.later(1s, [this, Index] { m_bed.worker(Index).IsDown = false; });
+  }
+
   void crashSuccessor(int Owner) {
     for (int Host = 0; Host < m_bed.hosts(); ++Host) {
       if (Host == Owner || !m_bed.host(Host).Process ||
@@ -176,7 +192,7 @@
 
   std::mt19937_64 m_random;
   Job m_job;
-  SettledBed m_settled;
+  BusyBed m_busy;
   JobTestBed &m_bed;
 };
 
@@ -193,6 +209,17 @@
   }
 }
 
+// The same, where no host knows which workers left the list lately.
+TEST_CASE("Long-running tasks of a worker that crashes unseen run again in "
+          "time although hosts and workers have just started") {
+  for (milliseconds Before : {0ms, 1000ms, 3000ms}) {
+    CAPTURE(Before.count());
+    Job Lasting = longRunningJob("lasting", 12);
+    checkRestartAfterCrashes(Lasting, Before, false, ShortUptime);
+    checkRestartAfterCrashes(Lasting, Before, true, ShortUptime);
+  }
+}
+
 // The same, where the leases that the killed owner gave are nearly over.
 TEST_CASE("Long-running tasks of a worker that crashes unseen 3 s to 5 s "
           "before its owner run again in time") {
@@ -234,7 +261,8 @@
     for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
       CAPTURE(Workers);
       CAPTURE(Seed);
-      for (const std::string &Violation : CutSession(Seed, Workers).run())
+      CutSession Session(Seed, Workers);
+      for (const std::string &Violation : Session.run())
         FAIL_CHECK(Violation);
     }
 }
