Take an owner that never reported for one that gives no orders on evidence

What callers saw: where owners were killed or stopped soon after they had taken a shard over, each of these began a wait of 12 s. Cause: without a report of the previous owner on the shard the new owner could not say what counts as evidence there. Change: an owner gives orders on evidence only while every row of its host that may be read reports the shard under its epoch, renewals without an answer included. So an owner that has no report there gives none, and only the reports of the others count. The log line of the wait says what number was counted.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -120,9 +120,10 @@
   /// any more, see isSoleOwner(); at the latest the time of the call. \p Shard
   /// must be owned by this host.
   TimePoint previousSoleUntil(int Shard) const;
-  /// Returns a number of workers that every previous owner of \p Shard that may
-  /// still give leases has counted in its reports; zero if that is not known.
-  /// Only known while OnAcquired is called, after a claim.
+  /// Returns a number of workers that every previous owner of \p Shard counts
+  /// at least that may still give leases on evidence; the largest value if
+  /// there is no such owner, zero if the number is not known. Only known while
+  /// OnAcquired is called, after a claim.
   uint32_t previousWorkers(int Shard) const;
   /// Returns the largest number of workers that any report on \p Shard counts
   /// which other hosts may read, zero if they may have no report. \p Shard must
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -29,6 +29,9 @@
 /// Allowance for clock rates in the time for which a row must be unchanged
 /// before another host claims the shard.
 constexpr milliseconds ClaimMargin{100};
+/// Longest time after which a commit without an answer is expected to take
+/// effect.
+constexpr milliseconds MaxCommitDelay{6000};
 /// Number of consecutive plans that must ask for a handover before the shard is
 /// handed over.
 constexpr int MinHandoverPlans = 2;
@@ -45,7 +48,7 @@
       : m_options(std::move(Options)), m_store(Store), m_time(Time),
         m_hosts(std::make_shared<HostRegistry>(registryOptions(), Store, Time)),
         m_renewals(m_options.Timeout - ClaimMargin),
-        m_published(m_options.Horizon) {}
+        m_published(m_options.Horizon + MaxCommitDelay) {}
 
   void start() {
     m_layout = std::make_shared<ShardLayout>(layoutOptions(), m_store, m_time);
@@ -213,6 +216,8 @@
       if (!Self)
         return;
       --Self->m_renewalsInFlight;
+      if (Reply.has_value() || Reply.error().Code != ResultCode::OutcomeUnknown)
+        Self->m_published.onAnswered(Now, Reply.has_value());
       if (Reply.has_value())
         Self->onRenewed(Now, Reply.value());
     });
@@ -260,11 +265,11 @@
   }
 
   // Hosts of earlier versions may give longer leases, without evidence.
-  uint32_t previousWorkers(int Shard, const ObservedShard &Row) const {
+  uint32_t fewestWorkers(int Shard) const {
     TimePoint Since = m_time.now() - m_options.Horizon - m_options.Timeout;
     if (!m_hosts->haveBoundedLeases(Since))
       return 0;
-    return m_hosts->fewestWorkers(Shard, Row.Owner, Row.Version, Since);
+    return m_hosts->fewestWorkers(Shard, Since);
   }
 
   std::vector<PlanHost> planHosts() const {
@@ -387,7 +392,7 @@
       Commit.Conditions.push_back({.Address = hostAddress(Row.Owner),
                                    .Version = m_hosts->rowVersion(Row.Owner)});
       SoleUntil = soleUntil(Row);
-      PreviousWorkers = previousWorkers(Shard, Row);
+      PreviousWorkers = fewestWorkers(Shard);
     }
     Commit.Changes.push_back(
         {.Address = Address, .Value = encodeShardOwner(Owner)});
--- a/src/libbasilchute/hostregistry.cpp
+++ b/src/libbasilchute/hostregistry.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -70,22 +71,16 @@
          });
 }
 
-uint32_t HostRegistry::fewestWorkers(int Shard, const std::string &Owner,
-                                     uint64_t Epoch, TimePoint Since) const {
-  std::optional<uint32_t> Out;
-  bool HasOwner = false;
+uint32_t HostRegistry::fewestWorkers(int Shard, TimePoint Since) const {
+  uint32_t Out = std::numeric_limits<uint32_t>::max();
   for (const auto *Hosts : {&m_hosts, &m_removed})
     for (const auto &[Id, Host] : *Hosts) {
       auto Report = Host.Record.Shards.find(Shard);
-      bool Counts = Id != m_options.HostId && Host.ChangedAt >= Since &&
-                    Report != Host.Record.Shards.end();
-      if (!Counts)
-        continue;
-      HasOwner |= Id == Owner && Report->second.Epoch == Epoch;
-      Out = std::min(Out.value_or(Report->second.Workers),
-                     Report->second.Workers);
+      if (Id != m_options.HostId && Host.ChangedAt >= Since &&
+          Report != Host.Record.Shards.end())
+        Out = std::min(Out, Report->second.Workers);
     }
-  return HasOwner ? *Out : 0;
+  return Out;
 }
 
 void HostRegistry::remove(const std::string &Id) {
--- a/src/libbasilchute/hostregistry.h
+++ b/src/libbasilchute/hostregistry.h
@@ -66,11 +66,9 @@
   /// bounds its leases, see HostRecord::BoundsLeases.
   bool haveBoundedLeases(TimePoint Since) const;
   /// Returns the smallest number of workers in any report on \p Shard by
-  /// another host whose row may have changed since \p Since or was removed
-  /// since then. Zero if there is no report of host \p Owner under \p Epoch, or
-  /// if one has no number.
-  uint32_t fewestWorkers(int Shard, const std::string &Owner, uint64_t Epoch,
-                         TimePoint Since) const;
+  /// another host whose row may have changed or was removed since \p Since; the
+  /// largest value if there is none, zero if one has no number.
+  uint32_t fewestWorkers(int Shard, TimePoint Since) const;
 
 private:
   /// A host as read from its row.
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -231,10 +231,11 @@
       Silent.empty() ? "-" : fmt::format("{}", fmt::join(Silent, ","));
   log("takeover_waits",
       fmt::format("shard={} epoch={} silent={} workers={} worker_list={} "
-                  "tasks={} until_ms={}",
+                  "tasks={} counted={} until_ms={}",
                   m_options.Shard, m_options.Epoch, SilentCount, Names,
                   isFleetComplete() ? "complete" : "old",
-                  m_counts.TasksHeldBack, (Until - Now) / milliseconds(1)));
+                  m_counts.TasksHeldBack, m_options.PreviousWorkers,
+                  (Until - Now) / milliseconds(1)));
 }
 
 BASILCHUTE_NAMESPACE_END
