--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -136,13 +136,8 @@
   /// list long ago.
   void updateLargestCapacities();
   std::vector<WorkerEntry> formerWorkersOf(int Shard) const;
-  /// Returns the number of workers of \p Shard that have been in the list, and
-  /// assigned to the shard, for longer than former workers are remembered.
-  size_t settledWorkersOf(int Shard) const;
 
   std::map<std::string, FormerWorker> m_formerWorkers;
-  /// Since when each worker has been in the list and assigned to a shard.
-  std::map<std::string, TimePoint> m_knownSince;
   /// By worker: its entry with the largest capacity that it was listed with.
   std::map<std::string, WorkerEntry> m_largestCapacities;
   /// All workers by shard.
