List a job that is failed by a host that starts while its worker has shrunk

Seen: the test added here. A process that starts after a worker has shrunk does not know its larger capacity, which nothing stores, and fails a job that fits only there. Conclusion: the larger capacities have to outlive the processes, in the hosts' rows or in the rows that assign workers to shards.

--- a/src/libjobhost/capacity_test.cpp
+++ b/src/libjobhost/capacity_test.cpp
@@ -424,3 +424,21 @@
   CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("short"); }, 3s));
   checkNoViolations(Bed);
 }
+
+// Guards against a host that knows only the capacities of the time since its
+// start.
+TEST_CASE("A host that starts while a worker has shrunk does not fail a job "
+          "that fits only there") {
+  JobTestBed Bed({.Hosts = 1, .Workers = 3});
+  Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+  Bed.run(3s);
+  Bed.setCapacity(0, TwoTasks);
+  CHECK(Bed.submit(0, jobWith("large", 1, 20000)).has_value());
+  Bed.run(1s);
+  Bed.killHost(0);
+  Bed.startHost(0);
+  Bed.run(15s);
+  Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("large"); }, 3s));
+  checkNoViolations(Bed);
+}
