--- a/src/libjobhost/capacity_test.cpp
+++ b/src/libjobhost/capacity_test.cpp
@@ -134,16 +134,18 @@
   for (int Time = 0; Time < 8; ++Time) {
     JobTestBed Bed({.Workers = 1, .NetworkDelay = 40ms});
     Bed.run(3s);
-    CHECK(Bed.submit(0, chainJob("a", 1, 30, 60s)).has_value());
+    CHECK(Bed.submit(0, chainJob("a", 1, 60, 900ms)).has_value());
     Bed.run(10ms * Time);
     Bed.setCapacity(0, TwoTasks);
-    Bed.run(600ms);
-    int Starts = Bed.Oracle.starts();
-    CHECK(Starts <= 8);
-    Bed.run(5s);
-    CHECK(Bed.Oracle.starts() == std::max(Starts, 2));
+    // Those of before the change end, and no others start in their place.
+    Bed.run(1600ms);
+    for (int Step = 0; Step < 50; ++Step) {
+      Bed.run(100ms);
+      CHECK(runsOn(Bed, 0) <= 2);
+    }
+    CHECK(Bed.runUntil([&] { return runsOn(Bed, 0) == 2; }, 1s));
     Bed.setCapacity(0, Full);
-    CHECK(allRunWithin(Bed, 8, 2s));
+    CHECK(Bed.runUntil([&] { return runsOn(Bed, 0) == 8; }, 2s));
     checkNoViolations(Bed);
   }
 }
@@ -424,3 +426,21 @@
   CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("short"); }, 3s));
   checkNoViolations(Bed);
 }
+
+// Guards against a host that knows only the capacities of the time since its
+// start.
+TEST_CASE("A host that starts while a worker has shrunk does not fail a job "
+          "that fits only there") {
+  JobTestBed Bed({.Hosts = 1, .Workers = 3});
+  Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+  Bed.run(3s);
+  Bed.setCapacity(0, TwoTasks);
+  CHECK(Bed.submit(0, jobWith("large", 1, 20000)).has_value());
+  Bed.run(1s);
+  Bed.killHost(0);
+  Bed.startHost(0);
+  Bed.run(15s);
+  Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("large"); }, 3s));
+  checkNoViolations(Bed);
+}
