Store the worker of a long-running task before its start

What callers saw: after a crash of a shard's owner a task that is to last waited 12 s for some silent worker on which it had never run: a task that waited for room, that had just been stopped, or that the new owner had found running and whose worker's process then went; each further crash began that anew. And a process that had never seen a worker started the tasks on it a second time. Cause: nothing stored said where a task can be, so a new owner took every silent worker for a possible place, and no worker outside of its list. Change: the progress row names the one worker on which a run of a long-running task can be, or that there is none. The owner reserves room, commits that, and only then sends the start order; ends, and waits over 0.25 s, are stored too. A new owner waits for the named worker only, whether it has seen that worker or not. This replaces the number that was stored before a restart. Rows of the version before say nothing of places and are treated as before.

Conclusion: the wait for workers that a task cannot be on is gone. What remains is the wait for the task's own silent worker, 12 s after the last crash.

--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -28,6 +28,7 @@
 void JobEntry::restore(const JobProgress &Stored, int RunGap) {
   State = Stored.State;
   StoredState = Stored.State;
+  m_firstRun = RunGap;
   for (TaskState &Task : Tasks)
     Task.LastRun = RunGap;
   for (const TaskProgress &Progress : Stored.Tasks) {
@@ -39,7 +40,9 @@
     Task.LastRun = Progress.Run + RunGap;
     Task.FailedRuns = {Progress.FailedRuns.begin(), Progress.FailedRuns.end()};
     Task.Checkpoint = Progress.Checkpoint;
-    m_hasStarted = true;
+    if (storesPlace(Progress.Position))
+      Task.Place = Progress.Place;
+    m_hasStarted = m_hasStarted || Progress.Run > 0 || Progress.Done;
     if (Progress.Done)
       finish(Progress.Position);
   }
@@ -49,18 +52,40 @@
   JobProgress Out{.State = State};
   for (size_t Position = 0; Position < Tasks.size(); ++Position) {
     const TaskState &Task = Tasks[Position];
-    if (Task.LastRun == 0)
+    bool IsDone = Task.Phase == TaskPhase::Done;
+    if (Task.LastRun == 0 && !Task.Place)
       continue;
     Out.Tasks.push_back(
         {.Position = static_cast<int>(Position),
-         .Run = Task.LastRun,
+         .Run = isUntried(static_cast<int>(Position)) ? 0 : Task.LastRun,
          .FailedRuns = {Task.FailedRuns.begin(), Task.FailedRuns.end()},
-         .Done = Task.Phase == TaskPhase::Done,
-         .Checkpoint = Task.Checkpoint});
+         .Done = IsDone,
+         .Checkpoint = Task.Checkpoint,
+         .Place = IsDone ? std::nullopt : Task.Place});
   }
   return Out;
 }
 
+// A job that has not started is read without its progress in the other shard,
+// also by hosts of earlier versions, which store no place before its first
+// starts. So its row must not say that there are no runs.
+JobProgress JobEntry::progressWithoutRuns() const {
+  if (!m_hasStarted)
+    return {.State = State};
+  JobProgress Out = progress();
+  for (TaskProgress &Task : Out.Tasks)
+    if (storesPlace(Task.Position) && !Task.Done)
+      Task.Place = "";
+  return Out;
+}
+
+bool JobEntry::isUntried(int Position) const {
+  const TaskState &Task = Tasks[static_cast<size_t>(Position)];
+  return Task.Place == "" && Task.LastRun == m_firstRun &&
+         Task.StoredRun == 0 && Task.FailedRuns.empty() &&
+         Task.Phase == TaskPhase::Waiting;
+}
+
 int JobEntry::positionOf(const TaskName &Name) const {
   bool IsKnown = Name.Occurrence >= 0 && Name.Occurrence < Spec.occurrences() &&
                  Name.Step >= 0 &&
@@ -148,29 +173,35 @@
   return Out;
 }
 
-void JobEntry::onCommitEnded(bool IsStored) {
-  std::set<int> &Target = IsStored ? m_storedRestarts : m_unstoredRestarts;
-  Target.merge(m_restartsInCommit);
-  m_restartsInCommit.clear();
+bool JobEntry::storesPlace(int Position) const {
+  const JobStep &Step = stepOf(Position);
+  return Step.LongRunning && !Step.Gang;
 }
 
-void JobEntry::clearRestart(int Position) {
-  m_unstoredRestarts.erase(Position);
-  m_restartsInCommit.erase(Position);
-  m_storedRestarts.erase(Position);
+// A commit in flight does not contain a place that is chosen after it was sent.
+void JobEntry::place(int Position, const std::string &Worker) {
+  dropPlace(Position);
+  Tasks[static_cast<size_t>(Position)].Place = Worker;
+  m_unstoredPlaces.insert(Position);
 }
 
-// A commit in flight does not contain an end that is reported after it was
-// sent.
-void JobEntry::storeRestart(int Position) {
-  clearRestart(Position);
-  m_unstoredRestarts.insert(Position);
+void JobEntry::clearPlace(int Position) {
+  dropPlace(Position);
+  Tasks[static_cast<size_t>(Position)].Place = "";
 }
 
-bool JobEntry::isRestartStored(int Position) const {
-  const TaskState &Task = Tasks[static_cast<size_t>(Position)];
-  return !stepOf(Position).LongRunning || Task.LastRun == 0 ||
-         m_storedRestarts.count(Position);
+void JobEntry::dropPlace(int Position) {
+  m_unstoredPlaces.erase(Position);
+  m_placesInCommit.erase(Position);
+}
+
+std::set<int> JobEntry::onCommitEnded(bool IsStored) {
+  std::set<int> Out;
+  if (IsStored)
+    Out.swap(m_placesInCommit);
+  m_unstoredPlaces.merge(m_placesInCommit);
+  m_placesInCommit.clear();
+  return Out;
 }
 
 void JobEntry::finish(int Position) {
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -40,6 +40,10 @@
   milliseconds Duration{0};
   /// Run number in the progress row when this owner read it; zero if none.
   int StoredRun = 0;
+  /// The only worker on which a run may be, as it is to be stored; empty if
+  /// there is certainly no run, no value if that is not known. Only for tasks
+  /// that JobEntry::storesPlace().
+  std::optional<std::string> Place;
   /// Number of runs that were stopped because they lagged.
   int SlowStops = 0;
   /// When the task became ready, or ready again after a run ended.
@@ -96,6 +100,9 @@
   void restore(const JobProgress &Stored, int RunGap);
   /// Returns the progress to be stored.
   JobProgress progress() const;
+  /// Returns the progress to be stored with the job in another shard. There
+  /// must be no run of any task that is not done.
+  JobProgress progressWithoutRuns() const;
   /// Returns the position of \p Name, or -1 if the job has no such task.
   int positionOf(const TaskName &Name) const;
   TaskName nameOf(int Position) const;
@@ -114,23 +121,20 @@
   milliseconds dueAt(int Position) const;
   /// Returns true if any task is in phase Placed.
   bool hasPlaced() const;
-  /// Returns true if a long-running task that ran before may start again: this
-  /// owner has stored the number of the last run since that run ended. Other
-  /// tasks may always start.
-  bool isRestartStored(int Position) const;
-  /// Asks for that in the next commit of the progress.
-  void storeRestart(int Position);
-  /// Returns true if a commit that is pending or in flight will store it.
-  bool isRestartPending(int Position) const {
-    return m_unstoredRestarts.count(Position) ||
-           m_restartsInCommit.count(Position);
-  }
-  /// Must be called when a commit of the progress is sent, and when it has
-  /// succeeded or failed.
-  void onCommitSent() { m_restartsInCommit.swap(m_unstoredRestarts); }
-  void onCommitEnded(bool IsStored);
-  /// Must be called when the task is started.
-  void clearRestart(int Position);
+  /// Returns true if the worker of the task must be stored before its start
+  /// order is sent: it is long-running and not a member of a gang.
+  bool storesPlace(int Position) const;
+  /// Has the task's worker stored by the next commit of the progress.
+  void place(int Position, const std::string &Worker);
+  /// Has stored that the task has no run. Reverts place().
+  void clearPlace(int Position);
+  /// Reverts place() while the place of an earlier run is not known.
+  void dropPlace(int Position);
+  /// Must be called when a commit of the progress is sent.
+  void onCommitSent() { m_placesInCommit.merge(m_unstoredPlaces); }
+  /// Must be called when that commit has succeeded or failed. Returns the tasks
+  /// that may be started on their worker now.
+  std::set<int> onCommitEnded(bool IsStored);
   /// Marks the task done. A long-running task that another shard runs counts as
   /// done here.
   void finish(int Position);
@@ -155,6 +159,8 @@
 
 private:
   size_t groupIndex(int Position) const;
+  /// Returns true if no run of the task is known, from any owner.
+  bool isUntried(int Position) const;
 
   int m_tasksPerOccurrence = 0;
   /// By position within an occurrence: the step.
@@ -166,11 +172,12 @@
   /// Number of all tasks that are not done.
   int m_tasksLeft = 0;
   bool m_hasStarted = false;
-  /// Tasks that may start again once the next commit, or the present one, has
-  /// succeeded, and those for which one has.
-  std::set<int> m_unstoredRestarts;
-  std::set<int> m_restartsInCommit;
-  std::set<int> m_storedRestarts;
+  /// Run number of a task that has not run.
+  int m_firstRun = 0;
+  /// Tasks that may be started once the next commit, or the present one, has
+  /// succeeded.
+  std::set<int> m_unstoredPlaces;
+  std::set<int> m_placesInCommit;
 };
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -265,8 +265,28 @@
   return Out;
 }
 
+namespace {
+
+/// Values of StoredTask.place; others mean that the place is not known.
+constexpr int NoPlace = 1;
+constexpr int FirstWorkerPlace = 2;
+
+std::optional<std::string> placeOf(const v1::StoredTask &Task,
+                                   const v1::StoredProgress &Row) {
+  if (Task.place() == NoPlace)
+    return "";
+  if (Task.place() < FirstWorkerPlace ||
+      Task.place() - FirstWorkerPlace >= Row.workers_size())
+    return std::nullopt;
+  const std::string &Worker = Row.workers(Task.place() - FirstWorkerPlace);
+  return Worker.empty() ? std::nullopt : std::optional(Worker);
+}
+
+} // namespace
+
 std::string encodeProgress(const JobProgress &Value) {
   v1::StoredProgress Out;
+  std::map<std::string, int> Places{{"", NoPlace}};
   Out.set_format(RowFormat);
   Out.set_state(static_cast<int>(Value.State));
   for (const TaskProgress &Task : Value.Tasks) {
@@ -277,6 +297,13 @@
       Stored.add_failed_runs(Run);
     Stored.set_done(Task.Done);
     Stored.set_checkpoint(Task.Checkpoint);
+    if (!Task.Place)
+      continue;
+    auto [Place, IsNew] =
+        Places.try_emplace(*Task.Place, FirstWorkerPlace + Out.workers_size());
+    if (IsNew)
+      Out.add_workers(*Task.Place);
+    Stored.set_place(Place->second);
   }
   return Out.SerializeAsString();
 }
@@ -294,7 +321,8 @@
          .Run = std::clamp(Task.run(), 0, MaxStoredRun),
          .FailedRuns = {Task.failed_runs().begin(), Task.failed_runs().end()},
          .Done = Task.done(),
-         .Checkpoint = Task.checkpoint()});
+         .Checkpoint = Task.checkpoint(),
+         .Place = placeOf(Task, From)});
   return Out;
 }
 
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -23,6 +23,9 @@
   std::vector<int> FailedRuns;
   bool Done = false;
   std::string Checkpoint;
+  /// The only worker on which a run of the task may be; empty if there is
+  /// certainly no run, no value if that is not known.
+  std::optional<std::string> Place;
 };
 
 /// Stored progress of a job.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -224,6 +224,12 @@
   Mean->second += (Entry.TotalWork - Mean->second) * MeanWorkGain;
   if (Stored) {
     Entry.restore(*Stored, RunNumberGap);
+    for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
+         ++Position) {
+      const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+      if (Task.Place && Task.Phase == TaskPhase::Waiting)
+        m_previousRuns.setPlace(Entry.nameOf(Position), *Task.Place);
+    }
     if (m_options.WallTime)
       Entry.ArrivedAt -= std::clamp(m_options.WallTime() - Spec.AcceptedAt,
                                     milliseconds(0), MaxJobAge);
@@ -289,10 +295,9 @@
   return It == m_queues.end() ? nullptr : &It->second;
 }
 
-void JobShard::Impl::markDirty(JobEntry &Entry) {
-  if (m_dirty.empty())
-    m_commitNotBefore =
-        std::max(m_commitNotBefore, m_time.now() + m_options.CommitDelay);
+void JobShard::Impl::markDirty(JobEntry &Entry, milliseconds Delay) {
+  TimePoint CommitAt = m_time.now() + Delay;
+  m_commitAt = m_dirty.empty() ? CommitAt : std::min(m_commitAt, CommitAt);
   m_dirty.insert(Entry.Spec.Id);
 }
 
@@ -302,7 +307,8 @@
         return Slot.second.LastSeenCompletion >
                Slot.second.LastStoredCompletion;
       });
-  if (m_isCommitting || m_hasLostOwnership || m_time.now() < m_commitNotBefore)
+  if (m_isCommitting || m_hasLostOwnership ||
+      m_time.now() < std::max(m_commitNotBefore, m_commitAt))
     return;
   if (m_dirty.empty() && !HasUnstoredCompletions)
     return;
@@ -352,7 +358,7 @@
   m_isCommitting = false;
   if (!Answer.has_value()) {
     for (const auto &[Id, State] : Jobs) {
-      find(Id)->onCommitEnded(false);
+      (void)find(Id)->onCommitEnded(false);
       markDirty(*find(Id));
     }
     m_commitNotBefore = m_time.now() + RetryDelay;
@@ -367,7 +373,11 @@
   }
   for (const auto &[Id, State] : Jobs) {
     JobEntry &Entry = *find(Id);
-    Entry.onCommitEnded(true);
+    for (int Position : Entry.onCommitEnded(true)) {
+      const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+      m_storedStarts.push_back(
+          {Task.Worker, {Entry.nameOf(Position), Task.LastRun}});
+    }
     Entry.RowVersion = Answer.value();
     Entry.StoredState = State;
     if (Entry.IsTransferring) {
@@ -384,7 +394,10 @@
       continue;
     Slot->second.setStored(Covered.Number);
   }
+  sendStoredStarts();
   pollWorkers();
+  if (!Jobs.empty())
+    commit();
 }
 
 // A conflict has one of two causes: another host has taken over the shard, or
@@ -492,6 +505,8 @@
   transfer();
   delegateTasks();
   readHomesOfParts();
+  storeWaits();
+  sendStoredStarts();
   place();
   logTakeover();
   saveModel();
--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -88,7 +88,8 @@
         {.Position = Position,
          .Run = Task.LastRun,
          .FailedRuns = {Task.FailedRuns.begin(), Task.FailedRuns.end()},
-         .Checkpoint = Task.Checkpoint});
+         .Checkpoint = Task.Checkpoint,
+         .Place = ""});
     // Only tasks with a run number are stored.
     Task.LastRun = std::max(Task.LastRun, 1);
     Kept.finish(Position);
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -23,6 +23,7 @@
 #include "libbasilchute/previousruns.h"
 #include "libbasilchute/workerslot.h"
 
+#include <deque>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -99,7 +100,10 @@
   TaskClass classOf(const std::string &Queue, const std::string &Image);
   void cancelJob(const std::string &Id);
   void endJob(JobEntry &Entry, JobState State, std::string_view Why);
-  void markDirty(JobEntry &Entry);
+  /// Has the job's progress committed after \p Delay, or earlier together with
+  /// that of other jobs.
+  void markDirty(JobEntry &Entry, milliseconds Delay);
+  void markDirty(JobEntry &Entry) { markDirty(Entry, m_options.CommitDelay); }
   void commit();
   /// Last completion of one incarnation of a worker that a commit covers.
   struct CoveredCompletion {
@@ -168,9 +172,11 @@
   void readHandover();
   void onHandoverRows(const std::vector<StoredRow> &Rows);
   void initPreviousRuns();
-  /// Returns true if the task may start again, see JobEntry::isRestartStored(),
-  /// and so may all members of its gang. Otherwise has that stored.
-  bool isRestartStored(JobEntry &Entry, int Position);
+  /// Has stored that the task has no run, if it stores its place and that is
+  /// certain.
+  void storeNoRun(JobEntry &Entry, int Position);
+  /// Does so for all tasks that wait.
+  void storeWaits();
   /// Returns true if the list of workers is newer than the takeover. An older
   /// one may lack workers that the previous owner used.
   bool isFleetComplete() const {
@@ -273,7 +279,17 @@
   void reserveCapacity(std::vector<PlacementCandidate> &Candidates,
                        const JobEntry &Entry, int Position);
   void stopRunsOnDrainingWorkers();
+  /// Reserves room for a run and sends the start order, or has the worker
+  /// stored first.
   void start(WorkerSlot &Slot, JobEntry &Entry, int Position);
+  /// Sends the start orders of tasks whose worker is stored.
+  void sendStoredStarts();
+  void sendStart(WorkerSlot &Slot, JobEntry &Entry, int Position,
+                 const RunKey &Key);
+  static bool canTakeStart(const WorkerSlot &Slot) {
+    return Slot.IsFenced && Slot.IsListed && !Slot.Entry.IsDraining &&
+           Slot.MissedPolls == 0;
+  }
   void onStart(const std::string &Worker, const RunKey &Key, TimePoint Sent,
                Result<StartReply> Answer);
   void stop(WorkerSlot &Slot, const RunKey &Key);
@@ -358,6 +374,10 @@
   /// more are sent than the host can handle in time, they reach the workers
   /// after their leases have expired.
   OrderWindow m_startWindow;
+  /// Runs whose worker is stored and whose start order is not sent, with the
+  /// worker.
+  std::deque<std::pair<std::string, RunKey>> m_storedStarts;
+  TimePoint m_nextWaitStore{};
   bool m_isLoaded = false;
   bool m_hasLostOwnership = false;
   /// True while a handover is in progress: no orders are sent.
@@ -371,7 +391,10 @@
   TimePoint m_waitsCountedAt{};
   /// Counters at the last `shard_state` log line.
   JobShardCounts m_loggedCounts;
+  /// No commit is sent before this time, because one has failed.
   TimePoint m_commitNotBefore{};
+  /// When the progress of the jobs in m_dirty is to be committed.
+  TimePoint m_commitAt{};
   /// True if most processor time is free, so that fill tasks do not wait for a
   /// better worker.
   bool m_isLightlyLoaded = false;
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -18,24 +18,23 @@
   const JobStep &Step = Entry.stepOf(Position);
   removeWaiting(Entry, Position);
   Task.Phase = TaskPhase::Placed;
-  Entry.clearRestart(Position);
   ++Task.LastRun;
   Task.Worker = Slot.Entry.Id;
   RunKey Key{Entry.nameOf(Position), Task.LastRun};
   ReservedRun Reservation{
-      .Phase = RunPhase::Starting,
+      .Phase = RunPhase::Reserved,
       .Reserved = Step.reservation(),
       .LongRunning = Step.LongRunning,
       .FullPaceMillicores = Step.IsFill ? Step.Demand.Millicores : 0,
       .TailTarget = Step.TailTarget,
-      .StartDeadline = Slot.clockAt(Now) + m_options.StartLease,
-      .ConfirmedAt = Now,
       .Kind = Entry.Kinds[static_cast<size_t>(Key.first.Step)],
       .Class = Entry.Classes[static_cast<size_t>(Key.first.Step)],
-      .ObservedSince = Now,
       .Group = Entry.Groups[static_cast<size_t>(Key.first.Step)]};
   Slot.Runs.emplace(Key, Reservation);
-  Slot.LeaseEnd = std::max(Slot.LeaseEnd, Now + m_options.StartLease * 2);
+  if (Entry.storesPlace(Position)) {
+    Entry.place(Position, Slot.Entry.Id);
+    markDirty(Entry, milliseconds(0));
+  }
   if (!Entry.hasStarted()) {
     Entry.markStarted();
     Entry.State = JobState::Running;
@@ -45,6 +44,42 @@
                     Entry.Spec.Queue, (Now - Entry.ArrivedAt) / milliseconds(1),
                     Slot.Entry.Id));
   }
+  if (!Entry.storesPlace(Position))
+    sendStart(Slot, Entry, Position, Key);
+}
+
+// A run whose worker was lost or drains meanwhile is dropped: the task is
+// placed, and that stored, again.
+void JobShard::Impl::sendStoredStarts() {
+  while (!m_storedStarts.empty() && m_startWindow.isOpen()) {
+    auto [Worker, Key] = m_storedStarts.front();
+    m_storedStarts.pop_front();
+    auto Slot = m_slots.find(Worker);
+    if (Slot == m_slots.end())
+      continue;
+    auto Run = Slot->second.Runs.find(Key);
+    JobEntry *Entry = find(Key.first.Job);
+    bool IsPending = Entry && Run != Slot->second.Runs.end() &&
+                     Run->second.Phase == RunPhase::Reserved;
+    if (!IsPending)
+      continue;
+    if (canSendOrders() && canTakeStart(Slot->second))
+      sendStart(Slot->second, *Entry, Entry->positionOf(Key.first), Key);
+    else
+      releaseRun(Slot->second, Key, "not_started");
+  }
+}
+
+void JobShard::Impl::sendStart(WorkerSlot &Slot, JobEntry &Entry, int Position,
+                               const RunKey &Key) {
+  TimePoint Now = m_time.now();
+  const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+  ReservedRun &Reservation = Slot.Runs.at(Key);
+  Reservation.Phase = RunPhase::Starting;
+  Reservation.StartDeadline = Slot.clockAt(Now) + m_options.StartLease;
+  Reservation.ConfirmedAt = Now;
+  Reservation.ObservedSince = Now;
+  Slot.LeaseEnd = std::max(Slot.LeaseEnd, Now + m_options.StartLease * 2);
   ++m_counts.Starts;
   m_startWindow.onSent();
   StartOrder Order{.Task = Key.first,
@@ -52,7 +87,9 @@
                    .Payload = Entry.Spec.Payload,
                    .LeaseUntil = Reservation.StartDeadline,
                    .Epoch = m_options.Epoch,
-                   .Checkpoint = Step.Checkpointing ? Task.Checkpoint : ""};
+                   .Checkpoint = Entry.stepOf(Position).Checkpointing
+                                     ? Task.Checkpoint
+                                     : ""};
   const std::string *Ticket = m_approvals.ticket(
       Entry.stepName(Position),
       {.Worker = Slot.Entry.Id, .Incarnation = Slot.Incarnation});
@@ -76,6 +113,7 @@
   } else {
     m_startWindow.onUnanswered();
   }
+  sendStoredStarts();
   auto SlotIt = m_slots.find(Worker);
   if (SlotIt == m_slots.end())
     return;
@@ -129,7 +167,11 @@
 
 void JobShard::Impl::stop(WorkerSlot &Slot, const RunKey &Key) {
   auto It = Slot.Runs.find(Key);
-  if (It == Slot.Runs.end() || !canSendOrders())
+  if (It == Slot.Runs.end())
+    return;
+  if (It->second.Phase == RunPhase::Reserved)
+    return releaseRun(Slot, Key, "not_started");
+  if (!canSendOrders())
     return;
   // A run that may still be started keeps its phase: the stop order keeps the
   // worker from starting it later, and the run can no longer start once the
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -77,6 +77,7 @@
   // slowly than rounds follow one another.
   if (m_counts.Starts == StartsBefore && UnplacedSteps > 0)
     m_nextRound = Now + UnsuccessfulRoundInterval;
+  commit();
 }
 
 // Returns the waiting jobs that may be started, in the order of their
@@ -144,7 +145,7 @@
       continue;
     if (mayHavePreviousRun(Entry, Position))
       continue;
-    bool IsDue = isRestartStored(Entry, Position) && Task.EarliestStart <= Now;
+    bool IsDue = Task.EarliestStart <= Now;
     if (!IsDue && Which == WaitingTasks::Restarts)
       holdRoomUntilDue(Candidates, Entry, Position);
     if (!IsDue || SkippedSteps.count(StepIndex) ||
@@ -154,6 +155,9 @@
       SkippedSteps.insert(StepIndex);
       continue;
     }
+    // The place that is stored must be the only one.
+    if (Entry.storesPlace(Position) && hasRunsOf(Entry.nameOf(Position)))
+      continue;
     bool IsPlaced = Entry.stepOf(Position).Gang
                         ? placeGang(Candidates, Entry, Position)
                         : placeOne(Candidates, Entry, Position);
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -221,10 +221,6 @@
   log("run_gone", fmt::format("job={} step={} index={} run={} worker={} why={}",
                               Key.first.Job, Key.first.Step, Key.first.Index,
                               Key.second, Slot.Entry.Id, Why));
-  // A completion of the run may still be reported. The number that is stored
-  // before the task starts again shows that this completion came too late.
-  if (Entry->stepOf(Position).LongRunning && !Entry->stepOf(Position).Gang)
-    ++Task.LastRun;
   setWaiting(*Entry, Position, milliseconds(0));
   Task.LastRunNeverBegan =
       Phase == RunPhase::Starting || Phase == RunPhase::Unconfirmed;
@@ -348,8 +344,7 @@
   }
   ReservedRun &Reservation = It->second;
   TimePoint Now = m_time.now();
-  if (Reservation.Phase == RunPhase::Starting ||
-      Reservation.Phase == RunPhase::Unconfirmed)
+  if (Reservation.Phase != RunPhase::Stopping)
     Reservation.Phase = RunPhase::Running;
   if (Reservation.Phase == RunPhase::Stopping &&
       Now > Reservation.StopSentAt + StopResendInterval)
@@ -427,7 +422,7 @@
     Present.insert({Running.Task, Running.Run});
   std::vector<RunKey> Missing;
   for (const auto &[Key, Run] : Slot.Runs) {
-    if (Present.count(Key))
+    if (Present.count(Key) || Run.Phase == RunPhase::Reserved)
       continue;
     bool IsConfirmed =
         Run.Phase == RunPhase::Running || Run.Phase == RunPhase::Stopping;
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -109,9 +109,9 @@
   TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
   Task.Phase = TaskPhase::Waiting;
   Task.LastRunNeverBegan = false;
-  if (Entry.stepOf(Position).LongRunning && !isFinal(Entry.State)) {
-    Entry.storeRestart(Position);
-    markDirty(Entry);
+  if (Entry.storesPlace(Position) && !isFinal(Entry.State)) {
+    Entry.dropPlace(Position);
+    storeNoRun(Entry, Position);
   }
   Task.EarliestStart = m_time.now() + Delay;
   Task.WaitingSince = m_time.now();
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr milliseconds WaitLogInterval{1000};
+/// A task that waits for longer has stored that it has no run.
+constexpr milliseconds MinStoredWait{250};
+/// Maximum number of tasks of a job for which that is stored, because a row is
+/// limited to MaxRowBytes.
+constexpr size_t MaxStoredWaits = 1000;
 /// Maximum number of workers that a log line names.
 constexpr size_t MaxLoggedWorkers = 5;
 
@@ -109,7 +114,8 @@
     HandoverRecord::Runs &Runs = Out.Workers[Id];
     Runs.Remaining = std::max(Runs.Remaining, RemainingUntil(Slot.LeaseEnd));
     for (const auto &[Key, Run] : Slot.Runs)
-      Runs.Tasks.insert(Key.first);
+      if (Run.Phase != RunPhase::Reserved)
+        Runs.Tasks.insert(Key.first);
     for (const auto &[Number, Task] : Slot.UnstoredCompletions)
       Runs.Tasks.insert(Task);
   }
@@ -144,21 +150,32 @@
   return false;
 }
 
-bool JobShard::Impl::isRestartStored(JobEntry &Entry, int Position) {
-  std::vector<int> Members = Entry.stepOf(Position).Gang
-                                 ? Entry.groupPositions(Position)
-                                 : std::vector<int>{Position};
-  bool Out = true;
-  for (int Member : Members) {
-    if (Entry.isRestartStored(Member))
-      continue;
-    Out = false;
-    if (Entry.isRestartPending(Member))
+void JobShard::Impl::storeNoRun(JobEntry &Entry, int Position) {
+  const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+  bool IsNew = Entry.storesPlace(Position) && Task.Place != "" &&
+               !mayHavePreviousRun(Entry, Position) &&
+               !hasRunsOf(Entry.nameOf(Position));
+  if (!IsNew)
+    return;
+  Entry.clearPlace(Position);
+  markDirty(Entry, milliseconds(0));
+}
+
+// Tasks that start soon have their worker stored instead.
+void JobShard::Impl::storeWaits() {
+  TimePoint Now = m_time.now();
+  if (Now < m_nextWaitStore || !canSendOrders())
+    return;
+  m_nextWaitStore = Now + MinStoredWait;
+  for (const auto &[Id, Positions] : m_waiting) {
+    JobEntry &Entry = *find(Id);
+    if (!canStart(Entry) || Entry.Tasks.size() > MaxStoredWaits)
       continue;
-    Entry.storeRestart(Member);
-    markDirty(Entry);
+    for (int Position : Positions)
+      if (Now >= Entry.Tasks[static_cast<size_t>(Position)].WaitingSince +
+                     MinStoredWait)
+        storeNoRun(Entry, Position);
   }
-  return Out;
 }
 
 bool JobShard::Impl::isTakeoverComplete() const {
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -191,8 +191,9 @@
         {.Address = jobAddress(m_options.Shard, Id), .IsRemoval = true});
     Commit.Changes.push_back(
         {.Address = jobAddress(Target, Id), .Value = encodeJob(Moved)});
-    Commit.Changes.push_back({.Address = progressAddress(Target, Id),
-                              .Value = encodeProgress(Entry.progress())});
+    Commit.Changes.push_back(
+        {.Address = progressAddress(Target, Id),
+         .Value = encodeProgress(Entry.progressWithoutRuns())});
     Commit.Changes.push_back(
         {.Address = jobIndexAddress(Id), .Value = encodeJobIndex(Target)});
   }
--- a/src/libbasilchute/previousruns.cpp
+++ b/src/libbasilchute/previousruns.cpp
@@ -29,7 +29,16 @@
     m_silent.insert(Worker);
 }
 
+void PreviousRuns::setPlace(const TaskName &Task, const std::string &Worker) {
+  m_places[Task] = Worker;
+  if (!Worker.empty() && !m_resolvedBefore.count(Worker) &&
+      !m_resolved.count(Worker))
+    m_silentPlaces.insert(Worker);
+}
+
 void PreviousRuns::resolve(const std::string &Worker) {
+  m_resolved.insert(Worker);
+  m_silentPlaces.erase(Worker);
   m_silent.erase(Worker);
   m_knownEnds.erase(Worker);
 }
@@ -41,7 +50,12 @@
 
 bool PreviousRuns::mayRun(const TaskName &Task, uint64_t Version,
                           TimePoint Now) const {
-  if (hasUnknown(Now) && Version <= m_unknownVersion && !m_reported.count(Task))
+  auto Place = m_places.find(Task);
+  bool MayRunUnknown =
+      Place == m_places.end()
+          ? hasUnknown(Now) && !m_reported.count(Task)
+          : hasUnknownPlaced(Now) && m_silentPlaces.count(Place->second);
+  if (MayRunUnknown && Version <= m_unknownVersion)
     return true;
   auto It = m_workersOf.find(Task);
   if (It == m_workersOf.end())
@@ -54,7 +68,7 @@
 }
 
 bool PreviousRuns::isResolved(TimePoint Now) const {
-  return !hasUnknown(Now) &&
+  return !hasUnknown(Now) && !hasUnknownPlaced(Now) &&
          std::none_of(m_knownEnds.begin(), m_knownEnds.end(),
                       [Now](const auto &End) { return Now <= End.second; });
 }
@@ -63,6 +77,8 @@
   std::set<std::string> Out;
   if (hasUnknown(Now))
     Out = m_silent;
+  if (hasUnknownPlaced(Now))
+    Out.insert(m_silentPlaces.begin(), m_silentPlaces.end());
   for (const auto &[Worker, End] : m_knownEnds)
     if (Now <= End)
       Out.insert(Worker);
@@ -70,7 +86,8 @@
 }
 
 TimePoint PreviousRuns::lastEnd(TimePoint Now) const {
-  TimePoint Out = hasUnknown(Now) ? m_unknownEndsAt : Now;
+  TimePoint Out =
+      hasUnknown(Now) || hasUnknownPlaced(Now) ? m_unknownEndsAt : Now;
   for (const auto &[Worker, End] : m_knownEnds)
     Out = std::max(Out, End);
   return Out;
@@ -94,6 +111,15 @@
       Out[Worker].Tasks.insert(Task);
       Out[Worker].EndsAt = End->second;
     }
+  if (!hasUnknownPlaced(Now))
+    return Out;
+  for (const auto &[Task, Worker] : m_places) {
+    if (!m_silentPlaces.count(Worker))
+      continue;
+    Known &Runs = Out[Worker];
+    Runs.Tasks.insert(Task);
+    Runs.EndsAt = std::max(Runs.EndsAt, m_unknownEndsAt);
+  }
   return Out;
 }
 
--- a/src/libbasilchute/previousruns.h
+++ b/src/libbasilchute/previousruns.h
@@ -21,7 +21,8 @@
 /// Two kinds of runs are kept apart:
 /// - known runs: a previous owner has named the tasks by worker;
 /// - unknown runs: any task of a job that is old enough may run on any worker
-///   that is neither resolved now nor by a previous owner.
+///   that is neither resolved now nor by a previous owner; a task whose place
+///   is stored, on that worker only.
 class PreviousRuns {
 public:
   /// Known runs by worker.
@@ -44,6 +45,10 @@
   /// Whether the list of workers is complete. As long as it is not, unknown
   /// runs may be on workers that addWorker() was not called for.
   void setListComplete(bool IsComplete) { m_isListComplete = IsComplete; }
+  /// The row of \p Task's job names the only worker on which the task may run,
+  /// also if that worker is in no list; empty if it runs nowhere. Must be
+  /// called after setUnknown(), if at all.
+  void setPlace(const TaskName &Task, const std::string &Worker);
   /// Marks \p Worker as resolved.
   void resolve(const std::string &Worker);
   /// A resolved worker has reported a run of \p Task. An owner starts a task
@@ -70,7 +75,8 @@
   TimePoint lastEnd(TimePoint Now) const;
   /// Returns the time by which all runs on \p Worker have ended.
   TimePoint endsAt(const std::string &Worker) const;
-  /// Returns true while there may be unknown runs.
+  /// Returns true while there may be unknown runs of tasks whose place is not
+  /// stored.
   bool hasUnknown(TimePoint Now) const {
     return Now <= m_unknownEndsAt && (!m_isListComplete || !m_silent.empty());
   }
@@ -81,10 +87,17 @@
   }
   /// Returns the workers that may have unknown runs.
   const std::set<std::string> &silent() const { return m_silent; }
-  /// Returns the known runs on workers that are not resolved, by worker.
+  /// Returns the known runs on workers that are not resolved, by worker, and
+  /// the unknown runs of tasks whose place is stored.
   std::map<std::string, Known> known(TimePoint Now) const;
 
 private:
+  /// Returns true while there may be unknown runs of tasks whose place is
+  /// stored.
+  bool hasUnknownPlaced(TimePoint Now) const {
+    return Now <= m_unknownEndsAt && !m_silentPlaces.empty();
+  }
+
   /// Time by which the known runs on a worker have ended.
   std::map<std::string, TimePoint> m_knownEnds;
   /// Workers with a known run, by task.
@@ -94,6 +107,10 @@
   /// Workers that may have unknown runs.
   std::set<std::string> m_silent;
   std::set<std::string> m_resolvedBefore;
+  std::set<std::string> m_resolved;
+  /// Stored places, and those of them that are not resolved.
+  std::map<TaskName, std::string> m_places;
+  std::set<std::string> m_silentPlaces;
   std::set<TaskName> m_reported;
   bool m_isListComplete = true;
 };
--- a/src/libbasilchute/previousruns_test.cpp
+++ b/src/libbasilchute/previousruns_test.cpp
@@ -107,3 +107,58 @@
   Runs.clearReported(task("a"));
   CHECK(Runs.mayRun(task("a"), 10, Start));
 }
+
+// Guards against a wait for all silent workers of a task that can be on one
+// only, which its job's row names.
+TEST_CASE("A task whose place is stored waits for that worker only") {
+  PreviousRuns Runs;
+  Runs.setUnknown(10, Start + 12s);
+  Runs.addWorker("w0");
+  Runs.addWorker("w1");
+  Runs.setPlace(task("a", 0), "w0");
+  Runs.setPlace(task("a", 1), "w1");
+  Runs.setPlace(task("a", 2), "");
+  Runs.resolve("w1");
+  CHECK(Runs.mayRun(task("a", 0), 10, Start + 12s));
+  CHECK_FALSE(Runs.mayRun(task("a", 0), 11, Start));
+  CHECK_FALSE(Runs.mayRun(task("a", 0), 10, Start + 12s + 1ms));
+  CHECK_FALSE(Runs.mayRun(task("a", 1), 10, Start));
+  CHECK_FALSE(Runs.mayRun(task("a", 2), 10, Start));
+  CHECK(Runs.mayRun(task("b"), 10, Start));
+  // No predecessor can start the task elsewhere.
+  Runs.clearReported(task("a", 1));
+  CHECK_FALSE(Runs.mayRun(task("a", 1), 10, Start));
+  // A report from another worker says nothing of the stored place.
+  Runs.setReported(task("a", 0));
+  CHECK(Runs.mayRun(task("a", 0), 10, Start));
+}
+
+// Guards against a takeover that counts as complete because all workers of the
+// list have answered: a row can name a worker that is in no list.
+TEST_CASE("A stored place on a worker that is in no list is waited for and "
+          "handed on") {
+  PreviousRuns Runs;
+  Runs.setUnknown(10, Start + 12s);
+  Runs.addWorker("w0");
+  Runs.setPlace(task("a"), "unseen");
+  Runs.resolve("w0");
+  CHECK(Runs.mayRun(task("a"), 10, Start));
+  CHECK_FALSE(Runs.mayRun(task("b"), 10, Start));
+  CHECK_FALSE(Runs.isResolved(Start));
+  CHECK(Runs.workers(Start) == std::vector<std::string>{"unseen"});
+  CHECK(Runs.lastEnd(Start) == Start + 12s);
+  CHECK(Runs.known(Start).at("unseen").Tasks == std::set{task("a")});
+  CHECK(Runs.known(Start).at("unseen").EndsAt == Start + 12s);
+  Runs.resolve("unseen");
+  CHECK(Runs.isResolved(Start));
+  CHECK(Runs.known(Start).empty());
+}
+
+TEST_CASE("A stored place on a worker that a previous owner has resolved is "
+          "not waited for") {
+  PreviousRuns Runs;
+  Runs.setUnknown(10, Start + 12s, {"w0"});
+  Runs.setPlace(task("a"), "w0");
+  CHECK_FALSE(Runs.mayRun(task("a"), 10, Start));
+  CHECK(Runs.isResolved(Start));
+}
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -16,6 +16,9 @@
 
 /// Phase of a run for which capacity is reserved on a worker.
 enum class RunPhase {
+  /// No start order was sent: the worker is not stored yet, or the order is
+  /// about to be sent.
+  Reserved,
   /// The start order was sent; its answer is pending.
   Starting,
   /// The start order was not answered and may still be carried out.
--- a/src/libjobhost/badrows_test.cpp
+++ b/src/libjobhost/badrows_test.cpp
@@ -123,6 +123,30 @@
   }
 }
 
+// Guards against a row that makes a task start while it may run: a place that
+// cannot be read is not known.
+TEST_CASE("Places of stored progress are read as stored, or not known") {
+  JobProgress Value;
+  for (const char *Worker : {"w1", "", "w0", "w1"})
+    Value.Tasks.push_back(
+        {.Position = static_cast<int>(Value.Tasks.size()), .Place = Worker});
+  Value.Tasks.push_back({.Position = 4});
+  v1::StoredProgress Stored;
+  REQUIRE(Stored.ParseFromString(encodeProgress(Value)));
+  CHECK(Stored.workers_size() == 2);
+  Result<JobProgress> Read = decodeProgress(Stored.SerializeAsString());
+  REQUIRE(Read.has_value());
+  for (size_t Index = 0; Index < Value.Tasks.size(); ++Index)
+    CHECK(Read.value().Tasks.at(Index).Place == Value.Tasks.at(Index).Place);
+  for (int Place : {MaxInt, -MaxInt, -1, 4, 5}) {
+    CAPTURE(Place);
+    Stored.mutable_tasks(0)->set_place(Place);
+    Read = decodeProgress(Stored.SerializeAsString());
+    REQUIRE(Read.has_value());
+    CHECK_FALSE(Read.value().Tasks.at(0).Place.has_value());
+  }
+}
+
 TEST_CASE("The load in a stored host row is brought into bounds") {
   for (int64_t Value : {MaxInt64, MinInt64}) {
     CAPTURE(Value);
--- a/src/libjobhost/jobhost_crash_test.cpp
+++ b/src/libjobhost/jobhost_crash_test.cpp
@@ -204,7 +204,8 @@
   while (Bed.Oracle.workerOf(Moving) == "w0")
     ++Moving.Index;
   Bed.host(0).UnreachableWorkers.insert("w0");
-  Bed.run(200ms);
+  // The owner must see that the worker is silent, or it may start tasks there.
+  Bed.run(2500ms);
   TimePoint End = stopByDraining(Bed, Moving);
   Bed.run(20ms);
   Bed.killHost(0);
@@ -217,3 +218,70 @@
   Bed.run(5s);
   checkNoViolations(Bed);
 }
+
+// Guards against a start whose worker no row names, and against room that stays
+// reserved for a start that was given up.
+TEST_CASE("A long-running task whose worker cannot be stored does not start, "
+          "and leaves the worker that drains meanwhile") {
+  JobTestBed Bed(traced({.Workers = 2}));
+  Bed.run(3s);
+  Job Lasting = longRunningJob("lasting", 8);
+  REQUIRE(Bed.submit(0, Lasting).has_value());
+  REQUIRE(Bed.runUntil([&] { return allRun(Bed, Lasting); }, 2s));
+  Bed.run(500ms);
+  int Failing = workerIndexOf(Bed, FirstTask);
+  Bed.Store.IsDown = true;
+  REQUIRE(Bed.failTask(FirstTask));
+  Bed.run(1s);
+  CHECK(Bed.Oracle.starts() == 8);
+  // The task is placed on the other worker than that of its last run.
+  Bed.worker(1 - Failing).Entry.IsDraining = true;
+  Bed.publishWorkers();
+  Bed.Store.IsDown = false;
+  CHECK(Bed.runUntil([&] { return isRunning(Bed, FirstTask); }, 1s));
+  CHECK(workerIndexOf(Bed, FirstTask) == Failing);
+  checkNoViolations(Bed);
+}
+
+// Guards against the same if the job is cancelled meanwhile.
+TEST_CASE("A long-running job that is cancelled while a worker is being stored "
+          "starts nothing and frees its room") {
+  JobTestBed Bed(traced({.Hosts = 1, .Workers = 2}));
+  Bed.run(3s);
+  Job Lasting = longRunningJob("lasting", 16);
+  REQUIRE(Bed.submit(0, Lasting).has_value());
+  REQUIRE(Bed.runUntil([&] { return allRun(Bed, Lasting); }, 2s));
+  Bed.run(500ms);
+  Bed.Store.DelayedCommitPercent = 100;
+  REQUIRE(Bed.failTask(FirstTask));
+  Bed.run(300ms);
+  Bed.Store.DelayedCommitPercent = 0;
+  REQUIRE(Bed.cancel(0, "lasting").has_value());
+  Job Next = longRunningJob("next", 16);
+  REQUIRE(Bed.submit(0, Next).has_value());
+  CHECK(Bed.runUntil([&] { return allRun(Bed, Next); }, 5s));
+  CHECK(Bed.Oracle.starts() == 32);
+  checkNoViolations(Bed);
+}
+
+// Guards against a row that says that a task has no run while its worker is
+// silent: the owner after the next crash starts the task a second time.
+TEST_CASE("A second crash of the owner does not start the tasks of a silent "
+          "worker twice") {
+  JobTestBed Bed(traced({}));
+  Bed.run(3s);
+  Job Lasting = longRunningJob("lasting", 12);
+  REQUIRE(Bed.submit(0, Lasting).has_value());
+  REQUIRE(Bed.runUntil([&] { return allRun(Bed, Lasting); }, 2s));
+  Bed.run(500ms);
+  REQUIRE(!Bed.Oracle.tasksOn("w0").empty());
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    Bed.host(Host).UnreachableWorkers.insert("w0");
+  Bed.killHost(Bed.ownerIndex());
+  REQUIRE(Bed.runUntil([&] { return Bed.ownerIndex() >= 0; }, 5s));
+  Bed.run(500ms);
+  Bed.killHost(Bed.ownerIndex());
+  CHECK(Bed.runUntil([&] { return allRun(Bed, Lasting); }, 20s));
+  Bed.run(5s);
+  checkNoViolations(Bed);
+}
