Add a module that judges which task crashed a worker

This commit changes nothing of that yet.

Change: CrashHistory takes the crash of a worker with its runs and says which of them are under suspicion, keeps the trials of suspects, and says when a task is given up. It has no network, store or clock. No other code uses it yet.

One runs deadly tasks that live 0 s to 2.9 s, alone and beside innocent runs: none starts more than five times, so at most twice after the third crash.

--- /dev/null
+++ b/src/libbasilchute/crashhistory.h
@@ -0,0 +1,153 @@
+/// \file
+/// Which task may have crashed a worker, and when such a task may start again.
+#pragma once
+
+#include "basilchute/clock.h"
+#include "basilchute/job.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// What the progress row of a job holds about crashes of workers under one
+/// task. The members of a gang share the record of the first.
+struct CrashRecord {
+  /// Workers that crashed while a run of the task on them was young.
+  int Crashes = 0;
+  /// The task starts as a trial only.
+  bool IsSuspect = false;
+  /// Longest time that a run can have lasted when its worker crashed; zero
+  /// while the task is only known to crash workers at once.
+  milliseconds RunAge{0};
+  /// Worker, and its incarnation, that fell silent while a run of the task on
+  /// it was young, or on which the task is tried. Empty if there is none. An
+  /// owner that finds another incarnation there counts a crash.
+  std::string Worker;
+  milliseconds Incarnation{0};
+
+  bool operator==(const CrashRecord &) const = default;
+};
+
+/// How certain it is that a task crashed a worker.
+enum class CrashEvidence {
+  None,
+  /// The run was young, or many workers crashed at the same time.
+  Weak,
+  /// No answer of the worker shows that the run lasted.
+  Strong,
+  /// The run was a trial, and nothing else explains the crash.
+  Proof
+};
+
+/// Returns the lower-case name of \p Evidence.
+std::string_view crashEvidenceName(CrashEvidence Evidence);
+
+/// A run on a worker that fell silent.
+struct ExposedRun {
+  /// The task; the first member of the gang for a member of a gang.
+  TaskName Task;
+  /// Time for which the worker certainly lived after the start of the run.
+  milliseconds KnownAge{0};
+  /// Time for which the run can have lasted.
+  milliseconds MaxAge{0};
+  /// Crashes in the task's record.
+  int Crashes = 0;
+
+  /// Returns true if no answer of the worker shows that the run lasted.
+  bool isUnseen() const;
+};
+
+/// A worker that fell silent, or crashed.
+struct SilentWorker {
+  std::string Id;
+  /// Last answer, and the first call after it that had none.
+  TimePoint AliveAt{};
+  TimePoint SilentAt{};
+  std::vector<ExposedRun> Runs;
+
+  bool hasUnseenRuns() const;
+};
+
+/// Work that a crash of a worker would end.
+struct TrialHarm {
+  int LongRunningTasks = 0;
+  /// Runs whose start no answer has confirmed for long enough.
+  int UnseenRuns = 0;
+  /// Work in progress, in millicores times seconds.
+  double Work = 0;
+
+  auto operator<=>(const TrialHarm &) const = default;
+};
+
+/// A suspect that is alone in being started on its workers.
+struct CrashTrial {
+  std::set<std::string> Workers;
+  TimePoint Since{};
+  /// False until the start orders are sent.
+  bool HasStarted = false;
+};
+
+/// Decides which tasks are suspects after a crash, and keeps the trials.
+///
+/// A crash makes suspects of the runs that no answer had shown to last. Tasks
+/// that ran for longer start again at once. A suspect is tried alone on one
+/// worker: a crash then proves that the task is the cause, unless other workers
+/// crashed as well. A trial that lasts, or ends by itself, clears the
+/// suspicion, but the crashes stay counted.
+class CrashHistory {
+public:
+  /// Judges the runs on \p Crashed, a worker of which another incarnation was
+  /// found at \p Now. \p Silent are the other workers that do not answer,
+  /// \p Workers is the number of all workers. Tasks without evidence are left
+  /// out.
+  std::map<TaskName, CrashEvidence>
+  judge(const SilentWorker &Crashed, const std::vector<SilentWorker> &Silent,
+        size_t Workers, TimePoint Now);
+  /// Counts a crash with \p Evidence other than None. \p Run is one of the runs
+  /// of \p Crashed. Returns true if the task is to be given up.
+  static bool count(CrashRecord &Record, const ExposedRun &Run,
+                    const SilentWorker &Crashed, CrashEvidence Evidence,
+                    bool WasTrial);
+  /// Counts a crash that a previous owner did not see, on the worker that the
+  /// record names. Returns true if the task is to be given up.
+  static bool countUnseen(CrashRecord &Record);
+  /// Records that a run of the task lasted or ended by itself.
+  static void clear(CrashRecord &Record);
+  /// Returns the time after which a trial counts as survived.
+  static milliseconds trialTime(const CrashRecord &Record);
+
+  /// Returns true if another trial may begin in a shard of \p Workers workers;
+  /// \p Silent of the workers with trials do not answer.
+  bool mayBegin(size_t Workers, size_t Silent) const;
+  void begin(const TaskName &Task, std::set<std::string> Workers,
+             TimePoint Now);
+  /// Records that the start orders are sent.
+  void setStarted(const TaskName &Task);
+  /// Adds a worker of a trial that has started: a member of the gang starts
+  /// again there.
+  void addWorker(const TaskName &Task, const std::string &Worker);
+  void end(const TaskName &Task) { m_trials.erase(Task); }
+  /// Returns null if \p Task is not tried.
+  const CrashTrial *trialOf(const TaskName &Task) const;
+  /// Returns true if a trial is on \p Worker, so that nothing else may start
+  /// there.
+  bool isTrialWorker(const std::string &Worker) const;
+  /// Returns true if a task of \p Job is tried.
+  bool isTried(const std::string &Job) const;
+  const std::map<TaskName, CrashTrial> &trials() const { return m_trials; }
+
+private:
+  /// Returns the workers that may have crashed at the same time as \p Crashed.
+  std::vector<const SilentWorker *>
+  crashedWith(const SilentWorker &Crashed,
+              const std::vector<SilentWorker> &Silent) const;
+
+  std::map<TaskName, CrashTrial> m_trials;
+  /// Workers that crashed lately, with the time when that was found.
+  std::vector<std::pair<TimePoint, SilentWorker>> m_recent;
+};
+
+BASILCHUTE_NAMESPACE_END
--- /dev/null
+++ b/src/libbasilchute/crashhistory_test.cpp
@@ -0,0 +1,291 @@
+#include "libbasilchute/crashhistory.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+constexpr size_t Workers = 24;
+
+TaskName task(const std::string &Job, int Index = 0) {
+  return {.Job = Job, .Index = Index};
+}
+
+ExposedRun unseen(const std::string &Job, int Index = 0) {
+  return {.Task = task(Job, Index), .MaxAge = 1000ms};
+}
+
+ExposedRun seen(const std::string &Job, milliseconds Age, int Crashes = 0) {
+  return {
+      .Task = task(Job), .KnownAge = Age, .MaxAge = Age, .Crashes = Crashes};
+}
+
+/// A worker that fell silent \p At after Start, give or take 0.1 s.
+SilentWorker silent(const std::string &Id, milliseconds At,
+                    std::vector<ExposedRun> Runs = {}) {
+  return {.Id = Id,
+          .AliveAt = Start + At - 100ms,
+          .SilentAt = Start + At + 100ms,
+          .Runs = std::move(Runs)};
+}
+
+/// One crash of a worker with \p Runs, found 3 s later.
+std::map<TaskName, CrashEvidence> judgeOne(CrashHistory &History,
+                                           const std::string &Id,
+                                           milliseconds At,
+                                           std::vector<ExposedRun> Runs) {
+  return History.judge(silent(Id, At, std::move(Runs)), {}, Workers,
+                       Start + At + 3s);
+}
+
+/// A task that crashes its worker \p RunTime after each start, alone on it.
+struct DeadlyTask {
+  milliseconds RunTime;
+  CrashRecord Record;
+  int Starts = 0;
+
+  /// Starts the task until it is given up, or for \p Limit times, beside an
+  /// innocent run that is unseen.
+  void runOn(CrashHistory &History, int Limit, bool HasCompany) {
+    milliseconds At{0};
+    bool IsGivenUp = false;
+    while (!IsGivenUp && Starts < Limit) {
+      ++Starts;
+      At += 10s;
+      std::string Id = fmt::format("w{}", Starts);
+      ExposedRun Run = seen("deadly", RunTime, Record.Crashes);
+      bool IsTrial = Record.IsSuspect;
+      bool Survives = IsTrial && RunTime >= CrashHistory::trialTime(Record);
+      if (IsTrial) {
+        History.begin(task("deadly"), {Id}, Start + At);
+        History.setStarted(task("deadly"));
+      }
+      if (Survives) {
+        History.end(task("deadly"));
+        CrashHistory::clear(Record);
+        IsTrial = false;
+      }
+      std::vector<ExposedRun> Runs{Run};
+      if (HasCompany && !IsTrial)
+        Runs.push_back(unseen(fmt::format("innocent-{}", Starts)));
+      SilentWorker Crashed = silent(Id, At, Runs);
+      auto Judged = History.judge(Crashed, {}, Workers, Start + At + 3s);
+      History.end(task("deadly"));
+      if (Judged.count(task("deadly")))
+        IsGivenUp = CrashHistory::count(Record, Run, Crashed,
+                                        Judged[task("deadly")], IsTrial);
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("The runs that no answer has shown to last are the suspects of a "
+          "crash") {
+  CrashHistory History;
+  auto Judged = judgeOne(History, "w0", 0ms,
+                         {unseen("new"), unseen("newer"), seen("young", 1s),
+                          seen("old", 4s), seen("old-again", 4s, 1)});
+  CHECK(Judged[task("new")] == CrashEvidence::Strong);
+  CHECK(Judged[task("newer")] == CrashEvidence::Strong);
+  CHECK(Judged[task("young")] == CrashEvidence::Weak);
+  CHECK(Judged.count(task("old")) == 0);
+  CHECK(Judged[task("old-again")] == CrashEvidence::Weak);
+}
+
+// Guards against jobs that fail because an innocent task was started beside a
+// deadly one again and again.
+TEST_CASE("Crashes that are no proof give no task up") {
+  CrashHistory History;
+  CrashRecord Record;
+  for (int Number = 0; Number < 8; ++Number) {
+    SilentWorker Crashed =
+        silent("w", 10s * Number, {unseen("innocent"), unseen("deadly")});
+    auto Judged =
+        History.judge(Crashed, {}, Workers, Start + 10s * Number + 3s);
+    REQUIRE(Judged[task("innocent")] == CrashEvidence::Strong);
+    CHECK_FALSE(CrashHistory::count(Record, Crashed.Runs[0], Crashed,
+                                    Judged[task("innocent")], false));
+    CHECK(Record.IsSuspect);
+    CrashHistory::clear(Record);
+    CHECK_FALSE(Record.IsSuspect);
+    CHECK(Record.Crashes == Number + 1);
+  }
+}
+
+TEST_CASE("A crash in a trial is proof, and the second crash gives the task "
+          "up") {
+  CrashHistory History;
+  CrashRecord Record;
+  SilentWorker First = silent("w0", 0s, {unseen("deadly"), unseen("innocent")});
+  auto Judged = History.judge(First, {}, Workers, Start + 3s);
+  CHECK_FALSE(CrashHistory::count(Record, First.Runs[0], First,
+                                  Judged[task("deadly")], false));
+  History.begin(task("deadly"), {"w1"}, Start + 4s);
+  History.setStarted(task("deadly"));
+  SilentWorker Second = silent("w1", 4s, {unseen("deadly"), seen("other", 2s)});
+  Judged = History.judge(Second, {}, Workers, Start + 7s);
+  CHECK(Judged[task("deadly")] == CrashEvidence::Proof);
+  CHECK(Judged[task("other")] == CrashEvidence::Weak);
+  CHECK(CrashHistory::count(Record, Second.Runs[0], Second,
+                            Judged[task("deadly")], true));
+  CHECK(Record.Crashes == 2);
+}
+
+TEST_CASE("A first crash gives no task up, even in a trial") {
+  CrashHistory History;
+  CrashRecord Record;
+  History.begin(task("a"), {"w0"}, Start);
+  History.setStarted(task("a"));
+  SilentWorker Crashed = silent("w0", 0s, {unseen("a")});
+  auto Judged = History.judge(Crashed, {}, Workers, Start + 3s);
+  CHECK_FALSE(CrashHistory::count(Record, Crashed.Runs[0], Crashed,
+                                  Judged[task("a")], true));
+}
+
+// Guards against a trial that had not started, or on another worker, as proof.
+TEST_CASE("Only the workers of a started trial prove anything") {
+  CrashHistory History;
+  History.begin(task("a"), {"w0"}, Start);
+  CHECK(judgeOne(History, "w0", 0s, {unseen("a")})[task("a")] ==
+        CrashEvidence::Strong);
+  History.setStarted(task("a"));
+  CHECK(judgeOne(History, "w1", 10s, {unseen("a")})[task("a")] ==
+        CrashEvidence::Strong);
+  CHECK(judgeOne(History, "w0", 20s, {unseen("a"), unseen("b")})[task("a")] ==
+        CrashEvidence::Strong);
+  CHECK(judgeOne(History, "w0", 30s, {unseen("a")})[task("a")] ==
+        CrashEvidence::Proof);
+}
+
+// Guards against jobs that fail because their task was tried when a rack went
+// down.
+TEST_CASE("A crash in a trial is no proof if a worker without unseen runs "
+          "crashes at the same time") {
+  for (bool IsFoundBefore : {false, true}) {
+    CrashHistory History;
+    History.begin(task("a"), {"w0"}, Start);
+    History.setStarted(task("a"));
+    SilentWorker Other = silent("w1", 400ms, {seen("b", 5s)});
+    if (IsFoundBefore)
+      History.judge(Other, {}, Workers, Start + 3s);
+    std::vector<SilentWorker> Silent;
+    if (!IsFoundBefore)
+      Silent.push_back(Other);
+    auto Judged = History.judge(silent("w0", 0ms, {unseen("a")}), Silent,
+                                Workers, Start + 3100ms);
+    CHECK(Judged[task("a")] == CrashEvidence::Strong);
+  }
+  CrashHistory History;
+  History.begin(task("a"), {"w0"}, Start);
+  History.setStarted(task("a"));
+  auto Judged = History.judge(silent("w0", 0ms, {unseen("a")}),
+                              {silent("w1", 1500ms, {seen("b", 5s)})}, Workers,
+                              Start + 3100ms);
+  CHECK(Judged[task("a")] == CrashEvidence::Proof);
+}
+
+// Guards against tasks that wait for trials after many workers went down
+// together, which no task can cause.
+TEST_CASE("Many crashes at one time make no suspects unless one job is on half "
+          "of the workers") {
+  for (bool IsOneJob : {false, true}) {
+    CrashHistory History;
+    std::vector<SilentWorker> Silent;
+    for (int Number = 1; Number < 8; ++Number)
+      Silent.push_back(
+          silent(fmt::format("w{}", Number), 0ms,
+                 {unseen(IsOneJob && Number < 5 ? "a" : fmt::to_string(Number),
+                         Number)}));
+    auto Judged = History.judge(silent("w0", 0ms, {unseen("a")}), Silent,
+                                Workers, Start + 3s);
+    CHECK(Judged[task("a")] ==
+          (IsOneJob ? CrashEvidence::Strong : CrashEvidence::Weak));
+  }
+}
+
+// Guards against a herd again and again that no longer makes suspects: then a
+// deadly task among many would never be one.
+TEST_CASE("A task under which two workers crashed in herds is a suspect") {
+  CrashRecord Record;
+  SilentWorker Crashed = silent("w0", 0ms, {unseen("a")});
+  CrashHistory::count(Record, Crashed.Runs[0], Crashed, CrashEvidence::Weak,
+                      false);
+  CHECK_FALSE(Record.IsSuspect);
+  CrashHistory::count(Record, Crashed.Runs[0], Crashed, CrashEvidence::Weak,
+                      false);
+  CHECK(Record.IsSuspect);
+}
+
+// Guards against tasks that crash workers until the end of the day: after three
+// crashes a task must not start three times more.
+TEST_CASE("A task that crashes each worker starts at most twice after the "
+          "third crash") {
+  for (milliseconds RunTime :
+       {0ms, 10ms, 250ms, 310ms, 500ms, 1000ms, 2000ms, 2900ms})
+    for (bool HasCompany : {false, true}) {
+      CAPTURE(RunTime.count());
+      CAPTURE(HasCompany);
+      CrashHistory History;
+      DeadlyTask Deadly{.RunTime = RunTime};
+      Deadly.runOn(History, 20, HasCompany);
+      CHECK(Deadly.Record.Crashes >= 2);
+      CHECK(Deadly.Starts <= 5);
+    }
+}
+
+TEST_CASE("A trial lasts longer than the runs under which workers crashed") {
+  CrashRecord Record;
+  CHECK(CrashHistory::trialTime(Record) == 300ms);
+  SilentWorker Crashed = silent("w0", 0ms, {seen("a", 2s)});
+  CrashHistory::count(Record, Crashed.Runs[0], Crashed, CrashEvidence::Weak,
+                      false);
+  CHECK(CrashHistory::trialTime(Record) == 3300ms);
+}
+
+// Guards against a count that begins anew whenever the owner is killed.
+TEST_CASE("Crashes that no owner saw are counted up to the bound") {
+  CrashRecord Record;
+  for (int Number = 0; Number < 3; ++Number) {
+    Record.Worker = "w0";
+    CHECK_FALSE(CrashHistory::countUnseen(Record));
+    CHECK(Record.IsSuspect);
+    CHECK(Record.Worker.empty());
+  }
+  CHECK(CrashHistory::countUnseen(Record));
+}
+
+TEST_CASE("Few trials are on workers that answer, and not many more in all") {
+  CrashHistory History;
+  CHECK(History.mayBegin(5, 0));
+  History.begin(task("a"), {"w0"}, Start);
+  CHECK_FALSE(History.mayBegin(5, 0));
+  CHECK(History.mayBegin(24, 0));
+  CHECK(History.mayBegin(5, 1));
+  History.begin(task("b"), {"w1"}, Start);
+  History.begin(task("c"), {"w2"}, Start);
+  CHECK_FALSE(History.mayBegin(24, 3));
+  CHECK(History.mayBegin(48, 0));
+  History.end(task("a"));
+  CHECK(History.mayBegin(24, 2));
+}
+
+TEST_CASE("Workers and jobs of trials are known until the trials end") {
+  CrashHistory History;
+  History.begin(task("a"), {"w0", "w1"}, Start);
+  History.addWorker(task("a"), "w2");
+  for (const char *Worker : {"w0", "w1", "w2"})
+    CHECK(History.isTrialWorker(Worker));
+  CHECK_FALSE(History.isTrialWorker("w3"));
+  CHECK(History.isTried("a"));
+  CHECK_FALSE(History.isTried("b"));
+  REQUIRE(History.trialOf(task("a")));
+  CHECK_FALSE(History.trialOf(task("a"))->HasStarted);
+  History.end(task("a"));
+  CHECK_FALSE(History.trialOf(task("a")));
+  CHECK_FALSE(History.isTrialWorker("w0"));
+}
