--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -102,6 +102,12 @@
   uint64_t LongTaskWaits = 0;
   /// Long-running tasks that were delegated to another shard.
   uint64_t Delegations = 0;
+  /// Crashes of workers that had runs, trials of tasks that may have caused
+  /// one, trials that the worker survived, and jobs that were given up.
+  uint64_t WorkerCrashes = 0;
+  uint64_t CrashTrials = 0;
+  uint64_t CrashTrialsSurvived = 0;
+  uint64_t CrashJobsGivenUp = 0;
   /// Orders that set the pace of a fill task.
   uint64_t PaceOrders = 0;
   /// Workers for whose answer ready tasks wait after the takeover, and the
--- a/src/libbasilchute/crashhistory.cpp
+++ b/src/libbasilchute/crashhistory.cpp
@@ -1,6 +1,7 @@
 #include "libbasilchute/crashhistory.h"
 
 #include <algorithm>
+#include <optional>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -31,19 +32,30 @@
 /// as the cause.
 constexpr size_t HerdPart = 6;
 constexpr size_t MinHerd = 3;
-/// One trial for this many workers may be on workers that answer. A worker that
-/// crashed in a trial is away for some seconds, so that more trials are allowed
-/// in all.
-constexpr size_t WorkersPerTrial = 12;
-constexpr size_t WorkersPerAnyTrial = 8;
+/// The trials on workers that answer may be expected to crash one of this many
+/// workers. A worker that crashed in a trial is away for some seconds, so that
+/// more trials are allowed in all.
+constexpr double WorkersPerCrash = 12;
+constexpr double WorkersPerAnyCrash = 8;
+constexpr double MinAnyCrashes = 3;
+/// Nothing else starts on the workers of trials, so that few may have one.
+constexpr size_t WorkersPerTrial = 4;
 constexpr size_t MinTrials = 3;
+constexpr double RoundingMargin = 0.001;
 
-/// Returns true if no job has unseen runs on at least half of the workers.
-bool isHerd(const SilentWorker &Crashed,
-            const std::vector<const SilentWorker *> &Others, size_t Workers) {
+/// Returns true if \p Part of \p Count workers are so many that a common cause
+/// must have crashed them.
+bool isMost(size_t Part, size_t Count) { return Part * 4 >= Count * 3; }
+
+/// Returns the jobs that can have crashed \p Crashed if \p Others crashed at
+/// the same time: those with unseen runs on most of the workers. None if so few
+/// crashed that they can have crashed independently.
+std::optional<std::set<std::string>>
+commonJobs(const SilentWorker &Crashed,
+           const std::vector<const SilentWorker *> &Others, size_t Workers) {
   size_t Count = Others.size() + 1;
   if (Count < std::max(MinHerd, Workers / HerdPart))
-    return false;
+    return std::nullopt;
   std::map<std::string, size_t> WorkersOf;
   auto AddJobs = [&](const SilentWorker &Worker) {
     std::set<std::string> Jobs;
@@ -56,9 +68,11 @@
   AddJobs(Crashed);
   for (const SilentWorker *Other : Others)
     AddJobs(*Other);
-  return std::none_of(
-      WorkersOf.begin(), WorkersOf.end(),
-      [Count](const auto &Entry) { return Entry.second * 2 >= Count; });
+  std::set<std::string> Out;
+  for (const auto &[Job, Part] : WorkersOf)
+    if (isMost(Part, Count))
+      Out.insert(Job);
+  return Out;
 }
 
 } // namespace
@@ -92,8 +106,9 @@
     return Recent.first + RecentCrash < Now;
   });
   std::vector<const SilentWorker *> Others = crashedWith(Crashed, Silent);
-  bool InHerd = isHerd(Crashed, Others, Workers);
-  bool HasOtherCause = InHerd || std::any_of(Others.begin(), Others.end(),
+  std::optional<std::set<std::string>> Common =
+      commonJobs(Crashed, Others, Workers);
+  bool HasOtherCause = Common || std::any_of(Others.begin(), Others.end(),
                                              [](const auto *Other) {
                                                return !Other->hasUnseenRuns();
                                              });
@@ -113,7 +128,8 @@
       Evidence = IsOnly && !HasOtherCause ? CrashEvidence::Proof
                                           : CrashEvidence::Strong;
     else if (Run.isUnseen())
-      Evidence = InHerd ? CrashEvidence::Weak : CrashEvidence::Strong;
+      Evidence = !Common || Common->count(Run.Task.Job) ? CrashEvidence::Strong
+                                                        : CrashEvidence::Weak;
     else if (Run.KnownAge < (Run.Crashes > 0 ? YoungAgeOfCounted : YoungAge))
       Evidence = CrashEvidence::Weak;
     if (Evidence == CrashEvidence::None)
@@ -144,7 +160,10 @@
 
 bool CrashHistory::count(CrashRecord &Record, const ExposedRun &Run,
                          const SilentWorker &Crashed, CrashEvidence Evidence,
-                         bool WasTrial) {
+                         size_t Suspects, bool WasTrial) {
+  double Weight = 1.0 / static_cast<double>(std::max<size_t>(Suspects, 1));
+  Record.Weight =
+      Record.Crashes > 0 ? std::min(1.0, Record.Weight + Weight) : Weight;
   ++Record.Crashes;
   Record.Worker.clear();
   Record.Incarnation = milliseconds(0);
@@ -164,6 +183,7 @@
 bool CrashHistory::countUnseen(CrashRecord &Record) {
   ++Record.Crashes;
   Record.IsSuspect = true;
+  Record.Weight = 1;
   Record.Worker.clear();
   Record.Incarnation = milliseconds(0);
   return Record.Crashes >= UnprovenCrashes;
@@ -171,6 +191,7 @@
 
 void CrashHistory::clear(CrashRecord &Record) {
   Record.IsSuspect = false;
+  Record.Weight = 0;
   Record.Worker.clear();
   Record.Incarnation = milliseconds(0);
 }
@@ -181,15 +202,30 @@
   return UnseenAge + Record.RunAge * 3 / 2;
 }
 
-bool CrashHistory::mayBegin(size_t Workers, size_t Silent) const {
-  size_t Answering = m_trials.size() - std::min(m_trials.size(), Silent);
-  return Answering < std::max<size_t>(1, Workers / WorkersPerTrial) &&
-         m_trials.size() < std::max(MinTrials, Workers / WorkersPerAnyTrial);
+// All suspects of one crash may be tried at once, since one of them at most
+// crashes its worker again.
+bool CrashHistory::mayBegin(const CrashRecord &Record, size_t Workers,
+                            const std::set<std::string> &Silent) const {
+  double Answering = Record.Weight;
+  double Any = Record.Weight;
+  for (const auto &[Task, Trial] : m_trials) {
+    bool IsSilent = std::any_of(
+        Trial.Workers.begin(), Trial.Workers.end(),
+        [&](const std::string &Worker) { return Silent.count(Worker) > 0; });
+    Answering += IsSilent ? 0 : Trial.Weight;
+    Any += IsSilent ? 1 : Trial.Weight;
+  }
+  auto Count = static_cast<double>(Workers);
+  return Answering <= std::max(1.0, Count / WorkersPerCrash) + RoundingMargin &&
+         Any <= std::max(MinAnyCrashes, Count / WorkersPerAnyCrash) +
+                    RoundingMargin &&
+         m_trials.size() < std::max(MinTrials, Workers / WorkersPerTrial);
 }
 
 void CrashHistory::begin(const TaskName &Task, std::set<std::string> Workers,
-                         TimePoint Now) {
-  m_trials[Task] = {.Workers = std::move(Workers), .Since = Now};
+                         double Weight, TimePoint Now) {
+  m_trials[Task] = {
+      .Workers = std::move(Workers), .Since = Now, .Weight = Weight};
 }
 
 void CrashHistory::setStarted(const TaskName &Task) {
--- a/src/libbasilchute/crashhistory.h
+++ b/src/libbasilchute/crashhistory.h
@@ -27,6 +27,9 @@
   /// owner that finds another incarnation there counts a crash.
   std::string Worker;
   milliseconds Incarnation{0};
+  /// Probability with which the suspect crashes its worker, as far as it is
+  /// known. Not stored.
+  double Weight = 1;
 
   bool operator==(const CrashRecord &) const = default;
 };
@@ -86,6 +89,8 @@
 struct CrashTrial {
   std::set<std::string> Workers;
   TimePoint Since{};
+  /// Weight of the suspect.
+  double Weight = 1;
   /// False until the start orders are sent.
   bool HasStarted = false;
 };
@@ -107,10 +112,11 @@
   judge(const SilentWorker &Crashed, const std::vector<SilentWorker> &Silent,
         size_t Workers, TimePoint Now);
   /// Counts a crash with \p Evidence other than None. \p Run is one of the runs
-  /// of \p Crashed. Returns true if the task is to be given up.
+  /// of \p Crashed, \p Suspects the number of tasks with as much evidence.
+  /// Returns true if the task is to be given up.
   static bool count(CrashRecord &Record, const ExposedRun &Run,
                     const SilentWorker &Crashed, CrashEvidence Evidence,
-                    bool WasTrial);
+                    size_t Suspects, bool WasTrial);
   /// Counts a crash that a previous owner did not see, on the worker that the
   /// record names. Returns true if the task is to be given up.
   static bool countUnseen(CrashRecord &Record);
@@ -119,10 +125,11 @@
   /// Returns the time after which a trial counts as survived.
   static milliseconds trialTime(const CrashRecord &Record);
 
-  /// Returns true if another trial may begin in a shard of \p Workers workers;
-  /// \p Silent of the workers with trials do not answer.
-  bool mayBegin(size_t Workers, size_t Silent) const;
-  void begin(const TaskName &Task, std::set<std::string> Workers,
+  /// Returns true if the trial of a suspect may begin in a shard of \p Workers
+  /// workers, of which \p Silent do not answer.
+  bool mayBegin(const CrashRecord &Record, size_t Workers,
+                const std::set<std::string> &Silent) const;
+  void begin(const TaskName &Task, std::set<std::string> Workers, double Weight,
              TimePoint Now);
   /// Records that the start orders are sent.
   void setStarted(const TaskName &Task);
--- a/src/libbasilchute/crashhistory_test.cpp
+++ b/src/libbasilchute/crashhistory_test.cpp
@@ -61,7 +61,7 @@
       bool IsTrial = Record.IsSuspect;
       bool Survives = IsTrial && RunTime >= CrashHistory::trialTime(Record);
       if (IsTrial) {
-        History.begin(task("deadly"), {Id}, Start + At);
+        History.begin(task("deadly"), {Id}, 1, Start + At);
         History.setStarted(task("deadly"));
       }
       if (Survives) {
@@ -76,8 +76,9 @@
       auto Judged = History.judge(Crashed, {}, Workers, Start + At + 3s);
       History.end(task("deadly"));
       if (Judged.count(task("deadly")))
-        IsGivenUp = CrashHistory::count(Record, Run, Crashed,
-                                        Judged[task("deadly")], IsTrial);
+        IsGivenUp =
+            CrashHistory::count(Record, Run, Crashed, Judged[task("deadly")],
+                                Judged.size(), IsTrial);
     }
   }
 };
@@ -109,7 +110,7 @@
         History.judge(Crashed, {}, Workers, Start + 10s * Number + 3s);
     REQUIRE(Judged[task("innocent")] == CrashEvidence::Strong);
     CHECK_FALSE(CrashHistory::count(Record, Crashed.Runs[0], Crashed,
-                                    Judged[task("innocent")], false));
+                                    Judged[task("innocent")], 2, false));
     CHECK(Record.IsSuspect);
     CrashHistory::clear(Record);
     CHECK_FALSE(Record.IsSuspect);
@@ -124,33 +125,33 @@
   SilentWorker First = silent("w0", 0s, {unseen("deadly"), unseen("innocent")});
   auto Judged = History.judge(First, {}, Workers, Start + 3s);
   CHECK_FALSE(CrashHistory::count(Record, First.Runs[0], First,
-                                  Judged[task("deadly")], false));
-  History.begin(task("deadly"), {"w1"}, Start + 4s);
+                                  Judged[task("deadly")], 2, false));
+  History.begin(task("deadly"), {"w1"}, 1, Start + 4s);
   History.setStarted(task("deadly"));
   SilentWorker Second = silent("w1", 4s, {unseen("deadly"), seen("other", 2s)});
   Judged = History.judge(Second, {}, Workers, Start + 7s);
   CHECK(Judged[task("deadly")] == CrashEvidence::Proof);
   CHECK(Judged[task("other")] == CrashEvidence::Weak);
   CHECK(CrashHistory::count(Record, Second.Runs[0], Second,
-                            Judged[task("deadly")], true));
+                            Judged[task("deadly")], 1, true));
   CHECK(Record.Crashes == 2);
 }
 
 TEST_CASE("A first crash gives no task up, even in a trial") {
   CrashHistory History;
   CrashRecord Record;
-  History.begin(task("a"), {"w0"}, Start);
+  History.begin(task("a"), {"w0"}, 1, Start);
   History.setStarted(task("a"));
   SilentWorker Crashed = silent("w0", 0s, {unseen("a")});
   auto Judged = History.judge(Crashed, {}, Workers, Start + 3s);
   CHECK_FALSE(CrashHistory::count(Record, Crashed.Runs[0], Crashed,
-                                  Judged[task("a")], true));
+                                  Judged[task("a")], 1, true));
 }
 
 // Guards against a trial that had not started, or on another worker, as proof.
 TEST_CASE("Only the workers of a started trial prove anything") {
   CrashHistory History;
-  History.begin(task("a"), {"w0"}, Start);
+  History.begin(task("a"), {"w0"}, 1, Start);
   CHECK(judgeOne(History, "w0", 0s, {unseen("a")})[task("a")] ==
         CrashEvidence::Strong);
   History.setStarted(task("a"));
@@ -168,7 +169,7 @@
           "crashes at the same time") {
   for (bool IsFoundBefore : {false, true}) {
     CrashHistory History;
-    History.begin(task("a"), {"w0"}, Start);
+    History.begin(task("a"), {"w0"}, 1, Start);
     History.setStarted(task("a"));
     SilentWorker Other = silent("w1", 400ms, {seen("b", 5s)});
     if (IsFoundBefore)
@@ -181,7 +182,7 @@
     CHECK(Judged[task("a")] == CrashEvidence::Strong);
   }
   CrashHistory History;
-  History.begin(task("a"), {"w0"}, Start);
+  History.begin(task("a"), {"w0"}, 1, Start);
   History.setStarted(task("a"));
   auto Judged = History.judge(silent("w0", 0ms, {unseen("a")}),
                               {silent("w1", 1500ms, {seen("b", 5s)})}, Workers,
@@ -191,15 +192,16 @@
 
 // Guards against tasks that wait for trials after many workers went down
 // together, which no task can cause.
-TEST_CASE("Many crashes at one time make no suspects unless one job is on half "
-          "of the workers") {
+TEST_CASE(
+    "Many crashes at one time make suspects only of a job that is on most "
+    "of the workers") {
   for (bool IsOneJob : {false, true}) {
     CrashHistory History;
     std::vector<SilentWorker> Silent;
     for (int Number = 1; Number < 8; ++Number)
       Silent.push_back(
           silent(fmt::format("w{}", Number), 0ms,
-                 {unseen(IsOneJob && Number < 5 ? "a" : fmt::to_string(Number),
+                 {unseen(IsOneJob && Number < 6 ? "a" : fmt::to_string(Number),
                          Number)}));
     auto Judged = History.judge(silent("w0", 0ms, {unseen("a")}), Silent,
                                 Workers, Start + 3s);
@@ -213,10 +215,10 @@
 TEST_CASE("A task under which two workers crashed in herds is a suspect") {
   CrashRecord Record;
   SilentWorker Crashed = silent("w0", 0ms, {unseen("a")});
-  CrashHistory::count(Record, Crashed.Runs[0], Crashed, CrashEvidence::Weak,
+  CrashHistory::count(Record, Crashed.Runs[0], Crashed, CrashEvidence::Weak, 1,
                       false);
   CHECK_FALSE(Record.IsSuspect);
-  CrashHistory::count(Record, Crashed.Runs[0], Crashed, CrashEvidence::Weak,
+  CrashHistory::count(Record, Crashed.Runs[0], Crashed, CrashEvidence::Weak, 1,
                       false);
   CHECK(Record.IsSuspect);
 }
@@ -242,7 +244,7 @@
   CrashRecord Record;
   CHECK(CrashHistory::trialTime(Record) == 300ms);
   SilentWorker Crashed = silent("w0", 0ms, {seen("a", 2s)});
-  CrashHistory::count(Record, Crashed.Runs[0], Crashed, CrashEvidence::Weak,
+  CrashHistory::count(Record, Crashed.Runs[0], Crashed, CrashEvidence::Weak, 1,
                       false);
   CHECK(CrashHistory::trialTime(Record) == 3300ms);
 }
@@ -261,22 +263,44 @@
 
 TEST_CASE("Few trials are on workers that answer, and not many more in all") {
   CrashHistory History;
-  CHECK(History.mayBegin(5, 0));
-  History.begin(task("a"), {"w0"}, Start);
-  CHECK_FALSE(History.mayBegin(5, 0));
-  CHECK(History.mayBegin(24, 0));
-  CHECK(History.mayBegin(5, 1));
-  History.begin(task("b"), {"w1"}, Start);
-  History.begin(task("c"), {"w2"}, Start);
-  CHECK_FALSE(History.mayBegin(24, 3));
-  CHECK(History.mayBegin(48, 0));
+  CrashRecord Record{.Weight = 1};
+  CHECK(History.mayBegin(Record, 5, {}));
+  History.begin(task("a"), {"w0"}, 1, Start);
+  CHECK_FALSE(History.mayBegin(Record, 5, {}));
+  CHECK(History.mayBegin(Record, 24, {}));
+  CHECK(History.mayBegin(Record, 5, {"w0"}));
+  History.begin(task("b"), {"w1"}, 1, Start);
+  History.begin(task("c"), {"w2"}, 1, Start);
+  CHECK_FALSE(History.mayBegin(Record, 24, {"w0", "w1", "w2"}));
+  CHECK(History.mayBegin(Record, 48, {}));
   History.end(task("a"));
-  CHECK(History.mayBegin(24, 2));
+  CHECK(History.mayBegin(Record, 24, {"w1", "w2"}));
+}
+
+// Guards against innocent tasks that wait for long: of the suspects of one
+// crash, one at most crashes a worker again.
+TEST_CASE("The suspects of one crash are tried at the same time") {
+  CrashHistory History;
+  SilentWorker Crashed = silent("w0", 0ms, {});
+  for (int Index = 0; Index < 5; ++Index)
+    Crashed.Runs.push_back(unseen("a", Index));
+  for (int Index = 0; Index < 5; ++Index) {
+    CrashRecord Record;
+    CrashHistory::count(Record, Crashed.Runs[static_cast<size_t>(Index)],
+                        Crashed, CrashEvidence::Strong, 5, false);
+    CHECK(History.mayBegin(Record, 24, {}));
+    History.begin(task("a", Index), {fmt::format("w{}", Index + 1)},
+                  Record.Weight, Start);
+  }
+  CHECK(History.mayBegin({.Weight = 1}, 24, {}));
+  CHECK_FALSE(History.mayBegin({.Weight = 1}, 12, {}));
+  History.begin(task("b"), {"w6"}, 1, Start);
+  CHECK_FALSE(History.mayBegin({.Weight = 0.1}, 24, {}));
 }
 
 TEST_CASE("Workers and jobs of trials are known until the trials end") {
   CrashHistory History;
-  History.begin(task("a"), {"w0", "w1"}, Start);
+  History.begin(task("a"), {"w0", "w1"}, 1, Start);
   History.addWorker(task("a"), "w2");
   for (const char *Worker : {"w0", "w1", "w2"})
     CHECK(History.isTrialWorker(Worker));
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -39,6 +39,7 @@
     Task.LastRun = Progress.Run + RunGap;
     Task.FailedRuns = {Progress.FailedRuns.begin(), Progress.FailedRuns.end()};
     Task.Checkpoint = Progress.Checkpoint;
+    Task.Crash = Progress.Crash;
     m_hasStarted = true;
     if (Progress.Done)
       finish(Progress.Position);
@@ -56,7 +57,8 @@
          .Run = Task.LastRun,
          .FailedRuns = {Task.FailedRuns.begin(), Task.FailedRuns.end()},
          .Done = Task.Phase == TaskPhase::Done,
-         .Checkpoint = Task.Checkpoint});
+         .Checkpoint = Task.Checkpoint,
+         .Crash = Task.Crash});
   }
   return Out;
 }
@@ -108,6 +110,14 @@
   });
 }
 
+int JobEntry::crashPosition(int Position) const {
+  int Within = Position % m_tasksPerOccurrence;
+  int Step = m_stepOfTask[static_cast<size_t>(Within)];
+  if (!Spec.Steps[static_cast<size_t>(Step)].Gang)
+    return Position;
+  return Position - Within + m_firstTaskOfStep[static_cast<size_t>(Step)];
+}
+
 std::vector<int> JobEntry::groupPositions(int Position) const {
   int Within = Position % m_tasksPerOccurrence;
   int Step = m_stepOfTask[static_cast<size_t>(Within)];
@@ -152,6 +162,8 @@
   std::set<int> &Target = IsStored ? m_storedRestarts : m_unstoredRestarts;
   Target.merge(m_restartsInCommit);
   m_restartsInCommit.clear();
+  if (IsStored)
+    m_storedCommit = m_commitsSent;
 }
 
 void JobEntry::clearRestart(int Position) {
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -6,6 +6,7 @@
 #include "basilchute/clock.h"
 #include "basilchute/job.h"
 #include "basilchute/taskworker.h"
+#include "libbasilchute/crashhistory.h"
 #include "libbasilchute/jobrows.h"
 
 #include <optional>
@@ -42,6 +43,9 @@
   int StoredRun = 0;
   /// Number of runs that were stopped because they lagged.
   int SlowStops = 0;
+  /// Crashes of workers under the task. For a member of a gang only the worker
+  /// and incarnation are its own.
+  CrashRecord Crash;
   /// When the task became ready, or ready again after a run ended.
   TimePoint WaitingSince{};
 };
@@ -107,6 +111,9 @@
   bool isRestart(int Position) const;
   /// Returns true if all tasks of all preceding steps are done.
   bool isReady(int Position) const;
+  /// Returns the position whose crash record counts for the task: its own, or
+  /// that of the gang's first member.
+  int crashPosition(int Position) const;
   /// Returns the positions of all tasks of the same group.
   std::vector<int> groupPositions(int Position) const;
   /// Returns the time since 1970 at which the task's occurrence is due, or zero
@@ -127,8 +134,15 @@
   }
   /// Must be called when a commit of the progress is sent, and when it has
   /// succeeded or failed.
-  void onCommitSent() { m_restartsInCommit.swap(m_unstoredRestarts); }
+  void onCommitSent() {
+    m_restartsInCommit.swap(m_unstoredRestarts);
+    ++m_commitsSent;
+  }
   void onCommitEnded(bool IsStored);
+  /// Returns the number of the next commit of the progress, and whether that
+  /// commit or a later one has succeeded.
+  uint64_t nextCommit() const { return m_commitsSent + 1; }
+  bool isStored(uint64_t Commit) const { return m_storedCommit >= Commit; }
   /// Must be called when the task is started.
   void clearRestart(int Position);
   /// Marks the task done. A long-running task that another shard runs counts as
@@ -166,6 +180,9 @@
   /// Number of all tasks that are not done.
   int m_tasksLeft = 0;
   bool m_hasStarted = false;
+  /// Number of the last commit that was sent, and of the last that succeeded.
+  uint64_t m_commitsSent = 0;
+  uint64_t m_storedCommit = 0;
   /// Tasks that may start again once the next commit, or the present one, has
   /// succeeded, and those for which one has.
   std::set<int> m_unstoredRestarts;
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -7,6 +7,7 @@
 #include "basilchute/job.h"
 #include "basilchute/result.h"
 #include "basilchute/rowstore.h"
+#include "libbasilchute/crashhistory.h"
 
 #include <map>
 #include <optional>
@@ -23,6 +24,7 @@
   std::vector<int> FailedRuns;
   bool Done = false;
   std::string Checkpoint;
+  CrashRecord Crash;
 };
 
 /// Stored progress of a job.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -237,6 +237,8 @@
   }
   if (isFinal(Entry.State))
     return;
+  if (Stored)
+    restoreCrashes(Entry);
   if (!Stored)
     log("job_seen",
         fmt::format("job={} queue={} shard={} tasks={}", Spec.Id, Spec.Queue,
@@ -268,6 +270,7 @@
   markDirty(Entry);
   m_waiting.erase(Entry.Spec.Id);
   m_approvals.forget(Entry.Spec.Id);
+  endTrialsOf(Entry.Spec.Id);
   for (int Group : Entry.Groups)
     m_interference.forget(Group);
   if (State != JobState::Completed)
--- /dev/null
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -0,0 +1,317 @@
+#include "libbasilchute/jobshard_impl.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+namespace {
+
+/// Maximum number of tasks that a log line names.
+constexpr size_t MaxLoggedTasks = 8;
+/// A start order may be answered by another incarnation, whose clock begins
+/// anew; answers may overtake each other by less than this.
+constexpr milliseconds MaxClockStepBack{1000};
+
+} // namespace
+
+std::pair<JobEntry *, int> JobShard::Impl::findRunning(const TaskName &Task) {
+  JobEntry *Entry = find(Task.Job);
+  if (!Entry || isFinal(Entry->State))
+    return {nullptr, -1};
+  int Position = Entry->positionOf(Task);
+  return {Position < 0 ? nullptr : Entry, Position};
+}
+
+SilentWorker JobShard::Impl::silentWorker(const WorkerSlot &Slot) {
+  SilentWorker Out{.Id = Slot.Entry.Id,
+                   .AliveAt = Slot.AliveAt,
+                   .SilentAt = Slot.SilentAt == TimePoint{} ? m_time.now()
+                                                            : Slot.SilentAt,
+                   .Runs = Slot.LostRuns};
+  for (const auto &[Key, Run] : Slot.Runs) {
+    auto [Entry, Position] = findRunning(Key.first);
+    if (!Entry)
+      continue;
+    Out.Runs.push_back({.Task = crashUnit(*Entry, Position),
+                        .KnownAge = Slot.knownAge(Run),
+                        .MaxAge = std::chrono::duration_cast<milliseconds>(
+                            Out.SilentAt - Run.ObservedSince),
+                        .Crashes = crashRecord(*Entry, Position).Crashes});
+  }
+  return Out;
+}
+
+std::vector<SilentWorker>
+JobShard::Impl::otherSilentWorkers(const WorkerSlot &Slot) {
+  std::vector<SilentWorker> Out;
+  for (const auto &[Id, Other] : m_slots) {
+    bool IsSilent = Other.MissedPolls > 0 && !Other.Entry.IsDraining &&
+                    Id != Slot.Entry.Id && Other.Incarnation.count() != 0;
+    if (IsSilent)
+      Out.push_back(silentWorker(Other));
+  }
+  return Out;
+}
+
+// A worker that is draining ends as planned.
+std::vector<JobEntry *> JobShard::Impl::countCrash(WorkerSlot &Slot,
+                                                   std::string_view Why) {
+  std::vector<JobEntry *> GivenUp;
+  if (Slot.Entry.IsDraining) {
+    resolveExposures(Slot, Slot.Incarnation);
+    return GivenUp;
+  }
+  SilentWorker Crashed = silentWorker(Slot);
+  std::map<TaskName, CrashEvidence> Judged = m_crashes.judge(
+      Crashed, otherSilentWorkers(Slot), m_slots.size(), m_time.now());
+  if (!Crashed.Runs.empty()) {
+    ++m_counts.WorkerCrashes;
+    logCrash(Crashed, Why, Judged);
+  }
+  for (const auto &[Unit, Evidence] : Judged) {
+    auto [Entry, Position] = findRunning(Unit);
+    if (!Entry)
+      continue;
+    auto Run = std::min_element(
+        Crashed.Runs.begin(), Crashed.Runs.end(),
+        [&Name = Unit](const ExposedRun &A, const ExposedRun &B) {
+          return std::pair(A.Task != Name, A.KnownAge) <
+                 std::pair(B.Task != Name, B.KnownAge);
+        });
+    const CrashTrial *Trial = m_crashes.trialOf(Unit);
+    bool WasTrial =
+        Trial && Trial->HasStarted && Trial->Workers.count(Slot.Entry.Id);
+    CrashRecord &Record = crashRecord(*Entry, Position);
+    for (int Member : trialPositions(*Entry, Position))
+      if (Entry->Tasks[static_cast<size_t>(Member)].Crash.Worker ==
+          Slot.Entry.Id)
+        clearExposure(*Entry, Member);
+    size_t Suspects = std::count_if(Judged.begin(), Judged.end(),
+                                    [Found = Evidence](const auto &Other) {
+                                      return Other.second >= Found;
+                                    });
+    if (CrashHistory::count(Record, *Run, Crashed, Evidence, Suspects,
+                            WasTrial))
+      GivenUp.push_back(Entry);
+    markDirty(*Entry);
+    if (Record.IsSuspect)
+      m_suspects.insert(Unit);
+    if (WasTrial)
+      endTrial(Unit, "crashed");
+  }
+  return GivenUp;
+}
+
+// The job's task with the most crashes is the cause.
+void JobShard::Impl::giveUp(JobEntry &Entry) {
+  if (isFinal(Entry.State))
+    return;
+  int Worst = 0;
+  for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
+       ++Position)
+    if (crashRecord(Entry, Position).Crashes >
+        crashRecord(Entry, Worst).Crashes)
+      Worst = Position;
+  TaskName Task = Entry.nameOf(Worst);
+  int Crashes = crashRecord(Entry, Worst).Crashes;
+  ++m_counts.CrashJobsGivenUp;
+  log("task_given_up", fmt::format("job={} step={} index={} crashes={}",
+                                   Task.Job, Task.Step, Task.Index, Crashes));
+  endJob(Entry, JobState::Failed,
+         fmt::format("\"{} workers crashed under task {}.{}\"", Crashes,
+                     Task.Step, Task.Index));
+}
+
+void JobShard::Impl::logCrash(
+    const SilentWorker &Crashed, std::string_view Why,
+    const std::map<TaskName, CrashEvidence> &Judged) const {
+  std::string Tasks;
+  size_t Named = 0;
+  for (CrashEvidence Evidence :
+       {CrashEvidence::Proof, CrashEvidence::Strong, CrashEvidence::Weak})
+    for (const auto &[Task, Found] : Judged) {
+      if (Found != Evidence || Named == MaxLoggedTasks)
+        continue;
+      ++Named;
+      Tasks += fmt::format("{}{}.{}.{}.{}:{}", Tasks.empty() ? "" : ",",
+                           Task.Job, Task.Occurrence, Task.Step, Task.Index,
+                           crashEvidenceName(Evidence));
+    }
+  log("worker_crashed",
+      fmt::format("worker={} shard={} why={} runs={} suspects={} tasks={} "
+                  "silent_ms={}",
+                  Crashed.Id, m_options.Shard, Why, Crashed.Runs.size(),
+                  Judged.size(), Tasks.empty() ? "-" : Tasks,
+                  (m_time.now() - Crashed.SilentAt) / milliseconds(1)));
+}
+
+// An owner that is killed before the worker is back leaves this to the next.
+void JobShard::Impl::storeExposures(WorkerSlot &Slot) {
+  const std::string &Id = Slot.Entry.Id;
+  auto HandedOver = m_handedOver.find(Id);
+  if (HandedOver != m_handedOver.end()) {
+    for (const TaskName &Task : HandedOver->second.Tasks)
+      if (auto [Entry, Position] = findRunning(Task); Entry)
+        setExposure(*Entry, Position, Id, HandedOver->second.Incarnation);
+    m_handedOver.erase(HandedOver);
+  }
+  if (Slot.Entry.IsDraining || Slot.Incarnation.count() == 0)
+    return;
+  for (const auto &[Key, Run] : Slot.Runs) {
+    auto [Entry, Position] = findRunning(Key.first);
+    if (!Entry || !ExposedRun{.KnownAge = Slot.knownAge(Run)}.isUnseen())
+      continue;
+    setExposure(*Entry, Position, Id, Slot.Incarnation);
+  }
+}
+
+void JobShard::Impl::setExposure(JobEntry &Entry, int Position,
+                                 const std::string &Worker,
+                                 milliseconds Incarnation) {
+  CrashRecord &Record = Entry.Tasks[static_cast<size_t>(Position)].Crash;
+  m_exposed[Worker].insert(Entry.nameOf(Position));
+  if (Record.Worker == Worker && Record.Incarnation == Incarnation)
+    return;
+  Record.Worker = Worker;
+  Record.Incarnation = Incarnation;
+  markDirty(Entry);
+}
+
+void JobShard::Impl::clearExposure(JobEntry &Entry, int Position) {
+  CrashRecord &Record = Entry.Tasks[static_cast<size_t>(Position)].Crash;
+  Record.Worker.clear();
+  Record.Incarnation = milliseconds(0);
+  markDirty(Entry);
+}
+
+// Runs that this owner knows were judged when it lost the incarnation.
+void JobShard::Impl::resolveExposures(WorkerSlot &Slot,
+                                      milliseconds Incarnation) {
+  resolveHandedOver(Slot, Incarnation);
+  const std::string &Id = Slot.Entry.Id;
+  auto Exposed = m_exposed.find(Id);
+  if (Exposed == m_exposed.end())
+    return;
+  std::set<TaskName> Tasks = std::move(Exposed->second);
+  m_exposed.erase(Exposed);
+  for (const TaskName &Task : Tasks) {
+    auto [Entry, Position] = findRunning(Task);
+    if (!Entry)
+      continue;
+    const CrashRecord &Record =
+        Entry->Tasks[static_cast<size_t>(Position)].Crash;
+    if (Record.Worker != Id)
+      continue;
+    // The worker of a trial is named until the trial ends.
+    if (m_crashes.trialOf(crashUnit(*Entry, Position))) {
+      m_exposed[Id].insert(Task);
+      continue;
+    }
+    bool HasCrashed = Record.Incarnation != Incarnation;
+    clearExposure(*Entry, Position);
+    if (HasCrashed)
+      countEarlierCrash(*Entry, Position, Id);
+  }
+}
+
+void JobShard::Impl::resolveHandedOver(const WorkerSlot &Slot,
+                                       milliseconds Incarnation) {
+  auto HandedOver = m_handedOver.find(Slot.Entry.Id);
+  if (HandedOver == m_handedOver.end())
+    return;
+  bool HasCrashed = HandedOver->second.Incarnation != Incarnation;
+  std::set<TaskName> Tasks = std::move(HandedOver->second.Tasks);
+  m_handedOver.erase(HandedOver);
+  for (const TaskName &Task : Tasks) {
+    auto [Entry, Position] = findRunning(Task);
+    if (!Entry || !HasCrashed)
+      continue;
+    CrashRecord &Record = Entry->Tasks[static_cast<size_t>(Position)].Crash;
+    if (Record.Worker == Slot.Entry.Id)
+      clearExposure(*Entry, Position);
+    countEarlierCrash(*Entry, Position, Slot.Entry.Id);
+  }
+}
+
+void JobShard::Impl::countEarlierCrash(JobEntry &Entry, int Position,
+                                       const std::string &Worker) {
+  TaskName Unit = crashUnit(Entry, Position);
+  bool IsGivenUp = CrashHistory::countUnseen(crashRecord(Entry, Position));
+  m_suspects.insert(Unit);
+  markDirty(Entry);
+  ++m_counts.WorkerCrashes;
+  log("worker_crashed",
+      fmt::format("worker={} shard={} why=before_takeover runs=1 suspects=1 "
+                  "tasks={}.{}.{}.{}:strong",
+                  Worker, m_options.Shard, Unit.Job, Unit.Occurrence, Unit.Step,
+                  Unit.Index));
+  if (IsGivenUp)
+    giveUp(Entry);
+}
+
+void JobShard::Impl::restoreCrashes(const JobEntry &Entry) {
+  for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
+       ++Position) {
+    const CrashRecord &Record =
+        Entry.Tasks[static_cast<size_t>(Position)].Crash;
+    if (Record.IsSuspect)
+      m_suspects.insert(Entry.nameOf(Position));
+    if (!Record.Worker.empty())
+      m_exposed[Record.Worker].insert(Entry.nameOf(Position));
+  }
+}
+
+void JobShard::Impl::onStartSeen(WorkerSlot &Slot, ReservedRun &Run,
+                                 milliseconds Clock) {
+  if (Clock + MaxClockStepBack < Slot.AliveClock)
+    return;
+  Slot.setAlive(Clock, m_time.now());
+  if (!Run.SeenAtClock)
+    Run.SeenAtClock = Clock;
+}
+
+// All members of a gang must last.
+void JobShard::Impl::onSuspectSeen(JobEntry &Entry, int Position) {
+  if (!isSuspect(Entry, Position))
+    return;
+  milliseconds Needed = CrashHistory::trialTime(crashRecord(Entry, Position));
+  for (int Member : trialPositions(Entry, Position)) {
+    const TaskState &Task = Entry.Tasks[static_cast<size_t>(Member)];
+    auto Slot = m_slots.find(Task.Worker);
+    if (Task.Phase != TaskPhase::Placed || Slot == m_slots.end())
+      return;
+    auto Run = Slot->second.Runs.find({Entry.nameOf(Member), Task.LastRun});
+    bool HasLasted = Run != Slot->second.Runs.end() &&
+                     Run->second.Phase == RunPhase::Running &&
+                     Slot->second.MissedPolls == 0 &&
+                     Slot->second.knownAge(Run->second) >= Needed;
+    if (!HasLasted)
+      return;
+  }
+  clearSuspicion(Entry, Position);
+}
+
+// A run that is stopped, or ends with another member of its gang, shows
+// nothing.
+void JobShard::Impl::onSuspectEnded(JobEntry &Entry, int Position,
+                                    RunOutcome Outcome) {
+  bool EndedByItself =
+      Outcome == RunOutcome::Done || Outcome == RunOutcome::Failed;
+  if (EndedByItself && !isFinal(Entry.State) && isSuspect(Entry, Position))
+    clearSuspicion(Entry, Position);
+}
+
+void JobShard::Impl::clearSuspicion(JobEntry &Entry, int Position) {
+  TaskName Unit = crashUnit(Entry, Position);
+  for (int Member : trialPositions(Entry, Position))
+    clearExposure(Entry, Member);
+  CrashHistory::clear(crashRecord(Entry, Position));
+  m_suspects.erase(Unit);
+  if (m_crashes.trialOf(Unit)) {
+    ++m_counts.CrashTrialsSurvived;
+    endTrial(Unit, "survived");
+  }
+}
+
+BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -44,7 +44,7 @@
   for (int Position : m_waiting.at(Entry.Spec.Id)) {
     const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
     const JobStep &Step = Entry.stepOf(Position);
-    if (Step.LongRunning && !Step.Gang &&
+    if (Step.LongRunning && !Step.Gang && !Task.Crash.IsSuspect &&
         Now > Task.WaitingSince + LongRunningMaxWait &&
         !hasRunsOf(Entry.nameOf(Position)) &&
         !mayHavePreviousRun(Entry, Position))
@@ -88,7 +88,8 @@
         {.Position = Position,
          .Run = Task.LastRun,
          .FailedRuns = {Task.FailedRuns.begin(), Task.FailedRuns.end()},
-         .Checkpoint = Task.Checkpoint});
+         .Checkpoint = Task.Checkpoint,
+         .Crash = Task.Crash});
     // Only tasks with a run number are stored.
     Task.LastRun = std::max(Task.LastRun, 1);
     Kept.finish(Position);
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -1,6 +1,8 @@
 /// \file
 /// Implementation of JobShard, by source file:
 /// - jobshard.cpp: reading, following and committing rows;
+/// - jobshard_crash.cpp: crashes of workers and the tasks under suspicion;
+/// - jobshard_trial.cpp: starts of such tasks;
 /// - jobshard_takeover.cpp: what previous owners may have left running;
 /// - jobshard_poll.cpp: polls of workers and their answers;
 /// - jobshard_rank.cpp: waiting tasks and their order;
@@ -17,6 +19,7 @@
 
 #include "basilchute/interference.h"
 #include "basilchute/jobshard.h"
+#include "libbasilchute/crashhistory.h"
 #include "libbasilchute/handover.h"
 #include "libbasilchute/jobentry.h"
 #include "libbasilchute/orderwindow.h"
@@ -205,6 +208,85 @@
   void releaseRun(WorkerSlot &Slot, const RunKey &Key, std::string_view Why);
   void removeUnlistedWorkers();
 
+  // Crashes of workers.
+  static TaskName crashUnit(const JobEntry &Entry, int Position) {
+    return Entry.nameOf(Entry.crashPosition(Position));
+  }
+  static CrashRecord &crashRecord(JobEntry &Entry, int Position) {
+    return Entry.Tasks[static_cast<size_t>(Entry.crashPosition(Position))]
+        .Crash;
+  }
+  /// Returns true if the task starts as a trial only.
+  static bool isSuspect(const JobEntry &Entry, int Position) {
+    return Entry.Tasks[static_cast<size_t>(Entry.crashPosition(Position))]
+        .Crash.IsSuspect;
+  }
+  /// Returns the entry and the position of a task; null and -1 if its job is
+  /// not known or has ended.
+  std::pair<JobEntry *, int> findRunning(const TaskName &Task);
+  SilentWorker silentWorker(const WorkerSlot &Slot);
+  std::vector<SilentWorker> otherSilentWorkers(const WorkerSlot &Slot);
+  /// Counts a crash of the worker for its runs. Returns the jobs to be given
+  /// up, which giveUp() ends.
+  std::vector<JobEntry *> countCrash(WorkerSlot &Slot, std::string_view Why);
+  void giveUp(JobEntry &Entry);
+  void logCrash(const SilentWorker &Crashed, std::string_view Why,
+                const std::map<TaskName, CrashEvidence> &Judged) const;
+  /// Stores which tasks have just started on a worker that fell silent.
+  void storeExposures(WorkerSlot &Slot);
+  void setExposure(JobEntry &Entry, int Position, const std::string &Worker,
+                   milliseconds Incarnation);
+  void clearExposure(JobEntry &Entry, int Position);
+  /// Compares the incarnation of a worker with what is stored.
+  void resolveExposures(WorkerSlot &Slot, milliseconds Incarnation);
+  void resolveHandedOver(const WorkerSlot &Slot, milliseconds Incarnation);
+  /// Counts a crash of a worker that a previous owner has not counted.
+  void countEarlierCrash(JobEntry &Entry, int Position,
+                         const std::string &Worker);
+  void restoreCrashes(const JobEntry &Entry);
+  void onStartSeen(WorkerSlot &Slot, ReservedRun &Run, milliseconds Clock);
+  void onSuspectSeen(JobEntry &Entry, int Position);
+  void onSuspectEnded(JobEntry &Entry, int Position, RunOutcome Outcome);
+  void clearSuspicion(JobEntry &Entry, int Position);
+
+  // Trials of suspects.
+  /// Places a member of a unit, or a task, in a trial.
+  struct TrialPlace {
+    int Position = 0;
+    std::string Worker;
+    milliseconds Incarnation{0};
+  };
+  struct PendingTrial {
+    std::vector<TrialPlace> Places;
+    /// Commit of the job's progress that stores the trial.
+    uint64_t Commit = 0;
+  };
+  /// Starts trials, and leaves only those candidates that have none.
+  void placeTrials(std::vector<PlacementCandidate> &Candidates);
+  void updateTrials(std::vector<PlacementCandidate> &Candidates);
+  std::vector<TaskName> suspectsInOrder();
+  static std::vector<int> trialPositions(const JobEntry &Entry, int Position);
+  bool canTry(JobEntry &Entry, int Position);
+  bool beginTrial(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
+                  int Position);
+  PlacementCandidate *
+  leastHarmful(std::vector<PlacementCandidate> &Candidates,
+               const JobEntry &Entry, int Position,
+               const std::set<std::string> &GangWorkers) const;
+  TrialHarm harmOf(const WorkerSlot &Slot) const;
+  /// Returns the candidates of the pending trial's workers by place, or none if
+  /// the trial cannot start now.
+  std::vector<PlacementCandidate *>
+  readyPlaces(std::vector<PlacementCandidate> &Candidates,
+              const JobEntry &Entry, const PendingTrial &Pending) const;
+  void startTrial(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
+                  int Position, const PendingTrial &Pending);
+  void endTrial(const TaskName &Unit, std::string_view How);
+  void endTrialsOf(const std::string &Job);
+  void clearTrialExposures(JobEntry &Entry, int Position);
+  bool hasTrialRuns(const JobEntry &Entry, int Position) const;
+  std::set<std::string> silentWorkers() const;
+
   /// Service, required label and kind of tasks that could not be placed in a
   /// round, and the demands of these tasks.
   using RejectionKey = std::tuple<std::string, std::string, TaskKind>;
@@ -381,6 +463,20 @@
   std::optional<HandoverRecord> m_handover;
   /// Runs that previous owners may have left.
   PreviousRuns m_previousRuns;
+  CrashHistory m_crashes;
+  /// Suspects, with those of ended jobs; gangs by their first members.
+  std::set<TaskName> m_suspects;
+  /// Tasks whose records name a worker, by worker; also some that no longer do.
+  std::map<std::string, std::set<TaskName>> m_exposed;
+  /// Runs on a worker that the previous owner had not seen to last, until the
+  /// worker has answered.
+  struct HandedOver {
+    milliseconds Incarnation{0};
+    std::set<TaskName> Tasks;
+  };
+  std::map<std::string, HandedOver> m_handedOver;
+  /// Trials that are not started yet.
+  std::map<TaskName, PendingTrial> m_pendingTrials;
   /// True once the end of the wait for previous runs was logged.
   bool m_isTakeoverLogged = false;
   TimePoint m_nextTakeoverLog{};
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -45,6 +45,7 @@
                     Entry.Spec.Queue, (Now - Entry.ArrivedAt) / milliseconds(1),
                     Slot.Entry.Id));
   }
+  m_crashes.addWorker(crashUnit(Entry, Position), Slot.Entry.Id);
   ++m_counts.Starts;
   m_startWindow.onSent();
   StartOrder Order{.Task = Key.first,
@@ -90,12 +91,14 @@
         Reservation.Phase == RunPhase::Unconfirmed)
       Reservation.Phase = RunPhase::Running;
     Reservation.ConfirmedAt = Now;
+    onStartSeen(Slot, Reservation, Answer.value().Clock);
     return;
   }
   bool IsOutcomeUnknown =
       !Answer.has_value() && Answer.error().Code != ResultCode::Unavailable;
   if (IsOutcomeUnknown) {
     ++m_counts.StartsUnanswered;
+    Slot.setSilent(Now);
     if (Reservation.Phase == RunPhase::Starting)
       Reservation.Phase = RunPhase::Unconfirmed;
     Slot.NextStartAt = std::max(Slot.NextStartAt, Now + NoStartAfterNoAnswer);
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -60,6 +60,7 @@
   uint64_t StartsBefore = m_counts.Starts;
   std::vector<PlacementCandidate> Candidates = placementCandidates();
   m_isLightlyLoaded = isLightlyLoaded(Candidates);
+  placeTrials(Candidates);
   size_t UnplacedSteps = 0;
   Rejections Rejected;
   for (const auto &[JobRank, Id, Which] : rankedJobs()) {
@@ -93,7 +94,7 @@
     size_t Restarts = 0;
     size_t Others = 0;
     for (int Position : Positions) {
-      if (mayHavePreviousRun(Entry, Position))
+      if (isSuspect(Entry, Position) || mayHavePreviousRun(Entry, Position))
         continue;
       ++(Entry.isRestart(Position) ? Restarts : Others);
     }
@@ -125,7 +126,8 @@
     return 0;
   std::set<int> Positions = Waiting->second;
   std::erase_if(Positions, [&](int Position) {
-    return Entry.isRestart(Position) != (Which == WaitingTasks::Restarts);
+    return isSuspect(Entry, Position) ||
+           Entry.isRestart(Position) != (Which == WaitingTasks::Restarts);
   });
   if (Positions.empty())
     return 0;
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -26,6 +26,9 @@
 constexpr int SuspectAfterFailures = 2;
 constexpr milliseconds NoStartAfterFailures{3000};
 constexpr milliseconds StopResendInterval{600};
+/// A trial keeps other tasks off its worker, so that its end is awaited
+/// closely.
+constexpr milliseconds TrialPollWait{100};
 
 } // namespace
 
@@ -68,6 +71,8 @@
   }
   if (HasFill && HasServing)
     Wait = std::min(Wait, m_options.MaxPollWaitMixed);
+  if (m_crashes.isTrialWorker(Slot.Entry.Id))
+    Wait = std::min(Wait, TrialPollWait);
   return Wait;
 }
 
@@ -119,7 +124,10 @@
   if (Slot.Incarnation.count() != 0 && Reply.Incarnation != Slot.Incarnation) {
     loseIncarnation(Slot, "worker_reborn");
   }
+  if (Slot.Incarnation != Reply.Incarnation || Slot.MissedPolls > 0)
+    resolveExposures(Slot, Reply.Incarnation);
   Slot.Incarnation = Reply.Incarnation;
+  Slot.setAlive(Reply.Clock, Now);
   Slot.setClock(Reply.Clock, Now);
   Slot.LastAnswer = Now;
   Slot.MissedPolls = 0;
@@ -156,6 +164,9 @@
     return;
   }
   ++Slot.MissedPolls;
+  Slot.setSilent(Now);
+  if (Slot.MissedPolls == 1)
+    storeExposures(Slot);
   if (Slot.MissedPolls == 1)
     log("worker_silent",
         fmt::format("worker={} shard={} result={} message=\"{}\"",
@@ -167,14 +178,18 @@
   // Another incarnation answers at this address; the runs of the previous one
   // are gone.
   if (Why.Code == ResultCode::WrongIncarnation) {
+    if (Slot.Incarnation.count() == 0)
+      resolveExposures(Slot, milliseconds(-1));
     loseIncarnation(Slot, "worker_replaced");
     m_previousRuns.resolve(Slot.Entry.Id);
     return;
   }
   // A worker can be missing from the list because it is cut off, also if it was
   // draining, and still run its tasks.
-  if (hasLeaseExpired(Slot))
+  if (hasLeaseExpired(Slot) && !Slot.Runs.empty()) {
+    Slot.LostRuns = silentWorker(Slot).Runs;
     releaseAllRuns(Slot, "lease_over");
+  }
 }
 
 // An owner that may have lost the shard must not conclude that the leases have
@@ -200,8 +215,11 @@
 void JobShard::Impl::loseIncarnation(WorkerSlot &Slot, std::string_view Why) {
   for (const auto &[Key, Run] : Slot.Runs)
     m_previousRuns.clearReported(Key.first);
+  std::vector<JobEntry *> GivenUp = countCrash(Slot, Why);
   releaseAllRuns(Slot, Why);
   Slot.resetIncarnation();
+  for (JobEntry *Entry : GivenUp)
+    giveUp(*Entry);
 }
 
 void JobShard::Impl::releaseRun(WorkerSlot &Slot, const RunKey &Key,
@@ -252,6 +270,8 @@
   else
     ++m_counts.RunsNotSucceeded;
   TaskState &Task = Entry->Tasks[static_cast<size_t>(Position)];
+  if (Run)
+    onSuspectEnded(*Entry, Position, Report.Outcome);
   if (Run && Report.Outcome == RunOutcome::Done)
     recordRunTime(*Run, Task);
   if (!Report.Checkpoint.empty() && Report.Run >= Task.LastRun &&
@@ -356,6 +376,8 @@
     stop(Slot, Key);
   Reservation.Percent = Run.Percent;
   Reservation.Usage = Run.Usage;
+  if (!Reservation.SeenAtClock)
+    Reservation.SeenAtClock = Slot.AliveClock;
   bool IsOverTarget = Reservation.TailTarget.count() > 0 &&
                       Reservation.Percent == 100 &&
                       Run.Usage > Reservation.TailTarget.count();
@@ -365,7 +387,10 @@
     Reservation.OverTargetSince = Now;
   JobEntry *Entry = find(Run.Task.Job);
   int Position = Entry ? Entry->positionOf(Run.Task) : -1;
-  if (Position < 0 || Run.Checkpoint.empty())
+  if (Position < 0)
+    return;
+  onSuspectSeen(*Entry, Position);
+  if (Run.Checkpoint.empty())
     return;
   TaskState &Task = Entry->Tasks[static_cast<size_t>(Position)];
   if (Task.LastRun == Run.Run)
@@ -384,7 +409,8 @@
                           .Usage = Run.Usage,
                           .ObservedSince = m_time.now(),
                           .InitialPercent = Run.Percent,
-                          .IsAdopted = true};
+                          .IsAdopted = true,
+                          .SeenAtClock = Slot.AliveClock};
   JobEntry *Entry = find(Run.Task.Job);
   int Position = Entry ? Entry->positionOf(Run.Task) : -1;
   bool IsWanted = false;
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -86,7 +86,7 @@
   TimePoint Now = m_time.now();
   if (isFinal(Entry.State) || Entry.IsTransferring ||
       m_dirty.count(Entry.Spec.Id) || Entry.Spec.Repetitions > 0 ||
-      Entry.hasPlaced())
+      Entry.hasPlaced() || m_crashes.isTried(Entry.Spec.Id))
     return false;
   // The owner of a delegated task looks for the cancellation in the job's
   // present shard.
--- /dev/null
+++ b/src/libbasilchute/jobshard_trial.cpp
@@ -0,0 +1,290 @@
+#include "libbasilchute/jobshard_impl.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+namespace {
+
+/// Time for which a suspect waits for a worker without long-running tasks.
+constexpr milliseconds MaxWaitForHarmless{2000};
+/// Another worker is chosen if a trial could not start within this time.
+constexpr milliseconds MaxTrialDelay{2000};
+/// Room is reserved for a suspect that has waited for this long.
+constexpr milliseconds ReserveTrialRoomAfter{800};
+
+} // namespace
+
+std::vector<int> JobShard::Impl::trialPositions(const JobEntry &Entry,
+                                                int Position) {
+  return Entry.stepOf(Position).Gang ? Entry.groupPositions(Position)
+                                     : std::vector<int>{Position};
+}
+
+void JobShard::Impl::placeTrials(std::vector<PlacementCandidate> &Candidates) {
+  if (m_suspects.empty())
+    return;
+  updateTrials(Candidates);
+  std::set<std::string> Silent = silentWorkers();
+  for (const TaskName &Unit : suspectsInOrder()) {
+    auto [Entry, Position] = findRunning(Unit);
+    if (Entry && canTry(*Entry, Position) &&
+        m_crashes.mayBegin(crashRecord(*Entry, Position), m_slots.size(),
+                           Silent))
+      beginTrial(Candidates, *Entry, Position);
+  }
+  std::erase_if(Candidates, [&](const PlacementCandidate &Candidate) {
+    return m_crashes.isTrialWorker(Candidate.Slot->Entry.Id);
+  });
+}
+
+// Those with the fewest crashes, which are most likely innocent, come first.
+std::vector<TaskName> JobShard::Impl::suspectsInOrder() {
+  std::vector<std::tuple<int, bool, TimePoint, TaskName>> Ranked;
+  for (auto It = m_suspects.begin(); It != m_suspects.end();) {
+    auto [Entry, Position] = findRunning(*It);
+    if (!Entry) {
+      It = m_suspects.erase(It);
+      continue;
+    }
+    const TaskState &Task = Entry->Tasks[static_cast<size_t>(Position)];
+    Ranked.emplace_back(Task.Crash.Crashes,
+                        !Entry->stepOf(Position).LongRunning, Task.WaitingSince,
+                        *It);
+    ++It;
+  }
+  std::sort(Ranked.begin(), Ranked.end());
+  std::vector<TaskName> Out;
+  for (auto &[Crashes, IsShort, Since, Unit] : Ranked)
+    Out.push_back(std::move(Unit));
+  return Out;
+}
+
+bool JobShard::Impl::canTry(JobEntry &Entry, int Position) {
+  auto Waiting = m_waiting.find(Entry.Spec.Id);
+  if (Waiting == m_waiting.end() || Entry.IsTransferring || !canStart(Entry) ||
+      m_crashes.trialOf(crashUnit(Entry, Position)) ||
+      mayHavePreviousRun(Entry, Position) || !isRestartStored(Entry, Position))
+    return false;
+  milliseconds WallTime =
+      m_options.WallTime ? m_options.WallTime() : milliseconds(0);
+  std::vector<int> Members = trialPositions(Entry, Position);
+  return std::all_of(Members.begin(), Members.end(), [&](int Member) {
+    const TaskState &Task = Entry.Tasks[static_cast<size_t>(Member)];
+    return Task.Phase == TaskPhase::Waiting && Waiting->second.count(Member) &&
+           Task.EarliestStart <= m_time.now() &&
+           Entry.dueAt(Member) <= WallTime && !hasRunsOf(Entry.nameOf(Member));
+  });
+}
+
+TrialHarm JobShard::Impl::harmOf(const WorkerSlot &Slot) const {
+  TrialHarm Out;
+  for (const auto &[Key, Run] : Slot.Runs) {
+    Out.LongRunningTasks += Run.LongRunning ? 1 : 0;
+    Out.UnseenRuns +=
+        ExposedRun{.KnownAge = Slot.knownAge(Run)}.isUnseen() ? 1 : 0;
+    Out.Work += std::chrono::duration<double>(m_time.now() - Run.ObservedSince)
+                    .count() *
+                static_cast<double>(Run.Reserved.Millicores);
+  }
+  return Out;
+}
+
+JobShard::Impl::PlacementCandidate *
+JobShard::Impl::leastHarmful(std::vector<PlacementCandidate> &Candidates,
+                             const JobEntry &Entry, int Position,
+                             const std::set<std::string> &GangWorkers) const {
+  PlacementCandidate *Best = nullptr;
+  TrialHarm Least;
+  for (PlacementCandidate &Candidate : Candidates) {
+    const std::string &Id = Candidate.Slot->Entry.Id;
+    // A gang may need several members on one worker.
+    bool IsTaken = m_crashes.isTrialWorker(Id) && !GangWorkers.count(Id);
+    if (IsTaken || !isAllowed(Candidate, Entry, Position))
+      continue;
+    TrialHarm Harm = harmOf(*Candidate.Slot);
+    if (Best && Harm >= Least)
+      continue;
+    Best = &Candidate;
+    Least = Harm;
+  }
+  return Best;
+}
+
+// Chooses the workers and stores them. Nothing else starts on them from now on.
+bool JobShard::Impl::beginTrial(std::vector<PlacementCandidate> &Candidates,
+                                JobEntry &Entry, int Position) {
+  TimePoint Now = m_time.now();
+  std::vector<PlacementCandidate> Chosen = Candidates;
+  std::set<std::string> Workers;
+  PendingTrial Pending;
+  std::vector<int> Members = trialPositions(Entry, Position);
+  for (int Member : Members) {
+    PlacementCandidate *Best = leastHarmful(Chosen, Entry, Member, Workers);
+    const TaskState &Task = Entry.Tasks[static_cast<size_t>(Member)];
+    if (!Best) {
+      failIfUnplaceable(Entry, Member);
+      if (needsApproval(Entry))
+        requestApproval(Candidates, Entry, Member, Members.size());
+      else if (Now > Task.WaitingSince + ReserveTrialRoomAfter)
+        reserveCapacity(Candidates, Entry, Member);
+      return false;
+    }
+    if (harmOf(*Best->Slot).LongRunningTasks > 0 &&
+        Now < Task.WaitingSince + MaxWaitForHarmless)
+      return false;
+    reserveFor(*Best, Entry, Member);
+    Workers.insert(Best->Slot->Entry.Id);
+    Pending.Places.push_back({.Position = Member,
+                              .Worker = Best->Slot->Entry.Id,
+                              .Incarnation = Best->Slot->Incarnation});
+  }
+  for (const TrialPlace &Place : Pending.Places)
+    setExposure(Entry, Place.Position, Place.Worker, Place.Incarnation);
+  markDirty(Entry);
+  Pending.Commit = Entry.nextCommit();
+  TaskName Unit = crashUnit(Entry, Position);
+  m_crashes.begin(Unit, std::move(Workers), crashRecord(Entry, Position).Weight,
+                  Now);
+  m_pendingTrials[Unit] = std::move(Pending);
+  return true;
+}
+
+void JobShard::Impl::updateTrials(std::vector<PlacementCandidate> &Candidates) {
+  std::map<TaskName, CrashTrial> Trials = m_crashes.trials();
+  for (const auto &[Unit, Trial] : Trials) {
+    auto [Entry, Position] = findRunning(Unit);
+    if (!Entry) {
+      endTrial(Unit, "job_ended");
+      continue;
+    }
+    if (Trial.HasStarted) {
+      if (!hasTrialRuns(*Entry, Position)) {
+        clearTrialExposures(*Entry, Position);
+        endTrial(Unit, "undecided");
+      } else if (Entry->stepOf(Position).Gang)
+        for (int Member : Entry->groupPositions(Position))
+          if (Entry->Tasks[static_cast<size_t>(Member)].Phase ==
+              TaskPhase::Waiting)
+            restartRefusedMember(Candidates, *Entry, Member);
+      continue;
+    }
+    const PendingTrial Pending = m_pendingTrials.at(Unit);
+    if (m_time.now() > Trial.Since + MaxTrialDelay) {
+      clearTrialExposures(*Entry, Position);
+      endTrial(Unit, "not_started");
+      continue;
+    }
+    if (Entry->isStored(Pending.Commit) && !Entry->IsTransferring)
+      startTrial(Candidates, *Entry, Position, Pending);
+  }
+}
+
+std::vector<JobShard::Impl::PlacementCandidate *>
+JobShard::Impl::readyPlaces(std::vector<PlacementCandidate> &Candidates,
+                            const JobEntry &Entry,
+                            const PendingTrial &Pending) const {
+  std::vector<PlacementCandidate *> Out;
+  for (const TrialPlace &Place : Pending.Places) {
+    auto Found = std::find_if(Candidates.begin(), Candidates.end(),
+                              [&](const PlacementCandidate &Candidate) {
+                                return Candidate.Slot->Entry.Id == Place.Worker;
+                              });
+    bool IsReady = Found != Candidates.end() &&
+                   Found->Slot->Incarnation == Place.Incarnation &&
+                   harmOf(*Found->Slot).UnseenRuns == 0 &&
+                   Entry.Tasks[static_cast<size_t>(Place.Position)].Phase ==
+                       TaskPhase::Waiting &&
+                   isAllowed(*Found, Entry, Place.Position);
+    if (!IsReady)
+      return {};
+    Out.push_back(&*Found);
+  }
+  return Out;
+}
+
+void JobShard::Impl::startTrial(std::vector<PlacementCandidate> &Candidates,
+                                JobEntry &Entry, int Position,
+                                const PendingTrial &Pending) {
+  std::vector<PlacementCandidate *> Ready =
+      readyPlaces(Candidates, Entry, Pending);
+  if (Ready.empty() || !m_startWindow.isOpen())
+    return;
+  TaskName Unit = crashUnit(Entry, Position);
+  int Run = 0;
+  std::string Checkpoint;
+  for (const TrialPlace &Place : Pending.Places) {
+    const TaskState &Task = Entry.Tasks[static_cast<size_t>(Place.Position)];
+    Run = std::max(Run, Task.LastRun);
+    if (!Task.Checkpoint.empty())
+      Checkpoint = Task.Checkpoint;
+  }
+  log("trial_begins",
+      fmt::format("job={} step={} index={} tasks={} worker={} crashes={} "
+                  "long_running_beside={}",
+                  Unit.Job, Unit.Step, Unit.Index, Pending.Places.size(),
+                  Pending.Places.front().Worker,
+                  crashRecord(Entry, Position).Crashes,
+                  harmOf(*Ready.front()->Slot).LongRunningTasks));
+  ++m_counts.CrashTrials;
+  m_crashes.setStarted(Unit);
+  for (size_t Index = 0; Index < Ready.size(); ++Index) {
+    int Member = Pending.Places[Index].Position;
+    TaskState &Task = Entry.Tasks[static_cast<size_t>(Member)];
+    Task.LastRun = Run;
+    Task.Checkpoint = Checkpoint;
+    reserveFor(*Ready[Index], Entry, Member);
+    start(*Ready[Index]->Slot, Entry, Member);
+  }
+  m_pendingTrials.erase(Unit);
+}
+
+void JobShard::Impl::endTrial(const TaskName &Unit, std::string_view How) {
+  const CrashTrial *Trial = m_crashes.trialOf(Unit);
+  if (!Trial)
+    return;
+  if (Trial->HasStarted)
+    log("trial_ends",
+        fmt::format("job={} step={} index={} how={} took_ms={}", Unit.Job,
+                    Unit.Step, Unit.Index, How,
+                    (m_time.now() - Trial->Since) / milliseconds(1)));
+  m_crashes.end(Unit);
+  m_pendingTrials.erase(Unit);
+}
+
+void JobShard::Impl::endTrialsOf(const std::string &Job) {
+  if (!m_crashes.isTried(Job))
+    return;
+  std::map<TaskName, CrashTrial> Trials = m_crashes.trials();
+  for (const auto &[Unit, Trial] : Trials)
+    if (Unit.Job == Job)
+      endTrial(Unit, "job_ended");
+}
+
+// A silent worker may yet turn out to have crashed.
+void JobShard::Impl::clearTrialExposures(JobEntry &Entry, int Position) {
+  for (int Member : trialPositions(Entry, Position)) {
+    const CrashRecord &Record = Entry.Tasks[static_cast<size_t>(Member)].Crash;
+    auto Slot = m_slots.find(Record.Worker);
+    if (Slot != m_slots.end() && Slot->second.MissedPolls == 0)
+      clearExposure(Entry, Member);
+  }
+}
+
+bool JobShard::Impl::hasTrialRuns(const JobEntry &Entry, int Position) const {
+  std::vector<int> Members = trialPositions(Entry, Position);
+  return std::any_of(Members.begin(), Members.end(), [&](int Member) {
+    return hasRunsOf(Entry.nameOf(Member));
+  });
+}
+
+std::set<std::string> JobShard::Impl::silentWorkers() const {
+  std::set<std::string> Out;
+  for (const auto &[Id, Slot] : m_slots)
+    if (Slot.MissedPolls > 0)
+      Out.insert(Id);
+  return Out;
+}
+
+BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -48,6 +48,24 @@
   return std::chrono::duration_cast<milliseconds>(Now - *OverTargetSince);
 }
 
+void WorkerSlot::setAlive(milliseconds Clock, TimePoint Now) {
+  AliveAt = Now;
+  AliveClock = std::max(AliveClock, Clock);
+  SilentAt = TimePoint{};
+  LostRuns.clear();
+}
+
+void WorkerSlot::setSilent(TimePoint Now) {
+  if (SilentAt == TimePoint{})
+    SilentAt = Now;
+}
+
+milliseconds WorkerSlot::knownAge(const ReservedRun &Run) const {
+  if (!Run.SeenAtClock)
+    return milliseconds(0);
+  return std::max(milliseconds(0), AliveClock - *Run.SeenAtClock);
+}
+
 void WorkerSlot::setStored(uint64_t Number) {
   LastStoredCompletion = std::max(LastStoredCompletion, Number);
   UnstoredCompletions.erase(
@@ -126,6 +144,9 @@
   LastAcknowledgedCompletion = 0;
   IsFenced = false;
   ConsecutiveFailures = 0;
+  AliveClock = milliseconds(0);
+  SilentAt = TimePoint{};
+  LostRuns.clear();
 }
 
 std::vector<ServingLoad>
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -7,10 +7,12 @@
 #include "basilchute/lagdetector.h"
 #include "basilchute/pacing.h"
 #include "basilchute/taskworker.h"
+#include "libbasilchute/crashhistory.h"
 
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -67,6 +69,9 @@
   TimePoint PacedAt{};
   /// When a stop order was last sent.
   TimePoint StopSentAt{};
+  /// Time on the worker's clock of the first answer that shows the run to have
+  /// begun.
+  std::optional<milliseconds> SeenAtClock;
 
   /// Returns the time for which the run's tail has been above its target.
   milliseconds timeOverTarget(TimePoint Now) const;
@@ -97,6 +102,15 @@
   bool IsPollPending = false;
   TimePoint NextPollAt{};
   TimePoint LastAnswer{};
+  /// Last answer to a poll or start order, by the local clock, and the highest
+  /// time on the worker's clock in any of them.
+  TimePoint AliveAt{};
+  milliseconds AliveClock{0};
+  /// First call without an answer since then; zero if there is none.
+  TimePoint SilentAt{};
+  /// Runs of this incarnation that were given up since their leases were over.
+  /// Another incarnation shows that the worker crashed under them.
+  std::vector<ExposedRun> LostRuns;
   /// Consecutive polls without an answer.
   int MissedPolls = 0;
   /// Start of the worker's incarnation.
@@ -119,6 +133,12 @@
   /// When the pace of any fill run was last changed.
   TimePoint PaceChangedAt{};
 
+  /// Records an answer of this incarnation that arrived at \p Now.
+  void setAlive(milliseconds Clock, TimePoint Now);
+  /// Records a call without an answer.
+  void setSilent(TimePoint Now);
+  /// Time for which the worker certainly lived after the run began.
+  milliseconds knownAge(const ReservedRun &Run) const;
   /// Records that the completions up to \p Number are stored.
   void setStored(uint64_t Number);
   /// Sets the worker's clock from an answer that arrived at \p Now.
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -330,6 +330,10 @@
     Out.Transfers += Counts.Transfers;
     Out.LongTaskWaits += Counts.LongTaskWaits;
     Out.Delegations += Counts.Delegations;
+    Out.WorkerCrashes += Counts.WorkerCrashes;
+    Out.CrashTrials += Counts.CrashTrials;
+    Out.CrashTrialsSurvived += Counts.CrashTrialsSurvived;
+    Out.CrashJobsGivenUp += Counts.CrashJobsGivenUp;
     Out.PaceOrders += Counts.PaceOrders;
     Out.TakeoverSilentWorkers += Counts.TakeoverSilentWorkers;
     Out.TasksHeldBack += Counts.TasksHeldBack;
