Keep the count of crashes when the owner changes

Callers saw: with a change of owner after each crash the job of a deadly task was never shown as failed, and the task was started again without end.

Cause: counts, and the run under suspicion, were in the owner's memory only.

Change: the progress row holds for each task the number of crashes, whether it is a suspect, and the worker and incarnation that may crash under it. The latter is written before a trial starts, and when a worker falls silent under a run that had not been seen to last; so the store has a write a crash and one a trial, none a start. The handover record names such runs and the workers' incarnations.

Conclusion: a count survives planned handovers and killed owners from the moment when the owner has seen the worker silent, or has begun a trial. An owner that is killed between the first start and that moment leaves no trace of it.

--- a/src/libbasilchute/crashhistory.cpp
+++ b/src/libbasilchute/crashhistory.cpp
@@ -199,7 +199,7 @@
 // A task that crashed its worker only after some time is watched for longer
 // than that.
 milliseconds CrashHistory::trialTime(const CrashRecord &Record) {
-  return UnseenAge + Record.RunAge * 3 / 2;
+  return UnseenAge + std::min(Record.RunAge, YoungAgeOfCounted) * 3 / 2;
 }
 
 // All suspects of one crash may be tried at once, since one of them at most
--- a/src/libbasilchute/handover.cpp
+++ b/src/libbasilchute/handover.cpp
@@ -45,6 +45,7 @@
           Stored = row().add_workers();
           Stored->set_worker(Worker);
           Stored->set_remaining_ms(Runs.Remaining.count());
+          Stored->set_incarnation(Runs.Incarnation.count());
           m_size += Worker.size();
         }
         Tasks = Stored->add_jobs();
@@ -55,6 +56,7 @@
       Index.set_occurrence(Task.Occurrence);
       Index.set_step(Task.Step);
       Index.set_index(Task.Index);
+      Index.set_unseen(Runs.Unseen.count(Task) > 0);
       m_size += Index.ByteSizeLong() + sizeof(uint32_t);
     }
   }
@@ -143,12 +145,17 @@
       HandoverRecord::Runs &Runs = Out.Workers[Stored.worker()];
       Runs.Remaining =
           std::max(Runs.Remaining, milliseconds(Stored.remaining_ms()));
+      Runs.Incarnation = milliseconds(Stored.incarnation());
       for (const v1::StoredJobTasks &Tasks : Stored.jobs())
-        for (const v1::StoredTaskIndex &Index : Tasks.tasks())
-          Runs.Tasks.insert({.Job = Tasks.job(),
-                             .Occurrence = Index.occurrence(),
-                             .Step = Index.step(),
-                             .Index = Index.index()});
+        for (const v1::StoredTaskIndex &Index : Tasks.tasks()) {
+          TaskName Task{.Job = Tasks.job(),
+                        .Occurrence = Index.occurrence(),
+                        .Step = Index.step(),
+                        .Index = Index.index()};
+          if (Index.unseen())
+            Runs.Unseen.insert(Task);
+          Runs.Tasks.insert(std::move(Task));
+        }
     }
   }
   return Out;
--- a/src/libbasilchute/handover.h
+++ b/src/libbasilchute/handover.h
@@ -24,6 +24,11 @@
     /// Time after which all of them have ended, unless the new owner extends
     /// their leases.
     milliseconds Remaining{0};
+    /// Those of the tasks that have not been seen to last. If another
+    /// incarnation of the worker is found, it crashed under one of them.
+    std::set<TaskName> Unseen;
+    /// Incarnation of the worker; zero if it is not known.
+    milliseconds Incarnation{0};
   };
 
   std::map<std::string, Runs> Workers;
--- a/src/libbasilchute/handover_test.cpp
+++ b/src/libbasilchute/handover_test.cpp
@@ -13,12 +13,14 @@
   for (int Worker = 0; Worker < Workers; ++Worker) {
     HandoverRecord::Runs &Runs = Out.Workers[fmt::format("worker-{}", Worker)];
     Runs.Remaining = milliseconds(1000 + Worker);
+    Runs.Incarnation = milliseconds(1700000000000 + Worker);
     for (int Job = 0; Job < Jobs; ++Job)
       for (int Index = 0; Index < TasksPerJob; ++Index)
         Runs.Tasks.insert({.Job = fmt::format("{:016x}", Worker * Jobs + Job),
                            .Occurrence = 2,
                            .Step = 1,
                            .Index = Index});
+    Runs.Unseen.insert(*Runs.Tasks.rbegin());
   }
   return Out;
 }
@@ -28,6 +30,8 @@
   for (const auto &[Worker, Runs] : Written.Workers) {
     CHECK(Read.Workers.at(Worker).Tasks == Runs.Tasks);
     CHECK(Read.Workers.at(Worker).Remaining == Runs.Remaining);
+    CHECK(Read.Workers.at(Worker).Unseen == Runs.Unseen);
+    CHECK(Read.Workers.at(Worker).Incarnation == Runs.Incarnation);
   }
   CHECK(Read.UnknownRemaining == Written.UnknownRemaining);
   CHECK(Read.UnknownVersion == Written.UnknownVersion);
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -26,6 +26,8 @@
 /// Highest run number that is read from a row; above what workers may report,
 /// so that numbers go on rising, and with room for later runs.
 constexpr int MaxStoredRun = 2 * MaxReportedRun;
+/// Highest number of crashes that is read from a row.
+constexpr int MaxStoredCrashes = 1000;
 /// Number of partitions that hold the index of jobs. Must never change, because
 /// the partition of each stored index row depends on it.
 constexpr uint64_t IndexPartitions = 16;
@@ -265,6 +267,14 @@
   return Out;
 }
 
+static CrashRecord loadCrash(const v1::StoredTask &From) {
+  return {.Crashes = std::clamp(From.crashes(), 0, MaxStoredCrashes),
+          .IsSuspect = From.suspect(),
+          .RunAge = boundedTime(From.crash_age_ms(), MaxDuration),
+          .Worker = From.exposed_worker(),
+          .Incarnation = milliseconds(From.exposed_incarnation())};
+}
+
 std::string encodeProgress(const JobProgress &Value) {
   v1::StoredProgress Out;
   Out.set_format(RowFormat);
@@ -277,6 +287,11 @@
       Stored.add_failed_runs(Run);
     Stored.set_done(Task.Done);
     Stored.set_checkpoint(Task.Checkpoint);
+    Stored.set_crashes(Task.Crash.Crashes);
+    Stored.set_suspect(Task.Crash.IsSuspect);
+    Stored.set_crash_age_ms(Task.Crash.RunAge.count());
+    Stored.set_exposed_worker(Task.Crash.Worker);
+    Stored.set_exposed_incarnation(Task.Crash.Incarnation.count());
   }
   return Out.SerializeAsString();
 }
@@ -294,7 +309,8 @@
          .Run = std::clamp(Task.run(), 0, MaxStoredRun),
          .FailedRuns = {Task.failed_runs().begin(), Task.failed_runs().end()},
          .Done = Task.done(),
-         .Checkpoint = Task.checkpoint()});
+         .Checkpoint = Task.checkpoint(),
+         .Crash = loadCrash(Task)});
   return Out;
 }
 
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -65,10 +65,14 @@
           m_handover->UnknownVersion,
           m_takeoverTime + maxLocalDuration(m_handover->UnknownRemaining),
           m_handover->ResolvedWorkers);
-    for (const auto &[Worker, Runs] : m_handover->Workers)
+    for (const auto &[Worker, Runs] : m_handover->Workers) {
       m_previousRuns.addKnown(Worker, Runs.Tasks,
                               m_takeoverTime +
                                   maxLocalDuration(Runs.Remaining));
+      if (Runs.Incarnation.count() != 0 && !Runs.Unseen.empty())
+        m_handedOver[Worker] = {.Incarnation = Runs.Incarnation,
+                                .Tasks = Runs.Unseen};
+    }
     for (const std::string &Worker : m_handover->SilentWorkers)
       m_previousRuns.addWorker(Worker);
     m_handover.reset();
@@ -108,11 +112,22 @@
       continue;
     HandoverRecord::Runs &Runs = Out.Workers[Id];
     Runs.Remaining = std::max(Runs.Remaining, RemainingUntil(Slot.LeaseEnd));
-    for (const auto &[Key, Run] : Slot.Runs)
+    Runs.Incarnation = Slot.Incarnation;
+    for (const auto &[Key, Run] : Slot.Runs) {
       Runs.Tasks.insert(Key.first);
+      if (ExposedRun{.KnownAge = Slot.knownAge(Run)}.isUnseen())
+        Runs.Unseen.insert(Key.first);
+    }
     for (const auto &[Number, Task] : Slot.UnstoredCompletions)
       Runs.Tasks.insert(Task);
   }
+  for (const auto &[Worker, Runs] : m_handedOver) {
+    auto Passed = Out.Workers.find(Worker);
+    if (Passed == Out.Workers.end() || Passed->second.Incarnation.count() != 0)
+      continue;
+    Passed->second.Incarnation = Runs.Incarnation;
+    Passed->second.Unseen = Runs.Tasks;
+  }
   size_t Tasks = 0;
   for (const auto &[Worker, Runs] : Out.Workers)
     Tasks += Runs.Tasks.size();
--- a/src/libjobhost/badrows_test.cpp
+++ b/src/libjobhost/badrows_test.cpp
@@ -123,6 +123,33 @@
   }
 }
 
+// Guards against a count of crashes that is lost, or without bounds, after a
+// change of owner.
+TEST_CASE("Crashes in stored progress are read as written, within bounds") {
+  JobProgress Value{.State = JobState::Running};
+  Value.Tasks.push_back({.Position = 1,
+                         .Run = 3,
+                         .Crash = {.Crashes = 2,
+                                   .IsSuspect = true,
+                                   .RunAge = 1200ms,
+                                   .Worker = "w\xff",
+                                   .Incarnation = 1700000000000ms}});
+  Result<JobProgress> Read = decodeProgress(encodeProgress(Value));
+  REQUIRE(Read.has_value());
+  CHECK(Read.value().Tasks[0].Crash == Value.Tasks[0].Crash);
+  for (int Number : {MaxInt, -MaxInt}) {
+    Value.Tasks[0].Crash.Crashes = Number;
+    Value.Tasks[0].Crash.RunAge = milliseconds(Number) * 1000000;
+    Read = decodeProgress(encodeProgress(Value));
+    REQUIRE(Read.has_value());
+    const CrashRecord &Crash = Read.value().Tasks[0].Crash;
+    CHECK(Crash.Crashes >= 0);
+    CHECK(Crash.Crashes <= MaxInt / 2);
+    CHECK(CrashHistory::trialTime(Crash) >= 300ms);
+    CHECK(CrashHistory::trialTime(Crash) <= 10s);
+  }
+}
+
 TEST_CASE("The load in a stored host row is brought into bounds") {
   for (int64_t Value : {MaxInt64, MinInt64}) {
     CAPTURE(Value);
--- a/src/libjobhost/workercrash_test.cpp
+++ b/src/libjobhost/workercrash_test.cpp
@@ -144,6 +144,12 @@
   return Bed.host(Bed.ownerIndex()).Process->counts();
 }
 
+void startAllHosts(JobTestBed &Bed) {
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    if (!Bed.host(Host).Process)
+      Bed.startHost(Host);
+}
+
 } // namespace
 
 // Guards against a task that crashes workers until the end of the day: each run
@@ -231,6 +237,74 @@
   checkNoViolations(Bed);
 }
 
+// Guards against a count that begins anew with each planned change of owner.
+TEST_CASE("Crashes stay counted after planned handovers") {
+  // At several times relative to the crash and to the worker's return.
+  for (milliseconds Delay : {50ms, 700ms, 2000ms, 3300ms, 3700ms}) {
+    CAPTURE(Delay.count());
+    JobTestBed Bed({.Workers = 4});
+    Bed.run(3s);
+    DeadlyTasks Deadly(Bed, ofJob("deadly"));
+    Deadly.OnCrash = [&] {
+      Bed.later(Delay, [&] {
+        int Owner = Bed.ownerIndex();
+        if (Owner >= 0)
+          Bed.restartHost(Owner, 1s, 500ms);
+      });
+    };
+    CHECK(Bed.submit(0, chainJob("deadly", 1, 1)).has_value());
+    CHECK(reaches(Bed, "deadly", JobState::Failed, 90s));
+    CHECK(Deadly.crashes() <= MaxCrashes);
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against a count that begins anew when the owner is killed.
+TEST_CASE("Crashes stay counted when the owner is killed after each") {
+  // Also before the worker is back, so that no owner has counted the crash.
+  for (milliseconds Delay : {1700ms, 2500ms, 3300ms, 3700ms, 5000ms}) {
+    CAPTURE(Delay.count());
+    JobTestBed Bed({.Workers = 4});
+    Bed.run(3s);
+    DeadlyTasks Deadly(Bed, ofJob("deadly"));
+    Deadly.OnCrash = [&] {
+      Bed.later(Delay, [&] {
+        int Owner = Bed.ownerIndex();
+        if (Owner < 0)
+          return;
+        Bed.killHost(Owner);
+        Bed.later(1s, [&] { startAllHosts(Bed); });
+      });
+    };
+    CHECK(Bed.submit(0, chainJob("deadly", 1, 1)).has_value());
+    CHECK(reaches(Bed, "deadly", JobState::Failed, 200s));
+    CHECK(Deadly.crashes() <= MaxCrashes);
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against the same if the owner is killed with the worker: nobody but
+// the stored trial tells which task it was.
+TEST_CASE("A trial whose owner is killed at once is counted by the next") {
+  JobTestBed Bed({.Workers = 4});
+  Bed.run(3s);
+  DeadlyTasks Deadly(Bed, ofJob("deadly"));
+  int Crashes = 0;
+  Deadly.OnCrash = [&] {
+    if (++Crashes == 1)
+      return;
+    int Owner = Bed.ownerIndex();
+    if (Owner < 0)
+      return;
+    Bed.killHost(Owner);
+    Bed.later(1s, [&] { startAllHosts(Bed); });
+  };
+  CHECK(Bed.submit(0, chainJob("deadly", 1, 1)).has_value());
+  CHECK(reaches(Bed, "deadly", JobState::Failed, 200s));
+  CHECK(Deadly.crashes() <= MaxCrashes);
+  checkNoViolations(Bed);
+}
+
 // Guards against tasks that crash their worker some time after the start: they
 // look like those that have survived.
 TEST_CASE("A task that crashes its worker later is found too") {
