Give a task up at the third crash, not at the second

Callers would see: a job fails though no task of it is deadly, because a worker crashed for another reason during its first trial.

Cause: a crash in a trial counted as proof at the second crash. A task can be unlucky twice.

Change: a task is given up at the third crash if that is proof, at the fourth if it was in a trial without proof; at the second and third if an owner crashed while it held the job, since such an owner may not have counted a crash. The tests use the deadly tasks of the test bed.

Evidence: "A job whose workers crash twice for another reason completes" failed before ("job innocent is reported as failed although no task of it has failed 3 times and there is no deadly one under which 2 workers have crashed").

Conclusion: a deadly task costs three workers three seconds each, one more than before, and an innocent one survives two strokes of bad luck.

--- a/src/libbasilchute/crashhistory.h
+++ b/src/libbasilchute/crashhistory.h
@@ -74,6 +74,22 @@
   bool hasUnseenRuns() const;
 };
 
+/// A crash of a worker, as it counts for one task.
+struct CountedCrash {
+  ExposedRun Run;
+  /// Not None.
+  CrashEvidence Evidence = CrashEvidence::Weak;
+  /// Number of tasks with as much evidence.
+  size_t Suspects = 1;
+  /// The worker had unseen runs.
+  bool HadUnseenRuns = false;
+  /// The run was a trial.
+  bool WasTrial = false;
+  /// Owners were killed before, so that the task may have crashed workers
+  /// without being counted.
+  bool MayHaveHidden = false;
+};
+
 /// Work that a crash of a worker would end.
 struct TrialHarm {
   int LongRunningTasks = 0;
@@ -111,15 +127,12 @@
   std::map<TaskName, CrashEvidence>
   judge(const SilentWorker &Crashed, const std::vector<SilentWorker> &Silent,
         size_t Workers, TimePoint Now);
-  /// Counts a crash with \p Evidence other than None. \p Run is one of the runs
-  /// of \p Crashed, \p Suspects the number of tasks with as much evidence.
-  /// Returns true if the task is to be given up.
-  static bool count(CrashRecord &Record, const ExposedRun &Run,
-                    const SilentWorker &Crashed, CrashEvidence Evidence,
-                    size_t Suspects, bool WasTrial);
+  /// Counts a crash in the task's record. Returns true if the task is to be
+  /// given up.
+  static bool count(CrashRecord &Record, const CountedCrash &Crash);
   /// Counts a crash that a previous owner did not see, on the worker that the
   /// record names. Returns true if the task is to be given up.
-  static bool countUnseen(CrashRecord &Record);
+  static bool countUnseen(CrashRecord &Record, bool MayHaveHidden);
   /// Records that a run of the task lasted or ended by itself.
   static void clear(CrashRecord &Record);
   /// Returns the time after which a trial counts as survived.
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -79,6 +79,8 @@
   bool IsTransferring = false;
   /// Tasks that a pending commit delegates to another shard.
   std::vector<int> Delegating;
+  /// The previous owner crashed while it held the job.
+  bool MayHaveHiddenCrashes = false;
   /// Shard that holds the job, if this shard runs only delegated tasks of it.
   std::optional<int> HomeShard;
   /// The state of the job in its home shard is being read.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -117,6 +117,7 @@
 
 void JobShard::Impl::finishLoad() {
   m_isLoaded = true;
+  bool HasOwnerCrashed = !m_handover;
   initPreviousRuns();
   for (const StoredRow &Row : m_loadedJobs) {
     auto [Id, IsCancel] = parseJobKey(Row.Address.Key);
@@ -126,6 +127,8 @@
     if (IsCancel || m_loadedProgress.count(Id))
       onJobRow(Row);
   }
+  for (auto &[Id, Entry] : m_jobs)
+    Entry.MayHaveHiddenCrashes = HasOwnerCrashed;
   log("shard_loaded",
       fmt::format("shard={} epoch={} jobs={} took_ms={}", m_options.Shard,
                   m_options.Epoch, m_jobs.size(),
--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -91,8 +91,13 @@
                                     [Found = Evidence](const auto &Other) {
                                       return Other.second >= Found;
                                     });
-    if (CrashHistory::count(Record, *Run, Crashed, Evidence, Suspects,
-                            WasTrial))
+    if (CrashHistory::count(Record,
+                            {.Run = *Run,
+                             .Evidence = Evidence,
+                             .Suspects = Suspects,
+                             .HadUnseenRuns = Crashed.hasUnseenRuns(),
+                             .WasTrial = WasTrial,
+                             .MayHaveHidden = Entry->MayHaveHiddenCrashes}))
       GivenUp.push_back(Entry);
     markDirty(*Entry);
     if (Record.IsSuspect)
@@ -237,7 +242,8 @@
 void JobShard::Impl::countEarlierCrash(JobEntry &Entry, int Position,
                                        const std::string &Worker) {
   TaskName Unit = crashUnit(Entry, Position);
-  bool IsGivenUp = CrashHistory::countUnseen(crashRecord(Entry, Position));
+  bool IsGivenUp = CrashHistory::countUnseen(crashRecord(Entry, Position),
+                                             Entry.MayHaveHiddenCrashes);
   m_suspects.insert(Unit);
   markDirty(Entry);
   ++m_counts.WorkerCrashes;
