Add fuzz sessions of tasks that crash their workers

Change: basilchute_jobfuzz has a mode "crashing". A session draws short and long-running jobs, gangs and fill jobs, up to six of them with a task that crashes its workers, beside planned restarts of hosts, owners that are killed soon after such a start, a store that is away, herds of workers that crash, and workers that leave, are lost or cut off. One session in five has no deadly task. At the end each deadly job must be failed, every other one ended as it should and each long-running task at work. Repeated jobs and speculative copies are not drawn.

--- a/src/testing/jobfuzz_test.cpp
+++ b/src/testing/jobfuzz_test.cpp
@@ -1,12 +1,14 @@
 // Fuzzing of job hosts with random faults, checked by the oracle.
 //
-// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling]. Prints each seed
-// that violated an invariant; sessions with the same seed are identical. With
-// "shards" there are two or three shards, and many workers leave the worker
-// list, so that jobs are transferred between shards. With "rolling" hosts and
-// workers are replaced one by one at the same time, see RollingSession.
-// BASILCHUTE_TRACE prints every event of the hosts.
-
+// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling|crashing]. Prints
+// each seed that violated an invariant; sessions with the same seed are
+// identical. With "shards" there are two or three shards, and many workers
+// leave the worker list, so that jobs are transferred between shards. With
+// "rolling" hosts and workers are replaced one by one at the same time, see
+// RollingSession. With "crashing" some tasks crash the workers that start them,
+// see CrashSession. BASILCHUTE_TRACE prints every event of the hosts.
+
+#include "testing/crashsession.h"
 #include "testing/jobtestbed.h"
 #include "testing/rollingsession.h"
 
@@ -187,6 +189,15 @@
   int m_jobs = 0;
 };
 
+std::vector<std::string> runSession(const std::string &Mode, uint64_t Seed,
+                                    bool HasTrace) {
+  if (Mode == "rolling")
+    return RollingSession(Seed, HasTrace).run();
+  if (Mode == "crashing")
+    return CrashSession(Seed, HasTrace).run();
+  return Session(Seed, Mode == "shards").run();
+}
+
 } // namespace
 
 int main(int ArgCount, char **Args) {
@@ -196,9 +207,7 @@
   bool HasTrace = std::getenv("BASILCHUTE_TRACE") != nullptr;
   uint64_t Failed = 0;
   for (uint64_t Seed = First; Seed < First + Count; ++Seed) {
-    std::vector<std::string> Violations =
-        Mode == "rolling" ? RollingSession(Seed, HasTrace).run()
-                          : Session(Seed, Mode == "shards").run();
+    std::vector<std::string> Violations = runSession(Mode, Seed, HasTrace);
     if (Violations.empty())
       continue;
     ++Failed;
