Let each deadly task of a fuzz session crash its workers

Cause: a session draws the time from the start to the crash and the length of the task on their own. A task of 0.1 s to 1 s that is to crash its worker after 1 s ends before that, so that its job rightly completes.

The check at the end is the same, and more deadly tasks are deadly. The sequence of random numbers is as before.

Conclusion: the message now means what it says.

--- a/src/testing/crashsession.cpp
+++ b/src/testing/crashsession.cpp
@@ -191,6 +191,10 @@
   int Index = randomInt(0, Value.Steps[static_cast<size_t>(Step)].Count);
   milliseconds CrashAfter(
       CrashTimesMs[randomInt(0, static_cast<int>(std::size(CrashTimesMs)))]);
+  // A run must not end before it crashes its worker.
+  const JobStep &Deadly = Value.Steps[static_cast<size_t>(Step)];
+  if (!Deadly.LongRunning && CrashAfter >= Deadly.EstimatedRunTime)
+    CrashAfter = milliseconds(CrashTimesMs[1]);
   m_bed.Oracle.setDeadly({Value.Id, 0, Step, Index}, CrashAfter);
 }
 
