Demand clean proof before a task is given up

Callers would see: a job without a deadly task is shown as failed. Beside a killed owner, a task that crashes its workers a second after the start was started a third time after the third crash.

Cause: a crash in a trial was proof although younger runs beside it can have been the cause; and two crashes for which a task was merely young counted like those under which it was a suspect. After an owner's crash a task that may have crashed workers uncounted was not yet a suspect at the first crash.

Change: the trial that may give a task up starts only when all other runs on its worker have lasted for 3 s or ended, and only then is its crash proof. Giving up needs two crashes with strong evidence, the last in a trial. After an owner's crash one crash less makes a suspect.

Conclusion: what is left of the bound on starts needs a trace of the first start.

--- a/src/libbasilchute/crashhistory.h
+++ b/src/libbasilchute/crashhistory.h
@@ -17,6 +17,8 @@
 struct CrashRecord {
   /// Workers that crashed while a run of the task on them was young.
   int Crashes = 0;
+  /// Those of them with strong evidence or proof.
+  int StrongCrashes = 0;
   /// The task starts as a trial only.
   bool IsSuspect = false;
   /// Longest time that a run can have lasted when its worker crashed; zero
@@ -61,6 +63,8 @@
 
   /// Returns true if no answer of the worker shows that the run lasted.
   bool isUnseen() const;
+  /// Returns true if the run can have crashed the worker.
+  bool isYoung() const;
 };
 
 /// A worker that fell silent, or crashed.
@@ -95,6 +99,8 @@
   int LongRunningTasks = 0;
   /// Runs whose start no answer has confirmed for long enough.
   int UnseenRuns = 0;
+  /// Runs that can crash the worker too.
+  int YoungRuns = 0;
   /// Work in progress, in millicores times seconds.
   double Work = 0;
 
@@ -135,6 +141,9 @@
   static bool countUnseen(CrashRecord &Record, bool MayHaveHidden);
   /// Records that a run of the task lasted or ended by itself.
   static void clear(CrashRecord &Record);
+  /// Returns true if a crash in the next trial may give the task up, so that it
+  /// must be proof.
+  static bool needsProof(const CrashRecord &Record, bool MayHaveHidden);
   /// Returns the time after which a trial counts as survived.
   static milliseconds trialTime(const CrashRecord &Record);
 
--- a/src/libbasilchute/crashhistory_test.cpp
+++ b/src/libbasilchute/crashhistory_test.cpp
@@ -131,8 +131,12 @@
   History.setStarted(task("deadly"));
   SilentWorker Second = silent("w1", 4s, {unseen("deadly"), seen("other", 2s)});
   Judged = History.judge(Second, {}, Workers, Start + 7s);
-  CHECK(Judged[task("deadly")] == CrashEvidence::Proof);
+  CHECK(Judged[task("deadly")] == CrashEvidence::Strong);
   CHECK(Judged[task("other")] == CrashEvidence::Weak);
+  Second = silent("w1", 14s, {unseen("deadly"), seen("other", 4s)});
+  Judged = History.judge(Second, {}, Workers, Start + 17s);
+  CHECK(Judged[task("deadly")] == CrashEvidence::Proof);
+  CHECK(Judged.count(task("other")) == 0);
 }
 
 // Guards against innocent tasks that are given up since they were unlucky
@@ -159,6 +163,19 @@
   CHECK(crashesUntilGivenUp(CrashEvidence::Strong, false, true) == 0);
 }
 
+// Guards against innocent tasks that are given up in their first trial since
+// they were young when two workers crashed for other reasons.
+TEST_CASE("A task that was only young at two crashes is tried twice") {
+  CrashRecord Record;
+  for (int Number = 0; Number < 2; ++Number)
+    CHECK_FALSE(CrashHistory::count(Record, {.Run = seen("a", 1s)}));
+  CHECK(Record.IsSuspect);
+  CountedCrash Proof{
+      .Run = seen("a", 1s), .Evidence = CrashEvidence::Proof, .WasTrial = true};
+  CHECK_FALSE(CrashHistory::count(Record, Proof));
+  CHECK(CrashHistory::count(Record, Proof));
+}
+
 // Guards against a trial that had not started, or on another worker, as proof.
 TEST_CASE("Only the workers of a started trial prove anything") {
   CrashHistory History;
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -269,6 +269,8 @@
 
 static CrashRecord loadCrash(const v1::StoredTask &From) {
   return {.Crashes = std::clamp(From.crashes(), 0, MaxStoredCrashes),
+          .StrongCrashes =
+              std::clamp(From.strong_crashes(), 0, MaxStoredCrashes),
           .IsSuspect = From.suspect(),
           .RunAge = boundedTime(From.crash_age_ms(), MaxDuration),
           .Worker = From.exposed_worker(),
@@ -288,6 +290,7 @@
     Stored.set_done(Task.Done);
     Stored.set_checkpoint(Task.Checkpoint);
     Stored.set_crashes(Task.Crash.Crashes);
+    Stored.set_strong_crashes(Task.Crash.StrongCrashes);
     Stored.set_suspect(Task.Crash.IsSuspect);
     Stored.set_crash_age_ms(Task.Crash.RunAge.count());
     Stored.set_exposed_worker(Task.Crash.Worker);
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -269,16 +269,15 @@
   bool canTry(JobEntry &Entry, int Position);
   bool beginTrial(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
                   int Position);
-  PlacementCandidate *
-  leastHarmful(std::vector<PlacementCandidate> &Candidates,
-               const JobEntry &Entry, int Position,
-               const std::set<std::string> &GangWorkers) const;
-  TrialHarm harmOf(const WorkerSlot &Slot) const;
+  PlacementCandidate *leastHarmful(std::vector<PlacementCandidate> &Candidates,
+                                   const JobEntry &Entry, int Position,
+                                   const std::set<std::string> &GangWorkers);
+  TrialHarm harmOf(const WorkerSlot &Slot);
   /// Returns the candidates of the pending trial's workers by place, or none if
   /// the trial cannot start now.
   std::vector<PlacementCandidate *>
-  readyPlaces(std::vector<PlacementCandidate> &Candidates,
-              const JobEntry &Entry, const PendingTrial &Pending) const;
+  readyPlaces(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
+              const PendingTrial &Pending);
   void startTrial(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
                   int Position, const PendingTrial &Pending);
   void endTrial(const TaskName &Unit, std::string_view How);
--- a/src/libjobhost/badrows_test.cpp
+++ b/src/libjobhost/badrows_test.cpp
@@ -130,6 +130,7 @@
   Value.Tasks.push_back({.Position = 1,
                          .Run = 3,
                          .Crash = {.Crashes = 2,
+                                   .StrongCrashes = 1,
                                    .IsSuspect = true,
                                    .RunAge = 1200ms,
                                    .Worker = "w\xff",
