Let crashed workers refuse calls and be replaced

The emulator's workers only fell silent and came back under their id.

Change: a crashed worker of the test bed is silent and back under its id, refuses calls and is back under its id, or refuses calls until a worker with a new id takes its place in the list.

No code outside the tests is changed.

--- a/src/testing/crashsession.cpp
+++ b/src/testing/crashsession.cpp
@@ -29,7 +29,8 @@
           .MinShards = 1 + static_cast<int>(Seed / 24 % 2),
           .FailPercent = Seed % 2 == 0 ? 0 : 4,
           .MaxAttempts = 5,
-          .MaxListDelay = milliseconds(Seed % 5 * 200),
+          .MaxListDelay = milliseconds(Seed % 7 * 150),
+          .Crashes = static_cast<CrashStyle>(Seed / 5 % 3),
           .Seed = Seed,
           .Trace = Trace};
 }
--- a/src/testing/joboracle_test.cpp
+++ b/src/testing/joboracle_test.cpp
@@ -107,3 +107,20 @@
   CHECK(!Bed.worker(1).IsDown);
   CHECK(Bed.maxDownByTasks() == 0);
 }
+
+// Guards against an emulator that is kinder than a fleet: there, another worker
+// with a new id is at the address of the crashed one.
+TEST_CASE("A worker that is replaced after a crash does not come back") {
+  JobTestBed Bed({.Hosts = 1, .Workers = 2, .Crashes = CrashStyle::Replaced});
+  Bed.run(3s);
+  Bed.crashWorkers({0});
+  CHECK(Bed.worker(0).isRefusing());
+  Bed.run(3s);
+  CHECK(Bed.worker(0).IsDown);
+  CHECK(!Bed.isWorkerListed(0));
+  REQUIRE(Bed.workers() == 3);
+  CHECK(Bed.worker(2).Entry.Address == Bed.worker(0).Entry.Address);
+  CHECK(Bed.isWorkerUsable(2));
+  REQUIRE(Bed.submit(0, chainJob("a", 1, 16, 1s)).has_value());
+  CHECK(Bed.runUntil([&] { return Bed.worker(2).hasRuns(); }, 3s));
+}
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -78,6 +78,29 @@
                 [this, Action = std::move(Action)] { runOnProcessor(Action); });
 }
 
+std::optional<HostTaskWorkers::CallFailure>
+HostTaskWorkers::failureOf(const std::string &Worker,
+                           milliseconds Timeout) const {
+  const ModelWorker *Model = m_bed.workerById(Worker);
+  if (!Model || m_bed.host(m_host).UnreachableWorkers.count(Worker))
+    return CallFailure{.Why = noResponse(), .After = Timeout};
+  const ModelWorker *AtAddress = Model;
+  while (AtAddress->ReplacedBy)
+    AtAddress = AtAddress->ReplacedBy;
+  milliseconds RoundTrip = 2 * m_bed.options().NetworkDelay;
+  if (AtAddress->isRefusing())
+    return CallFailure{
+        .Why = makeError(ResultCode::Unavailable, "connection refused"),
+        .After = RoundTrip};
+  if (AtAddress->IsDown)
+    return CallFailure{.Why = noResponse(), .After = Timeout};
+  if (AtAddress != Model)
+    return CallFailure{.Why = makeError(ResultCode::WrongIncarnation,
+                                        "another worker is at the address"),
+                       .After = RoundTrip};
+  return std::nullopt;
+}
+
 void HostTaskWorkers::start(const WorkerEntry &Worker, StartOrder Order,
                             StartDone Callback) {
   m_maxStartsInFlight = std::max(m_maxStartsInFlight, ++m_startsInFlight);
@@ -85,12 +108,16 @@
     --m_startsInFlight;
     Callback(std::move(Reply));
   };
-  ModelWorker *Model = m_bed.workerById(Worker.Id);
-  if (!Model || Model->IsDown ||
-      m_bed.host(m_host).UnreachableWorkers.count(Worker.Id)) {
-    reply(OrderTimeout, [Done] { Done(noResponse()); });
+  if (std::optional<CallFailure> Failure = failureOf(Worker.Id, OrderTimeout)) {
+    reply(Failure->After, [Done, Why = Failure->Why] {
+      if (Why.Code == ResultCode::WrongIncarnation)
+        Done(StartReply{.Outcome = StartOutcome::WrongIncarnation});
+      else
+        Done(Why);
+    });
     return;
   }
+  ModelWorker *Model = m_bed.workerById(Worker.Id);
   if (m_bed.Store.chance(Model->DelayedStartPercent)) {
     // The order is delayed inside the worker and lost if the worker restarts.
     m_bed.later(m_bed.Store.randomDelay(2000, 12000),
@@ -101,32 +128,34 @@
     reply(OrderTimeout, [Done] { Done(noResponse()); });
     return;
   }
-  send([this, Model, Order, Done] {
-    if (Model->IsDown) {
-      reply(OrderTimeout, [Done] { Done(noResponse()); });
-      return;
-    }
-    Result<StartReply> Out = Model->start(Order);
-    // A deadly task may have crashed the worker.
-    if (Model->IsDown) {
-      reply(OrderTimeout, [Done] { Done(noResponse()); });
-      return;
-    }
-    m_expiredStarts +=
-        Out.has_value() && Out.value().Outcome == StartOutcome::TooLate;
-    reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
-  });
+  send([this, Model, Order, Done] { executeStart(*Model, Order, Done); });
+}
+
+void HostTaskWorkers::executeStart(ModelWorker &Model, const StartOrder &Order,
+                                   const StartDone &Done) {
+  Result<StartReply> Out = noResponse();
+  bool WasDown = Model.IsDown;
+  if (!WasDown)
+    Out = Model.start(Order);
+  // The order may have started a deadly task.
+  if (Model.IsDown) {
+    milliseconds After =
+        Model.isRefusing() ? m_bed.options().NetworkDelay : OrderTimeout;
+    reply(After, [Done] { Done(noResponse()); });
+    return;
+  }
+  m_expiredStarts +=
+      Out.has_value() && Out.value().Outcome == StartOutcome::TooLate;
+  reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
 }
 
 void HostTaskWorkers::stop(const WorkerEntry &Worker, StopOrder Order,
                            OrderDone Done) {
-  ModelWorker *Model = m_bed.workerById(Worker.Id);
-  if (!Model || Model->IsDown ||
-      m_bed.host(m_host).UnreachableWorkers.count(Worker.Id)) {
-    reply(OrderTimeout, [Done] { Done(noResponse()); });
+  if (std::optional<CallFailure> Failure = failureOf(Worker.Id, OrderTimeout)) {
+    reply(Failure->After, [Done, Why = Failure->Why] { Done(Why); });
     return;
   }
-  send([this, Model, Order, Done] {
+  send([this, Model = m_bed.workerById(Worker.Id), Order, Done] {
     Status Out = Model->IsDown ? Status(noResponse()) : Model->stop(Order);
     reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
   });
@@ -145,15 +174,18 @@
 // A worker replies as soon as it has a completion to report.
 void HostTaskWorkers::pollWorker(const std::string &Worker,
                                  const PollOrder &Order, const PollDone &Done) {
-  ModelWorker *Model = m_bed.workerById(Worker);
-  if (!Model || Model->IsDown ||
-      m_bed.host(m_host).UnreachableWorkers.count(Worker)) {
-    reply(Order.Wait + OrderTimeout, [Done] { Done(noResponse()); });
+  if (std::optional<CallFailure> Failure =
+          failureOf(Worker, Order.Wait + OrderTimeout)) {
+    reply(Failure->After, [Done, Why = Failure->Why] { Done(Why); });
     return;
   }
-  m_bed.later(m_bed.options().NetworkDelay, [this, Model, Order, Done] {
+  m_bed.later(m_bed.options().NetworkDelay, [this,
+                                             Model = m_bed.workerById(Worker),
+                                             Order, Done] {
     if (Model->IsDown) {
-      reply(OrderTimeout, [Done] { Done(noResponse()); });
+      milliseconds After =
+          Model->isRefusing() ? m_bed.options().NetworkDelay : OrderTimeout;
+      reply(After, [Done] { Done(noResponse()); });
       return;
     }
     Result<PollReply> Out = Model->poll(Order);
@@ -197,6 +229,7 @@
   auto Out = std::make_unique<ModelWorker>(
       WorkerEntry{.Id = fmt::format("w{}", workers()),
                   .Service = ServiceName,
+                  .Address = fmt::format("worker-{}:80", workers()),
                   .Capacity = m_options.WorkerCapacity},
       Oracle, [this] { return now(); });
   Out->FailPercent = m_options.FailPercent;
@@ -206,7 +239,8 @@
     later(Delay, std::move(Action));
   };
   Out->ReturnAfter = m_options.WorkerReturn;
-  Out->OnReturn = [this] { publishWorkers(); };
+  Out->RefusesAfterCrash = m_options.Crashes != CrashStyle::Silent;
+  Out->OnReturn = [this, Id = Out->Entry.Id] { endCrash(Id); };
   return Out;
 }
 
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -19,6 +20,19 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+/// How a worker behaves that a deadly task or the crash of a herd has taken
+/// down.
+enum class CrashStyle {
+  /// It does not answer until it is back under the same id.
+  Silent,
+  /// It refuses connections until it is back under the same id.
+  Refusing,
+  /// It refuses connections until another worker, with a new id, is there at
+  /// the
+  /// same address, which takes its place in the list.
+  Replaced,
+};
+
 /// Settings of a JobTestBed.
 struct JobTestBedOptions {
   int Hosts = 3;
@@ -42,6 +56,7 @@
   milliseconds MaxListDelay{0};
   /// Time from a crash by a deadly task or of a herd until the worker is back.
   milliseconds WorkerReturn{3000};
+  CrashStyle Crashes = CrashStyle::Silent;
   uint64_t Seed = 1;
   /// Prints every event of the hosts with its time and host.
   bool Trace = false;
@@ -67,12 +82,23 @@
   int expiredStarts() const { return m_expiredStarts; }
 
 private:
+  /// Why a worker cannot carry out a call, and when the host hears of it.
+  struct CallFailure {
+    Error Why;
+    milliseconds After{0};
+  };
+  /// Returns nothing if the worker is up and reachable. A call that is not
+  /// answered fails after \p Timeout.
+  std::optional<CallFailure> failureOf(const std::string &Worker,
+                                       milliseconds Timeout) const;
   /// Runs \p Action once the host's processor has finished earlier work.
   void runOnProcessor(std::function<void()> Action);
   /// Runs \p Action at the worker, after processor time and network delay.
   void send(std::function<void()> Action);
   /// Runs \p Action on the host's processor after \p Delay.
   void reply(milliseconds Delay, std::function<void()> Action);
+  void executeStart(ModelWorker &Model, const StartOrder &Order,
+                    const StartDone &Done);
   /// Polls the worker again at short intervals until it has a completion or
   /// the wait is over.
   void pollWorker(const std::string &Worker, const PollOrder &Order,
@@ -218,6 +244,8 @@
   bool isCalm();
   void checkRestarts();
   void countDownByTasks();
+  /// Lets a crashed worker come back, or another one take its place.
+  void endCrash(const std::string &Worker);
   /// Returns true if each task of \p Value fits on a worker that it may run on.
   bool canRun(const Job &Value) const;
   void trace(int Host, std::string_view Event, std::string_view Fields);
--- a/src/testing/jobtestbed_fleet.cpp
+++ b/src/testing/jobtestbed_fleet.cpp
@@ -80,6 +80,25 @@
     worker(Index).crashAndReturn();
 }
 
+void JobTestBed::endCrash(const std::string &Worker) {
+  ModelWorker &Crashed = *workerById(Worker);
+  if (m_options.Crashes != CrashStyle::Replaced) {
+    Crashed.comeBack();
+    publishWorkers();
+    return;
+  }
+  for (int Index = 0; Index < workers(); ++Index)
+    if (&worker(Index) == &Crashed)
+      m_unlisted.insert(Index);
+  m_workers.push_back(newWorker());
+  ModelWorker &Added = *m_workers.back();
+  Added.Entry.Address = Crashed.Entry.Address;
+  Added.Approved = Crashed.Approved;
+  m_workersById[Added.Entry.Id] = &Added;
+  Crashed.ReplacedBy = &Added;
+  publishWorkers();
+}
+
 bool JobTestBed::canRun(const Job &Value) const {
   return std::all_of(
       Value.Steps.begin(), Value.Steps.end(), [this](const JobStep &Step) {
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -414,17 +414,16 @@
   m_crashedByTask = Cause != nullptr;
   leave();
   m_lastCrash = m_now();
+  m_refuses = RefusesAfterCrash;
   RunAfter(ReturnAfter, [this, Resets = m_resets] {
     if (IsDown && m_resets == Resets)
-      comeBack();
+      OnReturn();
   });
 }
 
 void ModelWorker::comeBack() {
   IsDown = false;
   m_incarnation = m_now();
-  if (OnReturn)
-    OnReturn();
 }
 
 std::vector<TaskName> ModelWorker::tasks() const {
@@ -490,6 +489,7 @@
 void ModelWorker::crash() {
   m_oracle.onCrash(tasks(), nullptr);
   m_crashedByTask = false;
+  m_refuses = false;
   leave();
   m_lastCrash = m_now();
 }
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -171,8 +171,14 @@
   std::function<void(milliseconds, std::function<void()>)> RunAfter;
   /// Time from a crash by a deadly task until the worker is back.
   milliseconds ReturnAfter{3000};
-  /// Called when the worker is back after a crash, if set.
+  /// Called when the worker should be back after a crash; calls comeBack() or
+  /// starts another worker at its address. Needed with RunAfter.
   std::function<void()> OnReturn;
+  /// After a crash the worker refuses connections until it is back. If it is
+  /// not set, calls get no answer.
+  bool RefusesAfterCrash = false;
+  /// Worker that has replaced this one at its address; null if none has.
+  const ModelWorker *ReplacedBy = nullptr;
 
   Result<StartReply> start(const StartOrder &Order);
   Status stop(const StopOrder &Order);
@@ -196,10 +202,14 @@
   /// The same as planned work.
   void leave();
   /// Lets the worker crash, if it is up, and be down until it is back as a new
-  /// incarnation. Needs RunAfter.
+  /// incarnation. Needs RunAfter and OnReturn.
   void crashAndReturn();
+  /// Ends the time for which a crashed worker is down: it is a new incarnation.
+  void comeBack();
   /// Returns true while the worker is down because a deadly task crashed it.
-  bool isDownByTask() const { return IsDown && m_crashedByTask; }
+  bool isDownByTask() const { return IsDown && m_crashedByTask && !ReplacedBy; }
+  /// Returns true while the worker is down and refuses connections.
+  bool isRefusing() const { return IsDown && m_refuses; }
   /// When the worker last crashed; zero if it never did.
   TimePoint lastCrash() const { return m_lastCrash; }
   /// Ends the run of \p Task as failed. Returns false if there is none.
@@ -226,7 +236,6 @@
   /// Crashes the worker after \p Delay if the run still goes on.
   void scheduleCrash(const TaskName &Task, int Run, milliseconds Delay);
   void goDown(const TaskName *Cause);
-  void comeBack();
   std::vector<TaskName> tasks() const;
   void end(const TaskName &Task, RunOutcome End);
   Resources used() const;
@@ -236,6 +245,7 @@
   TimePoint m_incarnation;
   TimePoint m_lastCrash{};
   bool m_crashedByTask = false;
+  bool m_refuses = false;
   /// Number of times that all state was dropped.
   int m_resets = 0;
   uint64_t m_epoch = 0;
