Find the crash of a worker that is replaced, and hold no suspect back for long

Callers would see: a task that crashes workers, which other workers replace, is started a third time after the third crash; a long-running task without fault is down for 12 s behind the trials of others.

Cause: each poll that found the replacement at the old address counted as one more crash at that moment, so that no later crash in a trial was proof. Suspects waited for the trials of all those before them, whatever their wait; and a task that was merely young became a suspect at the third crash only if another run was unseen.

Change: the crash of an incarnation is judged once, and workers whose incarnation is gone no longer count as silent. A suspect that has waited for 2.5 s, or 1 s if it is long-running, comes first and is held back by the number of trials only. The second crash makes a suspect in any case.

--- a/src/libbasilchute/crashhistory.cpp
+++ b/src/libbasilchute/crashhistory.cpp
@@ -13,10 +13,8 @@
 /// a worker crashed before, the bound is longer.
 constexpr milliseconds YoungAge{3000};
 constexpr milliseconds YoungAgeOfCounted{5000};
-/// Crashes with weak evidence that make a suspect: without and with another run
-/// on the worker for which there is strong evidence.
+/// Crashes that make a suspect of a task without strong evidence.
 constexpr int WeakCrashes = 2;
-constexpr int WeakCrashesBesideStrong = 3;
 /// Crashes after which a task is given up if the last is proof, and if the last
 /// was during a trial but other workers crashed as well. Two are not enough: a
 /// task can be unlucky twice. A task must not start three times after three
@@ -180,11 +178,9 @@
     Record.RunAge =
         std::max(Record.RunAge, std::min(Run.MaxAge, YoungAgeOfCounted));
   int Hidden = Crash.MayHaveHidden ? HiddenCrashes : 0;
-  int Bound = !Run.isUnseen() && Crash.HadUnseenRuns ? WeakCrashesBesideStrong
-                                                     : WeakCrashes;
   Record.IsSuspect = Record.IsSuspect ||
                      Crash.Evidence >= CrashEvidence::Strong ||
-                     Record.Crashes >= Bound - Hidden;
+                     Record.Crashes >= WeakCrashes - Hidden;
   Record.StrongCrashes += Crash.Evidence >= CrashEvidence::Strong ? 1 : 0;
   int Needed =
       Crash.Evidence == CrashEvidence::Proof ? ProvenCrashes : UnprovenCrashes;
@@ -224,7 +220,12 @@
 // All suspects of one crash may be tried at once, since one of them at most
 // crashes its worker again.
 bool CrashHistory::mayBegin(const CrashRecord &Record, size_t Workers,
-                            const std::set<std::string> &Silent) const {
+                            const std::set<std::string> &Silent,
+                            bool HasWaitedLong) const {
+  if (m_trials.size() >= std::max(MinTrials, Workers / WorkersPerTrial))
+    return false;
+  if (HasWaitedLong)
+    return true;
   double Answering = Record.Weight;
   double Any = Record.Weight;
   for (const auto &[Task, Trial] : m_trials) {
@@ -237,8 +238,7 @@
   auto Count = static_cast<double>(Workers);
   return Answering <= std::max(1.0, Count / WorkersPerCrash) + RoundingMargin &&
          Any <= std::max(MinAnyCrashes, Count / WorkersPerAnyCrash) +
-                    RoundingMargin &&
-         m_trials.size() < std::max(MinTrials, Workers / WorkersPerTrial);
+                    RoundingMargin;
 }
 
 void CrashHistory::begin(const TaskName &Task, std::set<std::string> Workers,
--- a/src/libbasilchute/crashhistory.h
+++ b/src/libbasilchute/crashhistory.h
@@ -85,8 +85,6 @@
   CrashEvidence Evidence = CrashEvidence::Weak;
   /// Number of tasks with as much evidence.
   size_t Suspects = 1;
-  /// The worker had unseen runs.
-  bool HadUnseenRuns = false;
   /// The run was a trial.
   bool WasTrial = false;
   /// Owners were killed before, so that the task may have crashed workers
@@ -148,9 +146,10 @@
   static milliseconds trialTime(const CrashRecord &Record);
 
   /// Returns true if the trial of a suspect may begin in a shard of \p Workers
-  /// workers, of which \p Silent do not answer.
+  /// workers, of which \p Silent do not answer. A suspect that \p HasWaitedLong
+  /// is held back by the number of trials only.
   bool mayBegin(const CrashRecord &Record, size_t Workers,
-                const std::set<std::string> &Silent) const;
+                const std::set<std::string> &Silent, bool HasWaitedLong) const;
   void begin(const TaskName &Task, std::set<std::string> Workers, double Weight,
              TimePoint Now);
   /// Records that the start orders are sent.
--- a/src/libbasilchute/crashhistory_test.cpp
+++ b/src/libbasilchute/crashhistory_test.cpp
@@ -76,11 +76,10 @@
       auto Judged = History.judge(Crashed, {}, Workers, Start + At + 3s);
       History.end(task("deadly"));
       if (Judged.count(task("deadly")))
-        IsGivenUp = CrashHistory::count(
-            Record, {.Run = Run,
-                     .Evidence = Judged[task("deadly")],
-                     .HadUnseenRuns = Crashed.hasUnseenRuns(),
-                     .WasTrial = IsTrial});
+        IsGivenUp =
+            CrashHistory::count(Record, {.Run = Run,
+                                         .Evidence = Judged[task("deadly")],
+                                         .WasTrial = IsTrial});
     }
   }
 };
@@ -113,8 +112,7 @@
     REQUIRE(Judged[task("innocent")] == CrashEvidence::Strong);
     CHECK_FALSE(
         CrashHistory::count(Record, {.Run = Crashed.Runs[0],
-                                     .Evidence = Judged[task("innocent")],
-                                     .HadUnseenRuns = true}));
+                                     .Evidence = Judged[task("innocent")]}));
     CHECK(Record.IsSuspect);
     CrashHistory::clear(Record);
     CHECK_FALSE(Record.IsSuspect);
@@ -291,17 +289,17 @@
 TEST_CASE("Few trials are on workers that answer, and not many more in all") {
   CrashHistory History;
   CrashRecord Record{.Weight = 1};
-  CHECK(History.mayBegin(Record, 5, {}));
+  CHECK(History.mayBegin(Record, 5, {}, false));
   History.begin(task("a"), {"w0"}, 1, Start);
-  CHECK_FALSE(History.mayBegin(Record, 5, {}));
-  CHECK(History.mayBegin(Record, 24, {}));
-  CHECK(History.mayBegin(Record, 5, {"w0"}));
+  CHECK_FALSE(History.mayBegin(Record, 5, {}, false));
+  CHECK(History.mayBegin(Record, 24, {}, false));
+  CHECK(History.mayBegin(Record, 5, {"w0"}, false));
   History.begin(task("b"), {"w1"}, 1, Start);
   History.begin(task("c"), {"w2"}, 1, Start);
-  CHECK_FALSE(History.mayBegin(Record, 24, {"w0", "w1", "w2"}));
-  CHECK(History.mayBegin(Record, 48, {}));
+  CHECK_FALSE(History.mayBegin(Record, 24, {"w0", "w1", "w2"}, false));
+  CHECK(History.mayBegin(Record, 48, {}, false));
   History.end(task("a"));
-  CHECK(History.mayBegin(Record, 24, {"w1", "w2"}));
+  CHECK(History.mayBegin(Record, 24, {"w1", "w2"}, false));
 }
 
 // Guards against innocent tasks that wait for long: of the suspects of one
@@ -317,14 +315,28 @@
                         {.Run = Crashed.Runs[static_cast<size_t>(Index)],
                          .Evidence = CrashEvidence::Strong,
                          .Suspects = 5});
-    CHECK(History.mayBegin(Record, 24, {}));
+    CHECK(History.mayBegin(Record, 24, {}, false));
     History.begin(task("a", Index), {fmt::format("w{}", Index + 1)},
                   Record.Weight, Start);
   }
-  CHECK(History.mayBegin({.Weight = 1}, 24, {}));
-  CHECK_FALSE(History.mayBegin({.Weight = 1}, 12, {}));
+  CHECK(History.mayBegin({.Weight = 1}, 24, {}, false));
+  CHECK_FALSE(History.mayBegin({.Weight = 1}, 12, {}, false));
   History.begin(task("b"), {"w6"}, 1, Start);
-  CHECK_FALSE(History.mayBegin({.Weight = 0.1}, 24, {}));
+  CHECK_FALSE(History.mayBegin({.Weight = 0.1}, 24, {}, false));
+}
+
+// Guards against innocent long-running tasks that wait behind the trials of
+// deadly ones for longer than users are told.
+TEST_CASE("A suspect that has waited long is held back by the number of trials "
+          "only") {
+  CrashHistory History;
+  CrashRecord Record{.Weight = 1};
+  for (int Index = 0; Index < 3; ++Index) {
+    CHECK(History.mayBegin(Record, 12, {}, true));
+    History.begin(task("a", Index), {fmt::format("w{}", Index)}, 1, Start);
+    CHECK_FALSE(History.mayBegin(Record, 12, {}, false));
+  }
+  CHECK_FALSE(History.mayBegin(Record, 12, {}, true));
 }
 
 TEST_CASE("Workers and jobs of trials are known until the trials end") {
--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -42,12 +42,13 @@
   return Out;
 }
 
+// A worker whose incarnation is gone has crashed earlier.
 std::vector<SilentWorker>
 JobShard::Impl::otherSilentWorkers(const WorkerSlot &Slot) {
   std::vector<SilentWorker> Out;
   for (const auto &[Id, Other] : m_slots) {
     bool IsSilent = Other.MissedPolls > 0 && !Other.Entry.IsDraining &&
-                    Id != Slot.Entry.Id && Other.Incarnation.count() != 0;
+                    Id != Slot.Entry.Id && Other.IsFenced;
     if (IsSilent)
       Out.push_back(silentWorker(Other));
   }
@@ -62,6 +63,9 @@
     resolveExposures(Slot, Slot.Incarnation);
     return GivenUp;
   }
+  // Each later poll of a worker that was replaced finds the other one again.
+  if (!Slot.IsFenced && Slot.Runs.empty())
+    return GivenUp;
   SilentWorker Crashed = silentWorker(Slot);
   std::map<TaskName, CrashEvidence> Judged = m_crashes.judge(
       Crashed, otherSilentWorkers(Slot), m_slots.size(), m_time.now());
@@ -95,7 +99,6 @@
                             {.Run = *Run,
                              .Evidence = Evidence,
                              .Suspects = Suspects,
-                             .HadUnseenRuns = Crashed.hasUnseenRuns(),
                              .WasTrial = WasTrial,
                              .MayHaveHidden = Entry->MayHaveHiddenCrashes}))
       GivenUp.push_back(Entry);
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -265,6 +265,7 @@
   void placeTrials(std::vector<PlacementCandidate> &Candidates);
   void updateTrials(std::vector<PlacementCandidate> &Candidates);
   std::vector<TaskName> suspectsInOrder();
+  bool hasWaitedForTrial(const JobEntry &Entry, int Position) const;
   static std::vector<int> trialPositions(const JobEntry &Entry, int Position);
   bool canTry(JobEntry &Entry, int Position);
   bool beginTrial(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
--- a/src/libbasilchute/jobshard_trial.cpp
+++ b/src/libbasilchute/jobshard_trial.cpp
@@ -12,6 +12,11 @@
 /// Another worker is chosen if a trial could not start within this time, in
 /// which all runs beside it have ended or are no longer young.
 constexpr milliseconds MaxTrialDelay{4500};
+/// A suspect that has waited for this long comes before others. A long-running
+/// task must run again within 9 s of its worker's crash, which is found after
+/// about 3 s.
+constexpr milliseconds MaxTrialWait{2500};
+constexpr milliseconds MaxLongRunningTrialWait{1000};
 /// Room is reserved for a suspect that has waited for this long.
 constexpr milliseconds ReserveTrialRoomAfter{800};
 
@@ -32,7 +37,7 @@
     auto [Entry, Position] = findRunning(Unit);
     if (Entry && canTry(*Entry, Position) &&
         m_crashes.mayBegin(crashRecord(*Entry, Position), m_slots.size(),
-                           Silent))
+                           Silent, hasWaitedForTrial(*Entry, Position)))
       beginTrial(Candidates, *Entry, Position);
   }
   std::erase_if(Candidates, [&](const PlacementCandidate &Candidate) {
@@ -40,9 +45,18 @@
   });
 }
 
+bool JobShard::Impl::hasWaitedForTrial(const JobEntry &Entry,
+                                       int Position) const {
+  milliseconds MaxWait = Entry.stepOf(Position).LongRunning
+                             ? MaxLongRunningTrialWait
+                             : MaxTrialWait;
+  return m_time.now() >
+         Entry.Tasks[static_cast<size_t>(Position)].WaitingSince + MaxWait;
+}
+
 // Those with the fewest crashes, which are most likely innocent, come first.
 std::vector<TaskName> JobShard::Impl::suspectsInOrder() {
-  std::vector<std::tuple<int, bool, TimePoint, TaskName>> Ranked;
+  std::vector<std::tuple<bool, int, bool, TimePoint, TaskName>> Ranked;
   for (auto It = m_suspects.begin(); It != m_suspects.end();) {
     auto [Entry, Position] = findRunning(*It);
     if (!Entry) {
@@ -50,14 +64,15 @@
       continue;
     }
     const TaskState &Task = Entry->Tasks[static_cast<size_t>(Position)];
-    Ranked.emplace_back(Task.Crash.Crashes,
+    bool HasWaited = hasWaitedForTrial(*Entry, Position);
+    Ranked.emplace_back(!HasWaited, HasWaited ? 0 : Task.Crash.Crashes,
                         !Entry->stepOf(Position).LongRunning, Task.WaitingSince,
                         *It);
     ++It;
   }
   std::sort(Ranked.begin(), Ranked.end());
   std::vector<TaskName> Out;
-  for (auto &[Crashes, IsShort, Since, Unit] : Ranked)
+  for (auto &[IsRecent, Crashes, IsShort, Since, Unit] : Ranked)
     Out.push_back(std::move(Unit));
   return Out;
 }
