Merge trials of tasks that may crash their workers

Both sides store something before a start: the worker of a long-running task, and the run under suspicion.

--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -42,6 +42,7 @@
     Task.Checkpoint = Progress.Checkpoint;
     if (storesPlace(Progress.Position))
       Task.Place = Progress.Place;
+    Task.Crash = Progress.Crash;
     m_hasStarted = m_hasStarted || Progress.Run > 0 || Progress.Done;
     if (Progress.Done)
       finish(Progress.Position);
@@ -61,7 +62,8 @@
          .FailedRuns = {Task.FailedRuns.begin(), Task.FailedRuns.end()},
          .Done = IsDone,
          .Checkpoint = Task.Checkpoint,
-         .Place = IsDone ? std::nullopt : Task.Place});
+         .Place = IsDone ? std::nullopt : Task.Place,
+         .Crash = Task.Crash});
   }
   return Out;
 }
@@ -133,6 +135,14 @@
   });
 }
 
+int JobEntry::crashPosition(int Position) const {
+  int Within = Position % m_tasksPerOccurrence;
+  int Step = m_stepOfTask[static_cast<size_t>(Within)];
+  if (!Spec.Steps[static_cast<size_t>(Step)].Gang)
+    return Position;
+  return Position - Within + m_firstTaskOfStep[static_cast<size_t>(Step)];
+}
+
 std::vector<int> JobEntry::groupPositions(int Position) const {
   int Within = Position % m_tasksPerOccurrence;
   int Step = m_stepOfTask[static_cast<size_t>(Within)];
@@ -197,8 +207,10 @@
 
 std::set<int> JobEntry::onCommitEnded(bool IsStored) {
   std::set<int> Out;
-  if (IsStored)
+  if (IsStored) {
     Out.swap(m_placesInCommit);
+    m_storedCommit = m_commitsSent;
+  }
   m_unstoredPlaces.merge(m_placesInCommit);
   m_placesInCommit.clear();
   return Out;
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -6,6 +6,7 @@
 #include "basilchute/clock.h"
 #include "basilchute/job.h"
 #include "basilchute/taskworker.h"
+#include "libbasilchute/crashhistory.h"
 #include "libbasilchute/jobrows.h"
 
 #include <optional>
@@ -46,6 +47,9 @@
   std::optional<std::string> Place;
   /// Number of runs that were stopped because they lagged.
   int SlowStops = 0;
+  /// Crashes of workers under the task. For a member of a gang only the worker
+  /// and incarnation are its own.
+  CrashRecord Crash;
   /// When the task became ready, or ready again after a run ended.
   TimePoint WaitingSince{};
 };
@@ -79,6 +83,8 @@
   bool IsTransferring = false;
   /// Tasks that a pending commit delegates to another shard.
   std::vector<int> Delegating;
+  /// The previous owner crashed while it held the job.
+  bool MayHaveHiddenCrashes = false;
   /// Shard that holds the job, if this shard runs only delegated tasks of it.
   std::optional<int> HomeShard;
   /// The state of the job in its home shard is being read.
@@ -114,6 +120,9 @@
   bool isRestart(int Position) const;
   /// Returns true if all tasks of all preceding steps are done.
   bool isReady(int Position) const;
+  /// Returns the position whose crash record counts for the task: its own, or
+  /// that of the gang's first member.
+  int crashPosition(int Position) const;
   /// Returns the positions of all tasks of the same group.
   std::vector<int> groupPositions(int Position) const;
   /// Returns the time since 1970 at which the task's occurrence is due, or zero
@@ -131,10 +140,17 @@
   /// Reverts place() while the place of an earlier run is not known.
   void dropPlace(int Position);
   /// Must be called when a commit of the progress is sent.
-  void onCommitSent() { m_placesInCommit.merge(m_unstoredPlaces); }
+  void onCommitSent() {
+    m_placesInCommit.merge(m_unstoredPlaces);
+    ++m_commitsSent;
+  }
   /// Must be called when that commit has succeeded or failed. Returns the tasks
   /// that may be started on their worker now.
   std::set<int> onCommitEnded(bool IsStored);
+  /// Returns the number of the next commit of the progress, and whether that
+  /// commit or a later one has succeeded.
+  uint64_t nextCommit() const { return m_commitsSent + 1; }
+  bool isStored(uint64_t Commit) const { return m_storedCommit >= Commit; }
   /// Marks the task done. A long-running task that another shard runs counts as
   /// done here.
   void finish(int Position);
@@ -178,6 +194,9 @@
   /// succeeded.
   std::set<int> m_unstoredPlaces;
   std::set<int> m_placesInCommit;
+  /// Number of the last commit that was sent, and of the last that succeeded.
+  uint64_t m_commitsSent = 0;
+  uint64_t m_storedCommit = 0;
 };
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -26,6 +26,8 @@
 /// Highest run number that is read from a row; above what workers may report,
 /// so that numbers go on rising, and with room for later runs.
 constexpr int MaxStoredRun = 2 * MaxReportedRun;
+/// Highest number of crashes that is read from a row.
+constexpr int MaxStoredCrashes = 1000;
 /// Number of partitions that hold the index of jobs. Must never change, because
 /// the partition of each stored index row depends on it.
 constexpr uint64_t IndexPartitions = 16;
@@ -282,6 +284,16 @@
   return Worker.empty() ? std::nullopt : std::optional(Worker);
 }
 
+CrashRecord loadCrash(const v1::StoredTask &From) {
+  return {.Crashes = std::clamp(From.crashes(), 0, MaxStoredCrashes),
+          .StrongCrashes =
+              std::clamp(From.strong_crashes(), 0, MaxStoredCrashes),
+          .IsSuspect = From.suspect(),
+          .RunAge = boundedTime(From.crash_age_ms(), MaxDuration),
+          .Worker = From.exposed_worker(),
+          .Incarnation = milliseconds(From.exposed_incarnation())};
+}
+
 } // namespace
 
 std::string encodeProgress(const JobProgress &Value) {
@@ -297,6 +309,12 @@
       Stored.add_failed_runs(Run);
     Stored.set_done(Task.Done);
     Stored.set_checkpoint(Task.Checkpoint);
+    Stored.set_crashes(Task.Crash.Crashes);
+    Stored.set_strong_crashes(Task.Crash.StrongCrashes);
+    Stored.set_suspect(Task.Crash.IsSuspect);
+    Stored.set_crash_age_ms(Task.Crash.RunAge.count());
+    Stored.set_exposed_worker(Task.Crash.Worker);
+    Stored.set_exposed_incarnation(Task.Crash.Incarnation.count());
     if (!Task.Place)
       continue;
     auto [Place, IsNew] =
@@ -322,7 +340,8 @@
          .FailedRuns = {Task.failed_runs().begin(), Task.failed_runs().end()},
          .Done = Task.done(),
          .Checkpoint = Task.checkpoint(),
-         .Place = placeOf(Task, From)});
+         .Place = placeOf(Task, From),
+         .Crash = loadCrash(Task)});
   return Out;
 }
 
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -7,6 +7,7 @@
 #include "basilchute/job.h"
 #include "basilchute/result.h"
 #include "basilchute/rowstore.h"
+#include "libbasilchute/crashhistory.h"
 
 #include <map>
 #include <optional>
@@ -26,6 +27,7 @@
   /// The only worker on which a run of the task may be; empty if there is
   /// certainly no run, no value if that is not known.
   std::optional<std::string> Place;
+  CrashRecord Crash;
 };
 
 /// Stored progress of a job.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -121,6 +121,7 @@
 
 void JobShard::Impl::finishLoad() {
   m_isLoaded = true;
+  bool HasOwnerCrashed = !m_handover;
   initPreviousRuns();
   for (const StoredRow &Row : m_loadedJobs) {
     auto [Id, IsCancel] = parseJobKey(Row.Address.Key);
@@ -130,6 +131,8 @@
     if (IsCancel || m_loadedProgress.count(Id))
       onJobRow(Row);
   }
+  for (auto &[Id, Entry] : m_jobs)
+    Entry.MayHaveHiddenCrashes = HasOwnerCrashed;
   log("shard_loaded",
       fmt::format("shard={} epoch={} jobs={} took_ms={}", m_options.Shard,
                   m_options.Epoch, m_jobs.size(),
@@ -247,6 +250,8 @@
   }
   if (isFinal(Entry.State))
     return;
+  if (Stored)
+    restoreCrashes(Entry);
   if (!Stored)
     log("job_seen",
         fmt::format("job={} queue={} shard={} tasks={}", Spec.Id, Spec.Queue,
@@ -278,6 +283,7 @@
   markDirty(Entry);
   m_waiting.erase(Entry.Spec.Id);
   m_approvals.forget(Entry.Spec.Id);
+  endTrialsOf(Entry.Spec.Id);
   for (int Group : Entry.Groups)
     m_interference.forget(Group);
   if (State != JobState::Completed)
--- /dev/null
+++ b/src/libjobhost/workercrash_test.cpp
@@ -0,0 +1,233 @@
+// Tests of tasks that crash the workers that run them.
+
+#include "testing/jobtestbed.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A task may start twice more after three workers have crashed under it.
+constexpr int MaxDeadlyStarts = 5;
+
+TaskName taskOf(const std::string &Id, int Index = 0) {
+  return {.Job = Id, .Occurrence = 0, .Step = 0, .Index = Index};
+}
+
+/// Returns the state that the first host with an answer reports.
+JobState stateOf(JobTestBed &Bed, const std::string &Id) {
+  for (int Host = 0; Host < Bed.hosts(); ++Host) {
+    Result<JobState> State = Bed.state(Host, Id);
+    if (State.has_value())
+      return State.value();
+  }
+  return JobState::Queued;
+}
+
+bool reaches(JobTestBed &Bed, const std::string &Id, JobState State,
+             milliseconds Limit) {
+  TimePoint Until = Bed.now() + Limit;
+  while (stateOf(Bed, Id) != State) {
+    if (Bed.now() >= Until)
+      return false;
+    Bed.run(100ms);
+  }
+  return true;
+}
+
+void checkNoViolations(const JobTestBed &Bed) {
+  for (const std::string &Violation : Bed.Oracle.violations())
+    FAIL_CHECK(Violation);
+}
+
+JobShardCounts countsOf(JobTestBed &Bed) {
+  return Bed.host(Bed.ownerIndex()).Process->counts();
+}
+
+void startAllHosts(JobTestBed &Bed) {
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    if (!Bed.host(Host).Process)
+      Bed.startHost(Host);
+}
+
+/// Restarts the owner as planned, or kills it, \p Delay after each start of a
+/// deadly task.
+void changeOwnerAfterStarts(JobTestBed &Bed, milliseconds Delay, bool IsKill) {
+  Bed.Oracle.OnDeadlyStart = [&Bed, Delay, IsKill] {
+    Bed.later(Delay, [&Bed, IsKill] {
+      int Owner = Bed.ownerIndex();
+      if (Owner < 0)
+        return;
+      if (!IsKill)
+        return Bed.restartHost(Owner, 1s, 500ms);
+      Bed.killHost(Owner);
+      Bed.later(1s, [&Bed] { startAllHosts(Bed); });
+    });
+  };
+}
+
+} // namespace
+
+// Guards against decisions that on-call cannot see.
+TEST_CASE("Each decision on a deadly task is logged and counted") {
+  JobTestBed Bed({.Workers = 4});
+  Bed.run(3s);
+  Bed.Oracle.setDeadly(taskOf("deadly"));
+  CHECK(Bed.submit(0, chainJob("deadly", 1, 1)).has_value());
+  CHECK(reaches(Bed, "deadly", JobState::Failed, 30s));
+  CHECK(countsOf(Bed).WorkerCrashes == 3);
+  CHECK(countsOf(Bed).CrashTrials == 2);
+  CHECK(countsOf(Bed).CrashTrialsSurvived == 0);
+  CHECK(countsOf(Bed).CrashJobsGivenUp == 1);
+  CHECK(Bed.LogLines["worker_crashed"] == 3);
+  CHECK(Bed.LogLines["trial_begins"] == 2);
+  CHECK(Bed.LogLines["trial_ends"] == 2);
+  CHECK(Bed.LogLines["task_given_up"] == 1);
+  Bed.run(10s);
+  CHECK(Bed.Oracle.deadly(taskOf("deadly"))->Starts == 3);
+  checkNoViolations(Bed);
+}
+
+// Guards against innocent tasks that are given up: two workers and more crashed
+// under them, each time beside a deadly one.
+TEST_CASE("A task that was beside deadly ones again and again completes") {
+  JobTestBed Bed({.Workers = 2});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("innocent", 1, 8, 4s)).has_value());
+  for (int Number = 0; Number < 3; ++Number) {
+    std::string Id = fmt::format("deadly-{}", Number);
+    Bed.Oracle.setDeadly(taskOf(Id));
+    CHECK(Bed.submit(0, chainJob(Id, 1, 1)).has_value());
+    Bed.run(1500ms);
+  }
+  CHECK(reaches(Bed, "innocent", JobState::Completed, 120s));
+  for (int Number = 0; Number < 3; ++Number)
+    CHECK(
+        reaches(Bed, fmt::format("deadly-{}", Number), JobState::Failed, 60s));
+  checkNoViolations(Bed);
+}
+
+// Guards against jobs that fail because many workers went down at one moment,
+// again and again.
+TEST_CASE("Crashes of a third of the workers fail no job, four times") {
+  JobTestBed Bed({.Workers = 9});
+  Bed.run(3s);
+  std::vector<std::string> Jobs;
+  for (int Number = 0; Number < 12; ++Number) {
+    Jobs.push_back(fmt::format("job-{}", Number));
+    CHECK(Bed.submit(0, chainJob(Jobs.back(), 6, 4, 900ms)).has_value());
+  }
+  for (int Herd = 0; Herd < 4; ++Herd) {
+    Bed.crashWorkers({Herd * 2 % 9, (Herd * 2 + 1) % 9, (Herd * 2 + 2) % 9});
+    Bed.run(4500ms);
+  }
+  for (const std::string &Id : Jobs)
+    CHECK(reaches(Bed, Id, JobState::Completed, 60s));
+  CHECK(countsOf(Bed).CrashJobsGivenUp == 0);
+  checkNoViolations(Bed);
+}
+
+// Guards against a count that begins anew with each planned change of owner.
+TEST_CASE("Crashes stay counted if the owner changes as planned after each") {
+  // At several times relative to the crash and to the worker's return.
+  for (milliseconds Delay : {50ms, 700ms, 2000ms, 3300ms, 3700ms}) {
+    CAPTURE(Delay.count());
+    JobTestBed Bed({.Workers = 4});
+    Bed.run(3s);
+    Bed.Oracle.setDeadly(taskOf("deadly"));
+    changeOwnerAfterStarts(Bed, Delay, false);
+    CHECK(Bed.submit(0, chainJob("deadly", 1, 1)).has_value());
+    CHECK(reaches(Bed, "deadly", JobState::Failed, 90s));
+    CHECK(Bed.Oracle.deadly(taskOf("deadly"))->Starts <= MaxDeadlyStarts);
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against a count that begins anew whenever the owner is killed, also
+// before the worker is back, so that no owner has counted the crash.
+TEST_CASE("Crashes stay counted if the owner is killed after each") {
+  for (milliseconds Delay : {1700ms, 2500ms, 3300ms, 3700ms, 5000ms}) {
+    CAPTURE(Delay.count());
+    JobTestBed Bed({.Workers = 4});
+    Bed.run(3s);
+    Bed.Oracle.setDeadly(taskOf("deadly"));
+    changeOwnerAfterStarts(Bed, Delay, true);
+    CHECK(Bed.submit(0, chainJob("deadly", 1, 1)).has_value());
+    CHECK(reaches(Bed, "deadly", JobState::Failed, 200s));
+    CHECK(Bed.Oracle.deadly(taskOf("deadly"))->Starts <= MaxDeadlyStarts);
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against tasks that crash their worker some time after the start: they
+// look like those that have survived.
+TEST_CASE("A task that crashes its worker later is found beside others") {
+  for (milliseconds RunTime : {200ms, 400ms, 1000ms, 2000ms}) {
+    CAPTURE(RunTime.count());
+    JobTestBed Bed({.Workers = 6});
+    Bed.run(3s);
+    Bed.Oracle.setDeadly(taskOf("deadly"), RunTime);
+    CHECK(Bed.submit(0, chainJob("innocent", 20, 8, 900ms)).has_value());
+    CHECK(Bed.submit(0, chainJob("deadly", 1, 1, 9s)).has_value());
+    CHECK(reaches(Bed, "deadly", JobState::Failed, 90s));
+    CHECK(Bed.Oracle.deadly(taskOf("deadly"))->Starts <= MaxDeadlyStarts);
+    CHECK(reaches(Bed, "innocent", JobState::Completed, 90s));
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against trials that take down many workers at a time.
+TEST_CASE("Among many innocent tasks deadly ones take down few workers at a "
+          "time") {
+  JobTestBed Bed({.Workers = 24});
+  Bed.run(3s);
+  std::vector<std::string> Jobs;
+  std::vector<std::string> DeadlyJobs;
+  for (int Number = 0; Number < 60; ++Number) {
+    bool IsDeadly = Number % 10 == 4;
+    std::string Id = fmt::format("{}-{}", IsDeadly ? "deadly" : "job", Number);
+    (IsDeadly ? DeadlyJobs : Jobs).push_back(Id);
+    if (IsDeadly)
+      Bed.Oracle.setDeadly(taskOf(Id));
+    CHECK(Bed.submit(0, chainJob(Id, IsDeadly ? 1 : 4, IsDeadly ? 1 : 6, 700ms))
+              .has_value());
+    Bed.run(300ms);
+  }
+  for (const std::string &Id : DeadlyJobs) {
+    CHECK(reaches(Bed, Id, JobState::Failed, 60s));
+    CHECK(Bed.Oracle.deadly(taskOf(Id))->Crashes <= 4);
+  }
+  for (const std::string &Id : Jobs)
+    CHECK(reaches(Bed, Id, JobState::Completed, 60s));
+  CHECK(Bed.maxDownByTasks() <= 4);
+  CHECK(countsOf(Bed).CrashJobsGivenUp == DeadlyJobs.size());
+  checkNoViolations(Bed);
+}
+
+// Guards against long-running tasks that a trial ends beside them.
+TEST_CASE("A suspect is tried on a worker without long-running tasks") {
+  JobTestBed Bed({.Workers = 6});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longRunningJob("serving", 3, 4000)).has_value());
+  Bed.run(2s);
+  Bed.Oracle.setDeadly(taskOf("deadly"));
+  int Starts = 0;
+  int HarmfulTrials = 0;
+  Bed.Oracle.OnDeadlyStart = [&] {
+    Bed.later(20ms, [&] {
+      size_t Running = 0;
+      for (int Index = 0; Index < 3; ++Index)
+        Running +=
+            Bed.Oracle.workerOf(taskOf("serving", Index)).empty() ? 0 : 1;
+      HarmfulTrials += ++Starts > 1 && Running < 3 ? 1 : 0;
+    });
+  };
+  CHECK(Bed.submit(0, chainJob("deadly", 1, 1)).has_value());
+  CHECK(reaches(Bed, "deadly", JobState::Failed, 30s));
+  CHECK(HarmfulTrials == 0);
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.running() == 3; }, 9s));
+  checkNoViolations(Bed);
+}
--- a/src/testing/jobfuzz_test.cpp
+++ b/src/testing/jobfuzz_test.cpp
@@ -1,14 +1,17 @@
 // Fuzzing of job hosts with random faults, checked by the oracle.
 //
-// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling] [capacity].
-// Prints each seed that violated an invariant; sessions with the same seed are
-// identical. With "shards" there are two or three shards, and many workers
-// leave the worker list, so that jobs are transferred between shards. With
-// "rolling" hosts and workers are replaced one by one at the same time, see
-// RollingSession. With "capacity" workers shrink and grow meanwhile.
-// BASILCHUTE_TRACE prints every event of the hosts.
+// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling|crashing]
+// [capacity]. Prints each seed that violated an invariant; sessions with the
+// same seed are identical. With "shards" there are two or three shards, and
+// many workers leave the worker list, so that jobs are transferred between
+// shards. With "rolling" hosts and workers are replaced one by one at the same
+// time, see RollingSession. With "crashing" some tasks crash the workers that
+// start them, see CrashSession. With "capacity" workers shrink and grow
+// meanwhile, but not in sessions with "crashing". BASILCHUTE_TRACE prints every
+// event of the hosts.
 
 #include "testing/capacitychanges.h"
+#include "testing/crashsession.h"
 #include "testing/jobtestbed.h"
 #include "testing/rollingsession.h"
 
@@ -210,20 +213,26 @@
   int m_jobs = 0;
 };
 
+std::vector<std::string> runSession(const std::set<std::string> &Modes,
+                                    uint64_t Seed, bool HasTrace) {
+  bool ChangesCapacity = Modes.count("capacity") > 0;
+  if (Modes.count("rolling"))
+    return RollingSession(Seed, ChangesCapacity, HasTrace).run();
+  if (Modes.count("crashing"))
+    return CrashSession(Seed, HasTrace).run();
+  return Session(Seed, Modes.count("shards") > 0, ChangesCapacity).run();
+}
+
 } // namespace
 
 int main(int ArgCount, char **Args) {
   uint64_t First = ArgCount > 1 ? std::strtoull(Args[1], nullptr, 10) : 1;
   uint64_t Count = ArgCount > 2 ? std::strtoull(Args[2], nullptr, 10) : 20;
   std::set<std::string> Modes(Args + std::min(ArgCount, 3), Args + ArgCount);
-  bool ChangesCapacity = Modes.count("capacity") > 0;
   bool HasTrace = std::getenv("BASILCHUTE_TRACE") != nullptr;
   uint64_t Failed = 0;
   for (uint64_t Seed = First; Seed < First + Count; ++Seed) {
-    std::vector<std::string> Violations =
-        Modes.count("rolling")
-            ? RollingSession(Seed, ChangesCapacity, HasTrace).run()
-            : Session(Seed, Modes.count("shards") > 0, ChangesCapacity).run();
+    std::vector<std::string> Violations = runSession(Modes, Seed, HasTrace);
     if (Violations.empty())
       continue;
     ++Failed;
