--- a/src/libbasilchute/crashhistory_test.cpp
+++ b/src/libbasilchute/crashhistory_test.cpp
@@ -142,7 +142,7 @@
 TEST_CASE(
     "A task is given up at the third crash with proof, or the fourth in a "
     "trial, and one earlier after the owner's crash") {
-  auto crashesUntilGivenUp = [](CrashEvidence Evidence, bool WasTrial,
+  auto CrashesUntilGivenUp = [](CrashEvidence Evidence, bool WasTrial,
                                 bool MayHaveHidden) {
     CrashRecord Record;
     for (int Crashes = 1; Crashes < 10; ++Crashes)
@@ -153,12 +153,12 @@
         return Crashes;
     return 0;
   };
-  CHECK(crashesUntilGivenUp(CrashEvidence::Proof, true, false) == 3);
-  CHECK(crashesUntilGivenUp(CrashEvidence::Strong, true, false) == 4);
-  CHECK(crashesUntilGivenUp(CrashEvidence::Strong, false, false) == 0);
-  CHECK(crashesUntilGivenUp(CrashEvidence::Proof, true, true) == 2);
-  CHECK(crashesUntilGivenUp(CrashEvidence::Strong, true, true) == 3);
-  CHECK(crashesUntilGivenUp(CrashEvidence::Strong, false, true) == 0);
+  CHECK(CrashesUntilGivenUp(CrashEvidence::Proof, true, false) == 3);
+  CHECK(CrashesUntilGivenUp(CrashEvidence::Strong, true, false) == 4);
+  CHECK(CrashesUntilGivenUp(CrashEvidence::Strong, false, false) == 0);
+  CHECK(CrashesUntilGivenUp(CrashEvidence::Proof, true, true) == 2);
+  CHECK(CrashesUntilGivenUp(CrashEvidence::Strong, true, true) == 3);
+  CHECK(CrashesUntilGivenUp(CrashEvidence::Strong, false, true) == 0);
 }
 
 // Guards against innocent tasks that are given up in their first trial since
