Count the crash of a worker that has left the list

What callers saw: a deadly task was started six times. Cause: a worker that crashes leaves the list after some seconds. If it is back only after its lease of 4.7 s is over, its owner has dropped it and released its runs (why=worker_gone), and never looked at what had started there last. Change: a worker that is dropped without notice of its end counts as crashed, with strong evidence at most, since it may be cut off. Failed before: "A task that crashes workers which are back after their lease is given up": 21 starts, "starts for the 18. time after it has crashed 3 workers". Conclusion: such a task is tried alone after its first crash, and given up at the fourth.

--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -57,7 +57,8 @@
 
 // A worker that is draining ends as planned.
 std::vector<JobEntry *> JobShard::Impl::countCrash(WorkerSlot &Slot,
-                                                   std::string_view Why) {
+                                                   std::string_view Why,
+                                                   CrashEvidence MaxEvidence) {
   std::vector<JobEntry *> GivenUp;
   if (Slot.Entry.IsDraining) {
     resolveExposures(Slot, Slot.Incarnation);
@@ -69,6 +70,8 @@
   SilentWorker Crashed = silentWorker(Slot);
   std::map<TaskName, CrashEvidence> Judged = m_crashes.judge(
       Crashed, otherSilentWorkers(Slot), m_slots.size(), m_time.now());
+  for (auto &[Unit, Evidence] : Judged)
+    Evidence = std::min(Evidence, MaxEvidence);
   if (!Crashed.Runs.empty()) {
     ++m_counts.WorkerCrashes;
     logCrash(Crashed, Why, Judged);
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -493,7 +493,10 @@
     releaseRun(Slot, Key, "not_on_worker");
 }
 
+// A worker that has left the list without notice has crashed or is cut off, so
+// its end proves nothing against a task.
 void JobShard::Impl::removeUnlistedWorkers() {
+  std::vector<JobEntry *> GivenUp;
   for (auto It = m_slots.begin(); It != m_slots.end();) {
     WorkerSlot &Slot = It->second;
     bool IsGone =
@@ -502,10 +505,15 @@
       ++It;
       continue;
     }
+    std::vector<JobEntry *> Ended =
+        countCrash(Slot, "worker_gone", CrashEvidence::Strong);
+    GivenUp.insert(GivenUp.end(), Ended.begin(), Ended.end());
     releaseAllRuns(Slot, "worker_gone");
     log("worker_dropped", fmt::format("worker={}", Slot.Entry.Id));
     It = m_slots.erase(It);
   }
+  for (JobEntry *Entry : GivenUp)
+    giveUp(*Entry);
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libjobhost/crashingtask_test.cpp
+++ b/src/libjobhost/crashingtask_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <map>
 
 using namespace basilchute;
 using namespace std::chrono_literals;
@@ -304,6 +305,31 @@
     checkOwnerChanges(chainJob("deadly", 1, 1), Count, handOver);
 }
 
+// Guards against crashes that are not counted since the worker has left the
+// list, and is dropped when its lease is over, before it is back.
+TEST_CASE("A task that crashes workers which are back after their lease is "
+          "given up") {
+  constexpr milliseconds TimeInList = 2500ms;
+  JobTestBed Bed(traced(
+      {.Workers = 12, .WorkerReturn = 8s, .Crashes = CrashStyle::Replaced}));
+  Bed.run(3s);
+  InnocentJobs Innocent(Bed);
+  TaskName Task{"deadly", 0, 0, 0};
+  Bed.Oracle.setDeadly(Task, ShortRun);
+  REQUIRE(Bed.submit(0, chainJob("deadly", 1, 1)).has_value());
+  std::map<int, TimePoint> DownSince;
+  for (TimePoint Until = Bed.now() + GiveUpTimeWithoutOwners; Bed.now() < Until;
+       Bed.run(100ms))
+    for (int Worker = 0; Worker < Bed.workers(); ++Worker) {
+      if (!Bed.worker(Worker).IsDown || !Bed.isWorkerListed(Worker))
+        continue;
+      TimePoint Since = DownSince.try_emplace(Worker, Bed.now()).first->second;
+      if (Bed.now() > Since + TimeInList)
+        Bed.setWorkerListed(Worker, false);
+    }
+  checkGivenUp(Bed, Task, Innocent);
+}
+
 // Guards against the harm that retries of several such tasks do to a small
 // fleet.
 TEST_CASE("Three deadly jobs among many innocent ones take down few workers") {
