Ask for evidence again before a stored start is sent

What callers saw: a long-running task could run twice. Cause: an owner stores the worker of a task, and sends the start when the commit has succeeded. If it was paused meanwhile, the answer of the commit comes before the news of the next owner, and the start was sent without the evidence that other starts need, up to 10.6 s after the last renewal. Change: stored starts ask for it as well.

--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -64,7 +64,7 @@
                      Run->second.Phase == RunPhase::Reserved;
     if (!IsPending)
       continue;
-    if (canSendOrders() && canTakeStart(Slot->second))
+    if (canSendOrders() && leaseToGive() && canTakeStart(Slot->second))
       sendStart(Slot->second, *Entry, Entry->positionOf(Key.first), Key);
     else
       releaseRun(Slot->second, Key, "not_started");
--- a/src/libjobhost/jobhost_leases_test.cpp
+++ b/src/libjobhost/jobhost_leases_test.cpp
@@ -286,3 +286,29 @@
   CHECK(allRun(Bed, Short));
   checkNoViolations(Bed);
 }
+
+// Guards against a start that was stored before a pause and is sent after it,
+// when another owner has started the task elsewhere.
+TEST_CASE("An owner that was paused sends a stored start only with evidence") {
+  for (int Silent = 0; Silent < 6; ++Silent)
+    for (milliseconds Offset = 0ms; Offset < 80ms; Offset += 4ms)
+      for (milliseconds Pause : {8500ms, 9500ms}) {
+        CAPTURE(Silent);
+        CAPTURE(Offset.count());
+        CAPTURE(Pause.count());
+        BusyBed Busy({.Hosts = 3}, longRunningJob("lasting", 12), LongUptime);
+        JobTestBed &Bed = Busy.Bed;
+        int Owner = Bed.ownerIndex();
+        for (int Host = 0; Host < Bed.hosts(); ++Host)
+          if (Host != Owner)
+            Bed.host(Host).UnreachableWorkers.insert(
+                Bed.worker(Silent).Entry.Id);
+        REQUIRE(Bed.failTask({"lasting", 0, 0, 0}));
+        Bed.run(Offset);
+        Bed.pause(Owner);
+        Bed.run(Pause);
+        Bed.resume(Owner);
+        Bed.run(5s);
+        checkNoViolations(Bed);
+      }
+}
