Limit the wait after a crash only when most workers are fenced

What callers saw: tasks could run twice where many workers left the list while an owner was cut off from the store and went on. Cause: the new owner compared only the silent workers that it knew with the number that the previous owner counted. Workers that had left the list before its process started are neither silent nor fenced; with four of nine of them the previous owner still had evidence. Change: two thirds of the counted workers must be fenced as well. What remains: as many joiners as leavers, over a third of the shard each, that the previous owner does not see.

--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -97,7 +97,7 @@
   auto Silent = static_cast<size_t>(
       std::count_if(m_slots.begin(), m_slots.end(),
                     [](const auto &Slot) { return !Slot.second.IsFenced; }));
-  m_previousLeases.onFenced(Silent, Now);
+  m_previousLeases.onFenced(m_slots.size() - Silent, Silent, Now);
   std::optional<TimePoint> End = m_previousLeases.endAt();
   if (!End || m_previousRuns.unknownEndsAt() <= *End)
     return;
--- a/src/libbasilchute/leaseevidence.cpp
+++ b/src/libbasilchute/leaseevidence.cpp
@@ -31,11 +31,13 @@
 }
 
 // Evidence needs more than two thirds of the counted workers, none of which
-// this owner has fenced. Two thirds of silent workers would already be too few
-// if this owner knew all workers; the second third allows for those that left
-// the list before this host started, or that it does not know yet.
-void PreviousLeases::onFenced(size_t Silent, TimePoint Now) {
-  if (!m_noEvidenceFrom && m_counted > 0 && 3 * Silent <= m_counted)
+// this owner has fenced: it is ruled out once a third of them is fenced. Twice
+// as many are asked for, and few silent ones, since some of the fenced workers
+// may have joined too late to be counted, and some that were counted may have
+// left the list before this host started.
+void PreviousLeases::onFenced(size_t Fenced, size_t Silent, TimePoint Now) {
+  bool IsEnough = 3 * Silent <= m_counted && 3 * Fenced >= 2 * m_counted;
+  if (!m_noEvidenceFrom && m_counted > 0 && IsEnough)
     m_noEvidenceFrom = Now;
 }
 
--- a/src/libbasilchute/leaseevidence.h
+++ b/src/libbasilchute/leaseevidence.h
@@ -59,9 +59,10 @@
   PreviousLeases(LeaseTimes Times, TimePoint SoleUntil, size_t Counted)
       : m_times(Times), m_soleUntil(SoleUntil), m_counted(Counted) {}
 
-  /// Records that at \p Now all workers but \p Silent, of those in the list and
-  /// those that left it lately, have accepted the new owner's epoch.
-  void onFenced(size_t Silent, TimePoint Now);
+  /// Records that at \p Now, of the workers in the list and those that left it
+  /// lately, \p Fenced have accepted the new owner's epoch and \p Silent have
+  /// not.
+  void onFenced(size_t Fenced, size_t Silent, TimePoint Now);
   /// Returns the time by which all leases that previous owners gave to workers
   /// that have not accepted the new epoch have ended; none if that cannot be
   /// concluded from the workers that have.
--- a/src/libbasilchute/leaseevidence_test.cpp
+++ b/src/libbasilchute/leaseevidence_test.cpp
@@ -85,25 +85,39 @@
       CAPTURE(Silent);
       PreviousLeases Leases(Times, Start, Counted);
       CHECK_FALSE(Leases.endAt());
-      Leases.onFenced(Silent, Start + 1s);
+      Leases.onFenced(Counted, Silent, Start + 1s);
       CHECK(Leases.endAt().has_value() ==
             (Counted > 0 && 3 * Silent <= Counted));
     }
 }
 
+// Guards against a new owner that knows few of the previous owner's workers, so
+// that few are silent.
+TEST_CASE("Previous leases are not limited before two thirds of the counted "
+          "workers are fenced") {
+  for (size_t Counted = 1; Counted < 20; ++Counted)
+    for (size_t Fenced = 0; Fenced < 20; ++Fenced) {
+      CAPTURE(Counted);
+      CAPTURE(Fenced);
+      PreviousLeases Leases(Times, Start, Counted);
+      Leases.onFenced(Fenced, 0, Start + 1s);
+      CHECK(Leases.endAt().has_value() == (3 * Fenced >= 2 * Counted));
+    }
+}
+
 TEST_CASE("Previous leases have ended after the last order of a sole owner and "
           "the last one on evidence") {
   PreviousLeases Early(Times, Start, 3);
-  Early.onFenced(1, Start - 60s);
+  Early.onFenced(2, 1, Start - 60s);
   CHECK(Early.endAt() == Start + maxLocalDuration(Times.Sole));
   PreviousLeases Late(Times, Start, 3);
-  Late.onFenced(2, Start);
-  Late.onFenced(1, Start + 60s);
+  Late.onFenced(1, 2, Start);
+  Late.onFenced(2, 1, Start + 60s);
   TimePoint End =
       Start + 60s + maxLocalDuration(Times.MaxEvidenceAge + Times.OnEvidence);
   CHECK(Late.endAt() == End);
   // Workers that answer or fall silent later change nothing.
-  Late.onFenced(0, Start + 61s);
-  Late.onFenced(3, Start + 62s);
+  Late.onFenced(3, 0, Start + 61s);
+  Late.onFenced(0, 3, Start + 62s);
   CHECK(Late.endAt() == End);
 }
--- a/src/libjobhost/jobhost_leases_test.cpp
+++ b/src/libjobhost/jobhost_leases_test.cpp
@@ -312,3 +312,34 @@
         checkNoViolations(Bed);
       }
 }
+
+// Guards against an owner that goes on with workers of which the next one has
+// never heard: they left the list before its process started.
+TEST_CASE("An owner whose evidence comes from workers that have left the list "
+          "starts no task twice") {
+  for (int Unlisted : {0, 3, 4, 5, 6}) {
+    CAPTURE(Unlisted);
+    BusyBed Busy({.Hosts = 3, .Workers = 9, .MaxListDelay = 10ms},
+                 longRunningJob("lasting", 12), LongUptime);
+    JobTestBed &Bed = Busy.Bed;
+    int Owner = Bed.ownerIndex();
+    for (int Host = 0; Host < Bed.hosts(); ++Host) {
+      int FirstCut = Host == Owner ? 7 : 0;
+      int EndCut = Host == Owner ? 9 : 7;
+      for (int Worker = FirstCut; Worker < EndCut; ++Worker)
+        Bed.host(Host).UnreachableWorkers.insert(Bed.worker(Worker).Entry.Id);
+      if (Host != Owner)
+        Bed.killHost(Host);
+    }
+    Bed.host(Owner).Store->IsRefused = true;
+    Bed.run(900ms);
+    for (int Worker = 0; Worker < Unlisted; ++Worker)
+      Bed.setWorkerListed(Worker, false);
+    Bed.run(100ms);
+    for (int Host = 0; Host < Bed.hosts(); ++Host)
+      if (Host != Owner)
+        Bed.startHost(Host);
+    Bed.run(14s);
+    checkNoViolations(Bed);
+  }
+}
