Limit the wait after a crash also if all listed workers have answered

What callers saw: after a crash of all hosts a long-running task whose worker had left the list ran again after 14 s, and a full shard delegated no task for 12 s. Cause: the limit by evidence was looked for only while some listed worker was silent; tasks on workers that rows name, transfers and delegations waited for the whole horizon. Change: it is looked for as long as unknown runs may be left anywhere. Failed before: "After a crash of all hosts the tasks of a worker that has left the list run again in time" and "A full shard delegates tasks soon after a crash of all hosts".

--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -92,7 +92,7 @@
 
 void JobShard::Impl::limitPreviousRuns() {
   TimePoint Now = m_time.now();
-  if (!m_previousRuns.hasUnknown(Now) || !isFleetComplete())
+  if (Now > m_previousRuns.unknownEndsAt() || !isFleetComplete())
     return;
   auto Silent = static_cast<size_t>(
       std::count_if(m_slots.begin(), m_slots.end(),
--- a/src/libjobhost/jobhost_crash_test.cpp
+++ b/src/libjobhost/jobhost_crash_test.cpp
@@ -285,3 +285,29 @@
   Bed.run(5s);
   checkNoViolations(Bed);
 }
+
+// Guards against a wait for the whole horizon for a worker that is named by
+// rows only, when all workers in the list have answered.
+TEST_CASE("After a crash of all hosts the tasks of a worker that has left the "
+          "list run again in time") {
+  for (int Hosts : {1, 3}) {
+    CAPTURE(Hosts);
+    JobTestBed Bed(traced({.Hosts = Hosts}));
+    Job Lasting = longRunningJob("lasting", 12);
+    Bed.run(3s);
+    REQUIRE(Bed.submit(0, Lasting).has_value());
+    REQUIRE(Bed.runUntil([&] { return allRun(Bed, Lasting); }, 2s));
+    Bed.run(12s);
+    TimePoint CrashedAt = Bed.now();
+    silence(Bed, 0);
+    for (int Host = 0; Host < Hosts; ++Host)
+      Bed.killHost(Host);
+    Bed.run(1s);
+    Bed.setWorkerListed(0, false);
+    for (int Host = 0; Host < Hosts; ++Host)
+      Bed.startHost(Host);
+    CHECK(Bed.runUntil([&] { return allRun(Bed, Lasting); },
+                       timeLeft(Bed, CrashedAt)));
+    checkNoViolations(Bed);
+  }
+}
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -348,3 +348,22 @@
   CHECK(Bed.worker(workerOf(Bed, taskOf("a"))).Entry.Id != Worker);
   checkNoViolations(Bed);
 }
+
+// Guards against tasks that no other shard may run for the whole horizon after
+// a crash of the owner, although all workers have answered.
+TEST_CASE("A full shard delegates tasks soon after a crash of all hosts") {
+  JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longJob("wide", 6)).has_value());
+  REQUIRE(allRunWithin(Bed, 6, 2s));
+  Bed.run(12s);
+  for (int Host = 0; Host < Bed.hosts(); ++Host) {
+    Bed.killHost(Host);
+    Bed.later(1s, [&Bed, Host] { Bed.startHost(Host); });
+  }
+  Bed.run(4s);
+  CHECK(Bed.Oracle.running() == 6);
+  loseWorker(Bed, workerOf(Bed, taskOf("wide", 5)));
+  CHECK(allRunWithin(Bed, 6, RestartCheck::LostTime));
+  checkNoViolations(Bed);
+}
