Suspect no run that was seen to last on a worker that is only gone

What callers saw: long-running tasks of a worker that had left the list became suspects after a crash of the owner, were tried alone and not delegated, and found no room in a full shard. Cause: a worker that is dropped may be cut off, yet weak evidence counted there, and one weak count is enough after a crash of the owner. Change: only runs that no answer showed to last count then. Failed before: "A full shard delegates tasks soon after a crash of all hosts" (two tasks of wide suspected, weak, with why=worker_gone, waiting 3.9 s and more).

--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -58,7 +58,7 @@
 // A worker that is draining ends as planned.
 std::vector<JobEntry *> JobShard::Impl::countCrash(WorkerSlot &Slot,
                                                    std::string_view Why,
-                                                   CrashEvidence MaxEvidence) {
+                                                   bool MayBeCutOff) {
   std::vector<JobEntry *> GivenUp;
   if (Slot.Entry.IsDraining) {
     resolveExposures(Slot, Slot.Incarnation);
@@ -70,8 +70,13 @@
   SilentWorker Crashed = silentWorker(Slot);
   std::map<TaskName, CrashEvidence> Judged = m_crashes.judge(
       Crashed, otherSilentWorkers(Slot), m_slots.size(), m_time.now());
-  for (auto &[Unit, Evidence] : Judged)
-    Evidence = std::min(Evidence, MaxEvidence);
+  if (MayBeCutOff) {
+    std::erase_if(Judged, [](const auto &Task) {
+      return Task.second < CrashEvidence::Strong;
+    });
+    for (auto &[Unit, Evidence] : Judged)
+      Evidence = CrashEvidence::Strong;
+  }
   if (!Crashed.Runs.empty()) {
     ++m_counts.WorkerCrashes;
     logCrash(Crashed, Why, Judged);
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -244,11 +244,11 @@
   std::pair<JobEntry *, int> findRunning(const TaskName &Task);
   SilentWorker silentWorker(const WorkerSlot &Slot);
   std::vector<SilentWorker> otherSilentWorkers(const WorkerSlot &Slot);
-  /// Counts a crash of the worker for its runs, with evidence of at most
-  /// \p MaxEvidence. Returns the jobs to be given up, which giveUp() ends.
-  std::vector<JobEntry *>
-  countCrash(WorkerSlot &Slot, std::string_view Why,
-             CrashEvidence MaxEvidence = CrashEvidence::Proof);
+  /// Counts a crash of the worker for its runs. Returns the jobs to be given
+  /// up, which giveUp() ends. If the worker may be cut off instead, nothing is
+  /// proof, and runs that were seen to last are not counted.
+  std::vector<JobEntry *> countCrash(WorkerSlot &Slot, std::string_view Why,
+                                     bool MayBeCutOff = false);
   void giveUp(JobEntry &Entry);
   void logCrash(const SilentWorker &Crashed, std::string_view Why,
                 const std::map<TaskName, CrashEvidence> &Judged) const;
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -506,7 +506,7 @@
       continue;
     }
     std::vector<JobEntry *> Ended =
-        countCrash(Slot, "worker_gone", CrashEvidence::Strong);
+        countCrash(Slot, "worker_gone", /*MayBeCutOff=*/true);
     GivenUp.insert(GivenUp.end(), Ended.begin(), Ended.end());
     releaseAllRuns(Slot, "worker_gone");
     log("worker_dropped", fmt::format("worker={}", Slot.Entry.Id));
