Count one crash of a worker under a gang once

What callers saw: a job without a deadly task was shown as failed, "3 workers crashed under task 0.0". Cause: two members of its gang were on the worker that a new owner found in another incarnation, and the crash was counted for each. Change: once for each task or gang.

--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -205,7 +205,7 @@
 // Runs that this owner knows were judged when it lost the incarnation.
 void JobShard::Impl::resolveExposures(WorkerSlot &Slot,
                                       milliseconds Incarnation) {
-  resolveHandedOver(Slot, Incarnation);
+  std::set<TaskName> Crashed = resolveHandedOver(Slot, Incarnation);
   const std::string &Id = Slot.Entry.Id;
   auto Exposed = m_exposed.find(Id);
   if (Exposed == m_exposed.end())
@@ -227,16 +227,17 @@
     }
     bool HasCrashed = Record.Incarnation != Incarnation;
     clearExposure(*Entry, Position);
-    if (HasCrashed)
+    if (HasCrashed && Crashed.insert(crashUnit(*Entry, Position)).second)
       countEarlierCrash(*Entry, Position, Id);
   }
 }
 
-void JobShard::Impl::resolveHandedOver(const WorkerSlot &Slot,
-                                       milliseconds Incarnation) {
+std::set<TaskName> JobShard::Impl::resolveHandedOver(const WorkerSlot &Slot,
+                                                     milliseconds Incarnation) {
+  std::set<TaskName> Out;
   auto HandedOver = m_handedOver.find(Slot.Entry.Id);
   if (HandedOver == m_handedOver.end())
-    return;
+    return Out;
   bool HasCrashed = HandedOver->second.Incarnation != Incarnation;
   std::set<TaskName> Tasks = std::move(HandedOver->second.Tasks);
   m_handedOver.erase(HandedOver);
@@ -247,8 +248,10 @@
     CrashRecord &Record = Entry->Tasks[static_cast<size_t>(Position)].Crash;
     if (Record.Worker == Slot.Entry.Id)
       clearExposure(*Entry, Position);
-    countEarlierCrash(*Entry, Position, Slot.Entry.Id);
+    if (Out.insert(crashUnit(*Entry, Position)).second)
+      countEarlierCrash(*Entry, Position, Slot.Entry.Id);
   }
+  return Out;
 }
 
 void JobShard::Impl::countEarlierCrash(JobEntry &Entry, int Position,
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -259,7 +259,10 @@
   void clearExposure(JobEntry &Entry, int Position);
   /// Compares the incarnation of a worker with what is stored.
   void resolveExposures(WorkerSlot &Slot, milliseconds Incarnation);
-  void resolveHandedOver(const WorkerSlot &Slot, milliseconds Incarnation);
+  /// Returns the tasks, or gangs, for which a crash was counted: a gang may
+  /// have several members on the worker.
+  std::set<TaskName> resolveHandedOver(const WorkerSlot &Slot,
+                                       milliseconds Incarnation);
   /// Counts a crash of a worker that a previous owner has not counted.
   void countEarlierCrash(JobEntry &Entry, int Position,
                          const std::string &Worker);
