--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -57,7 +57,8 @@
 
 // A worker that is draining ends as planned.
 std::vector<JobEntry *> JobShard::Impl::countCrash(WorkerSlot &Slot,
-                                                   std::string_view Why) {
+                                                   std::string_view Why,
+                                                   bool MayBeCutOff) {
   std::vector<JobEntry *> GivenUp;
   if (Slot.Entry.IsDraining) {
     resolveExposures(Slot, Slot.Incarnation);
@@ -69,6 +70,13 @@
   SilentWorker Crashed = silentWorker(Slot);
   std::map<TaskName, CrashEvidence> Judged = m_crashes.judge(
       Crashed, otherSilentWorkers(Slot), m_slots.size(), m_time.now());
+  if (MayBeCutOff) {
+    std::erase_if(Judged, [](const auto &Task) {
+      return Task.second < CrashEvidence::Strong;
+    });
+    for (auto &[Unit, Evidence] : Judged)
+      Evidence = CrashEvidence::Strong;
+  }
   if (!Crashed.Runs.empty()) {
     ++m_counts.WorkerCrashes;
     logCrash(Crashed, Why, Judged);
@@ -197,7 +205,7 @@
 // Runs that this owner knows were judged when it lost the incarnation.
 void JobShard::Impl::resolveExposures(WorkerSlot &Slot,
                                       milliseconds Incarnation) {
-  resolveHandedOver(Slot, Incarnation);
+  std::set<TaskName> Crashed = resolveHandedOver(Slot, Incarnation);
   const std::string &Id = Slot.Entry.Id;
   auto Exposed = m_exposed.find(Id);
   if (Exposed == m_exposed.end())
@@ -219,16 +227,17 @@
     }
     bool HasCrashed = Record.Incarnation != Incarnation;
     clearExposure(*Entry, Position);
-    if (HasCrashed)
+    if (HasCrashed && Crashed.insert(crashUnit(*Entry, Position)).second)
       countEarlierCrash(*Entry, Position, Id);
   }
 }
 
-void JobShard::Impl::resolveHandedOver(const WorkerSlot &Slot,
-                                       milliseconds Incarnation) {
+std::set<TaskName> JobShard::Impl::resolveHandedOver(const WorkerSlot &Slot,
+                                                     milliseconds Incarnation) {
+  std::set<TaskName> Out;
   auto HandedOver = m_handedOver.find(Slot.Entry.Id);
   if (HandedOver == m_handedOver.end())
-    return;
+    return Out;
   bool HasCrashed = HandedOver->second.Incarnation != Incarnation;
   std::set<TaskName> Tasks = std::move(HandedOver->second.Tasks);
   m_handedOver.erase(HandedOver);
@@ -239,8 +248,10 @@
     CrashRecord &Record = Entry->Tasks[static_cast<size_t>(Position)].Crash;
     if (Record.Worker == Slot.Entry.Id)
       clearExposure(*Entry, Position);
-    countEarlierCrash(*Entry, Position, Slot.Entry.Id);
+    if (Out.insert(crashUnit(*Entry, Position)).second)
+      countEarlierCrash(*Entry, Position, Slot.Entry.Id);
   }
+  return Out;
 }
 
 void JobShard::Impl::countEarlierCrash(JobEntry &Entry, int Position,
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -245,8 +245,10 @@
   SilentWorker silentWorker(const WorkerSlot &Slot);
   std::vector<SilentWorker> otherSilentWorkers(const WorkerSlot &Slot);
   /// Counts a crash of the worker for its runs. Returns the jobs to be given
-  /// up, which giveUp() ends.
-  std::vector<JobEntry *> countCrash(WorkerSlot &Slot, std::string_view Why);
+  /// up, which giveUp() ends. If the worker may be cut off instead, nothing is
+  /// proof, and runs that were seen to last are not counted.
+  std::vector<JobEntry *> countCrash(WorkerSlot &Slot, std::string_view Why,
+                                     bool MayBeCutOff = false);
   void giveUp(JobEntry &Entry);
   void logCrash(const SilentWorker &Crashed, std::string_view Why,
                 const std::map<TaskName, CrashEvidence> &Judged) const;
@@ -257,7 +259,10 @@
   void clearExposure(JobEntry &Entry, int Position);
   /// Compares the incarnation of a worker with what is stored.
   void resolveExposures(WorkerSlot &Slot, milliseconds Incarnation);
-  void resolveHandedOver(const WorkerSlot &Slot, milliseconds Incarnation);
+  /// Returns the tasks, or gangs, for which a crash was counted: a gang may
+  /// have several members on the worker.
+  std::set<TaskName> resolveHandedOver(const WorkerSlot &Slot,
+                                       milliseconds Incarnation);
   /// Counts a crash of a worker that a previous owner has not counted.
   void countEarlierCrash(JobEntry &Entry, int Position,
                          const std::string &Worker);
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -92,12 +92,12 @@
 
 void JobShard::Impl::limitPreviousRuns() {
   TimePoint Now = m_time.now();
-  if (!m_previousRuns.hasUnknown(Now) || !isFleetComplete())
+  if (Now > m_previousRuns.unknownEndsAt() || !isFleetComplete())
     return;
   auto Silent = static_cast<size_t>(
       std::count_if(m_slots.begin(), m_slots.end(),
                     [](const auto &Slot) { return !Slot.second.IsFenced; }));
-  m_previousLeases.onFenced(Silent, Now);
+  m_previousLeases.onFenced(m_slots.size() - Silent, Silent, Now);
   std::optional<TimePoint> End = m_previousLeases.endAt();
   if (!End || m_previousRuns.unknownEndsAt() <= *End)
     return;
