Divide the fleet into shards that its hosts can serve

Cause: the number of shards followed the number of workers alone (one for each 160). On a fleet of small hosts one host of 0.069 of a core owned 120 workers, used all of its processor and started 60 to 140 tasks a second of 320, while 17 hosts were idle. Workers still stay in their shards, so that later losses of hosts add none. Mixed fleets still get shards for their large hosts, which small ones can't carry; next.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -6,6 +6,7 @@
 #include "basilchute/clock.h"
 #include "basilchute/rowstore.h"
 #include "basilchute/shardchoice.h"
+#include "basilchute/shardcount.h"
 #include "basilchute/taskworker.h"
 
 #include <functional>
@@ -40,12 +41,9 @@
   std::string HostId;
   /// Capacity relative to the other hosts.
   int Weight = 1;
-  /// Target number of workers per shard. The number of shards is derived from
-  /// it and from the size of the fleet, and never decreases.
-  int WorkersPerShard = 160;
-  /// Bounds on the number of shards; must be the same on all hosts.
-  int MinShards = 1;
-  int MaxShards = 64;
+  /// How the number of shards is derived from the fleet; must be the same on
+  /// all hosts.
+  ShardCountOptions ShardCount;
   /// Interval between two renewals of this host's row, and between two reads
   /// of all hosts' rows.
   milliseconds RenewInterval{500};
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -167,9 +167,8 @@
 
 private:
   ShardLayoutOptions layoutOptions() {
-    return {.WorkersPerShard = m_options.WorkersPerShard,
-            .MinShards = m_options.MinShards,
-            .MaxShards = m_options.MaxShards,
+    return {.Count = m_options.ShardCount,
+            .HostWeights = [this] { return hostWeights(); },
             .OnGrown = [this] { onGrown(); },
             .OnAssigned = m_options.OnAssigned,
             .Log = m_options.Log};
@@ -279,6 +278,14 @@
     return Out;
   }
 
+  std::vector<int> hostWeights() const {
+    std::vector<int> Out;
+    for (const PlanHost &Host : planHosts())
+      if (!Host.IsLeaving)
+        Out.push_back(Host.Weight);
+    return Out;
+  }
+
   void applyPlan() {
     if (m_hosts->reads() < HostRegistry::MinUnchangedReads && !m_isLeaving)
       return;
--- a/src/libbasilchute/shardlayout.cpp
+++ b/src/libbasilchute/shardlayout.cpp
@@ -31,16 +31,10 @@
 
 } // namespace
 
-int shardCountFor(size_t Workers, const ShardLayoutOptions &Options) {
-  int PerShard = Options.WorkersPerShard;
-  int Rounded = (static_cast<int>(Workers) + PerShard / 2) / PerShard;
-  return std::clamp(Rounded, Options.MinShards, Options.MaxShards);
-}
-
 ShardLayout::ShardLayout(ShardLayoutOptions Options, RowStore &Store,
                          const Clock &Time)
     : m_options(std::move(Options)), m_store(Store), m_time(Time),
-      m_shards(m_options.MinShards) {}
+      m_shards(m_options.Count.MinShards) {}
 
 void ShardLayout::log(std::string_view Event, std::string_view Fields) const {
   if (m_options.Log)
@@ -138,7 +132,7 @@
 
 bool ShardLayout::onAssignment(const StoredRow &Row) {
   const std::string &Worker = Row.Address.Key;
-  std::optional<int> Shard = parseShard(Row.Value, m_options.MaxShards);
+  std::optional<int> Shard = parseShard(Row.Value, m_options.Count.MaxShards);
   if (!Shard) {
     // A known assignment holds: it never changes.
     if (m_assignments.count(Worker) || m_refused[Worker] == Row.Version)
@@ -161,7 +155,7 @@
   Result<int> Shards = decodeShardCount(Row.Value);
   m_layoutVersion = Row.Version;
   m_isLayoutRefused =
-      !Shards.has_value() || Shards.value() > m_options.MaxShards;
+      !Shards.has_value() || Shards.value() > m_options.Count.MaxShards;
   if (m_isLayoutRefused) {
     log("bad_row", fmt::format("table={} key={} message=\"{}\"",
                                Row.Address.Table, Row.Address.Key,
@@ -178,11 +172,20 @@
     m_options.OnGrown();
 }
 
+// Only the first assignment goes by the hosts. Workers stay in their shards, so
+// that a shard which is added when hosts are lost would get none of them.
+int ShardLayout::targetShards() const {
+  std::vector<int> Weights;
+  if (m_assignments.empty() && m_options.HostWeights)
+    Weights = m_options.HostWeights();
+  return std::max(shardCountFor(m_fleet.size(), Weights, m_options.Count),
+                  m_shards);
+}
+
 void ShardLayout::growAndAssign() {
   if (m_isWriting || !m_isLayoutRead || !m_areAssignmentsRead)
     return;
-  int TargetShards =
-      std::max(shardCountFor(m_fleet.size(), m_options), m_shards);
+  int TargetShards = targetShards();
   // Assigned workers show how many shards there were.
   if (m_isLayoutRefused)
     for (const auto &[Worker, Shard] : m_assignments)
--- a/src/libbasilchute/shardlayout.h
+++ b/src/libbasilchute/shardlayout.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "basilchute/rowstore.h"
+#include "basilchute/shardcount.h"
 #include "basilchute/taskworker.h"
 
 #include <functional>
@@ -16,11 +17,9 @@
 
 /// Settings of a ShardLayout.
 struct ShardLayoutOptions {
-  /// Target number of workers per shard.
-  int WorkersPerShard = 160;
-  /// Bounds on the number of shards.
-  int MinShards = 1;
-  int MaxShards = 64;
+  ShardCountOptions Count;
+  /// Returns the weights of the hosts that may own shards.
+  std::function<std::vector<int>()> HostWeights;
   /// Called when the number of shards has increased.
   std::function<void()> OnGrown;
   /// Called when the assignment of workers has changed.
@@ -29,12 +28,10 @@
   std::function<void(std::string_view, std::string_view)> Log;
 };
 
-/// Returns the number of shards for a fleet of \p Workers workers.
-int shardCountFor(size_t Workers, const ShardLayoutOptions &Options);
-
 /// Follows the stored number of shards and the stored assignments of workers.
-/// The number of shards depends on the size of the fleet and never decreases; a
-/// worker's assignment never changes.
+/// The number of shards depends on the size of the fleet and, when the first
+/// workers are assigned, on the hosts. It never decreases, and a worker's
+/// assignment never changes.
 class ShardLayout : public std::enable_shared_from_this<ShardLayout> {
 public:
   ShardLayout(ShardLayoutOptions Options, RowStore &Store, const Clock &Time);
@@ -54,6 +51,7 @@
   int shardOf(const std::string &Worker) const;
 
 private:
+  int targetShards() const;
   void readLayout();
   void readAssignments(const std::string &Key, uint64_t From);
   void followAssignments(uint64_t From);
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -14,9 +14,6 @@
 
 /// Allowance for differences in clock rate and for orders in transit.
 constexpr milliseconds LeaseExpiryMargin{700};
-/// Maximum number of shards if transactions may span partitions; otherwise
-/// there is only one shard.
-constexpr int MaxShards = 64;
 /// A worker that was removed from the list longer ago than this has ended all
 /// its tasks.
 constexpr milliseconds FormerWorkerRetention{10000};
@@ -42,12 +39,13 @@
           Store, Time) {}
 
 HostClusterOptions JobHost::clusterOptions() {
+  ShardCountOptions ShardCount = m_options.ShardCount;
+  if (!m_options.CanSpanPartitions)
+    ShardCount.MaxShards = 1;
   return {.HostName = m_options.HostName,
           .HostId = m_options.HostName + HostIdSeparator + m_options.StartId,
           .Weight = m_options.Weight,
-          .WorkersPerShard = m_options.WorkersPerShard,
-          .MinShards = m_options.MinShards,
-          .MaxShards = m_options.CanSpanPartitions ? MaxShards : 1,
+          .ShardCount = ShardCount,
           .CanSpanPartitions = m_options.CanSpanPartitions,
           .OnAcquired =
               [this](int Shard, uint64_t Epoch, uint64_t ReleaseVersion) {
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -23,11 +23,8 @@
   std::string StartId;
   /// Capacity relative to the other hosts.
   int Weight = 1;
-  /// Target number of workers per shard. The number of shards is derived from
-  /// it and from the size of the fleet.
-  int WorkersPerShard = 160;
-  /// Minimum number of shards.
-  int MinShards = 1;
+  /// How the number of shards is derived from the fleet.
+  ShardCountOptions ShardCount;
   /// Whether transactions of the store may span partitions. If not, there is
   /// only one shard.
   bool CanSpanPartitions = true;
--- a/src/libjobhost/jobload_test.cpp
+++ b/src/libjobhost/jobload_test.cpp
@@ -46,6 +46,34 @@
     FAIL_CHECK(Violation);
 }
 
+// Guards against shards by the number of workers alone: on a fleet without
+// large hosts one small host owned all workers and started a quarter of what
+// was asked, while cores and the other hosts were idle. The load is 320 starts
+// per second on 120 workers, with 18 hosts of 0.069 of a core. An order or
+// reply takes 0.2 ms of a whole core.
+TEST_CASE("A fleet of small hosts alone serves its share") {
+  JobTestBed Bed({.Hosts = 18,
+                  .Workers = 120,
+                  .HostWeight = 7,
+                  .WorkersPerWeight = 2.5,
+                  .WorkerCapacity = {.Millicores = 32000, .MemoryMib = 128000},
+                  .ProcessorTimePerOrder = 3ms});
+  JobLoad Load(Bed, {.JobInterval = 50ms,
+                     .TasksPerStep = {2, 4, 6, 8, 20},
+                     .Steps = 2,
+                     .TaskDuration = 1700ms});
+  Bed.run(6s);
+  int MostShards = 0;
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    MostShards = std::max(MostShards, Bed.host(Host).Process->ownedShards());
+  CHECK(MostShards == 1);
+  Load.submitFor(8s);
+  Load.settle(12s);
+  CHECK(Load.onTimeFraction() >= 0.95);
+  for (const std::string &Violation : Bed.Oracle.violations())
+    FAIL_CHECK(Violation);
+}
+
 // Guards against starvation under overload: jobs with many tasks were ranked
 // behind small jobs until their results were of no use. The requirement is
 // equal shares: the largest tenth of the jobs, and the fifth below, must be
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -290,7 +290,9 @@
       JobHostOptions{
           .HostName = fmt::format("host-{}", Index),
           .StartId = fmt::format("{}", Target.Incarnation),
-          .MinShards = m_options.MinShards,
+          .Weight = m_options.HostWeight,
+          .ShardCount = {.WorkersPerWeight = m_options.WorkersPerWeight,
+                         .MinShards = m_options.MinShards},
           .RunAfter = Deliver,
           .RefreshFleet =
               [this, Deliver, Index] {
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -39,6 +39,10 @@
   int Workers = 6;
   /// Minimum number of shards; there are more if there are many workers.
   int MinShards = 1;
+  /// Weight of each host, and number of workers that a host of weight 1 can
+  /// serve; zero if hosts do not limit the size of shards.
+  int HostWeight = 1;
+  double WorkersPerWeight = 0;
   Resources WorkerCapacity{.Millicores = 8000, .MemoryMib = 16000};
   int FailPercent = 0;
   int MaxAttempts = 3;
