Wait for a starting fleet before workers are dealt to shards

Ruled out: the store that refuses a third of the hosts (its refusals begin 15 s after the layout was stored). Change: the first assignment waits until the fleet has not grown for 1.5 s, 6 s at most. Figures: jobload_test 'The number of shards waits ...' found 1 shard of 120 workers without the wait (failed before), 7 or more after. Conclusion: the number of shards no longer depends on who registers first.

--- a/src/libbasilchute/shardlayout.cpp
+++ b/src/libbasilchute/shardlayout.cpp
@@ -12,10 +12,15 @@
 namespace {
 
 constexpr milliseconds FeedWait{1000};
+/// The same on an idle host. A feed that has gone silent is noticed later.
+constexpr milliseconds IdleFeedWait{10000};
 /// Time for which the target number of shards must be stable before workers are
 /// assigned. Otherwise the workers that register first, while the fleet starts,
 /// would all be assigned to the few shards that exist by then.
 constexpr milliseconds SettleTime{1500};
+/// Longest time after the first worker for which the first assignment waits for
+/// the fleet to stop growing.
+constexpr milliseconds MaxStartTime{6000};
 constexpr size_t MaxAssignmentsPerCommit = MaxRowsPerCommit / 2;
 
 /// Returns the shard that the value of an assignment row names, or std::nullopt
@@ -94,7 +99,7 @@
 }
 
 void ShardLayout::followAssignments(uint64_t From) {
-  m_store.readChanges(AssignmentTable, From, FeedWait,
+  m_store.readChanges(AssignmentTable, From, m_isIdle ? IdleFeedWait : FeedWait,
                       [Weak = weak_from_this(), From](Result<RowPage> Reply) {
                         auto Self = Weak.lock();
                         if (!Self)
@@ -182,6 +187,22 @@
                   m_shards);
 }
 
+void ShardLayout::setFleet(const std::vector<WorkerEntry> &Fleet) {
+  if (m_fleet.empty() && !Fleet.empty())
+    m_firstWorkerAt = m_time.now();
+  if (Fleet.size() > m_fleet.size())
+    m_grownAt = m_time.now();
+  m_fleet = Fleet;
+}
+
+// The workers of a fleet that starts register over several seconds, and the
+// number of shards can't be mended later.
+bool ShardLayout::isFleetStarting() const {
+  TimePoint Now = m_time.now();
+  return m_assignments.empty() && Now < m_grownAt + SettleTime &&
+         Now < m_firstWorkerAt + MaxStartTime;
+}
+
 void ShardLayout::growAndAssign() {
   if (m_isWriting || !m_isLayoutRead || !m_areAssignmentsRead)
     return;
@@ -194,6 +215,8 @@
     m_targetShards = TargetShards;
     m_targetSince = m_time.now();
   }
+  if (isFleetStarting())
+    return;
   if (TargetShards > m_shards || m_isLayoutRefused) {
     grow(TargetShards);
     return;
--- a/src/libbasilchute/shardlayout.h
+++ b/src/libbasilchute/shardlayout.h
@@ -39,7 +39,9 @@
   /// Starts reading the rows of the layout.
   void start();
   /// Sets the complete list of the platform's workers.
-  void setFleet(const std::vector<WorkerEntry> &Fleet) { m_fleet = Fleet; }
+  void setFleet(const std::vector<WorkerEntry> &Fleet);
+  /// Allows changes of the layout to be seen later.
+  void setIdle(bool IsIdle) { m_isIdle = IsIdle; }
   /// Increases the number of shards if the fleet has grown, and assigns each
   /// worker without a shard to the shard with the lowest capacity. Only one
   /// host should call this function; concurrent calls by several hosts are
@@ -52,6 +54,7 @@
 
 private:
   int targetShards() const;
+  bool isFleetStarting() const;
   void readLayout();
   void readAssignments(const std::string &Key, uint64_t From);
   void followAssignments(uint64_t From);
@@ -68,6 +71,10 @@
   RowStore &m_store;
   const Clock &m_time;
   std::vector<WorkerEntry> m_fleet;
+  /// When the fleet had its first worker, and when it last had more than
+  /// before.
+  TimePoint m_firstWorkerAt{};
+  TimePoint m_grownAt{};
   /// Number of shards for the size of the fleet, and the time since which it
   /// has been this number.
   int m_targetShards = 0;
@@ -83,6 +90,7 @@
   bool m_isLayoutRead = false;
   bool m_areAssignmentsRead = false;
   bool m_isWriting = false;
+  bool m_isIdle = false;
 };
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libjobhost/jobload_test.cpp
+++ b/src/libjobhost/jobload_test.cpp
@@ -74,6 +74,25 @@
     FAIL_CHECK(Violation);
 }
 
+// Guards against a layout by the workers that happen to be listed first: the
+// workers of a starting fleet register over several seconds, and the first ones
+// fixed the number of shards for all.
+TEST_CASE("The number of shards waits for the workers of a starting fleet") {
+  JobTestBed Bed(
+      {.Hosts = 18, .Workers = 120, .HostWeight = 7, .WorkersPerWeight = 2.5});
+  for (int Worker = 10; Worker < Bed.workers(); ++Worker)
+    Bed.setWorkerListed(Worker, false);
+  Bed.run(1500ms);
+  for (int Worker = 10; Worker < Bed.workers(); ++Worker) {
+    Bed.run(Worker < 20 ? 150ms : 20ms);
+    Bed.setWorkerListed(Worker, true);
+  }
+  Bed.run(3s);
+  CHECK(Bed.host(0).Process->shards() >= 7);
+  for (int Shard = 0; Shard < Bed.host(0).Process->shards(); ++Shard)
+    CHECK(workersOf(Bed, Shard).size() <= 18);
+}
+
 // Guards against starvation under overload: jobs with many tasks were ranked
 // behind small jobs until their results were of no use. The requirement is
 // equal shares: the largest tenth of the jobs, and the fifth below, must be
