Delegate tasks of one job to several shards

A job delegated once only, and more tasks than the other shard could run. Change: a shard gets one part of a job at most, with no more tasks than its workers and processors take; what still waits goes to further shards. Conclusion: small shards no longer limit how wide a job may be.

--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,15 @@
 
 struct HandoverRecord;
 
+/// A shard to which tasks of a job can be delegated.
+struct DelegationTarget {
+  int Shard = 0;
+  /// Number of workers that take tasks of the job.
+  size_t Workers = 0;
+  /// Number of tasks for which there are processors.
+  size_t MaxTasks = 1;
+};
+
 /// Settings of a JobShard.
 struct JobShardOptions {
   int Shard = 0;
@@ -76,8 +86,10 @@
   /// for none.
   std::function<int(const Job &)> ChooseTransferTarget;
   /// Returns another shard where one worker has room for the largest task of
-  /// the job, -1 for none.
-  std::function<int(const Job &)> FindShardWithRoom;
+  /// the job, and none of those given; std::nullopt for none.
+  std::function<std::optional<DelegationTarget>(const Job &,
+                                                const std::set<int> &)>
+      FindShardWithRoom;
   /// Returns the number of shards.
   std::function<int()> ShardCount;
   /// Logs one decision: the event's name and its key=value fields.
--- a/src/include/basilchute/shardchoice.h
+++ b/src/include/basilchute/shardchoice.h
@@ -91,4 +91,9 @@
 int shardWithRoom(const std::vector<ShardCandidate> &Candidates,
                   const ShardDemand &Demand);
 
+/// Returns how many tasks as large as the largest one of \p Demand a shard with
+/// \p Load takes beside its long-running tasks, at least one. The room may be
+/// spread so that fewer fit.
+size_t tasksThatFit(const ShardLoad &Load, const ShardDemand &Demand);
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -83,6 +83,8 @@
   bool IsTransferring = false;
   /// Tasks that a pending commit delegates to another shard.
   std::vector<int> Delegating;
+  /// Shards that are known to have a part of the job, or may have one.
+  std::set<int> PartShards;
   /// The previous owner crashed while it held the job.
   bool MayHaveHiddenCrashes = false;
   /// Shard that holds the job, if this shard runs only delegated tasks of it.
--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -28,8 +28,8 @@
 }
 
 // Returns the long-running tasks of a started job that have waited long and of
-// which no run is present or possible in this shard. A job delegates only once.
-// If none of its tasks runs here, the whole job is transferred instead.
+// which no run is present or possible in this shard. If none of its tasks runs
+// here or in another shard, the whole job is transferred instead.
 std::vector<int> JobShard::Impl::delegableTasks(const JobEntry &Entry) const {
   TimePoint Now = m_time.now();
   std::vector<int> Out;
@@ -37,7 +37,7 @@
                      !Entry.HomeShard && !m_dirty.count(Entry.Spec.Id) &&
                      Entry.Spec.Repetitions == 0 &&
                      Entry.Spec.Steps.front().LongRunning &&
-                     Entry.hasPlaced() && !Entry.hasDelegated() &&
+                     (Entry.hasPlaced() || Entry.hasDelegated()) &&
                      !m_previousRuns.isWithinUnknownTime(Entry.JobVersion, Now);
   if (!MayDelegate)
     return Out;
@@ -62,15 +62,39 @@
   for (const auto &[Id, Waiting] : m_waiting) {
     JobEntry &Entry = *find(Id);
     std::vector<int> Positions = delegableTasks(Entry);
-    int Target =
-        Positions.empty() ? -1 : m_options.FindShardWithRoom(Entry.Spec);
-    if (Target < 0)
+    if (Positions.empty())
       continue;
-    sendDelegation(Entry, Positions, Target);
+    std::optional<DelegationTarget> Target =
+        m_options.FindShardWithRoom(Entry.Spec, Entry.PartShards);
+    if (!Target)
+      continue;
+    sendDelegation(Entry, delegatedTo(*Target, Entry, Positions),
+                   Target->Shard);
     return;
   }
 }
 
+// A shard gets one part of a job, so that it gets no more tasks than it can
+// run. The others go to further shards.
+std::vector<int>
+JobShard::Impl::delegatedTo(const DelegationTarget &Target,
+                            const JobEntry &Entry,
+                            const std::vector<int> &Positions) {
+  std::map<int, size_t> TasksOfStep;
+  std::vector<int> Out;
+  for (int Position : Positions) {
+    auto MaxPerWorker =
+        static_cast<size_t>(Entry.stepOf(Position).MaxPerWorker);
+    size_t &Tasks = TasksOfStep[Entry.nameOf(Position).Step];
+    if (Out.size() == Target.MaxTasks ||
+        (MaxPerWorker > 0 && Tasks == MaxPerWorker * Target.Workers))
+      continue;
+    ++Tasks;
+    Out.push_back(Position);
+  }
+  return Out;
+}
+
 // The tasks count as done in this shard, so that no owner starts them here,
 // also one of a version that knows no parts.
 void JobShard::Impl::sendDelegation(JobEntry &Entry,
@@ -79,6 +103,7 @@
   const std::string &Id = Entry.Spec.Id;
   Entry.IsTransferring = true;
   Entry.Delegating = Positions;
+  Entry.PartShards.insert(Target);
   m_waiting.erase(Id);
   JobEntry Kept = Entry;
   JobProgress Moved{.State = Entry.State};
@@ -138,6 +163,7 @@
   ResultCode Code = Answer.error().Code;
   if (Code == ResultCode::Unavailable || Code == ResultCode::Overloaded) {
     Entry.IsTransferring = false;
+    Entry.PartShards.erase(Target);
     Entry.Delegating.clear();
     queueReady(Entry);
     return;
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -143,6 +143,9 @@
   void delegateTasks();
   std::vector<int> delegableTasks(const JobEntry &Entry) const;
   bool hasRunsOf(const TaskName &Task) const;
+  static std::vector<int> delegatedTo(const DelegationTarget &Target,
+                                      const JobEntry &Entry,
+                                      const std::vector<int> &Positions);
   void sendDelegation(JobEntry &Entry, const std::vector<int> &Positions,
                       int Target);
   void onDelegated(const std::string &Id, int Target,
--- a/src/libbasilchute/jobshard_waits.cpp
+++ b/src/libbasilchute/jobshard_waits.cpp
@@ -35,6 +35,10 @@
   if (!LongestEntry)
     return;
   TaskName Task = LongestEntry->nameOf(LongestPosition);
+  std::optional<DelegationTarget> Target;
+  if (m_options.FindShardWithRoom)
+    Target = m_options.FindShardWithRoom(LongestEntry->Spec,
+                                         LongestEntry->PartShards);
   log("long_task_waits",
       fmt::format("shard={} tasks={} job={} step={} index={} waited_ms={} "
                   "needs_cores={:.1f} most_cores={:.1f} target={}",
@@ -44,9 +48,7 @@
                       LongestEntry->stepOf(LongestPosition).Demand.Millicores) /
                       1000,
                   static_cast<double>(MostMillicores) / 1000,
-                  m_options.FindShardWithRoom
-                      ? m_options.FindShardWithRoom(LongestEntry->Spec)
-                      : -1));
+                  Target ? Target->Shard : -1));
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/shardchoice.cpp
+++ b/src/libbasilchute/shardchoice.cpp
@@ -189,4 +189,10 @@
   return Out;
 }
 
+size_t tasksThatFit(const ShardLoad &Load, const ShardDemand &Demand) {
+  int64_t Free = Load.CapacityMillicores - Load.LongRunningMillicores;
+  int64_t Task = std::max<int64_t>(Demand.LargestTaskMillicores, 1);
+  return static_cast<size_t>(std::max<int64_t>(Free / Task, 1));
+}
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -87,12 +87,9 @@
   Options.ChooseTransferTarget = [this, Shard](const Job &Value) {
     return chooseTransferFor(Shard, Value);
   };
-  Options.FindShardWithRoom = [this, Shard](const Job &Value) {
-    std::vector<ShardCandidate> Others = candidates(Value);
-    std::erase_if(Others, [Shard](const ShardCandidate &Other) {
-      return Other.Shard == Shard;
-    });
-    return shardWithRoom(Others, demandOf(Value));
+  Options.FindShardWithRoom = [this, Shard](const Job &Value,
+                                            const std::set<int> &Excluded) {
+    return findDelegationTarget(Shard, Value, Excluded);
   };
   Options.ShardCount = [this] { return m_cluster.shards(); };
   Options.Log = m_options.Log;
@@ -242,6 +239,32 @@
   return Out;
 }
 
+std::optional<DelegationTarget>
+JobHost::findDelegationTarget(int Shard, const Job &Value,
+                              const std::set<int> &Excluded) {
+  std::vector<ShardCandidate> Others = candidates(Value);
+  std::erase_if(Others, [&](const ShardCandidate &Other) {
+    return Other.Shard == Shard || Excluded.contains(Other.Shard);
+  });
+  ShardDemand Demand = demandOf(Value);
+  int Target = shardWithRoom(Others, Demand);
+  if (Target < 0)
+    return std::nullopt;
+  const std::string &Service = m_queues->at(Value.Queue).Service;
+  const std::vector<WorkerEntry> &Workers = m_workersByShard[Target];
+  auto Usable = std::count_if(
+      Workers.begin(), Workers.end(), [&](const WorkerEntry &Worker) {
+        return Worker.Service == Service && !Worker.IsDraining;
+      });
+  auto Chosen =
+      std::find_if(Others.begin(), Others.end(), [Target](const auto &Other) {
+        return Other.Shard == Target;
+      });
+  return DelegationTarget{.Shard = Target,
+                          .Workers = static_cast<size_t>(Usable),
+                          .MaxTasks = tasksThatFit(Chosen->Load, Demand)};
+}
+
 void JobHost::tick() {
   m_cluster.tick();
   for (const auto &[Shard, Owner] : m_ownedShards) {
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -99,6 +99,9 @@
   std::map<int, ShardReport> reports() const;
   /// Returns the shards that can run \p Value, with their load.
   std::vector<ShardCandidate> candidates(const Job &Value);
+  std::optional<DelegationTarget>
+  findDelegationTarget(int Shard, const Job &Value,
+                       const std::set<int> &Excluded);
   bool canRun(int Shard, const Job &Value) const;
   bool hasData(int Shard, const Job &Value) const;
   /// Returns the shard for the new job \p Value.
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -245,6 +245,27 @@
   checkNoViolations(Bed);
 }
 
+// Guards against tasks of a wide job that wait for ever: with a limit per
+// worker no two shards of a fleet of small hosts have workers enough for all of
+// them, and a job delegated tasks once only, and more than the other shard
+// could run.
+TEST_CASE("A job that is wider than two shards together runs in more") {
+  JobTestBed Bed({.Workers = 8, .MinShards = 4, .WorkerCapacity = TwoTasks});
+  Bed.run(3s);
+  Job Wide = longJob("wide", 8);
+  Wide.Steps[0].MaxPerWorker = 1;
+  CHECK(Bed.submit(0, Wide).has_value());
+  CHECK(allRunWithin(Bed, 8, RestartBound));
+  Bed.run(2s);
+  Bed.killHost(Bed.ownerIndex());
+  Bed.run(12s);
+  CHECK(Bed.Oracle.running() == 8);
+  int Host = Bed.ownerIndex();
+  CHECK(Bed.cancel(Host, "wide").has_value());
+  CHECK(allRunWithin(Bed, 0, 4s));
+  checkNoViolations(Bed);
+}
+
 // Guards against delegated tasks that are started in both shards, or in none,
 // after a change of both owners.
 TEST_CASE("Delegated tasks run on, and only once, after their owners crash") {
