Let hosts without a shard ask less of the store

Ruled out: the feeds of jobs (owners only). Change: a host is idle once it is 10 s old, owns nothing, is not about to, does not manage the layout and is no standby (chooseStandbys: two, or one for four owners). Conclusion: the store's load follows the owners.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -47,7 +47,11 @@
   /// Interval between two renewals of this host's row, and between two reads
   /// of all hosts' rows.
   milliseconds RenewInterval{500};
-  /// A host whose row has not changed for this long is considered dead.
+  /// Interval between two renewals of this host's row while it is idle, see
+  /// HostCluster::isIdle().
+  milliseconds IdleRenewInterval{2500};
+  /// A host whose row has not changed for this long is considered dead; an idle
+  /// one after as much more as its interval is longer.
   milliseconds Timeout{1700};
   /// Time after the last renewal during which this host may send orders to
   /// workers, if they still accept them. With the lease that such an owner
@@ -145,6 +149,10 @@
   const ShardReport *report(int Shard) const;
   /// Returns the number of shards that this host owns.
   int owned() const;
+  /// Returns true if this host owns no shard and is not about to get one, has
+  /// been up for a while, and neither manages the layout nor is a standby. Idle
+  /// hosts renew their row and read others' rows less often.
+  bool isIdle() const;
 
 private:
   class Impl;
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -7,6 +7,7 @@
 #include "libbasilchute/publishedworkers.h"
 #include "libbasilchute/renewalrecord.h"
 #include "libbasilchute/shardlayout.h"
+#include "libbasilchute/standby.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr milliseconds FeedWait{1000};
+/// The same on an idle host. A feed that has gone silent is noticed later.
+constexpr milliseconds IdleFeedWait{5000};
 /// Maximum number of concurrent renewals; there can be several if replies are
 /// lost.
 constexpr int MaxConcurrentRenewals = 4;
@@ -59,11 +62,13 @@
   }
 
   void tick() {
-    TimePoint Now = m_time.now();
-    if (m_renewalsInFlight < MaxConcurrentRenewals && Now >= m_nextRenewal &&
-        !m_isRemovingRow)
+    m_isIdle = findIdle();
+    m_layout->setIdle(m_isIdle);
+    bool IsDue = m_lastRenewal == TimePoint{} ||
+                 m_time.now() >= m_lastRenewal + renewInterval();
+    if (m_renewalsInFlight < MaxConcurrentRenewals && IsDue && !m_isRemovingRow)
       renew();
-    m_hosts->tick();
+    m_hosts->tick(m_isIdle);
     updateLayout();
     if (m_isLeaving)
       applyPlan();
@@ -165,6 +170,8 @@
         [](const ObservedShard &Shard) { return Shard.OwnedEpoch != 0; }));
   }
 
+  bool isIdle() const { return m_isIdle; }
+
 private:
   ShardLayoutOptions layoutOptions() {
     return {.Count = m_options.ShardCount,
@@ -179,7 +186,7 @@
             .HostId = m_options.HostId,
             .ReadInterval = m_options.RenewInterval,
             .Timeout = m_options.Timeout,
-            .OnRead = [this] { applyPlan(); },
+            .OnRead = [this] { onHostsRead(); },
             .Log = m_options.Log};
   }
 
@@ -195,12 +202,33 @@
       m_options.Log(Event, Fields);
   }
 
+  bool findIdle() const {
+    bool IsInvolved = std::any_of(
+        m_shards.begin(), m_shards.end(), [this](const ObservedShard &Shard) {
+          return Shard.OwnedEpoch != 0 || Shard.IsWriting || !Shard.IsKnown ||
+                 Shard.Owner.empty() || Shard.Owner == m_options.HostId;
+        });
+    return !IsInvolved && !m_isLeaving && !m_isLayoutManager && !m_isStandby &&
+           m_renewalCount >= SettledRenewals;
+  }
+
+  milliseconds renewInterval() const {
+    return m_isIdle ? m_options.IdleRenewInterval : m_options.RenewInterval;
+  }
+
   void renew() {
     TimePoint Now = m_time.now();
-    m_nextRenewal = Now + m_options.RenewInterval;
+    // The count also rises with the time that an idle host leaves out.
+    auto Intervals = static_cast<uint64_t>(m_lastRenewal == TimePoint{}
+                                               ? 0
+                                               : (Now - m_lastRenewal) /
+                                                     m_options.RenewInterval);
+    m_renewalCount += std::max<uint64_t>(Intervals, 1);
+    m_lastRenewal = Now;
     ++m_renewalsInFlight;
     HostRecord Record{.Weight = m_options.Weight,
-                      .RenewalCount = ++m_renewalCount,
+                      .RenewalCount = m_renewalCount,
+                      .RenewInterval = renewInterval(),
                       .IsLeaving = m_isLeaving,
                       .BoundsLeases = m_options.CanSpanPartitions};
     if (m_options.Report)
@@ -237,6 +265,8 @@
   }
 
   void verifyShards(nanoseconds Gap) {
+    if (owned() == 0)
+      return;
     log("renewed_after_gap", fmt::format("gap_ms={}", Gap / milliseconds(1)));
     for (int Shard = 0; Shard < shards(); ++Shard) {
       if (m_shards[static_cast<size_t>(Shard)].OwnedEpoch == 0)
@@ -286,13 +316,23 @@
     return Out;
   }
 
+  void onHostsRead() {
+    std::set<std::string> Standbys = chooseStandbys(planHosts(), owners());
+    m_isStandby = Standbys.contains(m_options.HostId);
+    applyPlan();
+  }
+
+  std::vector<std::string> owners() const {
+    std::vector<std::string> Out;
+    for (const ObservedShard &Shard : m_shards)
+      Out.push_back(Shard.Owner);
+    return Out;
+  }
+
   void applyPlan() {
     if (m_hosts->reads() < HostRegistry::MinUnchangedReads && !m_isLeaving)
       return;
-    std::vector<std::string> Owners;
-    for (const ObservedShard &Shard : m_shards)
-      Owners.push_back(Shard.Owner);
-    std::vector<std::string> Plan = planShards(planHosts(), Owners);
+    std::vector<std::string> Plan = planShards(planHosts(), owners());
     if (Plan.empty())
       return;
     for (size_t Shard = 0; Shard < m_shards.size(); ++Shard)
@@ -515,7 +555,7 @@
       return;
     }
     m_store.readChanges(
-        ShardTable, From, FeedWait,
+        ShardTable, From, m_isIdle ? IdleFeedWait : FeedWait,
         [Weak = weak_from_this(), From](Result<RowPage> Reply) {
           auto Self = Weak.lock();
           if (!Self)
@@ -539,6 +579,7 @@
                      [](const PlanHost &Host) { return !Host.IsLeaving; });
     bool IsFirst = First == Hosts.end() ? !m_hosts->isEmpty() && !m_isLeaving
                                         : First->Id == m_options.HostId;
+    m_isLayoutManager = IsFirst;
     if (IsFirst && m_hosts->reads() >= 2)
       m_layout->growAndAssign();
   }
@@ -553,9 +594,13 @@
   PublishedWorkers m_published;
   /// Version of the last renewal at which this host certainly owned its shards.
   uint64_t m_verifiedVersion = 0;
-  /// Counter that changes the row with each renewal.
+  /// Age of this process in renewal intervals; changes the row with each
+  /// renewal.
   uint64_t m_renewalCount = 0;
-  TimePoint m_nextRenewal{};
+  TimePoint m_lastRenewal{};
+  bool m_isIdle = false;
+  bool m_isLayoutManager = false;
+  bool m_isStandby = false;
   int m_renewalsInFlight = 0;
   bool m_isLeaving = false;
   bool m_isRemovingRow = false;
@@ -596,5 +641,6 @@
   return m_impl->report(Shard);
 }
 int HostCluster::owned() const { return m_impl->owned(); }
+bool HostCluster::isIdle() const { return m_impl->isIdle(); }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/hostregistry.cpp
+++ b/src/libbasilchute/hostregistry.cpp
@@ -24,11 +24,23 @@
     m_options.Log(Event, Fields);
 }
 
-void HostRegistry::tick() {
-  if (!m_isReading && m_time.now() >= m_nextRead)
+void HostRegistry::tick(bool IsIdle) {
+  if (m_isReading)
+    return;
+  m_interval = IsIdle && !isAnyOwnerSilent() ? m_options.IdleReadInterval
+                                             : m_options.ReadInterval;
+  if (m_lastSent == TimePoint{} || m_time.now() >= m_lastSent + m_interval)
     read("");
 }
 
+// An owner renews its row between two reads at the longer interval.
+bool HostRegistry::isAnyOwnerSilent() const {
+  return std::any_of(m_hosts.begin(), m_hosts.end(), [this](const auto &Host) {
+    return !Host.second.Record.Shards.empty() &&
+           Host.second.UnchangedReads > 1 && isAlive(Host.second);
+  });
+}
+
 const HostRecord *HostRegistry::findLive(const std::string &Id) const {
   auto It = m_hosts.find(Id);
   return It != m_hosts.end() && isAlive(It->second) ? &It->second.Record
@@ -94,7 +106,7 @@
 
 void HostRegistry::read(const std::string &From) {
   m_isReading = true;
-  m_nextRead = m_time.now() + m_options.ReadInterval;
+  m_lastSent = m_time.now();
   if (From.empty())
     m_present.clear();
   m_store.read({.Table = HostTable, .Partition = "", .From = From},
@@ -148,8 +160,9 @@
   TimePoint Now = m_time.now();
   // No host can renew its row while the store is unavailable. After a gap in
   // the reads all hosts therefore get the full timeout again.
-  bool HadGap = Now > m_lastRead + m_options.ReadInterval * 2;
+  bool HadGap = Now > m_lastRead + std::max(m_interval, m_lastInterval) * 2;
   m_lastRead = Now;
+  m_lastInterval = m_interval;
   std::erase_if(m_refused, [this](const auto &Row) {
     return !m_present.count(Row.first);
   });
@@ -195,7 +208,9 @@
 }
 
 bool HostRegistry::isAlive(const ObservedHost &Host) const {
-  return m_time.now() < Host.ChangedAt + m_options.Timeout ||
+  milliseconds Extra = std::max(milliseconds(0), Host.Record.RenewInterval -
+                                                     m_options.ReadInterval);
+  return m_time.now() < Host.ChangedAt + m_options.Timeout + Extra ||
          Host.UnchangedReads < MinUnchangedReads;
 }
 
--- a/src/libbasilchute/hostregistry.h
+++ b/src/libbasilchute/hostregistry.h
@@ -24,9 +24,13 @@
   std::string HostName;
   /// HostName with a suffix that is unique for each start of the process.
   std::string HostId;
-  /// Interval between two reads of the rows.
+  /// Interval between two reads of the rows while this host must hear of dead
+  /// hosts soon, and between two renewals of a host that owns shards.
   milliseconds ReadInterval{500};
-  /// A host whose row has not changed for this long is considered dead.
+  /// Interval between two reads otherwise.
+  milliseconds IdleReadInterval{1000};
+  /// A host whose row has not changed for this long is considered dead. Hosts
+  /// that renew their rows less often than each ReadInterval get as much more.
   milliseconds Timeout{1700};
   /// Called after each complete read.
   std::function<void()> OnRead;
@@ -46,8 +50,9 @@
 
   HostRegistry(HostRegistryOptions Options, RowStore &Store, const Clock &Time);
 
-  /// Reads the rows if the next read is due.
-  void tick();
+  /// Reads the rows if the next read is due. \p IsIdle allows the longer
+  /// interval, unless the row of an owner was unchanged in the last read.
+  void tick(bool IsIdle = false);
   /// Returns the number of complete reads.
   int reads() const { return m_reads; }
   /// Returns the row of the live host \p Id, or null if there is none.
@@ -87,6 +92,7 @@
   void remove(const std::string &Id);
   void removeFormerProcesses();
   bool isAlive(const ObservedHost &Host) const;
+  bool isAnyOwnerSilent() const;
   void log(std::string_view Event, std::string_view Fields) const;
 
   HostRegistryOptions m_options;
@@ -100,8 +106,12 @@
   std::set<std::string> m_present;
   /// Version of the last row of each host that was refused and logged.
   std::map<std::string, uint64_t> m_refused;
-  TimePoint m_nextRead{};
+  /// When the last read was sent, and when it was complete.
+  TimePoint m_lastSent{};
   TimePoint m_lastRead{};
+  /// Intervals after which the next read is due, and the last one was.
+  milliseconds m_interval{0};
+  milliseconds m_lastInterval{0};
   bool m_isReading = false;
   int m_reads = 0;
 };
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -28,6 +28,9 @@
 constexpr int MaxStoredRun = 2 * MaxReportedRun;
 /// Highest number of crashes that is read from a row.
 constexpr int MaxStoredCrashes = 1000;
+/// Largest renewal interval that a host's row may name: for so much longer the
+/// host counts as alive without a renewal.
+constexpr milliseconds MaxRenewInterval{10000};
 /// Number of partitions that hold the index of jobs. Must never change, because
 /// the partition of each stored index row depends on it.
 constexpr uint64_t IndexPartitions = 16;
@@ -351,6 +354,7 @@
   Out.set_beat(Value.RenewalCount);
   Out.set_leaving(Value.IsLeaving);
   Out.set_bounds_leases(Value.BoundsLeases);
+  Out.set_renew_ms(Value.RenewInterval.count());
   for (const auto &[Shard, Report] : Value.Shards) {
     v1::StoredShardCount &To = *Out.add_shards();
     To.set_shard(Shard);
@@ -381,6 +385,8 @@
     return badRow("host");
   HostRecord Out{.Weight = From.weight(),
                  .RenewalCount = From.beat(),
+                 .RenewInterval =
+                     boundedTime(From.renew_ms(), MaxRenewInterval),
                  .IsLeaving = From.leaving(),
                  .BoundsLeases = From.bounds_leases()};
   for (const v1::StoredShardCount &Shard : From.shards()) {
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -58,8 +58,11 @@
 struct HostRecord {
   /// Capacity for shards, relative to other hosts.
   int Weight = 1;
-  /// Incremented by each renewal of the row.
+  /// Age of the process in default intervals between renewals; it rises with
+  /// each renewal.
   uint64_t RenewalCount = 0;
+  /// Time after which the row is renewed; zero for the default interval.
+  milliseconds RenewInterval{0};
   bool IsLeaving = false;
   /// The host keeps to LeaseTimes, and claims a shard only while the row of its
   /// owner is unchanged. Hosts of earlier versions do not.
--- a/src/libbasilchute/shardcount.cpp
+++ b/src/libbasilchute/shardcount.cpp
@@ -46,13 +46,12 @@
 int shardCountFor(size_t Workers, const std::vector<int> &HostWeights,
                   const ShardCountOptions &Options) {
   int PerShard = Options.WorkersPerShard;
-  int BySize =
-      std::clamp((static_cast<int>(Workers) + PerShard / 2) / PerShard,
-                 Options.MinShards, Options.MaxShards);
+  int BySize = std::clamp((static_cast<int>(Workers) + PerShard / 2) / PerShard,
+                          Options.MinShards, Options.MaxShards);
   if (Options.WorkersPerWeight <= 0 || HostWeights.empty())
     return BySize;
-  int MaxShards = std::min(Options.MaxShards,
-                           std::max(BySize, static_cast<int>(Workers)));
+  int MaxShards =
+      std::min(Options.MaxShards, std::max(BySize, static_cast<int>(Workers)));
   int Best = BySize;
   double BestLoad = 0;
   for (int Shards = BySize; Shards <= MaxShards; ++Shards) {
--- a/src/libbasilchute/shardcount_test.cpp
+++ b/src/libbasilchute/shardcount_test.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-TEST_CASE("Without a limit of the hosts there is a shard for each 160 workers") {
+TEST_CASE(
+    "Without a limit of the hosts there is a shard for each 160 workers") {
   CHECK(shardCountFor(48, {10}, {}) == 1);
   CHECK(shardCountFor(490, {10}, {}) == 3);
   CHECK(shardCountFor(1100, {10}, {}) == 7);
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -82,6 +82,9 @@
     return m_cluster.shardOf(Worker);
   }
   /// Returns the number of shards that this host owns.
+  /// See HostCluster::isIdle(). An idle host need not follow the list of
+  /// workers closely.
+  bool isIdle() const { return m_cluster.isIdle(); }
   int ownedShards() const { return static_cast<int>(m_ownedShards.size()); }
 
 private:
--- a/src/testing/modelstore.cpp
+++ b/src/testing/modelstore.cpp
@@ -113,6 +113,7 @@
 }
 
 void HostRowStore::commit(RowCommit Commit, CommitDone Done) {
+  ++Calls;
   if (isUnreachable()) {
     m_deliver(m_store.Delay, [Done] { Done(unavailable()); });
     return;
@@ -138,6 +139,7 @@
 }
 
 void HostRowStore::read(RowRange Range, ReadDone Done) {
+  ++Calls;
   if (isUnreachable()) {
     m_deliver(FailureDelay, [Done] { Done(unavailable()); });
     return;
@@ -150,6 +152,7 @@
 
 void HostRowStore::readChanges(std::string Table, uint64_t Version,
                                milliseconds Wait, ReadDone Done) {
+  ++Calls;
   if (isUnreachable()) {
     m_deliver(FailureDelay, [Done] { Done(unavailable()); });
     return;
--- a/src/testing/modelstore.h
+++ b/src/testing/modelstore.h
@@ -84,6 +84,8 @@
 
   /// While set, the store refuses all requests of this host.
   bool IsRefused = false;
+  /// Number of calls of this host.
+  int Calls = 0;
 
 private:
   bool isUnreachable() const { return IsRefused || m_store.IsDown; }
