--- a/src/libbasilchute/shardcount_test.cpp
+++ b/src/libbasilchute/shardcount_test.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// 250 workers per core, in hosts' weights of a hundredth of a core.
-constexpr ShardCountOptions Options{.WorkersPerWeight = 2.5};
+/// 300 workers per core, in hosts' weights of a hundredth of a core.
+constexpr ShardCountOptions Options{.WorkersPerWeight = 3};
 
 std::vector<int> mixedHosts(size_t Large, size_t Small) {
   std::vector<int> Out(Large, 50);
@@ -27,13 +27,13 @@
 
 TEST_CASE("A fleet of small hosts gets shards that one of them can serve") {
   int Shards = shardCountFor(120, mixedHosts(0, 18), Options);
-  CHECK(120.0 / Shards <= 7 * 2.5);
+  CHECK(120.0 / Shards <= 7 * 3);
   CHECK(Shards <= 8);
 }
 
 TEST_CASE("Large hosts that suffice keep the shards large") {
   int Shards = shardCountFor(1100, mixedHosts(15, 132), Options);
-  CHECK(1100.0 / Shards <= 50 * 2.5);
+  CHECK(1100.0 / Shards <= 50 * 3);
   CHECK(Shards <= 10);
 }
 
--- a/src/libjobhost/jobload_test.cpp
+++ b/src/libjobhost/jobload_test.cpp
@@ -55,7 +55,7 @@
   JobTestBed Bed({.Hosts = 18,
                   .Workers = 120,
                   .HostWeight = 7,
-                  .WorkersPerWeight = 2.5,
+                  .WorkersPerWeight = 3,
                   .WorkerCapacity = {.Millicores = 32000, .MemoryMib = 128000},
                   .ProcessorTimePerOrder = 3ms});
   JobLoad Load(Bed, {.JobInterval = 50ms,
@@ -79,7 +79,7 @@
 // fixed the number of shards for all.
 TEST_CASE("The number of shards waits for the workers of a starting fleet") {
   JobTestBed Bed(
-      {.Hosts = 18, .Workers = 120, .HostWeight = 7, .WorkersPerWeight = 2.5});
+      {.Hosts = 18, .Workers = 120, .HostWeight = 7, .WorkersPerWeight = 3});
   for (int Worker = 10; Worker < Bed.workers(); ++Worker)
     Bed.setWorkerListed(Worker, false);
   Bed.run(1500ms);
@@ -88,9 +88,9 @@
     Bed.setWorkerListed(Worker, true);
   }
   Bed.run(3s);
-  CHECK(Bed.host(0).Process->shards() >= 7);
+  CHECK(Bed.host(0).Process->shards() >= 6);
   for (int Shard = 0; Shard < Bed.host(0).Process->shards(); ++Shard)
-    CHECK(workersOf(Bed, Shard).size() <= 18);
+    CHECK(workersOf(Bed, Shard).size() <= 21);
 }
 
 // Guards against starvation under overload: jobs with many tasks were ranked
