Count workers with room in finer steps, and never send an empty part

Cause: found by reading: with room counted in doublings a task of 5.6 cores counted only workers with 8 free, so that a part could get one task, or none, and use up the one part that a shard takes. Change: two steps a doubling, and at least one task a part, since the largest room takes one. Conclusion: parts are at most 1.4 times too small by the counts.

--- a/src/include/basilchute/shardchoice.h
+++ b/src/include/basilchute/shardchoice.h
@@ -23,8 +23,8 @@
   /// Most millicores on one usable worker that no long-running task reserves;
   /// zero if the owner does not report them.
   int64_t LargestRoomMillicores = 0;
-  /// Number of usable workers on which long-running tasks leave at least 1, 2,
-  /// 4, ... cores; empty if the owner does not report them.
+  /// Number of usable workers on which long-running tasks leave at least 1,
+  /// 1.4, 2, 2.8, 4, ... cores; empty if the owner does not report them.
   std::vector<uint32_t> RoomyWorkers;
   /// Remaining work of all other jobs, in millicores times seconds.
   double RemainingWork = 0;
@@ -97,7 +97,7 @@
 
 /// Number of entries of ShardLoad::RoomyWorkers; the last one counts workers
 /// with 32 cores.
-constexpr size_t RoomClasses = 6;
+constexpr size_t RoomClasses = 11;
 
 /// Adds a worker on which long-running tasks leave \p Millicores.
 void addRoomyWorker(ShardLoad &Load, int64_t Millicores);
--- a/src/include/basilchute/shardcount.h
+++ b/src/include/basilchute/shardcount.h
@@ -24,9 +24,9 @@
 /// Returns the number of shards for \p Workers workers if hosts of the weights
 /// \p HostWeights own them as planShards() distributes them.
 ///
-/// That is one shard for each WorkersPerShard workers, or as many more as are
-/// needed so that no host owns more workers than it has processor time for: a
-/// shard has one owner at a time, so that large shards overload small hosts
+/// The result is one shard for each WorkersPerShard workers, or as many more as
+/// are needed so that no host owns more workers than it has processor time for:
+/// a shard has one owner at a time, so that large shards overload small hosts
 /// while others are idle. If no number within the bounds achieves that, the
 /// smallest number that loads the busiest host least is returned.
 int shardCountFor(size_t Workers, const std::vector<int> &HostWeights,
--- a/src/libbasilchute/shardchoice.cpp
+++ b/src/libbasilchute/shardchoice.cpp
@@ -3,6 +3,7 @@
 #include "libbasilchute/jobestimate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <xxhash.h>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -99,8 +100,11 @@
          Requested / std::max(static_cast<double>(Room), MinRoom);
 }
 
-/// Millicores of the first entry of ShardLoad::RoomyWorkers.
-constexpr int64_t FirstRoomClass = 1000;
+/// Returns the least millicores for entry \p Class of ShardLoad::RoomyWorkers.
+/// Two entries a doubling count at most 1.4 times too little room.
+double leastRoomOf(size_t Class) {
+  return 1000 * std::exp2(static_cast<double>(Class) / 2);
+}
 
 } // namespace
 
@@ -194,21 +198,16 @@
 
 void addRoomyWorker(ShardLoad &Load, int64_t Millicores) {
   Load.RoomyWorkers.resize(RoomClasses);
-  int64_t Least = FirstRoomClass;
-  for (uint32_t &Workers : Load.RoomyWorkers) {
-    Workers += Millicores >= Least;
-    Least *= 2;
-  }
+  for (size_t Class = 0; Class < RoomClasses; ++Class)
+    Load.RoomyWorkers[Class] +=
+        static_cast<double>(Millicores) >= leastRoomOf(Class);
 }
 
 std::optional<size_t> workersWithRoom(const ShardLoad &Load,
                                       int64_t Millicores) {
-  int64_t Least = FirstRoomClass;
-  for (uint32_t Workers : Load.RoomyWorkers) {
-    if (Millicores <= Least)
-      return Workers;
-    Least *= 2;
-  }
+  for (size_t Class = 0; Class < Load.RoomyWorkers.size(); ++Class)
+    if (static_cast<double>(Millicores) <= leastRoomOf(Class))
+      return Load.RoomyWorkers[Class];
   return std::nullopt;
 }
 
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -260,11 +260,13 @@
       std::find_if(Others.begin(), Others.end(), [Target](const auto &Other) {
         return Other.Shard == Target;
       });
+  // The largest room takes a task, also if it lies between two counts.
   std::optional<size_t> Roomy =
       workersWithRoom(Chosen->Load, Demand.LargestTaskMillicores);
-  return DelegationTarget{.Shard = Target,
-                          .Workers = std::min(Usable, Roomy.value_or(Usable)),
-                          .MaxTasks = tasksThatFit(Chosen->Load, Demand)};
+  return DelegationTarget{
+      .Shard = Target,
+      .Workers = std::max<size_t>(1, std::min(Usable, Roomy.value_or(Usable))),
+      .MaxTasks = tasksThatFit(Chosen->Load, Demand)};
 }
 
 void JobHost::tick() {
