Try all shards again after a delegation that conflicted

Ruled out: room (the delegation had found it). Change: once no shard is left the exclusions are dropped; a shard that has a part answers with a conflict again.

--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -74,8 +74,12 @@
       Excluded.insert(*Entry.HomeShard);
     std::optional<DelegationTarget> Target =
         m_options.FindShardWithRoom(Entry.Spec, Excluded);
-    if (!Target)
+    // A conflict may have had another cause than a part in that shard, so all
+    // shards are tried again once no other is left.
+    if (!Target) {
+      Entry.PartShards.clear();
       continue;
+    }
     sendDelegation(Entry, delegatedTo(*Target, Entry, Positions),
                    Target->Shard);
     return;
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -292,6 +292,41 @@
   }
 }
 
+// Guards against tasks that wait for ever after one conflict: the shard to
+// which they could not be delegated counted as one that has a part of the job.
+TEST_CASE("A delegation that conflicts with another write is tried again") {
+  JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longJob("wide", 6)).has_value());
+  REQUIRE(allRunWithin(Bed, 6, 8s));
+  Bed.run(10s);
+  TaskName Lost = taskOf("wide");
+  int Shard = shardOf(Bed, Lost);
+  loseWorker(Bed, workerOf(Bed, Lost));
+  // The delegation follows 1.2 s after the end of the leases.
+  Bed.run(LeaseTimes{}.Sole + 1000ms);
+  // The owner does not know the version of the row that it makes a condition.
+  RowAddress Progress = progressAddress(Shard, "wide");
+  int Conflicts = Bed.LogLines["delegation_failed"];
+  bool HasConflict = Bed.runUntil(
+      [&] {
+        RowPage Page = Bed.Store.read({.Table = Progress.Table,
+                                       .Partition = Progress.Partition,
+                                       .From = Progress.Key});
+        RowCommit Other;
+        Other.Changes.push_back(
+            {.Address = Progress, .Value = Page.Rows.front().Value});
+        (void)Bed.Store.apply(Other);
+        return Bed.LogLines["delegation_failed"] > Conflicts;
+      },
+      RestartBound);
+  REQUIRE(HasConflict);
+  CHECK(allRunWithin(Bed, 6, RestartBound));
+  CHECK(Bed.cancel(1, "wide").has_value());
+  CHECK(allRunWithin(Bed, 0, 4s));
+  checkNoViolations(Bed);
+}
+
 // Guards against delegated tasks that are started in both shards, or in none,
 // after a change of both owners.
 TEST_CASE("Delegated tasks run on, and only once, after their owners crash") {
