--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -471,6 +471,68 @@
                 Text);
 }
 
+// LOST: one worker crashes over and over; submissions whose tasks it began are
+// shown as failed, though no task has ended failed.
+int playFlapping(const Arguments &Given) {
+  constexpr int Crashes = 9;
+  Deployment &All = *new Deployment(Given, 7, 0, 2);
+  Ending End{All};
+  std::mutex &Lock = *new std::mutex;
+  int &Failed = *new int{0};
+  for (auto &Each : All.Fleet)
+    Each->OnEnd = [&](const std::string &, const std::string &How) {
+      std::lock_guard Guard(Lock);
+      Failed += How == "failed" ? 1 : 0;
+    };
+  if (!All.start())
+    return notRun("the hosts aren't ready");
+  std::atomic<bool> IsOver{false};
+  std::vector<std::string> Ids;
+  bool WasRefused = false;
+  std::thread Traffic([&] {
+    for (int Number = 0; !IsOver; ++Number) {
+      Submission Value{.Id = idOf(Number),
+                       .Steps = {{.Count = 4, .Cpu = 4000, .MemMb = 4000,
+                                  .WorkMs = 2000}}};
+      if (All.Short->submit(Value))
+        Ids.push_back(Value.Id);
+      else
+        WasRefused = true;
+      sleepFor(0.25);
+    }
+  });
+  sleepFor(4);
+  Worker &Bad = *All.Fleet.front();
+  for (int I = 0; I < Crashes; ++I) {
+    if (Given.HasTrouble) {
+      Bad.crash();
+      sleepFor(0.6);
+      Bad.start(Deployment::SmallCpu, 128000, "small");
+    }
+    sleepFor(0.5);
+  }
+  sleepFor(3);
+  IsOver = true;
+  Traffic.join();
+  sleepFor(FinishS);
+  if (WasRefused)
+    return notRun("a submission was refused");
+  size_t ShownFailed = 0;
+  size_t Completed = 0;
+  for (const std::string &Id : Ids) {
+    std::string State = All.Short->state(Id);
+    ShownFailed += State == "failed" ? 1 : 0;
+    Completed += State == "completed" ? 1 : 0;
+  }
+  std::lock_guard Guard(Lock);
+  char Text[300];
+  snprintf(Text, sizeof Text,
+           "%zu of %zu submissions are shown as failed and %zu as completed; "
+           "%d runs ended failed",
+           ShownFailed, Ids.size(), Completed, Failed);
+  return report(ShownFailed > 0 && Failed == 0, Text);
+}
+
 } // namespace
 
 int main(int Count, char **Words) {
@@ -488,12 +550,14 @@
     Result = playReborn(Given);
   else if (Name == "cancel")
     Result = playCancel(Given);
-  else if (Name == "large")
+  else if (Name == "large") // no case of its own: REPORT.md
     Result = playLarge(Given);
   else if (Name == "ends")
     Result = playEnds(Given);
   else if (Name == "apart")
     Result = playApart(Given);
+  else if (Name == "flapping")
+    Result = playFlapping(Given);
   fflush(stdout);
   // Threads of the stand-ins still wait for calls.
   _exit(Result);
