Name the workers of a shard in a row, so that a new process knows the unlisted ones

A worker whose reports do not reach the store leaves the platform's list and runs its tasks on. If all hosts are killed then, the new owner starts the short tasks of that worker on others.

Cause: a new process knows workers from the list and from its own memory only. It held its takeover complete once all listed workers had answered.

Change: the owner keeps a row with the workers on which tasks may run, written before its first start on a worker, under the versions of the owner row and of the row itself. A new owner counts those that it has not seen as silent until all previous leases are over. Names go when no run can be left, so that workers that left long ago hold up nothing (test).

--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -32,6 +32,8 @@
       m_previousLeases(m_options.Leases,
                        m_options.PreviousSoleUntil.value_or(m_takeoverTime),
                        m_options.PreviousWorkers),
+      m_usedWorkers(
+          std::make_shared<UsedWorkers>(usedWorkersOptions(), Store, Time)),
       m_leaseEvidence(m_options.Leases.MaxEvidenceAge) {}
 
 void JobShard::Impl::log(std::string_view Event,
@@ -139,6 +141,7 @@
                   (m_time.now() - m_takeoverTime) / milliseconds(1)));
   m_loadedJobs.clear();
   m_loadedProgress.clear();
+  storeWorkersInUse();
   followJobs();
   pollWorkers();
 }
@@ -491,6 +494,7 @@
   for (const auto &[Id, Slot] : m_slots)
     if (!Slot.IsListed)
       m_leaseEvidence.forget(Id);
+  storeWorkersInUse();
   pollWorkers();
   place();
 }
@@ -512,6 +516,8 @@
   m_previousRuns.setListComplete(isFleetComplete());
   limitPreviousRuns();
   removeUnlistedWorkers();
+  if (m_time.now() >= m_nextWorkerStore)
+    storeWorkersInUse();
   stopRunsOnDrainingWorkers();
   relocateStalledRuns();
   pollWorkers();
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -25,6 +25,7 @@
 #include "libbasilchute/leaseevidence.h"
 #include "libbasilchute/orderwindow.h"
 #include "libbasilchute/previousruns.h"
+#include "libbasilchute/usedworkers.h"
 #include "libbasilchute/workerslot.h"
 
 #include <deque>
@@ -201,6 +202,12 @@
   bool isFleetComplete() const {
     return !m_options.FleetTime || m_options.FleetTime() >= m_takeoverTime;
   }
+  /// Returns the workers that are listed or may have runs.
+  std::set<std::string> workersInUse() const;
+  UsedWorkersOptions usedWorkersOptions();
+  /// Has these workers stored.
+  void storeWorkersInUse();
+  void updateStoredFlags();
   /// Returns true once every worker has answered a poll or missed one.
   bool wereAllWorkersPolled() const;
   /// Returns the number of ready tasks that wait for the end of previous runs.
@@ -390,8 +397,8 @@
   void sendStart(WorkerSlot &Slot, JobEntry &Entry, int Position,
                  const RunKey &Key);
   static bool canTakeStart(const WorkerSlot &Slot) {
-    return Slot.IsFenced && Slot.IsListed && !Slot.Entry.IsDraining &&
-           Slot.MissedPolls == 0;
+    return Slot.IsFenced && Slot.IsListed && Slot.IsStored &&
+           !Slot.Entry.IsDraining && Slot.MissedPolls == 0;
   }
   void onStart(const std::string &Worker, const RunKey &Key, TimePoint Sent,
                Result<StartReply> Answer);
@@ -510,6 +517,8 @@
   /// Runs that previous owners may have left.
   PreviousRuns m_previousRuns;
   PreviousLeases m_previousLeases;
+  std::shared_ptr<UsedWorkers> m_usedWorkers;
+  TimePoint m_nextWorkerStore{};
   LeaseEvidence m_leaseEvidence;
   CrashHistory m_crashes;
   /// Suspects, with those of ended jobs; gangs by their first members.
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -233,8 +233,7 @@
   TimePoint Now = m_time.now();
   std::vector<PlacementCandidate> Candidates;
   for (auto &[Id, Slot] : m_slots) {
-    bool IsUsable = Slot.IsFenced && Slot.IsListed && !Slot.Entry.IsDraining &&
-                    Slot.Entry.hasCapacity() && Slot.MissedPolls == 0 &&
+    bool IsUsable = canTakeStart(Slot) && Slot.Entry.hasCapacity() &&
                     Now >= Slot.NextStartAt &&
                     Now < Slot.LastAnswer + MaxAnswerAge;
     if (!IsUsable)
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -14,6 +14,9 @@
 /// Maximum number of tasks of a job for which that is stored, because a row is
 /// limited to MaxRowBytes.
 constexpr size_t MaxStoredWaits = 1000;
+/// Interval at which the stored list of workers is compared with the workers in
+/// use.
+constexpr milliseconds WorkerStoreInterval{250};
 /// Maximum number of workers that a log line names.
 constexpr size_t MaxLoggedWorkers = 5;
 
@@ -39,9 +42,12 @@
 // have started runs that these rows do not name.
 void JobShard::Impl::onHandoverRows(const std::vector<StoredRow> &Rows) {
   std::vector<std::string> Values;
-  for (const StoredRow &Row : Rows)
-    if (Row.Version == m_options.HandoverVersion)
+  for (const StoredRow &Row : Rows) {
+    if (Row.Address == usedWorkersAddress(m_options.Shard))
+      m_usedWorkers->restore(Row);
+    else if (Row.Version == m_options.HandoverVersion)
       Values.push_back(Row.Value);
+  }
   if (Values.empty()) {
     log("handover_missing",
         fmt::format("shard={} epoch={}", m_options.Shard, m_options.Epoch));
@@ -83,6 +89,8 @@
     m_handover.reset();
   }
   m_previousRuns.setListComplete(isFleetComplete());
+  for (const std::string &Worker : m_usedWorkers->names())
+    m_previousRuns.addWorker(Worker);
   for (auto &[Id, Slot] : m_slots) {
     m_previousRuns.addWorker(Id);
     // The previous owner may have extended the leases of runs on the worker.
@@ -214,6 +222,37 @@
   }
 }
 
+UsedWorkersOptions JobShard::Impl::usedWorkersOptions() {
+  return {.Shard = m_options.Shard,
+          .Epoch = m_options.Epoch,
+          .OnChanged = [this] { updateStoredFlags(); },
+          .OnOwnerChanged = [this] { loseOwnership("conflict"); },
+          .Log = m_options.Log};
+}
+
+std::set<std::string> JobShard::Impl::workersInUse() const {
+  std::set<std::string> Out;
+  for (const auto &[Id, Slot] : m_slots)
+    Out.insert(Id);
+  for (const std::string &Worker : m_usedWorkers->names())
+    if (m_previousRuns.mayHaveRunsOn(Worker, m_time.now()))
+      Out.insert(Worker);
+  return Out;
+}
+
+void JobShard::Impl::storeWorkersInUse() {
+  if (!m_isLoaded || !canSendOrders())
+    return;
+  m_nextWorkerStore = m_time.now() + WorkerStoreInterval;
+  m_usedWorkers->update(workersInUse());
+  updateStoredFlags();
+}
+
+void JobShard::Impl::updateStoredFlags() {
+  for (auto &[Id, Slot] : m_slots)
+    Slot.IsStored = m_usedWorkers->isStored(Id);
+}
+
 bool JobShard::Impl::isTakeoverComplete() const {
   return m_isLoaded && m_previousRuns.isResolved(m_time.now());
 }
--- a/src/libbasilchute/leaseevidence.h
+++ b/src/libbasilchute/leaseevidence.h
@@ -15,6 +15,8 @@
 #include "basilchute/leasetimes.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -53,9 +55,13 @@
 /// What a new owner knows of the leases that previous owners gave.
 class PreviousLeases {
 public:
+  /// Stands for the number of counted workers if no previous owner can give
+  /// leases on evidence, since other hosts may have no report of any of them.
+  static constexpr size_t NoReports = std::numeric_limits<uint32_t>::max();
+
   /// \p SoleUntil is the time by which no previous owner was a sole owner any
   /// more. \p Counted is a number of workers that every previous owner counts
-  /// at least; zero if that is not known.
+  /// at least, or NoReports; zero if that is not known.
   PreviousLeases(LeaseTimes Times, TimePoint SoleUntil, size_t Counted)
       : m_times(Times), m_soleUntil(SoleUntil), m_counted(Counted) {}
 
--- a/src/libbasilchute/leaseevidence_test.cpp
+++ b/src/libbasilchute/leaseevidence_test.cpp
@@ -105,6 +105,19 @@
     }
 }
 
+// Guards against a wait for leases on evidence after owners that gave none:
+// they crashed, one after the other, before they had reported on the shard.
+TEST_CASE("Without a report of any previous owner only the leases of sole "
+          "owners are waited for") {
+  PreviousLeases Leases(Times, Start, PreviousLeases::NoReports);
+  CHECK_FALSE(Leases.endAt());
+  Leases.onFenced(0, 5, Start);
+  TimePoint LastOnEvidence =
+      Start + maxLocalDuration(Times.MaxEvidenceAge + Times.OnEvidence);
+  CHECK(Leases.endAt() ==
+        std::max(Start + maxLocalDuration(Times.Sole), LastOnEvidence));
+}
+
 TEST_CASE("Previous leases have ended after the last order of a sole owner and "
           "the last one on evidence") {
   PreviousLeases Early(Times, Start, 3);
--- a/src/libbasilchute/previousruns.cpp
+++ b/src/libbasilchute/previousruns.cpp
@@ -67,6 +67,15 @@
                      });
 }
 
+bool PreviousRuns::mayHaveRunsOn(const std::string &Worker,
+                                 TimePoint Now) const {
+  bool MayHaveUnknown =
+      Now <= m_unknownEndsAt &&
+      (m_silent.count(Worker) || m_silentPlaces.count(Worker));
+  auto Known = m_knownEnds.find(Worker);
+  return MayHaveUnknown || (Known != m_knownEnds.end() && Now <= Known->second);
+}
+
 bool PreviousRuns::isResolved(TimePoint Now) const {
   return !hasUnknown(Now) && !hasUnknownPlaced(Now) &&
          std::none_of(m_knownEnds.begin(), m_knownEnds.end(),
--- a/src/libbasilchute/previousruns.h
+++ b/src/libbasilchute/previousruns.h
@@ -67,6 +67,8 @@
   /// Returns true if a run of \p Task may be on a worker that is not resolved.
   /// \p Version is the version at which the task's job was accepted.
   bool mayRun(const TaskName &Task, uint64_t Version, TimePoint Now) const;
+  /// Returns true if a run that a previous owner started may be on \p Worker.
+  bool mayHaveRunsOn(const std::string &Worker, TimePoint Now) const;
   /// Returns true if there are no runs left to wait for.
   bool isResolved(TimePoint Now) const;
   /// Returns true while there may be unknown runs of a job that was accepted at
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -104,6 +104,9 @@
   /// The worker has answered a poll with this owner's epoch, so that it rejects
   /// orders of previous owners.
   bool IsFenced = false;
+  /// The worker is stored as one on which tasks may run. Nothing is started on
+  /// it before.
+  bool IsStored = false;
   /// A poll is pending.
   bool IsPollPending = false;
   TimePoint NextPollAt{};
