Tell a run to stop until it has ended, whatever is known of its start

A worker begins a task and is cut off, so that the answer to the start is lost; the job is cancelled, and the stop order is lost too. When the cut is over the task works on for good, and the owner extends its lease.

Cause: that a run is to end was kept in its phase only, and a run whose start is not answered kept its phase. The next poll made it Running. The same held for a late answer to the start, and for a stop that was decided during a handover that failed: nothing was sent then or later.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -403,6 +403,9 @@
   void onStart(const std::string &Worker, const RunKey &Key, TimePoint Sent,
                Result<StartReply> Answer);
   void stop(WorkerSlot &Slot, const RunKey &Key);
+  /// Sends the stop order for a run again that should have ended, if the last
+  /// one was sent long enough ago.
+  void repeatStop(WorkerSlot &Slot, const RunKey &Key);
   void stopAll(const JobEntry &Entry);
   void setWaiting(JobEntry &Entry, int Position, milliseconds Delay);
   void queueReady(JobEntry &Entry);
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -9,6 +9,7 @@
 
 constexpr milliseconds NoStartAfterRefusal{250};
 constexpr milliseconds NoStartAfterNoAnswer{250};
+constexpr milliseconds StopResendInterval{600};
 
 } // namespace
 
@@ -130,6 +131,7 @@
       Reservation.Phase = RunPhase::Running;
     Reservation.ConfirmedAt = Now;
     onStartSeen(Slot, Reservation, Answer.value().Clock);
+    repeatStop(Slot, Key);
     return;
   }
   bool IsOutcomeUnknown =
@@ -174,11 +176,13 @@
     return;
   if (It->second.Phase == RunPhase::Reserved)
     return releaseRun(Slot, Key, "not_started");
+  It->second.IsStopWanted = true;
   if (!canSendOrders())
     return;
   // A run that may still be started keeps its phase: the stop order keeps the
   // worker from starting it later, and the run can no longer start once the
-  // lease of the start order has expired.
+  // lease of the start order has expired. If that stop order is lost, the run
+  // is stopped when it is seen.
   if (It->second.Phase == RunPhase::Running)
     It->second.Phase = RunPhase::Stopping;
   It->second.StopSentAt = m_time.now();
@@ -188,6 +192,18 @@
       [](const Status &) {});
 }
 
+// Neither the order nor its answer is certain to arrive, so a run that is seen
+// although it should have ended is told to stop again.
+void JobShard::Impl::repeatStop(WorkerSlot &Slot, const RunKey &Key) {
+  const ReservedRun &Run = Slot.Runs.at(Key);
+  if (!Run.IsStopWanted || m_time.now() <= Run.StopSentAt + StopResendInterval)
+    return;
+  log("stop_repeated",
+      fmt::format("job={} step={} index={} run={} worker={}", Key.first.Job,
+                  Key.first.Step, Key.first.Index, Key.second, Slot.Entry.Id));
+  stop(Slot, Key);
+}
+
 void JobShard::Impl::stopAll(const JobEntry &Entry) {
   for (auto &[Id, Slot] : m_slots) {
     std::vector<RunKey> Keys;
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -28,7 +28,6 @@
 /// NoStartAfterFailures.
 constexpr int SuspectAfterFailures = 2;
 constexpr milliseconds NoStartAfterFailures{3000};
-constexpr milliseconds StopResendInterval{600};
 /// A trial keeps other tasks off its worker, so that its end is awaited
 /// closely.
 constexpr milliseconds TrialPollWait{100};
@@ -397,9 +396,7 @@
   TimePoint Now = m_time.now();
   if (Reservation.Phase != RunPhase::Stopping)
     Reservation.Phase = RunPhase::Running;
-  if (Reservation.Phase == RunPhase::Stopping &&
-      Now > Reservation.StopSentAt + StopResendInterval)
-    stop(Slot, Key);
+  repeatStop(Slot, Key);
   Reservation.Percent = Run.Percent;
   Reservation.Usage = Run.Usage;
   if (!Reservation.SeenAtClock)
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -73,6 +73,9 @@
   int Pace = 100;
   /// When that pace was ordered.
   TimePoint PacedAt{};
+  /// The run is to end, also if no stop order could be sent yet or none was
+  /// carried out.
+  bool IsStopWanted = false;
   /// When a stop order was last sent.
   TimePoint StopSentAt{};
   /// Time on the worker's clock of the first answer that shows the run to have
--- a/src/testing/jobfuzz_test.cpp
+++ b/src/testing/jobfuzz_test.cpp
@@ -1,14 +1,16 @@
 // Fuzzing of job hosts with random faults, checked by the oracle.
 //
 // Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling|crashing]
-// [capacity]. Prints each seed that violated an invariant; sessions with the
-// same seed are identical. With "shards" there are two or three shards, and
-// many workers leave the worker list, so that jobs are transferred between
-// shards. With "rolling" hosts and workers are replaced one by one at the same
-// time, see RollingSession. With "crashing" some tasks crash the workers that
-// start them, see CrashSession. With "capacity" workers shrink and grow
-// meanwhile, but not in sessions with "crashing". BASILCHUTE_TRACE prints every
-// event of the hosts.
+// [capacity] [lost-answers]. Prints each seed that violated an invariant;
+// sessions with the same seed are identical. With "shards" there are two or
+// three shards, and many workers leave the worker list, so that jobs are
+// transferred between shards. With "rolling" hosts and workers are replaced one
+// by one at the same time, see RollingSession. With "crashing" some tasks crash
+// the workers that start them, see CrashSession. With "capacity" workers shrink
+// and grow meanwhile, but not in sessions with "crashing". With "lost-answers"
+// answers to start orders are late or lost at times, and long-running jobs are
+// submitted and cancelled, but not in sessions with "rolling" or "crashing".
+// BASILCHUTE_TRACE prints every event of the hosts.
 
 #include "testing/capacitychanges.h"
 #include "testing/crashsession.h"
@@ -36,9 +38,10 @@
 /// One session of random commands and faults.
 class Session {
 public:
-  Session(uint64_t Seed, bool ManyShards, bool ChangesCapacity)
-      : m_random(Seed), m_manyShards(ManyShards),
-        m_changesCapacity(ChangesCapacity),
+  Session(uint64_t Seed, bool ManyShards, bool ChangesCapacity,
+          bool LosesAnswers)
+      : m_random(Seed), m_answerRandom(Seed), m_manyShards(ManyShards),
+        m_changesCapacity(ChangesCapacity), m_losesAnswers(LosesAnswers),
         m_bed({.Hosts = 3,
                .Workers = ManyShards ? 6 : 5,
                .MinShards = ManyShards ? 2 + static_cast<int>(Seed % 2)
@@ -57,9 +60,13 @@
       m_capacities.start(MaxSessionTime);
     for (int Index = 0; Index < CommandsPerSession; ++Index) {
       runRandomCommand();
+      if (m_losesAnswers)
+        loseAnswers();
       m_bed.run(milliseconds(randomInt(10, 700)));
     }
     endFaults();
+    if (m_losesAnswers)
+      cancelLasting();
     m_bed.run(60s);
     std::vector<std::string> Unfinished;
     for (const std::string &Id : m_accepted) {
@@ -176,6 +183,46 @@
         randomInt(0, 3) * 15;
   }
 
+  // Has a random source of its own, so that the other commands of a seed are
+  // the same with and without it.
+  void loseAnswers() {
+    milliseconds Delay =
+        m_answerRandom() % 2 ? milliseconds(m_answerRandom() % 1000) : 0ms;
+    for (int Host = 0; Host < m_bed.hosts(); ++Host)
+      m_bed.host(Host).StartReplyDelay = Delay;
+    if (m_answerRandom() % 4 == 0)
+      cancelAtBegin(static_cast<int>(m_answerRandom() %
+                                     static_cast<uint64_t>(m_bed.hosts())));
+  }
+
+  // Submits a long-running job, and cancels it while no host reaches the worker
+  // that has just begun it, so that the stop order is lost as well.
+  void cancelAtBegin(int Host) {
+    std::string Id = fmt::format("lasting-{}", m_jobs++);
+    m_lasting.push_back(Id);
+    (void)m_bed.submit(Host, longRunningJob(Id, 1));
+    m_bed.run(milliseconds(m_answerRandom() % 150));
+    std::string Worker = m_bed.Oracle.workerOf({Id, 0, 0, 0});
+    if (Worker.empty())
+      return;
+    for (int Cut = 0; Cut < m_bed.hosts(); ++Cut)
+      m_bed.host(Cut).UnreachableWorkers.insert(Worker);
+    (void)m_bed.cancel(Host, Id);
+    m_bed.run(milliseconds(m_answerRandom() % 2500));
+    for (int Cut = 0; Cut < m_bed.hosts(); ++Cut)
+      m_bed.host(Cut).UnreachableWorkers.erase(Worker);
+  }
+
+  // A job is there also if the answer to its submission was lost. The hosts
+  // need a moment after the faults until they take a cancellation.
+  void cancelLasting() {
+    m_bed.run(5s);
+    for (const std::string &Id : m_lasting)
+      for (int Host = 0; !m_bed.cancel(Host, Id).has_value();)
+        if (++Host == m_bed.hosts())
+          break;
+  }
+
   void toggleStoreRefusal() {
     TestJobHost &Host = m_bed.host(randomHost());
     Host.Store->IsRefused = !Host.Store->IsRefused;
@@ -189,6 +236,7 @@
     for (int Index = 0; Index < m_bed.hosts(); ++Index) {
       m_bed.host(Index).UnreachableWorkers.clear();
       m_bed.host(Index).Store->IsRefused = false;
+      m_bed.host(Index).StartReplyDelay = 0ms;
       if (m_bed.host(Index).IsPaused)
         m_bed.resume(Index);
     }
@@ -204,12 +252,15 @@
   }
 
   std::mt19937_64 m_random;
+  std::mt19937_64 m_answerRandom;
   bool m_manyShards;
   bool m_changesCapacity;
+  bool m_losesAnswers;
   JobTestBed m_bed;
   CapacityChanges m_capacities;
   std::set<int> m_unlisted;
   std::vector<std::string> m_accepted;
+  std::vector<std::string> m_lasting;
   int m_jobs = 0;
 };
 
@@ -220,7 +271,9 @@
     return RollingSession(Seed, ChangesCapacity, HasTrace).run();
   if (Modes.count("crashing"))
     return CrashSession(Seed, HasTrace).run();
-  return Session(Seed, Modes.count("shards") > 0, ChangesCapacity).run();
+  return Session(Seed, Modes.count("shards") > 0, ChangesCapacity,
+                 Modes.count("lost-answers") > 0)
+      .run();
 }
 
 } // namespace
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -146,7 +146,11 @@
   }
   m_expiredStarts +=
       Out.has_value() && Out.value().Outcome == StartOutcome::TooLate;
-  reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
+  milliseconds Late = m_bed.host(m_host).StartReplyDelay;
+  if (Late >= OrderTimeout)
+    reply(OrderTimeout, [Done] { Done(noResponse()); });
+  else
+    reply(m_bed.options().NetworkDelay + Late, [Done, Out] { Done(Out); });
 }
 
 void HostTaskWorkers::stop(const WorkerEntry &Worker, StopOrder Order,
@@ -413,6 +417,7 @@
     if (Target.Process && !Target.IsPaused)
       Target.Process->tick();
   checkRestarts();
+  checkStops();
   countDownByTasks();
   later(Tick, [this] { tickAll(); });
 }
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -7,6 +7,7 @@
 #include "testing/modelstore.h"
 #include "testing/modelworker.h"
 #include "testing/restartcheck.h"
+#include "testing/stopcheck.h"
 
 #include <map>
 #include <memory>
@@ -145,6 +146,9 @@
   bool IsPaused = false;
   /// Workers that this host cannot reach.
   std::set<std::string> UnreachableWorkers;
+  /// Time by which the answers to start orders that were carried out are late;
+  /// they are lost if it is the timeout of orders or more.
+  milliseconds StartReplyDelay{0};
   /// The process is about to end, as planned.
   bool IsStopping = false;
   /// When the worker list that the process has was read.
@@ -229,6 +233,7 @@
 
   JobOracle Oracle;
   RestartCheck Restarts;
+  StopCheck Stops;
   ModelStore Store;
   /// Number of calls to the approval service from all hosts.
   int ApprovalCalls = 0;
@@ -254,6 +259,7 @@
   void tickAll();
   bool isCalm();
   void checkRestarts();
+  void checkStops();
   void countDownByTasks();
   /// Lets a crashed worker come back, or another one take its place.
   void endCrash(const std::string &Worker);
--- a/src/testing/jobtestbed_fleet.cpp
+++ b/src/testing/jobtestbed_fleet.cpp
@@ -171,4 +171,16 @@
   Restarts.check(Conditions, Oracle);
 }
 
+void JobTestBed::checkStops() {
+  StopConditions Conditions{.Now = now(),
+                            .LastFault = isCalm() ? m_lastKill : now()};
+  for (int Index = 0; Index < workers(); ++Index) {
+    Conditions.LastFault =
+        std::max(Conditions.LastFault, worker(Index).lastCrash());
+    if (m_unlisted.count(Index))
+      Conditions.UnlistedWorkers.insert(worker(Index).Entry.Id);
+  }
+  Stops.check(Conditions, Oracle);
+}
+
 BASILCHUTE_NAMESPACE_END
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -231,6 +231,14 @@
   return Out;
 }
 
+std::map<TaskName, std::string> JobOracle::runs() const {
+  std::map<TaskName, std::string> Out;
+  for (const auto &[Task, Workers] : m_running)
+    if (!Workers.empty())
+      Out.emplace(Task, *Workers.begin());
+  return Out;
+}
+
 std::string JobOracle::workerOf(const TaskName &Task) const {
   auto It = m_running.find(Task);
   return It == m_running.end() || It->second.empty() ? "" : *It->second.begin();
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -106,6 +106,8 @@
   int starts() const { return m_starts; }
   /// Number of runs that are currently on a worker.
   size_t running() const;
+  /// Tasks that run, with one worker on which each of them does.
+  std::map<TaskName, std::string> runs() const;
   /// Worker on which \p Task runs; empty if it does not run.
   std::string workerOf(const TaskName &Task) const;
   /// Tasks that run on \p Worker.
