Delegate tasks to any shard with room, also to one that has tasks of the job

What callers saw: LOST.

Cause: a shard took one part of a job, once. The tasks of a second worker that was lost had no other shard left in a fleet of two: each attempt ended in a conflict, which took the turn of other jobs, in the order of their ids, every 250 ms. A part could not send its tasks home either. Beside it, each sender counted the room of a shard for itself, and again for each job.

Change: a row of its own adds tasks to those that a shard has, as part or home; the owner there stores the tasks and removes the row in one transaction.

Evidence: four of the five new cases of jobhost_delegation_test.cpp fail without added tasks (TakesAddedTasks off), none with them; the fifth (many tasks at once, 2, 3 and 24 shards) passes either way.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -25,6 +25,9 @@
   uint64_t Epoch = 0;
   /// Number of listed workers that the owner counts; zero if unknown.
   uint32_t Workers = 0;
+  /// The owner takes tasks of other shards' jobs in addition to those that it
+  /// has of the same job. Owners of earlier versions do not.
+  bool TakesAddedTasks = false;
   /// Number of jobs without a started task, by queue.
   std::map<std::string, int> PendingJobs;
   ShardLoad Load;
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -86,9 +86,12 @@
   /// for none.
   std::function<int(const Job &)> ChooseTransferTarget;
   /// Returns another shard where one worker has room for the largest task of
-  /// the job, and none of those given; std::nullopt for none.
+  /// the job, beside the tasks that were sent there before; std::nullopt for
+  /// none. Of the shards given, which have or may have tasks of the job, only
+  /// those count whose owners take added tasks. The last argument is the number
+  /// of tasks that will be sent; zero for a mere question.
   std::function<std::optional<DelegationTarget>(const Job &,
-                                                const std::set<int> &)>
+                                                const std::set<int> &, size_t)>
       FindShardWithRoom;
   /// Returns the number of shards.
   std::function<int()> ShardCount;
--- a/src/include/basilchute/shardchoice.h
+++ b/src/include/basilchute/shardchoice.h
@@ -108,6 +108,13 @@
 std::optional<size_t> workersWithRoom(const ShardLoad &Load,
                                       int64_t Millicores);
 
+/// Returns a number of tasks of \p Millicores for which the workers of a shard
+/// have room beside their long-running tasks; there may be more, and there is
+/// at least one if one fits into the largest room. Returns std::nullopt if that
+/// is not known.
+std::optional<size_t> tasksInLargestRooms(const ShardLoad &Load,
+                                          int64_t Millicores);
+
 /// Returns how many tasks as large as the largest one of \p Demand a shard with
 /// \p Load takes beside its long-running tasks, at least one. The room may be
 /// spread so that fewer fit.
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -27,6 +27,7 @@
 
 void JobEntry::restore(const JobProgress &Stored, int RunGap) {
   State = Stored.State;
+  WasDelegated = Stored.WasDelegated;
   StoredState = Stored.State;
   m_firstRun = RunGap;
   for (TaskState &Task : Tasks)
@@ -50,7 +51,7 @@
 }
 
 JobProgress JobEntry::progress() const {
-  JobProgress Out{.State = State};
+  JobProgress Out{.State = State, .WasDelegated = WasDelegated};
   for (size_t Position = 0; Position < Tasks.size(); ++Position) {
     const TaskState &Task = Tasks[Position];
     bool IsDone = Task.Phase == TaskPhase::Done;
@@ -207,6 +208,10 @@
 
 std::set<int> JobEntry::onCommitEnded(bool IsStored) {
   std::set<int> Out;
+  if (!IsStored)
+    AddedTaskRows.insert(AddedTaskRows.end(), AddedTaskRowsInCommit.begin(),
+                         AddedTaskRowsInCommit.end());
+  AddedTaskRowsInCommit.clear();
   if (IsStored) {
     Out.swap(m_placesInCommit);
     m_storedCommit = m_commitsSent;
@@ -225,6 +230,23 @@
   --m_tasksLeft;
 }
 
+void JobEntry::reopen(const TaskProgress &Progress) {
+  TaskState &Task = Tasks[static_cast<size_t>(Progress.Position)];
+  if (Task.Phase == TaskPhase::Done) {
+    ++m_tasksLeftInGroup[groupIndex(Progress.Position)];
+    ++m_tasksLeft;
+  }
+  Task.Phase = TaskPhase::Waiting;
+  Task.LastRun = std::max(Task.LastRun, Progress.Run);
+  Task.StoredRun = std::max(Progress.Run, 1);
+  Task.FailedRuns.insert(Progress.FailedRuns.begin(),
+                         Progress.FailedRuns.end());
+  Task.Checkpoint = Progress.Checkpoint;
+  Task.Worker.clear();
+  Task.Place = "";
+  Task.Crash = Progress.Crash;
+}
+
 void JobEntry::finishAllBut(const std::vector<int> &Positions) {
   for (int Position = 0; Position < static_cast<int>(Tasks.size()); ++Position)
     if (std::find(Positions.begin(), Positions.end(), Position) ==
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -83,8 +83,19 @@
   bool IsTransferring = false;
   /// Tasks that a pending commit delegates to another shard.
   std::vector<int> Delegating;
-  /// Shards that are known to have a part of the job, or may have one.
+  /// Shards that have tasks of the job, or may have some: more are added to
+  /// these.
   std::set<int> PartShards;
+  /// Tasks of the job were delegated to other shards. Some of these may have a
+  /// part of it for ever.
+  bool WasDelegated = false;
+  /// No task is delegated before this time.
+  TimePoint NextDelegation{};
+  /// Keys of rows that add tasks which this owner has added. The commit that
+  /// stores the progress with these tasks removes the rows.
+  std::vector<std::string> AddedTaskRows;
+  /// Those of them that the pending commit removes.
+  std::vector<std::string> AddedTaskRowsInCommit;
   /// The previous owner crashed while it held the job.
   bool MayHaveHiddenCrashes = false;
   /// Shard that holds the job, if this shard runs only delegated tasks of it.
@@ -144,6 +155,7 @@
   /// Must be called when a commit of the progress is sent.
   void onCommitSent() {
     m_placesInCommit.merge(m_unstoredPlaces);
+    AddedTaskRowsInCommit.swap(AddedTaskRows);
     ++m_commitsSent;
   }
   /// Must be called when that commit has succeeded or failed. Returns the tasks
@@ -158,6 +170,9 @@
   void finish(int Position);
   /// Marks all tasks but those at \p Positions done.
   void finishAllBut(const std::vector<int> &Positions);
+  /// Reverts finish() for a long-running task that was delegated and comes back
+  /// in the state \p Progress. It runs nowhere.
+  void reopen(const TaskProgress &Progress);
   /// Returns true if another shard runs long-running tasks of the job.
   bool hasDelegated() const;
   /// Returns true if every task is done.
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::string_view CancelSuffix = ".cancel";
 constexpr std::string_view PartSuffix = ".part";
+constexpr std::string_view AddedTasksSuffix = ".added";
 constexpr int RowFormat = 1;
 constexpr std::string_view ShardPartitionPrefix = "shard-";
 constexpr const char *LayoutPartition = "layout";
@@ -173,6 +174,12 @@
   return jobAddress(Shard, JobId + std::string(PartSuffix));
 }
 
+RowAddress addedTasksAddress(int Shard, const std::string &JobId, int Source,
+                             uint64_t Version) {
+  return jobAddress(Shard, fmt::format("{}.{}-{}{}", JobId, Source, Version,
+                                       AddedTasksSuffix));
+}
+
 RowAddress partProgressAddress(int Shard, const std::string &JobId) {
   return progressAddress(Shard, JobId + std::string(PartSuffix));
 }
@@ -208,6 +215,15 @@
   return Key.substr(0, Key.size() - PartSuffix.size());
 }
 
+std::optional<std::string> parseAddedTasksKey(const std::string &Key) {
+  if (!Key.ends_with(AddedTasksSuffix))
+    return std::nullopt;
+  std::string Rest = Key.substr(0, Key.size() - AddedTasksSuffix.size());
+  size_t End = Rest.rfind('.');
+  return End == std::string::npos ? std::nullopt
+                                  : std::optional(Rest.substr(0, End));
+}
+
 RowAddress shardCountAddress() {
   return {
       .Table = AssignmentTable, .Partition = LayoutPartition, .Key = "shards"};
@@ -247,29 +263,6 @@
   return Out;
 }
 
-std::string encodePart(const JobPart &Value) {
-  v1::StoredJobPart Out;
-  storeJob(Value.Spec, *Out.mutable_job());
-  Out.set_home_shard(Value.HomeShard);
-  for (int Position : Value.Positions)
-    Out.add_positions(Position);
-  return Out.SerializeAsString();
-}
-
-Result<JobPart> decodePart(const std::string &Bytes) {
-  v1::StoredJobPart From;
-  if (!From.ParseFromString(Bytes) || From.job().id().empty() ||
-      From.home_shard() < 0)
-    return badRow("job part");
-  JobPart Out{.Spec = loadJob(From.job()),
-              .HomeShard = From.home_shard(),
-              .Positions = {From.positions().begin(), From.positions().end()}};
-  Status Checked = checkJob(Out.Spec);
-  if (!Checked.has_value())
-    return Checked.error();
-  return Out;
-}
-
 namespace {
 
 /// Values of StoredTask.place; others mean that the place is not known.
@@ -297,13 +290,11 @@
           .Incarnation = milliseconds(From.exposed_incarnation())};
 }
 
-} // namespace
-
-std::string encodeProgress(const JobProgress &Value) {
-  v1::StoredProgress Out;
+void storeProgress(const JobProgress &Value, v1::StoredProgress &Out) {
   std::map<std::string, int> Places{{"", NoPlace}};
   Out.set_format(RowFormat);
   Out.set_state(static_cast<int>(Value.State));
+  Out.set_was_delegated(Value.WasDelegated);
   for (const TaskProgress &Task : Value.Tasks) {
     v1::StoredTask &Stored = *Out.add_tasks();
     Stored.set_position(Task.Position);
@@ -326,16 +317,16 @@
       Out.add_workers(*Task.Place);
     Stored.set_place(Place->second);
   }
-  return Out.SerializeAsString();
 }
 
-Result<JobProgress> decodeProgress(const std::string &Bytes) {
-  v1::StoredProgress From;
-  bool IsValid = From.ParseFromString(Bytes) && From.state() >= 0 &&
-                 From.state() <= static_cast<int>(JobState::Cancelled);
-  if (!IsValid)
-    return badRow("progress");
-  JobProgress Out{.State = static_cast<JobState>(From.state())};
+bool isStateValid(const v1::StoredProgress &From) {
+  return From.state() >= 0 &&
+         From.state() <= static_cast<int>(JobState::Cancelled);
+}
+
+JobProgress loadProgress(const v1::StoredProgress &From) {
+  JobProgress Out{.State = static_cast<JobState>(From.state()),
+                  .WasDelegated = From.was_delegated()};
   for (const v1::StoredTask &Task : From.tasks())
     Out.Tasks.push_back(
         {.Position = Task.position(),
@@ -348,6 +339,48 @@
   return Out;
 }
 
+} // namespace
+
+std::string encodeProgress(const JobProgress &Value) {
+  v1::StoredProgress Out;
+  storeProgress(Value, Out);
+  return Out.SerializeAsString();
+}
+
+Result<JobProgress> decodeProgress(const std::string &Bytes) {
+  v1::StoredProgress From;
+  if (!From.ParseFromString(Bytes) || !isStateValid(From))
+    return badRow("progress");
+  return loadProgress(From);
+}
+
+std::string encodePart(const JobPart &Value) {
+  v1::StoredJobPart Out;
+  storeJob(Value.Spec, *Out.mutable_job());
+  Out.set_home_shard(Value.HomeShard);
+  for (int Position : Value.Positions)
+    Out.add_positions(Position);
+  if (Value.Added)
+    storeProgress(*Value.Added, *Out.mutable_added());
+  return Out.SerializeAsString();
+}
+
+Result<JobPart> decodePart(const std::string &Bytes) {
+  v1::StoredJobPart From;
+  if (!From.ParseFromString(Bytes) || From.job().id().empty() ||
+      From.home_shard() < 0 || !isStateValid(From.added()))
+    return badRow("job part");
+  JobPart Out{.Spec = loadJob(From.job()),
+              .HomeShard = From.home_shard(),
+              .Positions = {From.positions().begin(), From.positions().end()}};
+  if (From.has_added())
+    Out.Added = loadProgress(From.added());
+  Status Checked = checkJob(Out.Spec);
+  if (!Checked.has_value())
+    return Checked.error();
+  return Out;
+}
+
 std::string encodeHost(const HostRecord &Value) {
   v1::StoredHost Out;
   Out.set_weight(Value.Weight);
@@ -362,6 +395,7 @@
     To.set_workers(Report.Workers);
     To.set_capacity_millicores(Report.Load.CapacityMillicores);
     To.set_lasting_millicores(Report.Load.LongRunningMillicores);
+    To.set_takes_added_tasks(Report.TakesAddedTasks);
     To.set_largest_room_millicores(Report.Load.LargestRoomMillicores);
     for (uint32_t Workers : Report.Load.RoomyWorkers)
       To.add_roomy_workers(Workers);
@@ -395,6 +429,7 @@
     ShardReport &Report = Out.Shards[Shard.shard()];
     Report.Epoch = Shard.epoch();
     Report.Workers = Shard.workers();
+    Report.TakesAddedTasks = Shard.takes_added_tasks();
     Report.Load = {
         .CapacityMillicores = boundedMillicores(Shard.capacity_millicores()),
         .LongRunningMillicores = boundedMillicores(Shard.lasting_millicores()),
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -34,6 +34,8 @@
 struct JobProgress {
   JobState State = JobState::Queued;
   std::vector<TaskProgress> Tasks;
+  /// The shard that holds the job has delegated tasks of it, see JobEntry.
+  bool WasDelegated = false;
 };
 
 /// Tasks of a job that a shard runs for the shard that holds the job.
@@ -43,6 +45,9 @@
   int HomeShard = 0;
   /// Positions of the tasks.
   std::vector<int> Positions;
+  /// State of the tasks when they were delegated, if the row adds them to those
+  /// of the job that the shard has.
+  std::optional<JobProgress> Added;
 };
 
 /// Stored interference of fill tasks of one image with serving tasks of
@@ -81,6 +86,11 @@
 RowAddress progressAddress(int Shard, const std::string &JobId);
 /// Returns the address of the row with the part of a job that \p Shard runs.
 RowAddress partAddress(int Shard, const std::string &JobId);
+/// Returns the address of a row that adds tasks to those of a job that \p Shard
+/// has. \p Source is the shard that delegates them, \p Version that of its
+/// progress row before.
+RowAddress addedTasksAddress(int Shard, const std::string &JobId, int Source,
+                             uint64_t Version);
 /// Returns the address of the row with the progress of that part.
 RowAddress partProgressAddress(int Shard, const std::string &JobId);
 /// Returns the address of the row that names the owner of a shard.
@@ -115,6 +125,8 @@
 
 /// Returns the id of the job if \p Key is that of a part's row.
 std::optional<std::string> parsePartKey(const std::string &Key);
+/// Returns the id of the job if \p Key is that of a row that adds tasks.
+std::optional<std::string> parseAddedTasksKey(const std::string &Key);
 
 std::string encodeJob(const Job &Value);
 /// This and the other decoders fail with InvalidArgument if \p Bytes are not a
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -17,9 +18,8 @@
 /// Upper bound on a job's age as computed from wall clocks. A larger value is
 /// taken to be a difference between the clocks of two hosts.
 constexpr milliseconds MaxJobAge{600000};
-/// Each job in a commit needs a condition and a write, and the owner row needs
-/// one more condition.
-constexpr size_t MaxJobsPerCommit = (MaxRowsPerCommit - 1) / 2;
+/// Each job in a commit needs a condition and a write.
+constexpr size_t RowsPerJob = 2;
 
 } // namespace
 
@@ -130,7 +130,8 @@
     // The job row and the progress row of a job are written and removed in one
     // commit. If only the job row was read, the job was transferred to another
     // shard between the two reads.
-    if (IsCancel || m_loadedProgress.count(Id))
+    if (IsCancel || m_loadedProgress.count(Id) ||
+        parseAddedTasksKey(Row.Address.Key))
       onJobRow(Row);
   }
   for (auto &[Id, Entry] : m_jobs)
@@ -141,6 +142,7 @@
                   (m_time.now() - m_takeoverTime) / milliseconds(1)));
   m_loadedJobs.clear();
   m_loadedProgress.clear();
+  takeAddedTasks();
   storeWorkersInUse();
   followJobs();
   pollWorkers();
@@ -173,6 +175,8 @@
     return;
   if (std::optional<std::string> PartId = parsePartKey(Row.Address.Key))
     return onPartRow(*PartId, Row);
+  if (std::optional<std::string> JobId = parseAddedTasksKey(Row.Address.Key))
+    return onAddedTasksRow(*JobId, Row);
   auto [Id, IsCancel] = parseJobKey(Row.Address.Key);
   if (IsCancel) {
     m_cancelled.insert(Id);
@@ -338,14 +342,18 @@
                                .Version = m_options.Epoch});
   std::map<std::string, JobState> Jobs;
   for (const std::string &Id : m_dirty) {
+    JobEntry &Entry = *find(Id);
+    std::vector<RowChange> Added = changesForAddedTasks(Entry);
     // The other jobs wait for the next commit. No completion counts as stored
     // before that, since it may belong to one of these jobs.
-    if (Jobs.size() == MaxJobsPerCommit) {
+    if (Commit.Conditions.size() + Commit.Changes.size() + Added.size() +
+            RowsPerJob >
+        MaxRowsPerCommit) {
       Completions.clear();
       break;
     }
-    JobEntry &Entry = *find(Id);
     Entry.onCommitSent();
+    std::move(Added.begin(), Added.end(), std::back_inserter(Commit.Changes));
     RowAddress Address = progressAddressOf(Id);
     Commit.Conditions.push_back(
         {.Address = Address, .Version = Entry.RowVersion});
@@ -456,8 +464,12 @@
         auto Self = Weak.lock();
         if (!Self)
           return;
-        if (Answer.has_value() && Answer.value().Rows.empty())
+        // A part that was never stored has no row yet.
+        bool IsGone = Answer.has_value() && Answer.value().Rows.empty();
+        if (IsGone && Self->find(Id)->RowVersion != 0)
           Self->forgetJob(Id, Answer.value().Version);
+        else if (IsGone)
+          Self->m_dirty.insert(Id);
         else if (Answer.has_value())
           Self->onCurrentProgress(*Self->find(Id), Answer.value().Rows.front());
         Self->refreshRowVersions(Jobs);
@@ -522,6 +534,7 @@
   relocateStalledRuns();
   pollWorkers();
   commit();
+  takeAddedTasks();
   transfer();
   delegateTasks();
   readHomesOfParts();
--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -15,6 +15,8 @@
 /// Time between two reads of the state of a job in its home shard. A cancelled
 /// task runs on for this long, and must stop within 4 s.
 constexpr milliseconds HomeReadInterval{1000};
+/// Time until tasks of a job are delegated again after a conflict.
+constexpr milliseconds ConflictDelay{1000};
 
 } // namespace
 
@@ -37,15 +39,15 @@
 std::vector<int> JobShard::Impl::delegableTasks(const JobEntry &Entry) const {
   TimePoint Now = m_time.now();
   std::vector<int> Out;
-  bool MayDelegate = !isFinal(Entry.State) && !Entry.IsTransferring &&
-                     !m_dirty.count(Entry.Spec.Id) &&
-                     Entry.Spec.Repetitions == 0 &&
-                     Entry.Spec.Steps.front().LongRunning &&
-                     !m_previousRuns.isWithinUnknownTime(Entry.JobVersion, Now);
+  bool MayDelegate =
+      !isFinal(Entry.State) && !Entry.IsTransferring &&
+      !m_dirty.count(Entry.Spec.Id) && Entry.Spec.Repetitions == 0 &&
+      Now >= Entry.NextDelegation && Entry.Spec.Steps.front().LongRunning &&
+      !m_previousRuns.isWithinUnknownTime(Entry.JobVersion, Now);
   if (!MayDelegate)
     return Out;
-  bool RunsNowhere =
-      !Entry.HomeShard && !Entry.hasPlaced() && !Entry.hasDelegated();
+  bool RunsNowhere = !Entry.HomeShard && !Entry.hasPlaced() &&
+                     !Entry.WasDelegated && !Entry.hasDelegated();
   milliseconds Wait = RunsNowhere ? TransferTime : LongRunningMaxWait;
   for (int Position : m_waiting.at(Entry.Spec.Id)) {
     const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
@@ -64,30 +66,43 @@
       m_isCommitting || !canSendOrders() || !isTakeoverComplete())
     return;
   m_nextDelegation = Now + DelegationInterval;
-  for (const auto &[Id, Waiting] : m_waiting) {
+  for (const std::string &Id : jobsToDelegate()) {
     JobEntry &Entry = *find(Id);
     std::vector<int> Positions = delegableTasks(Entry);
-    if (Positions.empty())
-      continue;
-    std::set<int> Excluded = Entry.PartShards;
+    std::set<int> Holders = Entry.PartShards;
     if (Entry.HomeShard)
-      Excluded.insert(*Entry.HomeShard);
+      Holders.insert(*Entry.HomeShard);
     std::optional<DelegationTarget> Target =
-        m_options.FindShardWithRoom(Entry.Spec, Excluded);
-    // A conflict may have had another cause than a part in that shard, so all
-    // shards are tried again once no other is left.
-    if (!Target) {
-      Entry.PartShards.clear();
+        m_options.FindShardWithRoom(Entry.Spec, Holders, Positions.size());
+    if (!Target)
       continue;
-    }
     sendDelegation(Entry, delegatedTo(*Target, Entry, Positions),
                    Target->Shard);
     return;
   }
 }
 
-// A shard gets one part of a job, so that it gets no more tasks than it can
-// run. The others go to further shards.
+std::vector<std::string> JobShard::Impl::jobsToDelegate() const {
+  std::vector<std::pair<TimePoint, std::string>> Waiting;
+  for (const auto &[Id, Positions] : m_waiting) {
+    const JobEntry &Entry = m_jobs.at(Id);
+    std::vector<int> Delegable = delegableTasks(Entry);
+    if (Delegable.empty())
+      continue;
+    TimePoint Since = TimePoint::max();
+    for (int Position : Delegable)
+      Since = std::min(Since,
+                       Entry.Tasks[static_cast<size_t>(Position)].WaitingSince);
+    Waiting.emplace_back(Since, Id);
+  }
+  std::sort(Waiting.begin(), Waiting.end());
+  std::vector<std::string> Out;
+  for (auto &[Since, Id] : Waiting)
+    Out.push_back(std::move(Id));
+  return Out;
+}
+
+// A shard gets no more tasks than it can run. The others go to further shards.
 std::vector<int>
 JobShard::Impl::delegatedTo(const DelegationTarget &Target,
                             const JobEntry &Entry,
@@ -108,14 +123,17 @@
 }
 
 // The tasks count as done in this shard, so that no owner starts them here,
-// also one of a version that knows no parts.
+// also one of a version that knows no parts. To a shard that has tasks of the
+// job, or may have some, they go in a row of their own: the rows of a part are
+// written by the owner of its shard.
 void JobShard::Impl::sendDelegation(JobEntry &Entry,
                                     const std::vector<int> &Positions,
                                     int Target) {
   const std::string &Id = Entry.Spec.Id;
+  int HomeShard = Entry.HomeShard.value_or(m_options.Shard);
+  bool IsAdded = Target == HomeShard || !Entry.PartShards.insert(Target).second;
   Entry.IsTransferring = true;
   Entry.Delegating = Positions;
-  Entry.PartShards.insert(Target);
   m_waiting.erase(Id);
   JobEntry Kept = Entry;
   JobProgress Moved{.State = Entry.State};
@@ -132,37 +150,46 @@
     Task.LastRun = std::max(Task.LastRun, 1);
     Kept.finish(Position);
   }
-  int HomeShard = Entry.HomeShard.value_or(m_options.Shard);
   markRunning(Kept);
+  Kept.WasDelegated = true;
   Moved.State = Kept.State;
   RowAddress Progress = progressAddressOf(Id);
-  RowAddress Part = partAddress(Target, Id);
+  JobPart Part{
+      .Spec = Entry.Spec, .HomeShard = HomeShard, .Positions = Positions};
   RowCommit Commit;
   Commit.Conditions = {{.Address = shardOwnerAddress(m_options.Shard),
                         .Version = m_options.Epoch},
                        {.Address = cancellationAddress(HomeShard, Id)},
-                       {.Address = Progress, .Version = Entry.RowVersion},
-                       {.Address = Part}};
+                       {.Address = Progress, .Version = Entry.RowVersion}};
   Commit.Changes = {
-      {.Address = Progress, .Value = encodeProgress(Kept.progress())},
-      {.Address = Part,
-       .Value = encodePart({.Spec = Entry.Spec,
-                            .HomeShard = HomeShard,
-                            .Positions = Positions})},
-      {.Address = partProgressAddress(Target, Id),
-       .Value = encodeProgress(Moved)}};
+      {.Address = Progress, .Value = encodeProgress(Kept.progress())}};
+  if (IsAdded) {
+    Part.Added = std::move(Moved);
+    Commit.Changes.push_back(
+        {.Address =
+             addedTasksAddress(Target, Id, m_options.Shard, Entry.RowVersion),
+         .Value = encodePart(Part)});
+  } else {
+    RowAddress Address = partAddress(Target, Id);
+    Commit.Conditions.push_back({.Address = Address});
+    Commit.Changes.push_back({.Address = Address, .Value = encodePart(Part)});
+    Commit.Changes.push_back({.Address = partProgressAddress(Target, Id),
+                              .Value = encodeProgress(Moved)});
+  }
   m_isCommitting = true;
-  m_store.commit(std::move(Commit), [Weak = weak_from_this(), Id,
-                                     Target](const Result<uint64_t> &Answer) {
+  m_store.commit(std::move(Commit), [Weak = weak_from_this(), Id, Target,
+                                     IsAdded](const Result<uint64_t> &Answer) {
     if (auto Self = Weak.lock())
-      Self->onDelegated(Id, Target, Answer);
+      Self->onDelegated(Id, Target, IsAdded, Answer);
   });
 }
 
 void JobShard::Impl::onDelegated(const std::string &Id, int Target,
-                                 const Result<uint64_t> &Answer) {
+                                 bool IsAdded, const Result<uint64_t> &Answer) {
   m_isCommitting = false;
   JobEntry &Entry = *find(Id);
+  // The next job need not wait for the interval.
+  m_nextDelegation = m_time.now();
   if (Answer.has_value()) {
     log("tasks_delegated",
         fmt::format("job={} tasks={} from={} to={}", Id,
@@ -178,11 +205,17 @@
   ResultCode Code = Answer.error().Code;
   if (Code == ResultCode::Unavailable || Code == ResultCode::Overloaded) {
     Entry.IsTransferring = false;
-    Entry.PartShards.erase(Target);
+    if (!IsAdded)
+      Entry.PartShards.erase(Target);
     Entry.Delegating.clear();
+    m_nextDelegation = m_time.now() + DelegationInterval;
     queueReady(Entry);
     return;
   }
+  // A part that is there already is no reason to wait, another conflict may
+  // last: other jobs come first.
+  if (IsAdded)
+    Entry.NextDelegation = m_time.now() + ConflictDelay;
   // The commit may still take effect. No task is started until a commit of the
   // job's progress succeeds, which makes the delegation impossible, or the
   // progress row shows that it took effect.
@@ -202,6 +235,7 @@
 
 void JobShard::Impl::finishDelegation(JobEntry &Entry) {
   markRunning(Entry);
+  Entry.WasDelegated = true;
   for (int Position : Entry.Delegating) {
     TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
     Task.LastRun = std::max(Task.LastRun, 1);
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -14,6 +14,8 @@
 /// - jobshard_relocate.cpp: runs that move to another worker;
 /// - jobshard_transfer.cpp: transfer of waiting jobs to another shard;
 /// - jobshard_delegate.cpp: tasks that another shard runs for this one;
+/// - jobshard_addedtasks.cpp: tasks that other shards delegate to this one, or
+///   back, of jobs of which it has tasks already;
 /// - jobshard_waits.cpp: report of long-running tasks that find no room.
 #pragma once
 
@@ -142,6 +144,9 @@
 
   // Delegation of waiting long-running tasks to other shards.
   void delegateTasks();
+  /// Returns the jobs with tasks to delegate, the task that has waited longest
+  /// first.
+  std::vector<std::string> jobsToDelegate() const;
   std::vector<int> delegableTasks(const JobEntry &Entry) const;
   bool hasRunsOf(const TaskName &Task) const;
   static std::vector<int> delegatedTo(const DelegationTarget &Target,
@@ -149,12 +154,27 @@
                                       const std::vector<int> &Positions);
   void sendDelegation(JobEntry &Entry, const std::vector<int> &Positions,
                       int Target);
-  void onDelegated(const std::string &Id, int Target,
+  void onDelegated(const std::string &Id, int Target, bool IsAdded,
                    const Result<uint64_t> &Answer);
   static void markRunning(JobEntry &Entry);
   void finishDelegation(JobEntry &Entry);
   void onCurrentProgress(JobEntry &Entry, const StoredRow &Row);
   void onPartRow(const std::string &Id, const StoredRow &Row);
+  /// Tasks that a row adds to those of a job that this shard has.
+  struct AddedTasks {
+    std::string JobId;
+    std::string Key;
+    uint64_t Version = 0;
+    JobPart Part;
+  };
+  void onAddedTasksRow(const std::string &Id, const StoredRow &Row);
+  void takeAddedTasks();
+  /// Returns false if the row must wait.
+  bool takeAdded(const AddedTasks &Row);
+  void addTasks(JobEntry &Entry, const AddedTasks &Row);
+  void onTasksAdded(JobEntry &Entry, const AddedTasks &Row);
+  /// Returns the changes that must be stored together with the progress.
+  std::vector<RowChange> changesForAddedTasks(JobEntry &Entry);
   void readHomesOfParts();
   void readHome(JobEntry &Entry);
   /// Returns the address of the progress row of a job, or of a part of one, in
@@ -416,7 +436,14 @@
   void relocateStalledRuns();
   void logState();
   std::string placementFields();
-  void logLongTaskWaits(int64_t MostMillicores);
+  void logLongTaskWaits(const std::vector<PlacementCandidate> &Candidates,
+                        int64_t MostMillicores);
+  std::string waitReason(const JobEntry &Entry, int Position) const;
+  std::string waitFields(const std::vector<PlacementCandidate> &Candidates,
+                         const JobEntry &Entry, int Position) const;
+  /// Returns true if the worker is of the task's service and has its label.
+  bool isOfKind(const WorkerSlot &Slot, const JobEntry &Entry,
+                int Position) const;
   std::string
   fillWaitReasons(const std::vector<PlacementCandidate> &Candidates) const;
   static bool isFull(const PlacementCandidate &Candidate);
@@ -480,6 +507,10 @@
   std::map<std::string, uint64_t> m_transferredJobs;
   /// Parts of other shards' jobs that this shard runs, by job id.
   std::map<std::string, JobPart> m_parts;
+  /// Rows that add tasks which are not taken yet, and the keys of all that were
+  /// read.
+  std::vector<AddedTasks> m_addedTasks;
+  std::set<std::string> m_knownAddedRows;
   TimePoint m_nextDelegation{};
   TimePoint m_nextHomeRead{};
   uint64_t m_feedFrom = 0;
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -187,7 +187,7 @@
           isTakeoverComplete() ? 0 : countHeldBackTasks(),
           FillMillicores / 1000, RunsOverTarget, fillWaitReasons(Candidates),
           placementFields()));
-  logLongTaskWaits(Largest.Millicores);
+  logLongTaskWaits(Candidates, Largest.Millicores);
 }
 
 // Reports how the rounds since the last log line ended, and the mean round-trip
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -91,7 +91,7 @@
     return false;
   // The owner of a delegated task looks for the cancellation in the job's
   // present shard.
-  if (Entry.HomeShard || Entry.hasDelegated())
+  if (Entry.HomeShard || Entry.WasDelegated || Entry.hasDelegated())
     return false;
   // If no worker of this shard can hold the job, it can only run in another
   // shard and is transferred at any age. So is a long-running job, because the
--- a/src/libbasilchute/jobshard_waits.cpp
+++ b/src/libbasilchute/jobshard_waits.cpp
@@ -5,10 +5,74 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+// Returns what keeps the task from being placed, or "room" if that depends on
+// the workers alone.
+std::string JobShard::Impl::waitReason(const JobEntry &Entry,
+                                       int Position) const {
+  const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+  if (mayHavePreviousRun(Entry, Position))
+    return "previous_run";
+  if (isSuspect(Entry, Position))
+    return "suspect";
+  if (hasRunsOf(Entry.nameOf(Position)))
+    return "run_not_ended";
+  if (Task.EarliestStart > m_time.now())
+    return "delay";
+  return queueOf(Entry) ? "room" : "no_queue";
+}
+
+bool JobShard::Impl::isOfKind(const WorkerSlot &Slot, const JobEntry &Entry,
+                              int Position) const {
+  const JobQueue *Queue = queueOf(Entry);
+  const std::string &Label = Entry.stepOf(Position).RequiredLabel;
+  return Queue && Slot.Entry.Service == Queue->Service &&
+         (Label.empty() || Slot.hasLabel(Label));
+}
+
+// Counts the shard's workers of the task's kind: those that take no starts now,
+// those that lack the processors or the memory, those at the limit of tasks per
+// worker, and those that could take the task.
+std::string
+JobShard::Impl::waitFields(const std::vector<PlacementCandidate> &Candidates,
+                           const JobEntry &Entry, int Position) const {
+  const JobStep &Step = Entry.stepOf(Position);
+  auto OfKind =
+      std::count_if(m_slots.begin(), m_slots.end(), [&](const auto &Slot) {
+        return Slot.second.IsListed && isOfKind(Slot.second, Entry, Position);
+      });
+  int Usable = 0;
+  int NoProcessors = 0;
+  int NoMemory = 0;
+  int AtLimit = 0;
+  int NoApproval = 0;
+  int Fitting = 0;
+  for (const PlacementCandidate &Candidate : Candidates) {
+    if (!isOfKind(*Candidate.Slot, Entry, Position))
+      continue;
+    ++Usable;
+    Resources Demand = Step.reservation();
+    if (Demand.Millicores > Candidate.Room.Millicores)
+      ++NoProcessors;
+    else if (!Demand.fits(Candidate.Room))
+      ++NoMemory;
+    else if (!canRunIfApproved(Candidate, Entry, Position))
+      ++AtLimit;
+    else if (!isApproved(Candidate, Entry, Position))
+      ++NoApproval;
+    else
+      ++Fitting;
+  }
+  return fmt::format("workers={} unusable={} no_processors={} no_memory={} "
+                     "at_limit={} no_approval={} fitting={}",
+                     OfKind, OfKind - Usable, NoProcessors, NoMemory, AtLimit,
+                     NoApproval, Fitting);
+}
+
 // Counts long-running tasks of started jobs whose wait has become long, and
 // reports the one that has waited longest. \p MostMillicores is the largest
 // room on one worker of this shard.
-void JobShard::Impl::logLongTaskWaits(int64_t MostMillicores) {
+void JobShard::Impl::logLongTaskWaits(
+    const std::vector<PlacementCandidate> &Candidates, int64_t MostMillicores) {
   TimePoint Limit = m_time.now() - LongRunningMaxWait;
   const JobEntry *LongestEntry = nullptr;
   int LongestPosition = -1;
@@ -38,17 +102,19 @@
   std::optional<DelegationTarget> Target;
   if (m_options.FindShardWithRoom)
     Target = m_options.FindShardWithRoom(LongestEntry->Spec,
-                                         LongestEntry->PartShards);
+                                         LongestEntry->PartShards, 0);
   log("long_task_waits",
       fmt::format("shard={} tasks={} job={} step={} index={} waited_ms={} "
-                  "needs_cores={:.1f} most_cores={:.1f} target={}",
+                  "needs_cores={:.1f} most_cores={:.1f} target={} why={} {}",
                   m_options.Shard, Waiting, Task.Job, Task.Step, Task.Index,
                   (m_time.now() - LongestSince) / milliseconds(1),
                   static_cast<double>(
                       LongestEntry->stepOf(LongestPosition).Demand.Millicores) /
                       1000,
                   static_cast<double>(MostMillicores) / 1000,
-                  Target ? Target->Shard : -1));
+                  Target ? Target->Shard : -1,
+                  waitReason(*LongestEntry, LongestPosition),
+                  waitFields(Candidates, *LongestEntry, LongestPosition)));
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/shardchoice.cpp
+++ b/src/libbasilchute/shardchoice.cpp
@@ -211,6 +211,23 @@
   return std::nullopt;
 }
 
+std::optional<size_t> tasksInLargestRooms(const ShardLoad &Load,
+                                          int64_t Millicores) {
+  if (Load.RoomyWorkers.empty())
+    return std::nullopt;
+  auto Task = static_cast<double>(std::max<int64_t>(Millicores, 1));
+  size_t Out = 0;
+  for (size_t Class = 0; Class < Load.RoomyWorkers.size(); ++Class) {
+    size_t AtLeast = Load.RoomyWorkers[Class];
+    size_t AtLeastNext =
+        Class + 1 < Load.RoomyWorkers.size() ? Load.RoomyWorkers[Class + 1] : 0;
+    Out += (AtLeast - std::min(AtLeast, AtLeastNext)) *
+           static_cast<size_t>(leastRoomOf(Class) / Task);
+  }
+  bool FitsOne = Load.LargestRoomMillicores >= Millicores;
+  return std::max<size_t>(Out, FitsOne ? 1 : 0);
+}
+
 size_t tasksThatFit(const ShardLoad &Load, const ShardDemand &Demand) {
   int64_t Free = Load.CapacityMillicores - Load.LongRunningMillicores;
   int64_t Task = std::max<int64_t>(Demand.LargestTaskMillicores, 1);
--- a/src/libbasilchute/shardchoice_test.cpp
+++ b/src/libbasilchute/shardchoice_test.cpp
@@ -38,6 +38,21 @@
   CHECK_FALSE(workersWithRoom(Load, 40000).has_value());
 }
 
+TEST_CASE("Tasks are counted that fit into the rooms, and never too many") {
+  ShardLoad Load;
+  CHECK_FALSE(tasksInLargestRooms(Load, 1000).has_value());
+  for (int64_t Room : {900, 4000, 5700, 8000, 28000}) {
+    addRoomyWorker(Load, Room);
+    Load.LargestRoomMillicores = std::max(Load.LargestRoomMillicores, Room);
+  }
+  // One on each worker but the first, and 22.6 of 28 cores count.
+  CHECK(tasksInLargestRooms(Load, 4000) == 1 + 1 + 2 + 5);
+  CHECK(tasksInLargestRooms(Load, 8000) == 1 + 2);
+  // The largest room takes a task, also if it lies between two counts.
+  CHECK(tasksInLargestRooms(Load, 27000) == 1);
+  CHECK(tasksInLargestRooms(Load, 29000) == 0);
+}
+
 TEST_CASE("Short jobs are spread evenly over equally loaded shards") {
   std::vector<ShardCandidate> Shards = equalShards(8);
   std::map<int, int> Counts;
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -88,8 +88,9 @@
     return chooseTransferFor(Shard, Value);
   };
   Options.FindShardWithRoom = [this, Shard](const Job &Value,
-                                            const std::set<int> &Excluded) {
-    return findDelegationTarget(Shard, Value, Excluded);
+                                            const std::set<int> &Holders,
+                                            size_t Tasks) {
+    return findDelegationTarget(Shard, Value, Holders, Tasks);
   };
   Options.ShardCount = [this] { return m_cluster.shards(); };
   Options.Log = m_options.Log;
@@ -241,12 +242,14 @@
 
 std::optional<DelegationTarget>
 JobHost::findDelegationTarget(int Shard, const Job &Value,
-                              const std::set<int> &Excluded) {
+                              const std::set<int> &Holders, size_t Tasks) {
   std::vector<ShardCandidate> Others = candidates(Value);
+  ShardDemand Demand = demandOf(Value);
   std::erase_if(Others, [&](const ShardCandidate &Other) {
-    return Other.Shard == Shard || Excluded.contains(Other.Shard);
+    bool CanSend = !Holders.contains(Other.Shard) ||
+                   m_cluster.report(Other.Shard)->TakesAddedTasks;
+    return Other.Shard == Shard || !CanSend || tasksToSend(Other, Demand) == 0;
   });
-  ShardDemand Demand = demandOf(Value);
   int Target = shardWithRoom(Others, Demand);
   if (Target < 0)
     return std::nullopt;
@@ -263,10 +266,32 @@
   // The largest room takes a task, also if it lies between two counts.
   std::optional<size_t> Roomy =
       workersWithRoom(Chosen->Load, Demand.LargestTaskMillicores);
-  return DelegationTarget{
+  DelegationTarget Out{
       .Shard = Target,
       .Workers = std::max<size_t>(1, std::min(Usable, Roomy.value_or(Usable))),
-      .MaxTasks = tasksThatFit(Chosen->Load, Demand)};
+      .MaxTasks = tasksToSend(*Chosen, Demand)};
+  if (Tasks == 0)
+    return Out;
+  int64_t Sent = Demand.LargestTaskMillicores *
+                 static_cast<int64_t>(std::min(Tasks, Out.MaxTasks));
+  m_sentWork.push_back({.SentAt = m_time.now(),
+                        .Shard = Target,
+                        .Load = {.LongRunningMillicores = Sent},
+                        .DelegatedMillicores = Sent});
+  return Out;
+}
+
+size_t JobHost::tasksToSend(const ShardCandidate &Target,
+                            const ShardDemand &Demand) const {
+  int64_t Task = std::max<int64_t>(Demand.LargestTaskMillicores, 1);
+  int64_t Sent = 0;
+  for (const SentWork &Work : m_sentWork)
+    if (Work.Shard == Target.Shard)
+      Sent += Work.DelegatedMillicores;
+  auto SentTasks = static_cast<size_t>((Sent + Task - 1) / Task);
+  size_t Room = tasksInLargestRooms(Target.Load, Task).value_or(SentTasks + 1);
+  return std::min(tasksThatFit(Target.Load, Demand),
+                  Room - std::min(Room, SentTasks));
 }
 
 void JobHost::tick() {
@@ -337,6 +362,7 @@
     if (Owner->isLoaded() && !Owner->hasLostOwnership())
       Out[Shard] = {.Epoch = Owner->epoch(),
                     .Workers = static_cast<uint32_t>(Owner->listedWorkers()),
+                    .TakesAddedTasks = true,
                     .PendingJobs = Owner->pendingJobs(),
                     .Load = Owner->currentLoad()};
   return Out;
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -93,6 +93,8 @@
     TimePoint SentAt{};
     int Shard = 0;
     ShardLoad Load;
+    /// Millicores of delegated tasks, which are part of Load too.
+    int64_t DelegatedMillicores = 0;
   };
 
   void acquireShard(int Shard, uint64_t Epoch, uint64_t ReleaseVersion);
@@ -104,7 +106,11 @@
   std::vector<ShardCandidate> candidates(const Job &Value);
   std::optional<DelegationTarget>
   findDelegationTarget(int Shard, const Job &Value,
-                       const std::set<int> &Excluded);
+                       const std::set<int> &Holders, size_t Tasks);
+  /// Returns how many more tasks of \p Demand than were sent to the shard
+  /// lately it can take.
+  size_t tasksToSend(const ShardCandidate &Target,
+                     const ShardDemand &Demand) const;
   bool canRun(int Shard, const Job &Value) const;
   bool hasData(int Shard, const Job &Value) const;
   /// Returns the shard for the new job \p Value.
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -1,94 +1,13 @@
 // Tests of shards that long-running tasks have filled.
 
 #include "libbasilchute/jobrows.h"
-#include "testing/jobtestbed.h"
+#include "testing/longjobs.h"
 
-#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace basilchute;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// Time after the end of its last run within which a long-running task must run
-/// again while there is capacity for it anywhere.
-constexpr milliseconds RestartBound{9000};
-/// Capacity of a worker in these tests: two tasks of longJob().
-constexpr Resources TwoTasks{.Millicores = 8000, .MemoryMib = 16000};
-
-/// Returns a job with one step of \p Width long-running tasks.
-Job longJob(const std::string &Id, int Width, int64_t Millicores = 4000) {
-  Job Out = chainJob(Id, 1, Width);
-  Out.Steps[0].LongRunning = true;
-  Out.Steps[0].Demand.Millicores = Millicores;
-  return Out;
-}
-
-TaskName taskOf(const std::string &Id, int Index = 0) {
-  return {.Job = Id, .Occurrence = 0, .Step = 0, .Index = Index};
-}
-
-/// Returns the index of the worker that runs \p Task, or -1 if none does.
-int workerOf(JobTestBed &Bed, const TaskName &Task) {
-  for (int Worker = 0; Worker < Bed.workers(); ++Worker)
-    if (Bed.worker(Worker).runs(Task))
-      return Worker;
-  return -1;
-}
-
-/// Returns the shard of the worker that runs \p Task, or -1 if none does.
-int shardOf(JobTestBed &Bed, const TaskName &Task) {
-  int Worker = workerOf(Bed, Task);
-  return Worker < 0 ? -1
-                    : Bed.host(0).Process->shardOf(Bed.worker(Worker).Entry.Id);
-}
-
-bool runsWithin(JobTestBed &Bed, const TaskName &Task, milliseconds Limit) {
-  return Bed.runUntil([&] { return workerOf(Bed, Task) >= 0; }, Limit);
-}
-
-bool allRunWithin(JobTestBed &Bed, size_t Tasks, milliseconds Limit) {
-  return Bed.runUntil([&] { return Bed.Oracle.running() == Tasks; }, Limit);
-}
-
-/// Returns true if the row of the job \p Id is in the table of \p Shard.
-bool holdsJob(JobTestBed &Bed, int Shard, const std::string &Id) {
-  RowPage Page =
-      Bed.Store.read({.Table = "jobs-" + std::to_string(Shard),
-                      .Partition = "shard-" + std::to_string(Shard)});
-  return std::any_of(
-      Page.Rows.begin(), Page.Rows.end(),
-      [&](const StoredRow &Row) { return Row.Address.Key == Id; });
-}
-
-/// Ends \p Worker for good: it does not answer and leaves the list.
-void loseWorker(JobTestBed &Bed, int Worker) {
-  Bed.worker(Worker).IsDown = true;
-  Bed.worker(Worker).crash();
-  Bed.setWorkerListed(Worker, false);
-}
-
-void checkNoViolations(const JobTestBed &Bed) {
-  for (const std::string &Violation : Bed.Oracle.violations())
-    FAIL_CHECK(Violation);
-}
-
-/// Returns an id with \p Prefix whose job is sent to \p Shard of two shards
-/// with equal loads.
-std::string idForShard(const std::string &Prefix, int Shard) {
-  ShardLoad Load{.CapacityMillicores = 24000};
-  std::vector<ShardCandidate> Equal{{.Shard = 0, .Load = Load},
-                                    {.Shard = 1, .Load = Load}};
-  for (int Number = 0;; ++Number) {
-    std::string Id = Prefix + std::to_string(Number);
-    if (chooseShard(Equal, demandOf(longJob(Id, 1))) == Shard)
-      return Id;
-  }
-}
-
-} // namespace
-
 // Guards against a failed long-running task that loses its room to jobs that
 // have not begun: they waited longer and took the room before the restart was
 // due.
