Conclude nothing from an answer that does not list all completions

The store is away while a worker ends over 500 tasks; tasks that ended done are started again.

Cause: a worker lists at most 500 ends. A run that is in neither list counted as lost, and a worker whose list was cut as one that had reported all runs of previous owners.

--- a/src/include/basilchute/taskworker.h
+++ b/src/include/basilchute/taskworker.h
@@ -136,6 +136,9 @@
   milliseconds Incarnation{0};
   std::vector<RunningTask> Running;
   std::vector<Completion> Completions;
+  /// The worker may have further completions, later than these. A run that the
+  /// answer does not name may have ended.
+  bool HasMoreCompletions = false;
 };
 
 /// Whether a worker accepted a start order, or why it refused the order.
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -168,7 +168,9 @@
         std::min(Slot.LeaseEnd, Now + maxLocalDuration(m_options.Leases.Sole));
   if (Slot.IsListed)
     m_leaseEvidence.onAnswer(Worker, Reply.Incarnation, Sent, isSoleOwner());
-  m_previousRuns.resolve(Worker);
+  // A run of a previous owner may be among the completions that follow.
+  if (!Reply.HasMoreCompletions)
+    m_previousRuns.resolve(Worker);
   std::sort(Reply.Completions.begin(), Reply.Completions.end(),
             [](const Completion &A, const Completion &B) {
               return A.Number < B.Number;
@@ -177,7 +179,8 @@
     onCompletion(Slot, Report);
   for (const RunningTask &Running : Reply.Running)
     onRunningTask(Slot, Running);
-  releaseMissingRuns(Slot, Reply, Sent);
+  if (!Reply.HasMoreCompletions)
+    releaseMissingRuns(Slot, Reply, Sent);
   stopLaggingRuns(Slot);
   observeInterference(Slot);
   updatePaces(Slot);
--- a/src/libbasilchute/leaseevidence.cpp
+++ b/src/libbasilchute/leaseevidence.cpp
@@ -36,9 +36,8 @@
 // may have joined too late to be counted, and some that were counted may have
 // left the list before this host started.
 void PreviousLeases::onFenced(size_t Fenced, size_t Silent, TimePoint Now) {
-  bool IsEnough =
-      m_counted == NoReports ||
-      (3 * Silent <= m_counted && 3 * Fenced >= 2 * m_counted);
+  bool IsEnough = m_counted == NoReports ||
+                  (3 * Silent <= m_counted && 3 * Fenced >= 2 * m_counted);
   if (!m_noEvidenceFrom && m_counted > 0 && IsEnough)
     m_noEvidenceFrom = Now;
 }
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -127,6 +127,8 @@
                         *m_running[Task].begin()));
   if (m_acknowledgedDone.count(Task))
     violate(Task, Run, "starts after it was acknowledged as done");
+  for (int DoneRun : m_doneRuns[Task])
+    m_repeatedDone.insert({Task, DoneRun});
   if (static_cast<int>(m_acknowledgedFailures[Task].size()) >=
           ParentJob->MaxAttempts &&
       !Step->LongRunning)
@@ -157,6 +159,7 @@
   if (End != RunOutcome::Done)
     return;
   m_doneTasks.insert(Task);
+  m_doneRuns[Task].insert(Run);
   const JobStep *Step = stepOf(job(Task.Job), Task);
   if (!isGang(Step))
     return;
@@ -169,6 +172,9 @@
   const JobStep *Step = stepOf(job(Task.Job), Task);
   if (End == RunOutcome::Done && Step && !Step->LongRunning)
     m_acknowledgedDone.insert(Task);
+  bool IsOnce = !Step || !Step->LongRunning;
+  if (End == RunOutcome::Done && IsOnce && m_repeatedDone.count({Task, Run}))
+    violate(Task, Run, "was acknowledged as done after a later start");
   if (End == RunOutcome::Failed)
     m_acknowledgedFailures[Task].insert(Run);
 }
@@ -494,6 +500,10 @@
                 .Incarnation = milliseconds(m_incarnation.time_since_epoch() /
                                             milliseconds(1)),
                 .Completions = m_ended};
+  if (Out.Completions.size() >= MaxListedCompletions) {
+    Out.Completions.resize(MaxListedCompletions);
+    Out.HasMoreCompletions = true;
+  }
   for (const auto &[Task, Run] : m_runs)
     Out.Running.push_back({.Task = Task, .Run = Run.Run, .Percent = 100});
   if (AlterAnswer)
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -133,6 +133,10 @@
   std::map<TaskName, std::set<std::string>> m_running;
   std::set<TaskName> m_doneTasks;
   std::set<TaskName> m_acknowledgedDone;
+  /// Runs that have ended as done, by task, and those of them after which the
+  /// task was started again before they were acknowledged.
+  std::map<TaskName, std::set<int>> m_doneRuns;
+  std::set<std::pair<TaskName, int>> m_repeatedDone;
   /// Numbers of all failed runs of each task.
   std::map<TaskName, std::set<int>> m_failures;
   /// Numbers of the failed runs of each task that were acknowledged.
@@ -194,6 +198,8 @@
   void advance();
   /// Returns true if \p Task runs on this worker.
   bool runs(const TaskName &Task) const { return m_runs.count(Task) > 0; }
+  /// Maximum number of completions in one answer.
+  size_t MaxListedCompletions = 500;
   /// Returns true if there are completions that were not acknowledged.
   bool hasUnacknowledged() const { return !m_ended.empty(); }
   bool hasRuns() const { return !m_runs.empty(); }
