Let steps that no worker may take end no round of placing

What callers saw: LOST. After one worker of twelve is lost no short job is started, while most of the capacity is free.

Cause: a round ended after 40 steps that could not be placed. Restarts come first, and a step with a limit per worker excludes no other, so that each counted in every round.

"Short tasks start behind many restarts that no worker may take" failed before the fix with 45 and 500 jobs in front, and passes with 39, 45 and 500 within 1 s.

Change: such steps have turns of 40 a round, and end no round.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -27,6 +27,7 @@
 #include "libbasilchute/leaseevidence.h"
 #include "libbasilchute/orderwindow.h"
 #include "libbasilchute/previousruns.h"
+#include "libbasilchute/unplacedsteps.h"
 #include "libbasilchute/usedworkers.h"
 #include "libbasilchute/workerslot.h"
 
@@ -349,11 +350,13 @@
   // Placement and orders.
   void place();
   std::vector<std::tuple<Rank, std::string, WaitingTasks>> rankedJobs();
-  /// Places as many of the chosen waiting tasks of one job as possible. Returns
-  /// the number of steps with a task that could not be placed.
-  size_t placeJob(JobEntry &Entry, WaitingTasks Which,
-                  std::vector<PlacementCandidate> &Candidates,
-                  Rejections &Rejected);
+  /// Places as many of the chosen waiting tasks of one job as possible.
+  void placeJob(JobEntry &Entry, WaitingTasks Which,
+                std::vector<PlacementCandidate> &Candidates,
+                Rejections &Rejected);
+  /// Returns true if no step of the same kind with at least the same demand can
+  /// be placed once this step could not.
+  static bool excludesOthers(const JobStep &Step);
   void holdRoomUntilDue(std::vector<PlacementCandidate> &Candidates,
                         const JobEntry &Entry, int Position);
   bool matchesRejection(const Rejections &Rejected, const JobEntry &Entry,
@@ -530,6 +533,7 @@
   bool m_isHandingOver = false;
   bool m_isCommitting = false;
   TimePoint m_nextRound{};
+  UnplacedSteps m_unplacedSteps;
   TimePoint m_nextRelocate{};
   TimePoint m_nextTransfer{};
   TimePoint m_nextStateLog{};
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -12,8 +12,6 @@
 /// Minimum time between two rounds, and after a round that placed no task.
 constexpr milliseconds MinRoundInterval{15};
 constexpr milliseconds UnsuccessfulRoundInterval{45};
-/// Number of steps that could not be placed after which a round ends.
-constexpr size_t MaxUnplacedSteps = 40;
 /// Restarts of long-running tasks come before all other tasks: the room that
 /// they left was theirs.
 constexpr std::tuple<int, int, int, int, double> RestartRank{-2, 0, 0, 0, 0};
@@ -62,22 +60,22 @@
   std::vector<PlacementCandidate> Candidates = placementCandidates();
   m_isLightlyLoaded = isLightlyLoaded(Candidates);
   placeTrials(Candidates);
-  size_t UnplacedSteps = 0;
+  m_unplacedSteps.beginRound();
   Rejections Rejected;
   for (const auto &[JobRank, Id, Which] : rankedJobs()) {
-    UnplacedSteps += placeJob(*find(Id), Which, Candidates, Rejected);
-    if (UnplacedSteps >= MaxUnplacedSteps || !m_startWindow.isOpen())
+    placeJob(*find(Id), Which, Candidates, Rejected);
+    if (m_unplacedSteps.isRoundOver() || !m_startWindow.isOpen())
       break;
   }
   if (!m_startWindow.isOpen())
     ++m_counts.RoundsAtStartLimit;
-  else if (UnplacedSteps >= MaxUnplacedSteps)
+  else if (m_unplacedSteps.hasReachedLimit())
     ++m_counts.RoundsAtStepLimit;
   else
     ++m_counts.RoundsCompleted;
   // No waiting task could be placed, and the state of the workers changes more
   // slowly than rounds follow one another.
-  if (m_counts.Starts == StartsBefore && UnplacedSteps > 0)
+  if (m_counts.Starts == StartsBefore && m_unplacedSteps.any())
     m_nextRound = Now + UnsuccessfulRoundInterval;
   commit();
 }
@@ -116,29 +114,30 @@
   return Entry.IsOwnershipCertain;
 }
 
-size_t JobShard::Impl::placeJob(JobEntry &Entry, WaitingTasks Which,
-                                std::vector<PlacementCandidate> &Candidates,
-                                Rejections &Rejected) {
+void JobShard::Impl::placeJob(JobEntry &Entry, WaitingTasks Which,
+                              std::vector<PlacementCandidate> &Candidates,
+                              Rejections &Rejected) {
   TimePoint Now = m_time.now();
   milliseconds WallTime =
       m_options.WallTime ? m_options.WallTime() : milliseconds(0);
   const std::string &Id = Entry.Spec.Id;
   auto Waiting = m_waiting.find(Id);
   if (Waiting == m_waiting.end())
-    return 0;
+    return;
   std::set<int> Positions = Waiting->second;
   std::erase_if(Positions, [&](int Position) {
     return isSuspect(Entry, Position) ||
            Entry.isRestart(Position) != (Which == WaitingTasks::Restarts);
   });
   if (Positions.empty())
-    return 0;
-  if (shouldWaitForTransfer(Candidates, Entry, *Positions.begin()))
-    return 1;
+    return;
+  if (shouldWaitForTransfer(Candidates, Entry, *Positions.begin())) {
+    m_unplacedSteps.addPlain();
+    return;
+  }
   // All tasks of a step have the same demand: if one cannot be placed, neither
   // can the others.
   std::set<int> SkippedSteps;
-  size_t UnplacedSteps = 0;
   for (int Position : Positions) {
     TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
     int StepIndex = Entry.nameOf(Position).Step;
@@ -154,7 +153,9 @@
     if (!IsDue || SkippedSteps.count(StepIndex) ||
         Entry.dueAt(Position) > WallTime)
       continue;
-    if (matchesRejection(Rejected, Entry, Position)) {
+    bool IsLimited = !excludesOthers(Entry.stepOf(Position));
+    if (matchesRejection(Rejected, Entry, Position) ||
+        (IsLimited && !m_unplacedSteps.mayTry(Id, StepIndex))) {
       SkippedSteps.insert(StepIndex);
       continue;
     }
@@ -171,13 +172,21 @@
       requestApproval(Candidates, Entry, Position, Positions.size());
       continue;
     }
-    ++UnplacedSteps;
+    if (IsLimited)
+      m_unplacedSteps.addLimited(Id, StepIndex);
+    else
+      m_unplacedSteps.addPlain();
     recordRejection(Rejected, Entry, Position);
     if (Which == WaitingTasks::Restarts ||
         Now > Task.WaitingSince + ReserveRoomAfter)
       reserveCapacity(Candidates, Entry, Position);
   }
-  return UnplacedSteps;
+}
+
+// A gang or a limit per worker can be the reason for the rejection instead of
+// the demand, so other steps must not be rejected because of such a step.
+bool JobShard::Impl::excludesOthers(const JobStep &Step) {
+  return !Step.Gang && Step.MaxPerWorker == 0;
 }
 
 // If a task could not be placed, no other task with at least the same demand
@@ -201,9 +210,7 @@
                                      const JobEntry &Entry,
                                      int Position) const {
   const JobStep &Step = Entry.stepOf(Position);
-  // A gang or a limit per worker can be the reason for the rejection instead of
-  // the demand, so other steps must not be rejected because of this step.
-  if (Step.Gang || Step.MaxPerWorker > 0)
+  if (!excludesOthers(Step))
     return;
   Rejected[rejectionKey(Entry, Position)].push_back(Step.Demand);
 }
