Refuse a row that adds tasks and names another job

What operators would see: one damaged row ends each owner of its shard, one after the other.

Cause: the row's key names one job and its value another, so that the entry that was just made was not found under the name of the key. Found by reading the change.

Evidence: "A damaged row that adds tasks does not end the owner" ends with a segmentation fault without the comparison, and passes with it.

Conclusion: kept; the row is logged as bad_row, the others hold.

--- a/src/libbasilchute/jobshard_addedtasks.cpp
+++ b/src/libbasilchute/jobshard_addedtasks.cpp
@@ -21,7 +21,9 @@
   if (!m_knownAddedRows.insert(Row.Address.Key).second)
     return;
   Result<JobPart> Added = decodePart(Row.Value);
-  if (!Added.has_value() || !Added.value().Added) {
+  bool IsValid =
+      Added.has_value() && Added.value().Added && Added.value().Spec.Id == Id;
+  if (!IsValid) {
     log("bad_row",
         fmt::format("table={} key={} message=\"the row adds no tasks\"",
                     Row.Address.Table, Row.Address.Key));
--- a/src/libjobhost/badrows_test.cpp
+++ b/src/libjobhost/badrows_test.cpp
@@ -383,3 +383,36 @@
   CHECK(Bed.submit(0, Spec).has_value());
   CHECK(completes(Bed, "a"));
 }
+
+// Guards against an owner that ends on a row that adds tasks to a job, but
+// names another one, or none of its tasks.
+TEST_CASE("A damaged row that adds tasks does not end the owner") {
+  Job Lasting = longRunningJob("lasting", 2);
+  JobPart Valid{.Spec = Lasting,
+                .HomeShard = 7,
+                .Positions = {0},
+                .Added = JobProgress{.State = JobState::Running,
+                                     .Tasks = {{.Position = 0, .Run = 1}}}};
+  JobPart NoTasks = Valid;
+  NoTasks.Added.reset();
+  JobPart OddPositions = Valid;
+  OddPositions.Positions = {-1, MaxInt};
+  OddPositions.Added->Tasks = {{.Position = -1, .Run = MaxInt},
+                               {.Position = MaxInt, .Run = -1}};
+  for (const std::string &Value :
+       {std::string("\xff\xff"), std::string(), encodePart(NoTasks),
+        encodePart(OddPositions), encodePart(Valid)})
+    for (const char *Id : {"other", "lasting", "a"}) {
+      CAPTURE(Value.size());
+      CAPTURE(Id);
+      JobTestBed Bed({.Hosts = 1});
+      Bed.run(3s);
+      CHECK(Bed.submit(0, chainJob("a", 2, 2)).has_value());
+      write(Bed, addedTasksAddress(0, Id, 1, 5), Value);
+      CHECK(completes(Bed, "a"));
+      Bed.killHost(0);
+      Bed.startHost(0);
+      CHECK(Bed.submit(0, chainJob("b", 2, 2)).has_value());
+      CHECK(completes(Bed, "b"));
+    }
+}
