--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -511,17 +511,6 @@
   place();
 }
 
-// A worker that left the list recently may still run tasks that the previous
-// owner started, or hold completions of them.
-void JobShard::Impl::addFormerWorkers(const std::vector<WorkerEntry> &Workers) {
-  for (const WorkerEntry &Worker : Workers) {
-    auto [It, Added] = m_slots.try_emplace(Worker.Id, Worker);
-    if (!Added)
-      continue;
-    It->second.IsListed = false;
-  }
-}
-
 void JobShard::Impl::tick() {
   if (!m_isLoaded || m_hasLostOwnership)
     return;
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -222,6 +222,17 @@
   }
 }
 
+// A worker that left the list recently may still run tasks that the previous
+// owner started, or hold completions of them.
+void JobShard::Impl::addFormerWorkers(const std::vector<WorkerEntry> &Workers) {
+  for (const WorkerEntry &Worker : Workers) {
+    auto [It, Added] = m_slots.try_emplace(Worker.Id, Worker);
+    if (!Added)
+      continue;
+    It->second.IsListed = false;
+  }
+}
+
 UsedWorkersOptions JobShard::Impl::usedWorkersOptions() {
   return {.Shard = m_options.Shard,
           .Epoch = m_options.Epoch,
--- a/src/libbasilchute/shardchoice_test.cpp
+++ b/src/libbasilchute/shardchoice_test.cpp
@@ -45,7 +45,8 @@
     addRoomyWorker(Load, Room);
     Load.LargestRoomMillicores = std::max(Load.LargestRoomMillicores, Room);
   }
-  // One on each worker but the first, and 22.6 of 28 cores count.
+  // The first worker takes no task. The last class that 28 cores reach counts
+  // 22.6 of them.
   CHECK(tasksInLargestRooms(Load, 4000) == 1 + 1 + 2 + 5);
   CHECK(tasksInLargestRooms(Load, 8000) == 1 + 2);
   // The largest room takes a task, also if it lies between two counts.
--- a/src/libjobhost/cancelledrun_test.cpp
+++ b/src/libjobhost/cancelledrun_test.cpp
@@ -4,7 +4,7 @@
 #include "basilchute/jobshard.h"
 #include "libbasilchute/handover.h"
 #include "libbasilchute/jobrows.h"
-#include "testing/jobtestbed.h"
+#include "testing/longjobs.h"
 
 #include <cstdlib>
 #include <doctest/doctest.h>
@@ -16,11 +16,6 @@
 
 const TaskName FirstTask{"lasting", 0, 0, 0};
 
-void checkNoViolations(const JobTestBed &Bed) {
-  for (const std::string &Violation : Bed.Oracle.violations())
-    FAIL_CHECK(Violation);
-}
-
 /// A test bed in which the answers to start orders are late by \p ReplyDelay,
 /// and a job with one long-running task that has just begun.
 struct BegunTask {
--- a/src/libjobhost/unlistedworker_test.cpp
+++ b/src/libjobhost/unlistedworker_test.cpp
@@ -1,7 +1,7 @@
 // Tests of workers that leave the platform's list, cut off or for good, around
 // crashes of all hosts. The processes that start then have never seen them.
 
-#include "testing/jobtestbed.h"
+#include "testing/longjobs.h"
 
 #include <cstdlib>
 #include <doctest/doctest.h>
@@ -16,11 +16,6 @@
   return Options;
 }
 
-void checkNoViolations(const JobTestBed &Bed) {
-  for (const std::string &Violation : Bed.Oracle.violations())
-    FAIL_CHECK(Violation);
-}
-
 void killAllHosts(JobTestBed &Bed) {
   for (int Host = 0; Host < Bed.hosts(); ++Host)
     Bed.killHost(Host);
