Report who holds the room that long-running tasks wait for

Cause: long_task_waits says why=room, but not whether short work holds the room, which ends, or long-running work, which does not. Only the task with the longest wait is named.

Change: shard_state has long_cores and most_eventual_cores, long_task_waits has fitting_later, and long_task_overdue names each task that has not run for 5 s.

--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -52,6 +52,8 @@
   CrashRecord Crash;
   /// When the task became ready, or ready again after a run ended.
   TimePoint WaitingSince{};
+  /// The present wait was reported as overdue.
+  bool IsOverdue = false;
 };
 
 /// A job and its tasks. The position of a task is its index over all steps of
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -451,6 +451,9 @@
   std::string placementFields();
   void logLongTaskWaits(const std::vector<PlacementCandidate> &Candidates,
                         int64_t MostMillicores);
+  /// Reports once for each wait that a task is overdue.
+  void logOverdueTask(const std::vector<PlacementCandidate> &Candidates,
+                      JobEntry &Entry, int Position);
   std::string waitReason(const JobEntry &Entry, int Position) const;
   std::string waitFields(const std::vector<PlacementCandidate> &Candidates,
                          const JobEntry &Entry, int Position) const;
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -116,6 +116,7 @@
   }
   Task.EarliestStart = m_time.now() + Delay;
   Task.WaitingSince = m_time.now();
+  Task.IsOverdue = false;
   // A task of a job that may have been transferred is queued once the transfer
   // has certainly failed.
   if (!isFinal(Entry.State) && !Entry.IsTransferring)
@@ -170,24 +171,29 @@
                                        : 0] += Positions.size();
   }
   int64_t FillMillicores = 0;
+  int64_t LongRunningMillicores = 0;
+  int64_t MostEventualMillicores = 0;
   size_t RunsOverTarget = 0;
   for (const auto &[Id, Slot] : m_slots) {
     FillMillicores += Slot.usedFillMillicores();
     RunsOverTarget += Slot.runsOverTarget();
+    int64_t Eventual = Slot.eventualFreeCapacity().Millicores;
+    LongRunningMillicores += Slot.Entry.Capacity.Millicores - Eventual;
+    MostEventualMillicores = std::max(MostEventualMillicores, Eventual);
   }
   log("shard_state",
-      fmt::format(
-          "shard={} workers={} usable={} free_cores={} most_cores={} "
-          "free_gib={} most_gib={} waiting_short={} waiting_long={} "
-          "waiting_fill={} held_back={} fill_cores={} over_target={} {} "
-          "{}",
-          m_options.Shard, m_slots.size(), Candidates.size(),
-          Free.Millicores / 1000, Largest.Millicores / 1000,
-          Free.MemoryMib / 1024, Largest.MemoryMib / 1024, WaitingTasks[0],
-          WaitingTasks[1], WaitingTasks[2],
-          isTakeoverComplete() ? 0 : countHeldBackTasks(),
-          FillMillicores / 1000, RunsOverTarget, fillWaitReasons(Candidates),
-          placementFields()));
+      fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
+                  "free_gib={} most_gib={} waiting_short={} waiting_long={} "
+                  "waiting_fill={} held_back={} fill_cores={} long_cores={} "
+                  "most_eventual_cores={} over_target={} {} {}",
+                  m_options.Shard, m_slots.size(), Candidates.size(),
+                  Free.Millicores / 1000, Largest.Millicores / 1000,
+                  Free.MemoryMib / 1024, Largest.MemoryMib / 1024,
+                  WaitingTasks[0], WaitingTasks[1], WaitingTasks[2],
+                  isTakeoverComplete() ? 0 : countHeldBackTasks(),
+                  FillMillicores / 1000, LongRunningMillicores / 1000,
+                  MostEventualMillicores / 1000, RunsOverTarget,
+                  fillWaitReasons(Candidates), placementFields()));
   logLongTaskWaits(Candidates, Largest.Millicores);
 }
 
--- a/src/libbasilchute/jobshard_waits.cpp
+++ b/src/libbasilchute/jobshard_waits.cpp
@@ -5,6 +5,20 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+namespace {
+
+/// A long-running task without a run for this long gets a log line of its own.
+/// Operators count it as lost after 9 s.
+constexpr milliseconds OverdueAfter{5000};
+/// Bounds the number of these lines in a second.
+constexpr size_t MaxOverdueLines = 20;
+
+double inCores(int64_t Millicores) {
+  return static_cast<double>(Millicores) / 1000;
+}
+
+} // namespace
+
 // Returns what keeps the task from being placed, or "room" if that depends on
 // the workers alone.
 std::string JobShard::Impl::waitReason(const JobEntry &Entry,
@@ -31,7 +45,8 @@
 
 // Counts the shard's workers of the task's kind: those that take no starts now,
 // those that lack the processors or the memory, those at the limit of tasks per
-// worker, and those that could take the task.
+// worker, those that could take the task, and those that could once their short
+// runs have ended.
 std::string
 JobShard::Impl::waitFields(const std::vector<PlacementCandidate> &Candidates,
                            const JobEntry &Entry, int Position) const {
@@ -46,11 +61,13 @@
   int AtLimit = 0;
   int NoApproval = 0;
   int Fitting = 0;
+  int FittingLater = 0;
   for (const PlacementCandidate &Candidate : Candidates) {
     if (!isOfKind(*Candidate.Slot, Entry, Position))
       continue;
     ++Usable;
     Resources Demand = Step.reservation();
+    FittingLater += Demand.fits(Candidate.Slot->eventualFreeCapacity());
     if (Demand.Millicores > Candidate.Room.Millicores)
       ++NoProcessors;
     else if (!Demand.fits(Candidate.Room))
@@ -63,14 +80,34 @@
       ++Fitting;
   }
   return fmt::format("workers={} unusable={} no_processors={} no_memory={} "
-                     "at_limit={} no_approval={} fitting={}",
+                     "at_limit={} no_approval={} fitting={} "
+                     "fitting_later={}",
                      OfKind, OfKind - Usable, NoProcessors, NoMemory, AtLimit,
-                     NoApproval, Fitting);
+                     NoApproval, Fitting, FittingLater);
+}
+
+void JobShard::Impl::logOverdueTask(
+    const std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
+    int Position) {
+  TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+  Task.IsOverdue = true;
+  TaskName Name = Entry.nameOf(Position);
+  Resources Demand = Entry.stepOf(Position).reservation();
+  log("long_task_overdue",
+      fmt::format("shard={} job={} step={} index={} run={} waited_ms={} "
+                  "needs_cores={:.1f} needs_gib={:.1f} why={} {}",
+                  m_options.Shard, Name.Job, Name.Step, Name.Index,
+                  Task.LastRun,
+                  (m_time.now() - Task.WaitingSince) / milliseconds(1),
+                  inCores(Demand.Millicores),
+                  static_cast<double>(Demand.MemoryMib) / 1024,
+                  waitReason(Entry, Position),
+                  waitFields(Candidates, Entry, Position)));
 }
 
 // Counts long-running tasks of started jobs whose wait has become long, and
-// reports the one that has waited longest. \p MostMillicores is the largest
-// room on one worker of this shard.
+// reports the one that has waited longest and those that are overdue. \p
+// MostMillicores is the largest room on one worker of this shard.
 void JobShard::Impl::logLongTaskWaits(
     const std::vector<PlacementCandidate> &Candidates, int64_t MostMillicores) {
   TimePoint Limit = m_time.now() - LongRunningMaxWait;
@@ -78,15 +115,22 @@
   int LongestPosition = -1;
   TimePoint LongestSince = Limit;
   size_t Waiting = 0;
+  size_t OverdueLines = 0;
   for (const auto &[Id, Positions] : m_waiting) {
-    const JobEntry &Entry = m_jobs.at(Id);
+    JobEntry &Entry = m_jobs.at(Id);
     if (!Entry.Spec.Steps.front().LongRunning || !Entry.hasStarted())
       continue;
     for (int Position : Positions) {
-      TimePoint Since = Entry.Tasks[static_cast<size_t>(Position)].WaitingSince;
+      const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+      TimePoint Since = Task.WaitingSince;
       if (Since >= Limit)
         continue;
       ++Waiting;
+      if (!Task.IsOverdue && m_time.now() > Since + OverdueAfter &&
+          OverdueLines < MaxOverdueLines) {
+        logOverdueTask(Candidates, Entry, Position);
+        ++OverdueLines;
+      }
       m_counts.LongTaskWaits += Since + LongRunningMaxWait >= m_waitsCountedAt;
       if (Since >= LongestSince)
         continue;
@@ -104,17 +148,15 @@
     Target = m_options.FindShardWithRoom(LongestEntry->Spec,
                                          LongestEntry->PartShards, 0);
   log("long_task_waits",
-      fmt::format("shard={} tasks={} job={} step={} index={} waited_ms={} "
-                  "needs_cores={:.1f} most_cores={:.1f} target={} why={} {}",
-                  m_options.Shard, Waiting, Task.Job, Task.Step, Task.Index,
-                  (m_time.now() - LongestSince) / milliseconds(1),
-                  static_cast<double>(
-                      LongestEntry->stepOf(LongestPosition).Demand.Millicores) /
-                      1000,
-                  static_cast<double>(MostMillicores) / 1000,
-                  Target ? Target->Shard : -1,
-                  waitReason(*LongestEntry, LongestPosition),
-                  waitFields(Candidates, *LongestEntry, LongestPosition)));
+      fmt::format(
+          "shard={} tasks={} job={} step={} index={} waited_ms={} "
+          "needs_cores={:.1f} most_cores={:.1f} target={} why={} {}",
+          m_options.Shard, Waiting, Task.Job, Task.Step, Task.Index,
+          (m_time.now() - LongestSince) / milliseconds(1),
+          inCores(LongestEntry->stepOf(LongestPosition).Demand.Millicores),
+          inCores(MostMillicores), Target ? Target->Shard : -1,
+          waitReason(*LongestEntry, LongestPosition),
+          waitFields(Candidates, *LongestEntry, LongestPosition)));
 }
 
 BASILCHUTE_NAMESPACE_END
