Show that restarts wait one behind the other beside short work

What callers see: long-running tasks whose worker left or crashed do not run for longer than 9 s although short work, which ends, uses the room.

Cause, as far as read: a round keeps room for one restart of a step, and for none whose demand is as large as one that was rejected before, so that short tasks take what becomes free on all other workers.

--- /dev/null
+++ b/src/libjobhost/restartload_test.cpp
@@ -0,0 +1,102 @@
+// Tests of long-running tasks that lose their worker while short work uses all
+// room of the others.
+
+#include "testing/jobload.h"
+#include "testing/longjobs.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Resources LargeWorker{.Millicores = 32000, .MemoryMib = 128000};
+constexpr int Jobs = 12;
+constexpr int TasksPerJob = 4;
+
+/// Half of the room of ten workers is taken by long-running tasks of 3.2 to 7.6
+/// cores.
+void startLongJobs(JobTestBed &Bed) {
+  for (int Number = 0; Number < Jobs; ++Number)
+    CHECK(Bed.submit(0, longJob("job-" + std::to_string(Number), TasksPerJob,
+                                3200 + 400 * Number))
+              .has_value());
+  REQUIRE(allRunWithin(Bed, size_t{Jobs} * TasksPerJob, 4s));
+}
+
+/// Twice as much short work as the other half can do.
+JobLoadOptions doubleLoad() {
+  return {.JobInterval = 100ms,
+          .TasksPerStep = {30},
+          .TaskDuration = 1700ms,
+          .Demand = {.Millicores = 900, .MemoryMib = 500}};
+}
+
+/// Longest time for which any of the long-running tasks has not run.
+class LongestGap {
+public:
+  explicit LongestGap(JobTestBed &Bed) : m_bed(Bed) {
+    for (int Number = 0; Number < Jobs; ++Number)
+      for (int Index = 0; Index < TasksPerJob; ++Index)
+        m_lastRan[taskOf("job-" + std::to_string(Number), Index)] = Bed.now();
+  }
+
+  void update() {
+    for (auto &[Task, LastRan] : m_lastRan) {
+      if (!m_bed.Oracle.workerOf(Task).empty())
+        LastRan = m_bed.now();
+      m_longest = std::max(m_longest, m_bed.now() - LastRan);
+    }
+  }
+
+  nanoseconds longest() const { return m_longest; }
+
+private:
+  JobTestBed &m_bed;
+  std::map<TaskName, TimePoint> m_lastRan;
+  nanoseconds m_longest{0};
+};
+
+/// Submits short work for \p Span.
+nanoseconds longestGapUnder(JobTestBed &Bed, JobLoad &Load, milliseconds Span) {
+  LongestGap Gap(Bed);
+  TimePoint Until = Bed.now() + Span;
+  while (Bed.now() < Until) {
+    Load.submitFor(100ms);
+    Gap.update();
+  }
+  return Gap.longest();
+}
+
+} // namespace
+
+// Guards against restarts that wait one behind the other for room, since short
+// tasks take what becomes free on all workers but one.
+TEST_CASE("All long-running tasks of workers that leave run again beside short "
+          "work") {
+  JobTestBed Bed({.Workers = 10, .WorkerCapacity = LargeWorker});
+  Bed.run(3s);
+  startLongJobs(Bed);
+  JobLoad Load(Bed, doubleLoad());
+  Load.submitFor(4s);
+  Bed.drainWorker(0, 5s);
+  Bed.drainWorker(1, 5s);
+  CHECK(longestGapUnder(Bed, Load, 25s) < RestartBound);
+  checkNoViolations(Bed);
+}
+
+// Guards against the same after a crash, which gives no notice.
+TEST_CASE("All long-running tasks of crashed workers run again beside short "
+          "work") {
+  JobTestBed Bed({.Workers = 10, .WorkerCapacity = LargeWorker});
+  Bed.run(3s);
+  startLongJobs(Bed);
+  JobLoad Load(Bed, doubleLoad());
+  Load.submitFor(4s);
+  loseWorker(Bed, 0);
+  loseWorker(Bed, 1);
+  CHECK(longestGapUnder(Bed, Load, 25s) < RestartBound);
+  checkNoViolations(Bed);
+}
