Give short leases on a worker that drains

What callers see: a tenth of the workers leaves, as planned; the tasks that were still there are down for 4.7 to 4.9 s before their owner looks for room.

Cause: a worker that leaves ends without a word, and its owner must wait for the leases, 4.7 s, though it has known for seconds that the worker leaves.

Change: leases on a draining worker are 2.4 s at most, renewed by polls that wait 0.3 s, as leases on evidence are. No run is taken for ended before its lease is over, so that nothing can run twice by this. While the owner is away for longer than 2.4 s, tasks on draining workers end sooner than they would.

Evidence: 'The tasks of a worker that drained and is silent have ended within 3 s' fails without the change.

--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -16,8 +16,9 @@
 constexpr milliseconds SlowPollRetryDelay{1000};
 constexpr milliseconds UnstoredPollInterval{300};
 /// Maximum time that a poll waits at the worker while the owner needs evidence
-/// for its orders; several polls fit into the time for which one counts.
-constexpr milliseconds MaxPollWaitForEvidence{300};
+/// for its orders, or gives short leases: several polls fit into the time for
+/// which one counts.
+constexpr milliseconds MaxShortPollWait{300};
 /// Time for which leases on a worker are extended that has left the list. With
 /// the lease, and the time by which hosts see the list differently, it is
 /// shorter than the time for which JobHost remembers the worker.
@@ -64,8 +65,8 @@
   bool HasFill = false;
   bool HasServing = false;
   milliseconds Wait = m_options.MaxPollWait;
-  if (!isSoleOwner())
-    Wait = std::min(Wait, MaxPollWaitForEvidence);
+  if (!isSoleOwner() || Slot.Entry.IsDraining)
+    Wait = std::min(Wait, MaxShortPollWait);
   milliseconds WorkerClock = Slot.clockAt(m_time.now());
   for (const auto &[Key, Run] : Slot.Runs) {
     HasFill |= Run.FullPaceMillicores > 0;
@@ -125,6 +126,8 @@
     Order.AcknowledgedCompletions = Slot.LastStoredCompletion;
   std::optional<milliseconds> Lease =
       canExtendLeases(Slot) ? leaseToGive() : std::nullopt;
+  if (Lease && Slot.Entry.IsDraining)
+    Lease = std::min(*Lease, m_options.Leases.Draining);
   if (Lease) {
     Order.LeaseUntil = Slot.clockAt(Now) + *Lease;
     Slot.LeaseEnd = std::max(Slot.LeaseEnd, Now + maxLocalDuration(*Lease));
--- a/src/libjobhost/restartload_test.cpp
+++ b/src/libjobhost/restartload_test.cpp
@@ -120,3 +120,69 @@
     checkNoViolations(Bed);
   }
 }
+
+// Guards against a task that is down for most of the time allowed before its
+// owner even looks for room: the lease on a worker that left was long.
+TEST_CASE(
+    "The tasks of a worker that drained and is silent have ended within 3 s") {
+  JobTestBed Bed({.Workers = 3, .WorkerCapacity = TwoTasks});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longJob("full", 4)).has_value());
+  CHECK(Bed.submit(0, longJob("other", 2)).has_value());
+  REQUIRE(allRunWithin(Bed, 6, 4s));
+  int Leaving = workerOf(Bed, taskOf("full"));
+  Bed.worker(Leaving).Entry.IsDraining = true;
+  Bed.publishWorkers();
+  Bed.run(5s);
+  loseWorker(Bed, Leaving);
+  CHECK(Bed.cancel(0, "other").has_value());
+  auto AllRun = [&] {
+    for (int Index = 0; Index < 4; ++Index)
+      if (workerOf(Bed, taskOf("full", Index)) < 0)
+        return false;
+    return true;
+  };
+  CHECK(Bed.runUntil(AllRun, 3s));
+  checkNoViolations(Bed);
+}
+
+// Guards against tasks that wait in a full shard while another shard gives the
+// room that it gets to long-running tasks which never ran.
+TEST_CASE("Restarts of a full shard get the room of another shard before tasks "
+          "that never ran") {
+  JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(6s);
+  for (int Number = 0; Number < 12; ++Number)
+    CHECK(
+        Bed.submit(0, longJob("job-" + std::to_string(Number), 1)).has_value());
+  REQUIRE(allRunWithin(Bed, 12, 8s));
+  for (int Number = 0; Number < 12; ++Number)
+    CHECK(
+        Bed.submit(0, longJob("new-" + std::to_string(Number), 1)).has_value());
+  Bed.run(6s);
+  int Lost = workerOf(Bed, taskOf("job-0"));
+  int FullShard = shardOf(Bed, taskOf("job-0"));
+  std::vector<TaskName> Restarts;
+  std::vector<std::string> Others;
+  for (int Number = 0; Number < 12; ++Number) {
+    TaskName Task = taskOf("job-" + std::to_string(Number));
+    if (workerOf(Bed, Task) == Lost)
+      Restarts.push_back(Task);
+    else if (shardOf(Bed, Task) != FullShard)
+      Others.push_back(Task.Job);
+  }
+  REQUIRE(Restarts.size() == 2);
+  REQUIRE(Others.size() == 6);
+  loseWorker(Bed, Lost);
+  TimePoint LostAt = Bed.now();
+  Bed.run(LeaseTimes{}.Sole);
+  for (const std::string &Job : Others) {
+    CHECK(Bed.cancel(0, Job).has_value());
+    Bed.run(600ms);
+  }
+  for (const TaskName &Task : Restarts)
+    CHECK(runsWithin(Bed, Task,
+                     std::chrono::duration_cast<milliseconds>(
+                         LostAt + RestartBound - Bed.now())));
+  checkNoViolations(Bed);
+}
