Give room to restarts of the whole fleet before tasks that never ran

What callers see: a task of a full shard is down for 9.5 to 17 s while another shard gives the room that it gets to long-running jobs that have just come.

Cause: the order, restarts first, ended at the shard. The other shard's owner did not know of the restarts, so the room was gone before it was reported; tasks that never ran were delegated and transferred before restarts that had waited less; the largest room was reported by processors alone, so that tasks were sent to wait for a worker without memory; and a delegated task began a new wait.

Change: owners report the restarts that have found no room for 0.3 s. Others keep as much room for them from tasks that never ran, and such tasks are not delegated where they would take it. Restarts are delegated and transferred first. Reports carry the memory that goes with each size of room, and the rows of delegated tasks how long they have waited.

--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -95,6 +95,9 @@
   std::function<std::optional<DelegationTarget>(const Job &,
                                                 const std::set<int> &, size_t)>
       FindShardWithRoom;
+  /// Returns the long-running tasks that find no room in any of the other
+  /// shards, as their owners report them.
+  std::function<RestartDemand()> RestartsElsewhere;
   /// Returns the number of shards.
   std::function<int()> ShardCount;
   /// Logs one decision: the event's name and its key=value fields.
--- a/src/include/basilchute/resources.h
+++ b/src/include/basilchute/resources.h
@@ -41,6 +41,13 @@
             .Accelerators = std::max(A.Accelerators, B.Accelerators)};
   }
 
+  /// Returns the smaller amount of each resource.
+  friend Resources smaller(const Resources &A, const Resources &B) {
+    return {.Millicores = std::min(A.Millicores, B.Millicores),
+            .MemoryMib = std::min(A.MemoryMib, B.MemoryMib),
+            .Accelerators = std::min(A.Accelerators, B.Accelerators)};
+  }
+
   /// Returns true if this demand does not exceed \p Available in any dimension.
   bool fits(const Resources &Available) const {
     return Millicores <= Available.Millicores &&
--- a/src/include/basilchute/shardchoice.h
+++ b/src/include/basilchute/shardchoice.h
@@ -14,6 +14,19 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+/// Long-running tasks that ran before and wait for room.
+struct RestartDemand {
+  /// Sum over the tasks.
+  int64_t Millicores = 0;
+  /// The least of each resource that any of the tasks needs.
+  Resources Smallest;
+
+  /// Adds a task that needs \p Demand.
+  void add(const Resources &Demand);
+  /// Adds the tasks of \p Other.
+  void add(const RestartDemand &Other);
+};
+
 /// Load of a shard as published by its owner.
 struct ShardLoad {
   /// Millicores of the usable workers.
@@ -26,6 +39,11 @@
   /// Number of usable workers on which long-running tasks leave at least 1,
   /// 1.4, 2, 2.8, 4, ... cores; empty if the owner does not report them.
   std::vector<uint32_t> RoomyWorkers;
+  /// By entry of RoomyWorkers: most memory that long-running tasks leave on one
+  /// of these workers; empty if the owner does not report it.
+  std::vector<int64_t> RoomyMemoryMib;
+  /// Long-running tasks that ran before and find no room in the shard.
+  RestartDemand WaitingRestarts;
   /// Remaining work of all other jobs, in millicores times seconds.
   double RemainingWork = 0;
   /// Millicores of waiting fill tasks.
@@ -50,8 +68,9 @@
   bool IsLongRunning = false;
   /// Work in millicores times seconds; for a long-running job its millicores.
   double Amount = 0;
-  /// Millicores of the largest task.
+  /// Millicores of the largest task, and its memory.
   int64_t LargestTaskMillicores = 0;
+  int64_t LargestTaskMemoryMib = 0;
   /// Millicores of the widest step of fill tasks; zero if there is none.
   int64_t FillMillicores = 0;
   /// Images of the job's fill tasks.
@@ -91,7 +110,8 @@
                          const ShardDemand &Demand);
 
 /// Returns the candidate with the largest room on one worker that long-running
-/// tasks leave, if that takes the largest task of \p Demand; otherwise -1.
+/// tasks leave, if that takes the largest task of \p Demand and a worker of
+/// that size has the memory; otherwise -1.
 int shardWithRoom(const std::vector<ShardCandidate> &Candidates,
                   const ShardDemand &Demand);
 
@@ -99,8 +119,8 @@
 /// with 32 cores.
 constexpr size_t RoomClasses = 11;
 
-/// Adds a worker on which long-running tasks leave \p Millicores.
-void addRoomyWorker(ShardLoad &Load, int64_t Millicores);
+/// Adds a worker on which long-running tasks leave \p Room.
+void addRoomyWorker(ShardLoad &Load, const Resources &Room);
 
 /// Returns a number of workers that have room for a task of \p Millicores
 /// beside their long-running tasks; there may be more. Returns std::nullopt if
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -257,7 +257,7 @@
   return IsNew;
 }
 
-void JobEntry::reopen(const TaskProgress &Progress) {
+void JobEntry::reopen(const TaskProgress &Progress, TimePoint Now) {
   TaskState &Task = Tasks[static_cast<size_t>(Progress.Position)];
   if (Task.Phase == TaskPhase::Done) {
     ++m_tasksLeftInGroup[groupIndex(Progress.Position)];
@@ -272,7 +272,7 @@
   Task.Worker.clear();
   Task.Place = "";
   Task.Crash = Progress.Crash;
-  Task.WaitingSince = {};
+  Task.WaitingSince = Now - Progress.Waited;
 }
 
 void JobEntry::finishAllBut(const std::vector<int> &Positions) {
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -179,8 +179,9 @@
   bool addFailedRun(int Position, int Run);
   static constexpr size_t MaxFailedRuns = 32;
   /// Reverts finish() for a long-running task that was delegated and comes back
-  /// in the state \p Progress. It runs nowhere.
-  void reopen(const TaskProgress &Progress);
+  /// in the state \p Progress. It runs nowhere and has waited since before
+  /// \p Now.
+  void reopen(const TaskProgress &Progress, TimePoint Now);
   /// Returns true if another shard runs long-running tasks of the job.
   bool hasDelegated() const;
   /// Returns true if every task is done.
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -293,6 +293,12 @@
     To.set_largest_room_millicores(Report.Load.LargestRoomMillicores);
     for (uint32_t Workers : Report.Load.RoomyWorkers)
       To.add_roomy_workers(Workers);
+    for (int64_t Memory : Report.Load.RoomyMemoryMib)
+      To.add_roomy_memory_mib(Memory);
+    const RestartDemand &Restarts = Report.Load.WaitingRestarts;
+    To.set_waiting_restart_millicores(Restarts.Millicores);
+    To.set_smallest_restart_millicores(Restarts.Smallest.Millicores);
+    To.set_smallest_restart_memory_mib(Restarts.Smallest.MemoryMib);
     To.set_backlog(Report.Load.RemainingWork);
     To.set_fill_waiting_millicores(Report.Load.WaitingFillMillicores);
     for (const auto &[Image, Room] : Report.Load.FillCapacity) {
@@ -331,6 +337,15 @@
             boundedMillicores(Shard.largest_room_millicores()),
         .RoomyWorkers = {Shard.roomy_workers().begin(),
                          Shard.roomy_workers().end()},
+        .RoomyMemoryMib = {Shard.roomy_memory_mib().begin(),
+                           Shard.roomy_memory_mib().end()},
+        .WaitingRestarts =
+            {.Millicores =
+                 boundedMillicores(Shard.waiting_restart_millicores()),
+             .Smallest = {.Millicores = boundedMillicores(
+                              Shard.smallest_restart_millicores()),
+                          .MemoryMib = std::max<int64_t>(
+                              Shard.smallest_restart_memory_mib(), 0)}},
         .RemainingWork = positiveOrZero(Shard.backlog()),
         .WaitingFillMillicores =
             boundedMillicores(Shard.fill_waiting_millicores())};
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -28,6 +28,8 @@
   /// certainly no run, no value if that is not known.
   std::optional<std::string> Place;
   CrashRecord Crash;
+  /// Time for which the task has waited when another shard sent it.
+  milliseconds Waited{0};
 };
 
 /// Stored progress of a job.
--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -63,27 +63,51 @@
       Out.push_back(Position);
   }
   std::stable_sort(Out.begin(), Out.end(), [&](int First, int Second) {
-    return Entry.Tasks[static_cast<size_t>(First)].WaitingSince <
-           Entry.Tasks[static_cast<size_t>(Second)].WaitingSince;
+    return delegationRank(Entry, First) < delegationRank(Entry, Second);
   });
   return Out;
 }
 
+// Restarts come before tasks that never ran; then the longest wait counts.
+std::pair<bool, TimePoint> JobShard::Impl::delegationRank(const JobEntry &Entry,
+                                                          int Position) {
+  return {!Entry.isRestart(Position),
+          Entry.Tasks[static_cast<size_t>(Position)].WaitingSince};
+}
+
+// Returns true if the task never ran and would take room that restarts wait for.
+bool JobShard::Impl::takesRoomOfRestarts(const JobEntry &Entry, int Position,
+                                         const RestartDemand &Restarts) {
+  return !Entry.isRestart(Position) && Restarts.Millicores > 0 &&
+         Restarts.Smallest.fits(Entry.stepOf(Position).reservation());
+}
+
 void JobShard::Impl::delegateTasks() {
   TimePoint Now = m_time.now();
   if (!m_options.FindShardWithRoom || Now < m_nextDelegation ||
       m_isCommitting || !canSendOrders() || !isTakeoverComplete())
     return;
   m_nextDelegation = Now + DelegationInterval;
-  std::vector<std::pair<TimePoint, std::string>> Jobs = jobsToDelegate();
+  RestartDemand Restarts = overdueRestarts();
+  if (m_options.RestartsElsewhere)
+    Restarts.add(m_options.RestartsElsewhere());
+  std::vector<std::pair<std::pair<bool, TimePoint>, std::string>> Jobs =
+      jobsToDelegate();
   for (size_t Index = 0; Index < Jobs.size(); ++Index) {
     JobEntry &Entry = *find(Jobs[Index].second);
     std::vector<int> Positions = delegableTasks(Entry);
-    if (Index + 1 < Jobs.size())
+    std::erase_if(Positions, [&](int Position) {
+      return takesRoomOfRestarts(Entry, Position, Restarts);
+    });
+    if (Index + 1 < Jobs.size()) {
+      auto [IsNew, Since] = Jobs[Index + 1].first;
+      std::pair<bool, TimePoint> Latest{IsNew, Since + MaxOvertaking};
       std::erase_if(Positions, [&](int Position) {
-        return Entry.Tasks[static_cast<size_t>(Position)].WaitingSince >
-               Jobs[Index + 1].first + MaxOvertaking;
+        return delegationRank(Entry, Position) > Latest;
       });
+    }
+    if (Positions.empty())
+      continue;
     std::set<int> Holders = Entry.PartShards;
     if (Entry.HomeShard)
       Holders.insert(*Entry.HomeShard);
@@ -97,17 +121,15 @@
   }
 }
 
-std::vector<std::pair<TimePoint, std::string>>
+std::vector<std::pair<std::pair<bool, TimePoint>, std::string>>
 JobShard::Impl::jobsToDelegate() const {
-  std::vector<std::pair<TimePoint, std::string>> Out;
+  std::vector<std::pair<std::pair<bool, TimePoint>, std::string>> Out;
   for (const auto &[Id, Positions] : m_waiting) {
     const JobEntry &Entry = m_jobs.at(Id);
     std::vector<int> Delegable = delegableTasks(Entry);
     if (Delegable.empty())
       continue;
-    const TaskState &First =
-        Entry.Tasks[static_cast<size_t>(Delegable.front())];
-    Out.emplace_back(First.WaitingSince, Id);
+    Out.emplace_back(delegationRank(Entry, Delegable.front()), Id);
   }
   std::sort(Out.begin(), Out.end());
   return Out;
@@ -156,7 +178,9 @@
          .FailedRuns = {Task.FailedRuns.begin(), Task.FailedRuns.end()},
          .Checkpoint = Task.Checkpoint,
          .Place = "",
-         .Crash = Task.Crash});
+         .Crash = Task.Crash,
+         .Waited = std::chrono::duration_cast<milliseconds>(
+             m_time.now() - Task.WaitingSince)});
     // Only tasks with a run number are stored.
     Task.LastRun = std::max(Task.LastRun, 1);
     Kept.finish(Position);
@@ -294,8 +318,10 @@
   if (Stored == m_loadedProgress.end())
     return adoptJob(Spec, Row.Version);
   addStored(Spec, Stored->second);
-  if (JobEntry *Added = find(Id))
+  if (JobEntry *Added = find(Id)) {
     Added->JobVersion = Row.Version;
+    Added->NextDelegation = m_time.now() + LongRunningMaxWait;
+  }
 }
 
 void JobShard::Impl::readHomesOfParts() {
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -93,6 +93,8 @@
     /// Room for tasks for which room is kept. Free is less than Room by what is
     /// kept but not free yet.
     WorkerRoom Later;
+    /// Long-running tasks that never ran are not placed here.
+    bool IsKeptForRestarts = false;
     /// Serving tasks on the worker, with the headroom that the fill tasks on
     /// the worker leave them.
     std::vector<ServingLoad> Serving;
@@ -143,6 +145,8 @@
 
   // Transfer of jobs to other shards.
   void transfer();
+  static Rank longRunningTransferRank(const JobEntry &Entry,
+                                      const std::set<int> &Positions);
   std::vector<std::string> transferable() const;
   bool canTransfer(const JobEntry &Entry) const;
   bool hasWorkersFor(const JobEntry &Entry) const;
@@ -156,9 +160,14 @@
 
   // Delegation of waiting long-running tasks to other shards.
   void delegateTasks();
-  /// Returns the jobs with tasks to delegate, each with the time since which
-  /// one of these has waited. The task that has waited longest comes first.
-  std::vector<std::pair<TimePoint, std::string>> jobsToDelegate() const;
+  /// Returns the jobs with tasks to delegate, each with the rank of the first
+  /// of these, in the order of the ranks.
+  std::vector<std::pair<std::pair<bool, TimePoint>, std::string>>
+  jobsToDelegate() const;
+  static std::pair<bool, TimePoint> delegationRank(const JobEntry &Entry,
+                                                   int Position);
+  static bool takesRoomOfRestarts(const JobEntry &Entry, int Position,
+                                  const RestartDemand &Restarts);
   std::vector<int> delegableTasks(const JobEntry &Entry) const;
   bool hasRunsOf(const TaskName &Task) const;
   static std::vector<int> delegatedTo(const DelegationTarget &Target,
@@ -443,6 +452,11 @@
                                const JobEntry &Entry, int Position);
   void keepRoom(std::vector<PlacementCandidate> &Candidates,
                 const JobEntry &Entry, int Position);
+  /// Returns the restarts that have waited for a while for room.
+  RestartDemand overdueRestarts() const;
+  /// Keeps room for restarts of other shards from long-running tasks that never
+  /// ran.
+  void keepRoomForOtherShards(std::vector<PlacementCandidate> &Candidates);
   bool hasLeavingRuns() const;
   void moveLeavingRuns(Round &Current);
   void moveLeavingRun(Round &Current, WorkerSlot &Slot, const RunKey &Key);
--- a/src/libbasilchute/jobshard_keep.cpp
+++ b/src/libbasilchute/jobshard_keep.cpp
@@ -4,6 +4,13 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+namespace {
+
+/// Restarts that have waited for this long find no room in their shard.
+constexpr milliseconds OverdueRestart{300};
+
+} // namespace
+
 // Otherwise smaller tasks would take the room that becomes free on every
 // worker. Fill tasks reserve no processors and are not kept off the worker by
 // the processors that are kept.
@@ -48,6 +55,46 @@
   return Best;
 }
 
+RestartDemand JobShard::Impl::overdueRestarts() const {
+  RestartDemand Out;
+  TimePoint Limit = m_time.now() - OverdueRestart;
+  for (const auto &[Id, Positions] : m_waiting) {
+    const JobEntry &Entry = m_jobs.at(Id);
+    if (!Entry.Spec.Steps.front().LongRunning)
+      continue;
+    for (int Position : Positions)
+      if (Entry.isRestart(Position) && !isSuspect(Entry, Position) &&
+          Entry.Tasks[static_cast<size_t>(Position)].WaitingSince < Limit)
+        Out.add(Entry.stepOf(Position).reservation());
+  }
+  return Out;
+}
+
+// Room is room for the whole fleet: the tasks come here once their owner has
+// seen that it is there.
+void JobShard::Impl::keepRoomForOtherShards(
+    std::vector<PlacementCandidate> &Candidates) {
+  RestartDemand Restarts;
+  if (m_options.RestartsElsewhere)
+    Restarts = m_options.RestartsElsewhere();
+  if (Restarts.Millicores == 0 || Restarts.Smallest.Millicores <= 0)
+    return;
+  std::vector<PlacementCandidate *> Fitting;
+  for (PlacementCandidate &Candidate : Candidates)
+    if (Restarts.Smallest.fits(Candidate.Later.Eventual))
+      Fitting.push_back(&Candidate);
+  std::sort(Fitting.begin(), Fitting.end(), [](const auto *A, const auto *B) {
+    return A->Later.Eventual.Millicores > B->Later.Eventual.Millicores;
+  });
+  int64_t Kept = 0;
+  for (PlacementCandidate *Candidate : Fitting) {
+    if (Kept >= Restarts.Millicores)
+      return;
+    Candidate->IsKeptForRestarts = true;
+    Kept += Candidate->Later.Eventual.Millicores;
+  }
+}
+
 bool JobShard::Impl::hasLeavingRuns() const {
   return std::any_of(m_slots.begin(), m_slots.end(), [](const auto &Slot) {
     return Slot.second.Entry.IsDraining && !Slot.second.Runs.empty();
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -62,6 +62,7 @@
   m_unplacedSteps.beginRound();
   if (placeRestarts(Current)) {
     moveLeavingRuns(Current);
+    keepRoomForOtherShards(Current.Candidates);
     placeOthers(Current);
   }
   if (!m_startWindow.isOpen())
@@ -425,6 +426,8 @@
   const JobStep &Step = Entry.stepOf(Position);
   if (!Queue || Candidate.Slot->Entry.Service != Queue->Service)
     return false;
+  if (Candidate.IsKeptForRestarts && Step.LongRunning)
+    return false;
   if (!Step.RequiredLabel.empty() &&
       !Candidate.Slot->hasLabel(Step.RequiredLabel))
     return false;
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -62,10 +62,12 @@
     if (!Slot.IsListed || Slot.Entry.IsDraining || Slot.MissedPolls > 0)
       continue;
     Out.CapacityMillicores += Slot.Entry.Capacity.Millicores;
-    int64_t Room = Slot.eventualFreeCapacity().Millicores;
-    Out.LargestRoomMillicores = std::max(Out.LargestRoomMillicores, Room);
+    Resources Room = Slot.eventualFreeCapacity();
+    Out.LargestRoomMillicores =
+        std::max(Out.LargestRoomMillicores, Room.Millicores);
     addRoomyWorker(Out, Room);
   }
+  Out.WaitingRestarts = overdueRestarts();
   for (const auto &[Id, Entry] : m_jobs) {
     if (isFinal(Entry.State))
       continue;
@@ -135,6 +137,19 @@
   });
 }
 
+// Restarts come before jobs that never ran; then the longest wait counts.
+JobShard::Impl::Rank
+JobShard::Impl::longRunningTransferRank(const JobEntry &Entry,
+                                        const std::set<int> &Positions) {
+  auto First =
+      std::min_element(Positions.begin(), Positions.end(), [&](int A, int B) {
+        return delegationRank(Entry, A) < delegationRank(Entry, B);
+      });
+  auto [IsNew, Since] = delegationRank(Entry, *First);
+  return {-1, IsNew ? 1 : 0, 0, 0,
+          std::chrono::duration<double>(Since.time_since_epoch()).count()};
+}
+
 // Returns the jobs that may be transferred, in order of preference:
 // long-running jobs first, because no capacity will become free for them here;
 // then the jobs that would be started last in this shard.
@@ -145,7 +160,7 @@
     if (!canTransfer(Entry))
       continue;
     if (Entry.Spec.Steps.front().LongRunning)
-      Ranked.push_back({{-1, 0, 0, 0, 0}, Id});
+      Ranked.push_back({longRunningTransferRank(Entry, Positions), Id});
     else if (latenessOf(Entry) == 0 || !hasWorkersFor(Entry))
       Ranked.push_back({{0, 0, 0, 0, -std::get<4>(rankOf(Entry))}, Id});
   }
--- a/src/libbasilchute/progressrows.cpp
+++ b/src/libbasilchute/progressrows.cpp
@@ -63,6 +63,7 @@
   Stored.set_crash_age_ms(Task.Crash.RunAge.count());
   Stored.set_exposed_worker(Task.Crash.Worker);
   Stored.set_exposed_incarnation(Task.Crash.Incarnation.count());
+  Stored.set_waited_ms(Task.Waited.count());
 }
 
 using StoredPlaces = std::map<std::string, int>;
@@ -222,7 +223,8 @@
          .Done = Task.done(),
          .Checkpoint = Task.checkpoint(),
          .Place = placeOf(Task, From),
-         .Crash = loadCrash(Task)});
+         .Crash = loadCrash(Task),
+         .Waited = boundedTime(Task.waited_ms(), MaxDuration)});
   }
   return Out;
 }
--- a/src/libbasilchute/shardchoice.cpp
+++ b/src/libbasilchute/shardchoice.cpp
@@ -46,12 +46,32 @@
   return *Out;
 }
 
+/// Returns the least millicores for entry \p Class of ShardLoad::RoomyWorkers.
+/// Two entries a doubling count at most 1.4 times too little room.
+double leastRoomOf(size_t Class) {
+  return 1000 * std::exp2(static_cast<double>(Class) / 2);
+}
+
+/// Returns false if no worker with about as many processors as the largest task
+/// of a job needs has the memory for it.
+bool hasMemoryForLargestTask(const ShardLoad &Load, const ShardDemand &Demand) {
+  if (Load.RoomyMemoryMib.empty())
+    return true;
+  size_t Class = 0;
+  while (Class + 1 < Load.RoomyMemoryMib.size() &&
+         leastRoomOf(Class + 1) <=
+             static_cast<double>(Demand.LargestTaskMillicores))
+    ++Class;
+  return Load.RoomyMemoryMib[Class] >= Demand.LargestTaskMemoryMib;
+}
+
 /// Returns false if no worker of the shard can take the largest task of a
 /// long-running job: the room that such jobs leave may be spread over many
 /// workers.
 bool hasRoomForLargestTask(const ShardLoad &Load, const ShardDemand &Demand) {
   return Load.LargestRoomMillicores == 0 ||
-         Load.LargestRoomMillicores >= Demand.LargestTaskMillicores;
+         (Load.LargestRoomMillicores >= Demand.LargestTaskMillicores &&
+          hasMemoryForLargestTask(Load, Demand));
 }
 
 /// Draws a candidate by a hash of the job's id, weighted by the square of the
@@ -100,13 +120,19 @@
          Requested / std::max(static_cast<double>(Room), MinRoom);
 }
 
-/// Returns the least millicores for entry \p Class of ShardLoad::RoomyWorkers.
-/// Two entries a doubling count at most 1.4 times too little room.
-double leastRoomOf(size_t Class) {
-  return 1000 * std::exp2(static_cast<double>(Class) / 2);
+} // namespace
+
+void RestartDemand::add(const Resources &Demand) {
+  add(RestartDemand{.Millicores = Demand.Millicores, .Smallest = Demand});
 }
 
-} // namespace
+void RestartDemand::add(const RestartDemand &Other) {
+  if (Other.Millicores == 0)
+    return;
+  bool IsFirst = Millicores == 0;
+  Millicores += Other.Millicores;
+  Smallest = IsFirst ? Other.Smallest : smaller(Smallest, Other.Smallest);
+}
 
 ShardDemand demandOf(const Job &Value) {
   ShardDemand Out{.JobId = Value.Id,
@@ -124,8 +150,10 @@
         Step.Count * (Out.IsLongRunning
                           ? static_cast<double>(Step.Demand.Millicores)
                           : taskWork(Step));
-    Out.LargestTaskMillicores =
-        std::max(Out.LargestTaskMillicores, Step.Demand.Millicores);
+    if (Step.Demand.Millicores <= Out.LargestTaskMillicores)
+      continue;
+    Out.LargestTaskMillicores = Step.Demand.Millicores;
+    Out.LargestTaskMemoryMib = Step.Demand.MemoryMib;
   }
   return Out;
 }
@@ -188,7 +216,8 @@
   int Out = -1;
   int64_t LargestRoom = std::max<int64_t>(Demand.LargestTaskMillicores, 1);
   for (const ShardCandidate &Candidate : Candidates) {
-    if (Candidate.Load.LargestRoomMillicores < LargestRoom)
+    if (Candidate.Load.LargestRoomMillicores < LargestRoom ||
+        !hasMemoryForLargestTask(Candidate.Load, Demand))
       continue;
     Out = Candidate.Shard;
     LargestRoom = Candidate.Load.LargestRoomMillicores + 1;
@@ -196,11 +225,16 @@
   return Out;
 }
 
-void addRoomyWorker(ShardLoad &Load, int64_t Millicores) {
+void addRoomyWorker(ShardLoad &Load, const Resources &Room) {
   Load.RoomyWorkers.resize(RoomClasses);
-  for (size_t Class = 0; Class < RoomClasses; ++Class)
-    Load.RoomyWorkers[Class] +=
-        static_cast<double>(Millicores) >= leastRoomOf(Class);
+  Load.RoomyMemoryMib.resize(RoomClasses);
+  for (size_t Class = 0; Class < RoomClasses; ++Class) {
+    if (static_cast<double>(Room.Millicores) < leastRoomOf(Class))
+      break;
+    ++Load.RoomyWorkers[Class];
+    Load.RoomyMemoryMib[Class] =
+        std::max(Load.RoomyMemoryMib[Class], Room.MemoryMib);
+  }
 }
 
 std::optional<size_t> workersWithRoom(const ShardLoad &Load,
--- a/src/libbasilchute/shardchoice_test.cpp
+++ b/src/libbasilchute/shardchoice_test.cpp
@@ -28,7 +28,7 @@
   ShardLoad Load;
   CHECK_FALSE(workersWithRoom(Load, 1000).has_value());
   for (int64_t Room : {0, 900, 4000, 5700, 8000, 28000})
-    addRoomyWorker(Load, Room);
+    addRoomyWorker(Load, {.Millicores = Room, .MemoryMib = 64000});
   CHECK(workersWithRoom(Load, 500) == 4);
   CHECK(workersWithRoom(Load, 4000) == 4);
   CHECK(workersWithRoom(Load, 5600) == 3);
@@ -38,11 +38,45 @@
   CHECK_FALSE(workersWithRoom(Load, 40000).has_value());
 }
 
+// Guards against tasks that are sent to wait in a shard whose only worker with
+// enough processors has no memory left.
+TEST_CASE("A worker without memory counts as room only for tasks that need "
+          "little") {
+  std::vector<ShardCandidate> Shards = equalShards(2);
+  for (ShardCandidate &Candidate : Shards) {
+    Candidate.Load.LargestRoomMillicores = 10000;
+    addRoomyWorker(Candidate.Load, {.Millicores = 10000, .MemoryMib = 500});
+  }
+  addRoomyWorker(Shards[1].Load, {.Millicores = 3000, .MemoryMib = 9000});
+  ShardDemand Demand{.JobId = "job",
+                     .IsLongRunning = true,
+                     .LargestTaskMillicores = 4000,
+                     .LargestTaskMemoryMib = 8000};
+  CHECK(shardWithRoom(Shards, Demand) == -1);
+  Demand.LargestTaskMillicores = 2000;
+  CHECK(shardWithRoom(Shards, Demand) == 1);
+  Demand.LargestTaskMemoryMib = 500;
+  CHECK(shardWithRoom(Shards, Demand) == 0);
+}
+
+TEST_CASE("Restarts of several shards add up, and the smallest one counts") {
+  RestartDemand All;
+  All.add(RestartDemand{});
+  CHECK(All.Millicores == 0);
+  RestartDemand One;
+  One.add(Resources{.Millicores = 4000, .MemoryMib = 100});
+  One.add(Resources{.Millicores = 3000, .MemoryMib = 300});
+  All.add(One);
+  All.add(RestartDemand{});
+  CHECK(All.Millicores == 7000);
+  CHECK(All.Smallest == Resources{.Millicores = 3000, .MemoryMib = 100});
+}
+
 TEST_CASE("Tasks are counted that fit into the rooms, and never too many") {
   ShardLoad Load;
   CHECK_FALSE(tasksInLargestRooms(Load, 1000).has_value());
   for (int64_t Room : {900, 4000, 5700, 8000, 28000}) {
-    addRoomyWorker(Load, Room);
+    addRoomyWorker(Load, {.Millicores = Room, .MemoryMib = 64000});
     Load.LargestRoomMillicores = std::max(Load.LargestRoomMillicores, Room);
   }
   // The first worker takes no task. The last class that 28 cores reach counts
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -93,6 +93,9 @@
                                             size_t Tasks) {
     return findDelegationTarget(Shard, Value, Holders, Tasks);
   };
+  Options.RestartsElsewhere = [this, Shard] {
+    return restartsElsewhere(Shard);
+  };
   Options.ShardCount = [this] { return m_cluster.shards(); };
   Options.Log = m_options.Log;
   auto Acquired = std::make_unique<JobShard>(std::move(Options), m_store,
@@ -282,6 +285,16 @@
   return Out;
 }
 
+RestartDemand JobHost::restartsElsewhere(int Shard) const {
+  RestartDemand Out;
+  for (int Other = 0; Other < m_cluster.shards(); ++Other) {
+    const ShardReport *Report = m_cluster.report(Other);
+    if (Other != Shard && Report)
+      Out.add(Report->Load.WaitingRestarts);
+  }
+  return Out;
+}
+
 size_t JobHost::tasksToSend(const ShardCandidate &Target,
                             const ShardDemand &Demand) const {
   int64_t Task = std::max<int64_t>(Demand.LargestTaskMillicores, 1);
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -107,6 +107,8 @@
   std::optional<DelegationTarget>
   findDelegationTarget(int Shard, const Job &Value,
                        const std::set<int> &Holders, size_t Tasks);
+  /// Returns the restarts that find no room in any shard but \p Shard.
+  RestartDemand restartsElsewhere(int Shard) const;
   /// Returns how many more tasks of \p Demand than were sent to the shard
   /// lately it can take.
   size_t tasksToSend(const ShardCandidate &Target,
