Take back the even filling of shards

Cause: four existing cases (three of jobhost_delegation_test, one of jobhost_fullshard_test) fill one shard of two on purpose and found the jobs in the other one; they were not changed.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -409,9 +409,6 @@
                  int Position);
   bool shouldWaitForTransfer(const std::vector<PlacementCandidate> &Candidates,
                              const JobEntry &Entry, int Position);
-  static bool
-  isNearlyFullWith(const std::vector<PlacementCandidate> &Candidates,
-                   const JobEntry &Entry);
   bool canStillTransfer(const JobEntry &Entry) const;
   bool canPlaceWholeStep(const std::vector<PlacementCandidate> &Candidates,
                          const JobEntry &Entry, int Position);
