Cancel a job whose rows are at no shard without ending the host

Cause: a DELETE reads the index row, then the job's rows in the shard that the index names. If the job is transferred between these reads, the second one answers with no rows. Since the first row was looked at before the question whether there is one. Change: the answer without rows is handled first, in a function of its own. Test failed before, in three cases of four: "A cancellation of a job whose rows are at no shard does not end the host", "... whose rows stay away fails at its deadline" and "... that is transferred between its reads does not end the host" ended with "test case CRASHED: SIGSEGV", exit 139. The last one moves the job 0 to 40 ms after the call, by 1 ms; it ended at one of the first 12. With an index at 1 and 2 shards; the fourth case is a store whose commits cannot span partitions, which was right before and stays so (no job is transferred there). After: all four pass, with the 11 cases of cancels and submissions (268 assertions). Conclusion: fixed. Found by reading and shown at the ports; the exit of a real host was not played again here.

--- a/src/libbasilchute/jobfrontend.cpp
+++ b/src/libbasilchute/jobfrontend.cpp
@@ -416,19 +416,25 @@
                 if (!Answer.has_value())
                   return Request->fail(Answer.error());
                 const std::vector<StoredRow> &Rows = Answer.value().Rows;
-                if (Rows.empty() && Location.Version == 0)
-                  return Self->barJob(Request);
+                if (Rows.empty())
+                  return Self->onNoRows(Request, Location);
                 if (Rows.front().Address == Address && Location.Version == 0)
                   return Request->Done(jobNotFound(Request->Id));
-                if (Rows.empty())
-                  return Self->retryCancel(
-                      Request, "the job is being transferred to another shard");
                 if (Rows.back().Address == Address)
                   return Request->Done(okStatus());
                 Self->writeCancellation(Request, Location, Address);
               });
   }
 
+  // An index row names the shard that the job has just left; without an index
+  // there is no such job.
+  void onNoRows(const std::shared_ptr<Cancellation> &Request,
+                const JobLocation &Location) {
+    if (Location.Version == 0)
+      return barJob(Request);
+    retryCancel(Request, "the job is being transferred to another shard");
+  }
+
   // A submission of the job may be on its way, and must not be stored after the
   // caller was told that the job does not exist.
   void barJob(const std::shared_ptr<Cancellation> &Request) {
--- a/src/libbasilchute/jobfrontend_test.cpp
+++ b/src/libbasilchute/jobfrontend_test.cpp
@@ -1,4 +1,5 @@
 #include "basilchute/jobfrontend.h"
+#include "libbasilchute/jobrows.h"
 #include "testing/jobtestbed.h"
 
 #include <doctest/doctest.h>
@@ -10,6 +11,95 @@
 
 Job validJob() { return chainJob("0123456789abcdef", 2, 2); }
 
+/// A frontend at a store whose rows only the test changes otherwise: there is
+/// no host.
+class LoneFrontend {
+public:
+  explicit LoneFrontend(bool CanSpanPartitions, int Shard = 0)
+      : m_hasIndex(CanSpanPartitions),
+        m_bed(
+            {.Hosts = 0, .Workers = 0, .CanSpanPartitions = CanSpanPartitions}),
+        m_time(m_bed),
+        m_store(m_bed.Store,
+                [this](milliseconds Delay, std::function<void()> Action) {
+                  m_bed.later(Delay, std::move(Action));
+                }),
+        m_frontend(
+            {.ChooseShard = [Shard](const Job &) { return Shard; },
+             .CanSpanPartitions = CanSpanPartitions,
+             .RunAfter =
+                 [this](milliseconds Delay, std::function<void()> Action) {
+                   m_bed.later(Delay, std::move(Action));
+                 },
+             .WallTime = [] { return 0ms; }},
+            m_store, m_time) {}
+
+  /// Begins a submission; submitted() tells how it ended.
+  void submit() {
+    m_frontend.submit(
+        validJob(), m_bed.now() + Timeout,
+        [this](Status Outcome) { m_submitted.push_back(Outcome); });
+  }
+  /// Begins a cancellation; cancelled() tells how it ended.
+  void cancel() {
+    m_frontend.cancel(
+        validJob().Id, m_bed.now() + Timeout,
+        [this](Status Outcome) { m_cancelled.push_back(Outcome); });
+  }
+  void run(milliseconds Span) { m_bed.run(Span); }
+  const std::vector<Status> &submitted() const { return m_submitted; }
+  const std::vector<Status> &cancelled() const { return m_cancelled; }
+  ModelStore &store() { return m_bed.Store; }
+  HostRowStore &port() { return m_store; }
+
+  /// Removes the rows of the job from \p From; writes them to \p To, with the
+  /// index row if there is one, unless that is negative.
+  void move(int From, int To) {
+    const std::string Id = validJob().Id;
+    RowCommit Commit;
+    if (From >= 0)
+      Commit.Changes = {
+          {.Address = jobAddress(From, Id), .IsRemoval = true},
+          {.Address = progressAddress(From, Id), .IsRemoval = true}};
+    if (To >= 0) {
+      Commit.Changes.push_back(
+          {.Address = jobAddress(To, Id), .Value = encodeJob(validJob())});
+      Commit.Changes.push_back({.Address = progressAddress(To, Id),
+                                .Value = encodeProgress(JobProgress{})});
+    }
+    if (To >= 0 && m_hasIndex)
+      Commit.Changes.push_back(
+          {.Address = jobIndexAddress(Id), .Value = encodeJobIndex(To)});
+    REQUIRE(store().apply(Commit).has_value());
+  }
+  bool isCancelledAt(int Shard) {
+    RowAddress Address = cancellationAddress(Shard, validJob().Id);
+    return !store()
+                .read({.Table = Address.Table,
+                       .Partition = Address.Partition,
+                       .From = Address.Key,
+                       .To = Address.Key + '\x01'})
+                .Rows.empty();
+  }
+
+  static constexpr milliseconds Timeout{2000};
+
+private:
+  struct BedClock : Clock {
+    explicit BedClock(JobTestBed &Bed) : Bed(Bed) {}
+    TimePoint now() const override { return Bed.now(); }
+    JobTestBed &Bed;
+  };
+
+  bool m_hasIndex;
+  JobTestBed m_bed;
+  BedClock m_time;
+  HostRowStore m_store;
+  JobFrontend m_frontend;
+  std::vector<Status> m_submitted;
+  std::vector<Status> m_cancelled;
+};
+
 } // namespace
 
 TEST_CASE("An invalid job is rejected and the message names the step") {
@@ -158,3 +248,79 @@
   Bed.run(3s);
   CHECK(Bed.cancel(0, "ffffffffffffffff").error().Code == ResultCode::NotFound);
 }
+
+// Guards against a host that ends by SIGSEGV: the first of the job's rows was
+// looked at although the store had answered with none.
+TEST_CASE("A cancellation of a job whose rows are at no shard does not end the "
+          "host") {
+  for (int Shards : {1, 2}) {
+    CAPTURE(Shards);
+    LoneFrontend Frontend(true);
+    Frontend.submit();
+    Frontend.run(100ms);
+    REQUIRE(Frontend.submitted().size() == 1);
+    Frontend.move(0, -1);
+    Frontend.cancel();
+    Frontend.run(300ms);
+    CHECK(Frontend.cancelled().empty());
+    Frontend.move(-1, Shards - 1);
+    Frontend.run(LoneFrontend::Timeout);
+    REQUIRE(Frontend.cancelled().size() == 1);
+    CHECK(Frontend.cancelled()[0].has_value());
+    CHECK(Frontend.isCancelledAt(Shards - 1));
+  }
+}
+
+// Guards against the same if the rows never come back.
+TEST_CASE(
+    "A cancellation of a job whose rows stay away fails at its deadline") {
+  for (int Shard : {0, 1}) {
+    CAPTURE(Shard);
+    LoneFrontend Frontend(true, Shard);
+    Frontend.submit();
+    Frontend.run(100ms);
+    REQUIRE(Frontend.submitted().size() == 1);
+    Frontend.move(Shard, -1);
+    Frontend.cancel();
+    Frontend.run(LoneFrontend::Timeout * 2);
+    REQUIRE(Frontend.cancelled().size() == 1);
+    CHECK(Frontend.cancelled()[0].error().Code == ResultCode::Unavailable);
+    CHECK_FALSE(Frontend.isCancelledAt(Shard));
+  }
+}
+
+// Guards against the same in the transfer as it is: one commit moves all rows,
+// between the two reads of the cancellation.
+TEST_CASE("A cancellation of a job that is transferred between its reads does "
+          "not end the host") {
+  for (milliseconds MoveAfter = 0ms; MoveAfter <= 40ms; MoveAfter += 1ms) {
+    CAPTURE(MoveAfter.count());
+    LoneFrontend Frontend(true);
+    Frontend.submit();
+    Frontend.run(100ms);
+    REQUIRE(Frontend.submitted().size() == 1);
+    Frontend.cancel();
+    Frontend.run(MoveAfter);
+    Frontend.move(0, 1);
+    Frontend.run(LoneFrontend::Timeout);
+    REQUIRE(Frontend.cancelled().size() == 1);
+    CHECK(Frontend.cancelled()[0].has_value());
+    CHECK((Frontend.isCancelledAt(0) || Frontend.isCancelledAt(1)));
+  }
+}
+
+TEST_CASE("A cancellation of a job whose rows are gone bars the job if commits "
+          "cannot span partitions") {
+  LoneFrontend Frontend(false);
+  Frontend.submit();
+  Frontend.run(100ms);
+  REQUIRE(Frontend.submitted().size() == 1);
+  Frontend.move(0, -1);
+  for (size_t Number = 1; Number <= 2; ++Number) {
+    Frontend.cancel();
+    Frontend.run(LoneFrontend::Timeout);
+    REQUIRE(Frontend.cancelled().size() == Number);
+    CHECK(Frontend.cancelled().back().error().Code == ResultCode::NotFound);
+    CHECK(Frontend.isCancelledAt(0));
+  }
+}
