Cancel jobs in jobfuzz while they are transferred or delegated

Cause: sessions cancelled at random times, and a transfer has a window of 8 ms in which the reads of a cancellation lie on both sides of its commit. Change: "basilchute_jobfuzz SEED COUNT shards cancels". A commit that transfers a job, or delegates tasks of it, takes 0 to 23 ms to the store in three of four cases, and the job is cancelled through any host within that time. Up to ten wide long-running jobs make delegations. They are cancelled at the end, as those of "lost-answers". Own random sources: the sessions of the other modes are as before. JobTestBed::beginCancel() does not wait for the answer; cancel() is unchanged. Not yet run by ctest: src/CMakeLists.txt has no entry.

--- a/src/testing/jobfuzz_test.cpp
+++ b/src/testing/jobfuzz_test.cpp
@@ -1,17 +1,21 @@
 // Fuzzing of job hosts with random faults, checked by the oracle.
 //
 // Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling|crashing]
-// [capacity] [lost-answers]. Prints each seed that violated an invariant;
-// sessions with the same seed are identical. With "shards" there are two or
-// three shards, and many workers leave the worker list, so that jobs are
+// [capacity] [lost-answers] [cancels]. Prints each seed that violated an
+// invariant; sessions with the same seed are identical. With "shards" there are
+// two or three shards, and many workers leave the worker list, so that jobs are
 // transferred between shards. With "rolling" hosts and workers are replaced one
 // by one at the same time, see RollingSession. With "crashing" some tasks crash
 // the workers that start them, see CrashSession. With "capacity" workers shrink
 // and grow meanwhile, but not in sessions with "crashing". With "lost-answers"
 // answers to start orders are late or lost at times, and long-running jobs are
 // submitted and cancelled, but not in sessions with "rolling" or "crashing".
+// With "cancels" wide long-running jobs are submitted, and jobs are cancelled
+// while they are transferred or tasks of them delegated, in sessions with
+// "shards".
 // BASILCHUTE_TRACE prints every event of the hosts.
 
+#include "libbasilchute/jobrows.h"
 #include "testing/capacitychanges.h"
 #include "testing/crashsession.h"
 #include "testing/jobtestbed.h"
@@ -29,19 +33,84 @@
 namespace {
 
 constexpr int CommandsPerSession = 70;
+constexpr size_t MaxWideJobs = 10;
 /// Time until a worker that has shrunk must take no more starts: the time after
 /// which a host is in touch again, and one report of the worker.
 constexpr milliseconds CapacityAllowance{4000};
 /// A session ends earlier.
 constexpr milliseconds MaxSessionTime{600000};
 
+/// Returns the jobs that \p Commit moves to another shard, or some of whose
+/// tasks it delegates.
+std::set<std::string> movedJobs(const RowCommit &Commit) {
+  std::set<std::string> Out;
+  for (const RowChange &Change : Commit.Changes) {
+    const std::string &Key = Change.Address.Key;
+    if (!Change.Address.Table.starts_with("jobs-"))
+      continue;
+    std::optional<std::string> Part = parsePartKey(Key);
+    std::optional<std::string> Added = parseAddedTasksKey(Key);
+    if (Part || Added) {
+      if (!Change.IsRemoval)
+        Out.insert(Part ? *Part : *Added);
+    } else if (Change.IsRemoval) {
+      Out.insert(Key);
+    }
+  }
+  return Out;
+}
+
+/// Cancels jobs while a commit that moves them is on its way to the store. The
+/// commit takes long, so that the reads of a cancellation may come before it,
+/// after it, or one of them before and one after.
+class CancelsInMoves {
+public:
+  CancelsInMoves(JobTestBed &Bed, uint64_t Seed)
+      : m_bed(Bed), m_usualDelay(Bed.Store.Delay), m_random(Seed) {}
+
+  void start() {
+    m_bed.Store.RefusesCommit = [this](const RowCommit &Commit) {
+      onCommit(Commit);
+      return false;
+    };
+  }
+  void end() { m_bed.Store.RefusesCommit = nullptr; }
+
+private:
+  static constexpr milliseconds MaxCommitTime{24};
+
+  milliseconds randomTime() {
+    return milliseconds(m_random() %
+                        static_cast<uint64_t>(MaxCommitTime.count()));
+  }
+
+  void onCommit(const RowCommit &Commit) {
+    std::set<std::string> Moved = movedJobs(Commit);
+    if (Moved.empty() || m_random() % 4 == 0)
+      return;
+    m_bed.Store.Delay = randomTime();
+    m_bed.later(0ms, [this] { m_bed.Store.Delay = m_usualDelay; });
+    for (const std::string &Id : Moved) {
+      int Host =
+          static_cast<int>(m_random() % static_cast<uint64_t>(m_bed.hosts()));
+      m_bed.later(randomTime(),
+                  [this, Host, Id] { m_bed.beginCancel(Host, Id); });
+    }
+  }
+
+  JobTestBed &m_bed;
+  milliseconds m_usualDelay;
+  std::mt19937_64 m_random;
+};
+
 /// One session of random commands and faults.
 class Session {
 public:
   Session(uint64_t Seed, bool ManyShards, bool ChangesCapacity,
-          bool LosesAnswers)
+          bool LosesAnswers, bool CancelsMoved)
       : m_random(Seed), m_answerRandom(Seed), m_manyShards(ManyShards),
         m_changesCapacity(ChangesCapacity), m_losesAnswers(LosesAnswers),
+        m_cancelsMoved(CancelsMoved),
         m_bed({.Hosts = 3,
                .Workers = ManyShards ? 6 : 5,
                .MinShards = ManyShards ? 2 + static_cast<int>(Seed % 2)
@@ -51,21 +120,26 @@
                .CapacityAllowance = CapacityAllowance,
                .Seed = Seed,
                .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr}),
-        m_capacities(m_bed, Seed) {}
+        m_capacities(m_bed, Seed), m_cancels(m_bed, Seed) {}
 
   /// Returns the violations of invariants and the jobs that did not end.
   std::vector<std::string> run() {
     m_bed.run(3s);
     if (m_changesCapacity)
       m_capacities.start(MaxSessionTime);
+    if (m_cancelsMoved)
+      m_cancels.start();
     for (int Index = 0; Index < CommandsPerSession; ++Index) {
       runRandomCommand();
       if (m_losesAnswers)
         loseAnswers();
+      if (m_cancelsMoved)
+        submitWide();
       m_bed.run(milliseconds(randomInt(10, 700)));
     }
     endFaults();
-    if (m_losesAnswers)
+    m_cancels.end();
+    if (m_losesAnswers || m_cancelsMoved)
       cancelLasting();
     m_bed.run(60s);
     std::vector<std::string> Unfinished;
@@ -213,6 +287,19 @@
       m_bed.host(Cut).UnreachableWorkers.erase(Worker);
   }
 
+  // Submits a long-running job whose tasks may need several shards. Has the
+  // random source of loseAnswers().
+  void submitWide() {
+    if (m_answerRandom() % 6 != 0 || m_lasting.size() >= MaxWideJobs)
+      return;
+    std::string Id = fmt::format("wide-{}", m_jobs++);
+    m_lasting.push_back(Id);
+    auto Host = static_cast<int>(m_answerRandom() %
+                                 static_cast<uint64_t>(m_bed.hosts()));
+    auto Tasks = static_cast<int>(1 + m_answerRandom() % 6);
+    (void)m_bed.submit(Host, longRunningJob(Id, Tasks, 3000));
+  }
+
   // A job is there also if the answer to its submission was lost. The hosts
   // need a moment after the faults until they take a cancellation.
   void cancelLasting() {
@@ -256,8 +343,10 @@
   bool m_manyShards;
   bool m_changesCapacity;
   bool m_losesAnswers;
+  bool m_cancelsMoved;
   JobTestBed m_bed;
   CapacityChanges m_capacities;
+  CancelsInMoves m_cancels;
   std::set<int> m_unlisted;
   std::vector<std::string> m_accepted;
   std::vector<std::string> m_lasting;
@@ -272,7 +361,7 @@
   if (Modes.count("crashing"))
     return CrashSession(Seed, HasTrace).run();
   return Session(Seed, Modes.count("shards") > 0, ChangesCapacity,
-                 Modes.count("lost-answers") > 0)
+                 Modes.count("lost-answers") > 0, Modes.count("cancels") > 0)
       .run();
 }
 
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -477,6 +477,17 @@
   return *Out ? **Out : Status(noResponse());
 }
 
+void JobTestBed::beginCancel(int Host, const std::string &Id) {
+  Restarts.onCancelling(Id);
+  if (!host(Host).Process)
+    return;
+  host(Host).Process->frontend().cancel(Id, now() + CallTimeout,
+                                        [this, Id](const Status &Reply) {
+                                          if (Reply.has_value())
+                                            Oracle.cancelled(Id, now());
+                                        });
+}
+
 Result<JobState> JobTestBed::state(int Host, const std::string &Id) {
   auto Out = std::make_shared<std::optional<Result<JobState>>>();
   if (!host(Host).Process)
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -180,6 +180,9 @@
   Status submit(int Host, const Job &Value);
   Status cancel(int Host, const std::string &Id);
   Result<JobState> state(int Host, const std::string &Id);
+  /// Sends a cancellation to \p Host without a wait for the answer, which does
+  /// not come if the host ends before.
+  void beginCancel(int Host, const std::string &Id);
 
   void killHost(int Host);
   void startHost(int Host);
