Build the tests with the checks of the standard library

A release build reads on there, often without a visible effect; the tests ran so. Change: all builds with BASILCHUTE_TESTS define _GLIBCXX_ASSERTIONS. The build of the deploy file has no tests and is as before.

Looked at by reading, for answers of the store, a worker or a caller that may be empty: each front(), back(), at(), top(), value(), find() with its use, min_element and max_element in src/ and platform/, product code. Why the others are safe: - pages (directory, hostregistry, shardlayout, jobshard: readJobs, readProgress): back() only if HasMore and not empty. One row (jobfrontend locate, storedStatus, stateFrom; verifyOwnership, refreshRowVersions, adoptJob, readHome, usedworkers, peer models): empty() is asked before. - value() of an answer: each follows has_value(), or an early return. - Steps.front() (place, rank, waits, transfer, delegate, begin, shardchoice): checkJob() refuses a job without steps, at submission and in each row of a job and a part. - find(Id) of a job (commit, transfer, delegate, refresh): only forgetJob() removes one, from the answer of a transfer or from refreshRowVersions(); both hold m_isCommitting, so that no other answer for the job is due. m_jobs.at() and find() in loops over m_waiting: forgetJob() and endJob() clear it; an entry is erased with its last position. takeAdded() finds what it just added. - Runs.at(Key): the key is from the same map, in the same call. m_trials.at(), m_pendingTrials.at(): begun and ended in pairs; updateTrials() walks over a copy and asks for the job first. - HomeShard: set in addJob() for all entries with a part. Delegating.front(): asked before. - jobhost: m_ownedShards.at() only from callbacks for an owned shard (release() clears the flags of a handover under way); m_largestCapacities holds the whole fleet; hasData() is asked for own shards, which have an entry, or after canRun(); report() was not null in the same call; the queue was found by canRun(). countCrash() min_element: nothing is judged without runs. - shardchoice: an empty list gives -1 in chooseShard(); shardcount: asked for weights; shardplan: returns without hosts, and a host's weight is over 0 in decodeHost(); shardlayout: at least one shard. - platform: json members are null or of the asked type; the path starts with the route's prefix; workerentry and AdjustedQueues ask for empty(). - scheduler, shardmanager, tasktable, committer, configfeed, dispatcher, jobstore, libutil and the programs: read more quickly; guarded by a size, an end() or has_value(). Settings: keys of the program's own table. By reading, not by a run. A part's row whose job has another id than its key is taken (onPartRow), unlike a job's row; it ends no host by reading, but is worth a check.

--- a/src/cmake/options.cmake
+++ b/src/cmake/options.cmake
@@ -18,6 +18,12 @@
   add_compile_definitions(BOOST_ASIO_DISABLE_FENCED_BLOCK)
 endif()
 
+# The tests run with the checks of the standard library, so that an access to an
+# empty container ends them. A release build without tests has none of them.
+if(BASILCHUTE_TESTS)
+  add_compile_definitions(_GLIBCXX_ASSERTIONS)
+endif()
+
 # Adds the warning flags and include directories of the project's own code to a
 # target.
 function(basilchute_target Target)
