Show that a submission is answered once

They run on one thread: EventLoop runs its io_context on a single thread; in HostDaemon RunAfter is EventLoop::runAfter() and CallerApi::serve() is posted to the loop; StoreClient, WorkerClient and AdvisorClient post each answer from the thread of the HTTP client to the loop. JobFrontend is documented as not thread-safe. So there is no data race, and no change of the code. The thread sanitizer was not run.

--- a/src/libbasilchute/jobfrontend_test.cpp
+++ b/src/libbasilchute/jobfrontend_test.cpp
@@ -35,10 +35,10 @@
             m_store, m_time) {}
 
   /// Begins a submission; submitted() tells how it ended.
-  void submit() {
-    m_frontend.submit(
-        validJob(), m_bed.now() + Timeout,
-        [this](Status Outcome) { m_submitted.push_back(Outcome); });
+  void submit(milliseconds Within = Timeout) {
+    m_frontend.submit(validJob(), m_bed.now() + Within, [this](Status Outcome) {
+      m_submitted.push_back(Outcome);
+    });
   }
   /// Begins a cancellation; cancelled() tells how it ended.
   void cancel() {
@@ -50,7 +50,6 @@
   const std::vector<Status> &submitted() const { return m_submitted; }
   const std::vector<Status> &cancelled() const { return m_cancelled; }
   ModelStore &store() { return m_bed.Store; }
-  HostRowStore &port() { return m_store; }
 
   /// Removes the rows of the job from \p From; writes them to \p To, with the
   /// index row if there is one, unless that is negative.
@@ -324,3 +323,27 @@
     CHECK(Frontend.isCancelledAt(0));
   }
 }
+
+// A read and a timer race to end a submission that meets a stored job: the
+// timer fires 50 ms after the commit's answer, the read takes twice the delay.
+TEST_CASE("A submission is answered once, whether the read or the timer comes "
+          "first") {
+  for (bool CanSpanPartitions : {true, false})
+    for (milliseconds Delay : {1ms, 24ms, 25ms, 26ms, 60ms}) {
+      CAPTURE(CanSpanPartitions);
+      CAPTURE(Delay.count());
+      LoneFrontend Frontend(CanSpanPartitions);
+      Frontend.submit();
+      Frontend.run(100ms);
+      REQUIRE(Frontend.submitted().size() == 1);
+      Frontend.store().Delay = Delay;
+      Frontend.submit(0ms);
+      Frontend.run(LoneFrontend::Timeout);
+      REQUIRE(Frontend.submitted().size() == 2);
+      if (Delay < 25ms)
+        CHECK(Frontend.submitted()[1].has_value());
+      if (Delay > 25ms)
+        CHECK(Frontend.submitted()[1].error().Code ==
+              ResultCode::OutcomeUnknown);
+    }
+}
