Make no suspects of runs that an owner has merely adopted

Callers saw long-running tasks down for 9.8 s to 10.8 s beside room after owners were killed and five of 13 workers crashed (jobfuzz 17 crashing).

Cause: the age of an adopted run counts from the takeover, so that a task which had run for 20 s was young; and after a crash of the owner one weak crash makes a suspect. All 11 tasks waited for trials, three at a time, each 4.4 s to 6.2 s.

Change: a crash under an adopted run that was seen to last still counts, but makes no suspect at the first. Unseen runs are suspects as before.

The number of suspects is smaller; the wait of a suspect for its trial still has no bound of its own.

Issue: 26, 38

--- a/src/libbasilchute/crashhistory.cpp
+++ b/src/libbasilchute/crashhistory.cpp
@@ -204,9 +204,11 @@
     Record.RunAge =
         std::max(Record.RunAge, std::min(Run.MaxAge, YoungAgeOfCounted));
   int Hidden = Crash.MayHaveHidden ? HiddenCrashes : 0;
+  // An adopted run that was seen to last is young only as far as is known.
+  bool MayBeOld = Run.IsAdopted && !Run.isUnseen();
   Record.IsSuspect = Record.IsSuspect ||
                      Crash.Evidence >= CrashEvidence::Strong ||
-                     Record.Crashes >= WeakCrashes - Hidden;
+                     Record.Crashes >= WeakCrashes - (MayBeOld ? 0 : Hidden);
   if (Crash.Evidence >= CrashEvidence::Strong)
     Record.StrongCrashes = std::min(Record.StrongCrashes + 1, Record.Crashes);
   int Needed =
--- a/src/libbasilchute/crashhistory.h
+++ b/src/libbasilchute/crashhistory.h
@@ -75,6 +75,8 @@
   milliseconds MaxAge{0};
   /// Crashes in the task's record.
   int Crashes = 0;
+  /// Another owner started the run, so that it is older than is known.
+  bool IsAdopted = false;
 
   /// Returns true if no answer of the worker shows that the run lasted.
   bool isUnseen() const;
--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -50,7 +50,8 @@
                         .KnownAge = Slot.knownAge(Run),
                         .MaxAge = std::chrono::duration_cast<milliseconds>(
                             Out.SilentAt - Run.ObservedSince),
-                        .Crashes = crashRecord(*Entry, Position).Crashes});
+                        .Crashes = crashRecord(*Entry, Position).Crashes,
+                        .IsAdopted = Run.IsAdopted});
   }
   return Out;
 }
--- a/src/libjobhost/workercrash_test.cpp
+++ b/src/libjobhost/workercrash_test.cpp
@@ -110,6 +110,28 @@
   checkNoViolations(Bed);
 }
 
+// Guards against long-running tasks that wait for trials since a new owner took
+// their runs, of which it only knew that they were there, for young ones.
+TEST_CASE("A new owner holds no long-running task back that it has adopted") {
+  for (milliseconds SinceKill : {4000ms, 4400ms, 4800ms}) {
+    CAPTURE(SinceKill.count());
+    JobTestBed Bed({.Workers = 13});
+    Bed.run(3s);
+    const Job Lasting = longRunningJob("lasting", 39, 1000);
+    CHECK(Bed.submit(0, Lasting).has_value());
+    Bed.run(10s);
+    CHECK(Bed.Oracle.running() == 39);
+    Bed.killHost(Bed.ownerIndex());
+    Bed.run(SinceKill);
+    Bed.crashWorkers({0, 1, 2, 3, 4});
+    CHECK(Bed.Oracle.running() < 30);
+    CHECK(Bed.runUntil([&] { return Bed.Oracle.running() == 39; },
+                       RestartCheck::RestartTime));
+    CHECK(countsOf(Bed).CrashTrials == 0);
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against jobs that fail because many workers went down at one moment,
 // again and again.
 TEST_CASE("Crashes of a third of the workers fail no job, four times") {
