Let a trial last for longer than the run that crashed a worker

Callers saw a task start a third and fourth time after it had crashed three workers (jobfuzz 63 and 198 crashing).

Cause: a trial must last for longer than the runs that crashed their workers, but a run without an answer counted as one that crashed its worker at once, also if its last answer was a second old. The next trial lasted 0.3 s to 0.4 s, and the deadly task survived it.

Change: a crash in a trial, and a weak one, has the longest possible age of the run.

--- a/src/libbasilchute/crashhistory.cpp
+++ b/src/libbasilchute/crashhistory.cpp
@@ -200,7 +200,11 @@
   Record.Worker.clear();
   Record.Incarnation = milliseconds(0);
   const ExposedRun &Run = Crash.Run;
-  if (!Run.isUnseen())
+  // A run in a trial, or among many crashes, can have lasted although no answer
+  // came in the meantime.
+  bool MayHaveLasted = !Run.isUnseen() || Crash.WasTrial ||
+                       Crash.Evidence == CrashEvidence::Weak;
+  if (MayHaveLasted)
     Record.RunAge =
         std::max(Record.RunAge, std::min(Run.MaxAge, YoungAgeOfCounted));
   int Hidden = Crash.MayHaveHidden ? HiddenCrashes : 0;
--- a/src/libbasilchute/crashhistory_test.cpp
+++ b/src/libbasilchute/crashhistory_test.cpp
@@ -174,6 +174,19 @@
   CHECK(CrashHistory::count(Record, Proof));
 }
 
+// Guards against trials that are survived since an earlier crash was taken for
+// one at the start: no answer came between the start and the crash.
+TEST_CASE("A trial lasts for longer than a run without an answer can have") {
+  CountedCrash InTrial{
+      .Run = unseen("a"), .Evidence = CrashEvidence::Proof, .WasTrial = true};
+  CountedCrash InHerd{.Run = unseen("a"), .Evidence = CrashEvidence::Weak};
+  for (const CountedCrash &Crash : {InTrial, InHerd}) {
+    CrashRecord Record;
+    CHECK_FALSE(CrashHistory::count(Record, Crash));
+    CHECK(CrashHistory::trialTime(Record) > Crash.Run.MaxAge);
+  }
+}
+
 // Guards against a trial that had not started, or on another worker, as proof.
 TEST_CASE("Only the workers of a started trial prove anything") {
   CrashHistory History;
--- a/src/libjobhost/workercrash_test.cpp
+++ b/src/libjobhost/workercrash_test.cpp
@@ -201,6 +201,30 @@
   }
 }
 
+// Guards against trials that a deadly task survives, so that its next start is
+// none: they were shorter than the run that had crashed a worker.
+TEST_CASE("A task survives no trial if it crashes each worker") {
+  for (uint64_t Seed = 1; Seed <= 24; ++Seed) {
+    CAPTURE(Seed);
+    JobTestBed Bed({.Workers = 8, .Seed = Seed});
+    Bed.run(3s);
+    CHECK(Bed.submit(0, longRunningJob("lasting", 8)).has_value());
+    Bed.run(1s + Seed * 37ms);
+    Bed.Oracle.setDeadly(taskOf("deadly"), 400ms);
+    bool IsFirst = true;
+    Bed.Oracle.OnDeadlyStart = [&] {
+      if (IsFirst)
+        Bed.later(400ms, [&] { Bed.crashWorkers({6, 7}); });
+      IsFirst = false;
+    };
+    CHECK(Bed.submit(0, longRunningJob("deadly", 1)).has_value());
+    CHECK(reaches(Bed, "deadly", JobState::Failed, 90s));
+    CHECK(countsOf(Bed).CrashTrialsSurvived == 0);
+    CHECK(Bed.Oracle.deadly(taskOf("deadly"))->Starts <= MaxDeadlyStarts);
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against trials that take down many workers at a time.
 TEST_CASE("Among many innocent tasks deadly ones take down few workers at a "
           "time") {
