Fail no job after two crashes if the killed owner left a trace

Cause: after a crash of the owner one crash less gives a task up, since a start may have left no trace. This was done as well where the previous owner had stored its trace, which is counted.

Change: a task whose loaded row holds a crash, the suspicion or an exposed worker needs three counted crashes, as without a crash of the owner. Without a trace all is as before.

--- a/src/libbasilchute/crashhistory.cpp
+++ b/src/libbasilchute/crashhistory.cpp
@@ -217,6 +217,8 @@
     Record.StrongCrashes = std::min(Record.StrongCrashes + 1, Record.Crashes);
   int Needed =
       Crash.Evidence == CrashEvidence::Proof ? ProvenCrashes : UnprovenCrashes;
+  if (Hidden > 0 && Record.HasTrace)
+    Needed = std::max(Needed - Hidden, ProvenCrashes) + Hidden;
   return Crash.WasTrial && countedCrashes(Record) >= Needed - Hidden &&
          Record.StrongCrashes >= MinStrongCrashes - Hidden;
 }
@@ -254,7 +256,8 @@
 
 bool CrashHistory::needsProof(const CrashRecord &Record, bool MayHaveHidden) {
   return countedCrashes(Record) + 1 >=
-         ProvenCrashes - (MayHaveHidden ? HiddenCrashes : 0);
+         ProvenCrashes -
+             (MayHaveHidden && !Record.HasTrace ? HiddenCrashes : 0);
 }
 
 // A task that crashed its worker only after some time is watched for longer
--- a/src/libbasilchute/crashhistory.h
+++ b/src/libbasilchute/crashhistory.h
@@ -36,6 +36,9 @@
   /// crashes. Not stored.
   std::set<std::string> CrashedWorkers;
   int RepeatedCrashes = 0;
+  /// A previous owner has stored a crash under the task, or a worker that may
+  /// crash under it, so that few crashes are hidden. Not stored.
+  bool HasTrace = false;
 
   bool operator==(const CrashRecord &) const = default;
 };
--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -291,11 +291,12 @@
     giveUp(Entry);
 }
 
-void JobShard::Impl::restoreCrashes(const JobEntry &Entry) {
+void JobShard::Impl::restoreCrashes(JobEntry &Entry) {
   for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
        ++Position) {
-    const CrashRecord &Record =
-        Entry.Tasks[static_cast<size_t>(Position)].Crash;
+    CrashRecord &Record = Entry.Tasks[static_cast<size_t>(Position)].Crash;
+    Record.HasTrace =
+        Record.IsSuspect || Record.Crashes > 0 || !Record.Worker.empty();
     if (Record.IsSuspect)
       m_suspects.insert(Entry.nameOf(Position));
     if (!Record.Worker.empty())
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -307,7 +307,7 @@
   /// Counts a crash of a worker that a previous owner has not counted.
   void countEarlierCrash(JobEntry &Entry, int Position,
                          const std::string &Worker);
-  void restoreCrashes(const JobEntry &Entry);
+  void restoreCrashes(JobEntry &Entry);
   void onStartSeen(WorkerSlot &Slot, ReservedRun &Run, milliseconds Clock);
   void onSuspectSeen(JobEntry &Entry, int Position);
   void onSuspectEnded(JobEntry &Entry, int Position, RunOutcome Outcome);
--- a/src/libjobhost/workercrash_test.cpp
+++ b/src/libjobhost/workercrash_test.cpp
@@ -225,6 +225,30 @@
   }
 }
 
+// Guards against an innocent job that is given up after two crashes, since an
+// owner was killed that had seen the task start for the first time.
+TEST_CASE("Two crashes under a task fail no job if the killed owner had stored "
+          "the first") {
+  JobTestBed Bed({.Workers = 4});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("innocent", 1, 1, 9s)).has_value());
+  auto CrashItsWorker = [&] {
+    auto WorkerOf = [&] { return Bed.Oracle.workerOf(taskOf("innocent")); };
+    CHECK(Bed.runUntil([&] { return !WorkerOf().empty(); }, 20s));
+    Bed.run(10ms);
+    for (int Index = 0; Index < Bed.workers(); ++Index)
+      if (Bed.worker(Index).Entry.Id == WorkerOf())
+        return Bed.crashWorkers({Index});
+  };
+  CrashItsWorker();
+  Bed.run(1500ms);
+  Bed.killHost(Bed.ownerIndex());
+  Bed.later(1s, [&] { startAllHosts(Bed); });
+  CrashItsWorker();
+  CHECK(reaches(Bed, "innocent", JobState::Completed, 60s));
+  checkNoViolations(Bed);
+}
+
 // Guards against trials that take down many workers at a time.
 TEST_CASE("Among many innocent tasks deadly ones take down few workers at a "
           "time") {
