--- a/src/libbasilchute/crashhistory.cpp
+++ b/src/libbasilchute/crashhistory.cpp
@@ -200,17 +200,25 @@
   Record.Worker.clear();
   Record.Incarnation = milliseconds(0);
   const ExposedRun &Run = Crash.Run;
-  if (!Run.isUnseen())
+  // A run in a trial, or among many crashes, can have lasted although no answer
+  // came in the meantime.
+  bool MayHaveLasted = !Run.isUnseen() || Crash.WasTrial ||
+                       Crash.Evidence == CrashEvidence::Weak;
+  if (MayHaveLasted)
     Record.RunAge =
         std::max(Record.RunAge, std::min(Run.MaxAge, YoungAgeOfCounted));
   int Hidden = Crash.MayHaveHidden ? HiddenCrashes : 0;
+  // An adopted run that was seen to last is young only as far as is known.
+  bool MayBeOld = Run.IsAdopted && !Run.isUnseen();
   Record.IsSuspect = Record.IsSuspect ||
                      Crash.Evidence >= CrashEvidence::Strong ||
-                     Record.Crashes >= WeakCrashes - Hidden;
+                     Record.Crashes >= WeakCrashes - (MayBeOld ? 0 : Hidden);
   if (Crash.Evidence >= CrashEvidence::Strong)
     Record.StrongCrashes = std::min(Record.StrongCrashes + 1, Record.Crashes);
   int Needed =
       Crash.Evidence == CrashEvidence::Proof ? ProvenCrashes : UnprovenCrashes;
+  if (Hidden > 0 && Record.HasTrace)
+    Needed = std::max(Needed - Hidden, ProvenCrashes) + Hidden;
   return Crash.WasTrial && countedCrashes(Record) >= Needed - Hidden &&
          Record.StrongCrashes >= MinStrongCrashes - Hidden;
 }
@@ -248,7 +256,8 @@
 
 bool CrashHistory::needsProof(const CrashRecord &Record, bool MayHaveHidden) {
   return countedCrashes(Record) + 1 >=
-         ProvenCrashes - (MayHaveHidden ? HiddenCrashes : 0);
+         ProvenCrashes -
+             (MayHaveHidden && !Record.HasTrace ? HiddenCrashes : 0);
 }
 
 // A task that crashed its worker only after some time is watched for longer
--- a/src/libbasilchute/crashhistory.h
+++ b/src/libbasilchute/crashhistory.h
@@ -36,6 +36,9 @@
   /// crashes. Not stored.
   std::set<std::string> CrashedWorkers;
   int RepeatedCrashes = 0;
+  /// A previous owner has stored a crash under the task, or a worker that may
+  /// crash under it, so that few crashes are hidden. Not stored.
+  bool HasTrace = false;
 
   bool operator==(const CrashRecord &) const = default;
 };
@@ -75,6 +78,8 @@
   milliseconds MaxAge{0};
   /// Crashes in the task's record.
   int Crashes = 0;
+  /// Another owner started the run, so that it is older than is known.
+  bool IsAdopted = false;
 
   /// Returns true if no answer of the worker shows that the run lasted.
   bool isUnseen() const;
--- a/src/libjobhost/workercrash_test.cpp
+++ b/src/libjobhost/workercrash_test.cpp
@@ -110,6 +110,28 @@
   checkNoViolations(Bed);
 }
 
+// Guards against long-running tasks that wait for trials since a new owner took
+// their runs, of which it only knew that they were there, for young ones.
+TEST_CASE("A new owner holds no long-running task back that it has adopted") {
+  for (milliseconds SinceKill : {4000ms, 4400ms, 4800ms}) {
+    CAPTURE(SinceKill.count());
+    JobTestBed Bed({.Workers = 13});
+    Bed.run(3s);
+    const Job Lasting = longRunningJob("lasting", 39, 1000);
+    CHECK(Bed.submit(0, Lasting).has_value());
+    Bed.run(10s);
+    CHECK(Bed.Oracle.running() == 39);
+    Bed.killHost(Bed.ownerIndex());
+    Bed.run(SinceKill);
+    Bed.crashWorkers({0, 1, 2, 3, 4});
+    CHECK(Bed.Oracle.running() < 30);
+    CHECK(Bed.runUntil([&] { return Bed.Oracle.running() == 39; },
+                       RestartCheck::RestartTime));
+    CHECK(countsOf(Bed).CrashTrials == 0);
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against jobs that fail because many workers went down at one moment,
 // again and again.
 TEST_CASE("Crashes of a third of the workers fail no job, four times") {
@@ -179,6 +201,54 @@
   }
 }
 
+// Guards against trials that a deadly task survives, so that its next start is
+// none: they were shorter than the run that had crashed a worker.
+TEST_CASE("A task survives no trial if it crashes each worker") {
+  for (uint64_t Seed = 1; Seed <= 24; ++Seed) {
+    CAPTURE(Seed);
+    JobTestBed Bed({.Workers = 8, .Seed = Seed});
+    Bed.run(3s);
+    CHECK(Bed.submit(0, longRunningJob("lasting", 8)).has_value());
+    Bed.run(1s + Seed * 37ms);
+    Bed.Oracle.setDeadly(taskOf("deadly"), 400ms);
+    bool IsFirst = true;
+    Bed.Oracle.OnDeadlyStart = [&] {
+      if (IsFirst)
+        Bed.later(400ms, [&] { Bed.crashWorkers({6, 7}); });
+      IsFirst = false;
+    };
+    CHECK(Bed.submit(0, longRunningJob("deadly", 1)).has_value());
+    CHECK(reaches(Bed, "deadly", JobState::Failed, 90s));
+    CHECK(countsOf(Bed).CrashTrialsSurvived == 0);
+    CHECK(Bed.Oracle.deadly(taskOf("deadly"))->Starts <= MaxDeadlyStarts);
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against an innocent job that is given up after two crashes, since an
+// owner was killed that had seen the task start for the first time.
+TEST_CASE("Two crashes under a task fail no job if the killed owner had stored "
+          "the first") {
+  JobTestBed Bed({.Workers = 4});
+  Bed.run(3s);
+  CHECK(Bed.submit(0, chainJob("innocent", 1, 1, 9s)).has_value());
+  auto CrashItsWorker = [&] {
+    auto WorkerOf = [&] { return Bed.Oracle.workerOf(taskOf("innocent")); };
+    CHECK(Bed.runUntil([&] { return !WorkerOf().empty(); }, 20s));
+    Bed.run(10ms);
+    for (int Index = 0; Index < Bed.workers(); ++Index)
+      if (Bed.worker(Index).Entry.Id == WorkerOf())
+        return Bed.crashWorkers({Index});
+  };
+  CrashItsWorker();
+  Bed.run(1500ms);
+  Bed.killHost(Bed.ownerIndex());
+  Bed.later(1s, [&] { startAllHosts(Bed); });
+  CrashItsWorker();
+  CHECK(reaches(Bed, "innocent", JobState::Completed, 60s));
+  checkNoViolations(Bed);
+}
+
 // Guards against trials that take down many workers at a time.
 TEST_CASE("Among many innocent tasks deadly ones take down few workers at a "
           "time") {
