Store the largest capacity of a worker that has shrunk

Cause: largest capacities were in each host's memory only, since its start, and for 10 s after a worker left the list. Change: LargestCapacities, one module of the layout. A worker that has shrunk has a row in a part of its own of the assignments table, which all hosts read and follow already; no job is failed before the rows are read. A worker that is listed with nothing and was never seen with more may have been of any size. Conclusion: jobs are failed only for what is known to fit nowhere. A shrink that no host sees remains, unless it is one to nothing.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -80,7 +80,8 @@
   std::function<void(int Shard)> OnHandoverFailed;
   /// Called when this host no longer owns a shard.
   std::function<void(int Shard)> OnReleased;
-  /// Called when the assignment of workers to shards has changed.
+  /// Called when the assignment of workers to shards, or the result of
+  /// largestWorkers(), has changed.
   std::function<void()> OnAssigned;
   /// Returns the reports on the owned shards, to be published in this host's
   /// row.
@@ -147,6 +148,9 @@
   int shards() const;
   /// Returns the shard of \p Worker, or -1 if the worker has none yet.
   int shardOf(const std::string &Worker) const;
+  /// Returns the listed workers with the largest capacity that each is known to
+  /// have had; none before the stored capacities were read.
+  std::vector<WorkerEntry> largestWorkers() const;
   /// Returns the last report on \p Shard by its owner. Returns null if the
   /// shard has no live owner, or if the owner has not loaded the shard yet.
   const ShardReport *report(int Shard) const;
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -151,6 +151,10 @@
     return m_layout ? m_layout->shardOf(Worker) : -1;
   }
 
+  std::vector<WorkerEntry> largestWorkers() const {
+    return m_layout ? m_layout->largestWorkers() : std::vector<WorkerEntry>();
+  }
+
   const ShardReport *report(int Shard) const {
     if (Shard < 0 || Shard >= shards())
       return nullptr;
@@ -582,6 +586,7 @@
     m_isLayoutManager = IsFirst;
     if (IsFirst && m_hosts->reads() >= 2)
       m_layout->growAndAssign();
+    m_layout->storeCapacities(IsFirst);
   }
 
   HostClusterOptions m_options;
@@ -637,6 +642,9 @@
 int HostCluster::shardOf(const std::string &Worker) const {
   return m_impl->shardOf(Worker);
 }
+std::vector<WorkerEntry> HostCluster::largestWorkers() const {
+  return m_impl->largestWorkers();
+}
 const ShardReport *HostCluster::report(int Shard) const {
   return m_impl->report(Shard);
 }
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -188,6 +188,11 @@
   return {.Table = AssignmentTable, .Partition = "", .Key = Worker};
 }
 
+RowAddress largestCapacityAddress(const std::string &Worker) {
+  return {
+      .Table = AssignmentTable, .Partition = CapacityPartition, .Key = Worker};
+}
+
 std::pair<std::string, bool> parseJobKey(const std::string &Key) {
   if (!Key.ends_with(CancelSuffix))
     return {Key, false};
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -103,6 +103,7 @@
 RowAddress hostAddress(const std::string &Host);
 /// Returns the address of the row that assigns a worker to a shard.
 RowAddress assignmentAddress(const std::string &Worker);
+RowAddress largestCapacityAddress(const std::string &Worker);
 /// Returns the address of the row that holds the number of shards.
 RowAddress shardCountAddress();
 /// Returns the address of the index row, which names the shard that holds the
@@ -121,6 +122,8 @@
 inline constexpr const char *ShardTable = "shards";
 inline constexpr const char *HostTable = "hosts";
 inline constexpr const char *AssignmentTable = "assignments";
+/// Partition of AssignmentTable with the largest capacities of workers.
+inline constexpr const char *CapacityPartition = "capacities";
 inline constexpr const char *IndexTable = "index";
 
 /// Returns the id of the job to which a key of a job table belongs, and whether
--- a/src/libbasilchute/shardlayout.cpp
+++ b/src/libbasilchute/shardlayout.cpp
@@ -39,6 +39,8 @@
 ShardLayout::ShardLayout(ShardLayoutOptions Options, RowStore &Store,
                          const Clock &Time)
     : m_options(std::move(Options)), m_store(Store), m_time(Time),
+      m_capacities(std::make_shared<LargestCapacities>(
+          LargestCapacitiesOptions{.Log = m_options.Log}, Store, Time)),
       m_shards(m_options.Count.MinShards) {}
 
 void ShardLayout::log(std::string_view Event, std::string_view Fields) const {
@@ -94,10 +96,35 @@
                    return;
                  }
                  Self->m_areAssignmentsRead = true;
-                 Self->followAssignments(FeedStart);
+                 Self->readCapacities("", FeedStart);
                });
 }
 
+void ShardLayout::readCapacities(const std::string &Key, uint64_t FollowFrom) {
+  RowRange Range{
+      .Table = AssignmentTable, .Partition = CapacityPartition, .From = Key};
+  m_store.read(Range, [Weak = weak_from_this(), Key,
+                       FollowFrom](Result<RowPage> Reply) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    if (!Reply.has_value()) {
+      Self->readCapacities(Key, FollowFrom);
+      return;
+    }
+    const RowPage &Page = Reply.value();
+    Self->onRows(Page.Rows);
+    if (Page.HasMore && !Page.Rows.empty()) {
+      Self->readCapacities(Page.Rows.back().Address.Key + '\x01', FollowFrom);
+      return;
+    }
+    Self->m_capacities->setComplete();
+    if (Self->m_options.OnAssigned)
+      Self->m_options.OnAssigned();
+    Self->followAssignments(FollowFrom);
+  });
+}
+
 void ShardLayout::followAssignments(uint64_t From) {
   m_store.readChanges(AssignmentTable, From, m_isIdle ? IdleFeedWait : FeedWait,
                       [Weak = weak_from_this(), From](Result<RowPage> Reply) {
@@ -127,6 +154,7 @@
       onLayoutRow(Row);
   bool HasChanged = false;
   for (const StoredRow &Row : Rows) {
+    HasChanged |= m_capacities->onRow(Row);
     if (!Row.Address.Partition.empty() || Row.IsRemoved)
       continue;
     HasChanged |= onAssignment(Row);
@@ -193,6 +221,7 @@
   if (Fleet.size() > m_fleet.size())
     m_grownAt = m_time.now();
   m_fleet = Fleet;
+  m_capacities->setFleet(Fleet);
 }
 
 // The workers of a fleet that starts register over several seconds, and the
--- a/src/libbasilchute/shardlayout.h
+++ b/src/libbasilchute/shardlayout.h
@@ -5,6 +5,7 @@
 #include "basilchute/rowstore.h"
 #include "basilchute/shardcount.h"
 #include "basilchute/taskworker.h"
+#include "libbasilchute/largestcapacities.h"
 
 #include <functional>
 #include <map>
@@ -22,7 +23,7 @@
   std::function<std::vector<int>()> HostWeights;
   /// Called when the number of shards has increased.
   std::function<void()> OnGrown;
-  /// Called when the assignment of workers has changed.
+  /// Called when the assignment of workers or largestWorkers() has changed.
   std::function<void()> OnAssigned;
   /// Receives one line for each decision: event and key=value fields.
   std::function<void(std::string_view, std::string_view)> Log;
@@ -48,15 +49,26 @@
   /// resolved by the commits' conditions.
   void growAndAssign();
 
+  /// Stores capacities of workers that have shrunk, see
+  /// LargestCapacities::store().
+  void storeCapacities(bool IsManager) { m_capacities->store(IsManager); }
+
   int shards() const { return m_shards; }
   /// Returns the shard of \p Worker, or -1 if the worker has none yet.
   int shardOf(const std::string &Worker) const;
+  /// Returns the listed workers with the largest capacity that each has had;
+  /// none before the rows were read.
+  std::vector<WorkerEntry> largestWorkers() const {
+    return m_capacities->workers();
+  }
 
 private:
   int targetShards() const;
   bool isFleetStarting() const;
   void readLayout();
   void readAssignments(const std::string &Key, uint64_t From);
+  /// Reads the rows with largest capacities, and then follows all rows.
+  void readCapacities(const std::string &Key, uint64_t FollowFrom);
   void followAssignments(uint64_t From);
   void onRows(const std::vector<StoredRow> &Rows);
   /// Returns true if the assignment was taken.
@@ -70,6 +82,7 @@
   ShardLayoutOptions m_options;
   RowStore &m_store;
   const Clock &m_time;
+  std::shared_ptr<LargestCapacities> m_capacities;
   std::vector<WorkerEntry> m_fleet;
   /// When the fleet had its first worker, and when it last had more than
   /// before.
--- a/src/libjobhost/capacity_test.cpp
+++ b/src/libjobhost/capacity_test.cpp
@@ -444,3 +444,87 @@
   CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("large"); }, 3s));
   checkNoViolations(Bed);
 }
+
+// Guards against a capacity that is known only to the owner of the worker's
+// shard, or only until the second restart.
+TEST_CASE("A job that fits only on a worker of another shard that has shrunk "
+          "outlives restarts of all hosts") {
+  for (int Large = 0; Large < 4; ++Large) {
+    JobTestBed Bed({.Hosts = 2, .Workers = 4, .MinShards = 2});
+    Bed.setCapacity(Large, {.Millicores = 32000, .MemoryMib = 16000});
+    Bed.run(4s);
+    Bed.setCapacity(Large, TwoTasks);
+    CHECK(Bed.submit(0, jobWith("large", 1, 20000)).has_value());
+    Bed.run(1s);
+    for (int Restart = 0; Restart < 2; ++Restart) {
+      for (int Host = 0; Host < Bed.hosts(); ++Host)
+        Bed.killHost(Host);
+      for (int Host = 0; Host < Bed.hosts(); ++Host)
+        Bed.startHost(Host);
+      Bed.run(15s);
+    }
+    Bed.setCapacity(Large, {.Millicores = 32000, .MemoryMib = 16000});
+    CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("large"); }, 5s));
+    checkNoViolations(Bed);
+  }
+}
+
+// Guards against a stored capacity that keeps jobs waiting for a worker that
+// there is no more.
+TEST_CASE("A job that fitted only on a worker that has shrunk and left fails "
+          "soon after a restart") {
+  for (bool IsReplaced : {false, true}) {
+    CAPTURE(IsReplaced);
+    JobTestBed Bed({.Hosts = 1, .Workers = 3});
+    Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+    Bed.run(3s);
+    Bed.setCapacity(0, TwoTasks);
+    Bed.run(1s);
+    Bed.killHost(0);
+    if (IsReplaced)
+      Bed.worker(0).Entry.Labels = {"another-kind"};
+    else
+      Bed.setWorkerListed(0, false);
+    Bed.startHost(0);
+    Bed.run(3s);
+    CHECK(Bed.submit(0, jobWith("large", 1, 20000)).has_value());
+    CHECK(reaches(Bed, "large", JobState::Failed, 15s));
+  }
+}
+
+// Guards against a worker without any capacity that counts as one that never
+// had any: nothing tells from what it has shrunk.
+TEST_CASE("A job waits while the only worker has shrunk to nothing before the "
+          "host started") {
+  for (Resources None : {Resources{}, Resources{.MemoryMib = 16000},
+                         Resources{.Millicores = 8000}}) {
+    JobTestBed Bed({.Hosts = 1, .Workers = 1});
+    Bed.run(3s);
+    Bed.killHost(0);
+    Bed.setCapacity(0, None);
+    Bed.startHost(0);
+    Bed.run(3s);
+    CHECK(Bed.submit(0, chainJob("short", 1, 1)).has_value());
+    Bed.run(15s);
+    Bed.setCapacity(0, Full);
+    CHECK(reaches(Bed, "short", JobState::Completed, 3s));
+    checkNoViolations(Bed);
+  }
+}
+
+TEST_CASE("A job waits while the only worker that it fits on is back smaller "
+          "than it left") {
+  JobTestBed Bed({.Workers = 3});
+  Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+  Bed.run(3s);
+  Bed.setWorkerListed(0, false);
+  Bed.run(60s);
+  Bed.setCapacity(0, TwoTasks);
+  Bed.setWorkerListed(0, true);
+  Bed.run(1s);
+  CHECK(Bed.submit(0, jobWith("large", 1, 20000)).has_value());
+  Bed.run(15s);
+  Bed.setCapacity(0, {.Millicores = 32000, .MemoryMib = 16000});
+  CHECK(reaches(Bed, "large", JobState::Completed, 3s));
+  checkNoViolations(Bed);
+}
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -129,11 +129,8 @@
 }
 
 void JobHost::updateShardWorkers(int Shard) {
-  std::vector<WorkerEntry> Largest;
-  for (const WorkerEntry &Worker : m_fleet)
-    Largest.push_back(m_largestCapacities.at(Worker.Id));
   m_ownedShards.at(Shard)->setWorkers(m_workersByShard[Shard],
-                                      std::move(Largest));
+                                      m_cluster.largestWorkers());
 }
 
 bool JobHost::canRun(int Shard, const Job &Value) const {
@@ -308,7 +305,6 @@
   std::vector<WorkerEntry> OldFleet = std::move(m_fleet);
   m_fleet = std::move(Fleet);
   updateFormerWorkers(OldFleet);
-  updateLargestCapacities();
   m_cluster.setFleet(m_fleet);
   groupWorkers();
 }
@@ -324,24 +320,6 @@
   });
 }
 
-// A new incarnation may be another kind of worker, which shows in its labels.
-void JobHost::updateLargestCapacities() {
-  for (const WorkerEntry &Worker : m_fleet) {
-    WorkerEntry &Largest = m_largestCapacities[Worker.Id];
-    Resources Capacity = Worker.Capacity;
-    if (Largest.Labels == Worker.Labels)
-      Capacity = larger(Capacity, Largest.Capacity);
-    Largest = Worker;
-    Largest.Capacity = Capacity;
-  }
-  std::set<std::string> Listed;
-  for (const WorkerEntry &Worker : m_fleet)
-    Listed.insert(Worker.Id);
-  std::erase_if(m_largestCapacities, [&](const auto &Worker) {
-    return !Listed.count(Worker.first) && !m_formerWorkers.count(Worker.first);
-  });
-}
-
 std::vector<WorkerEntry> JobHost::formerWorkersOf(int Shard) const {
   std::vector<WorkerEntry> Out;
   for (const auto &[Id, Worker] : m_formerWorkers)
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -141,14 +141,9 @@
   };
 
   void updateFormerWorkers(const std::vector<WorkerEntry> &OldFleet);
-  /// Updates the largest capacities, and forgets those of workers that left the
-  /// list long ago.
-  void updateLargestCapacities();
   std::vector<WorkerEntry> formerWorkersOf(int Shard) const;
 
   std::map<std::string, FormerWorker> m_formerWorkers;
-  /// By worker: its entry with the largest capacity that it was listed with.
-  std::map<std::string, WorkerEntry> m_largestCapacities;
   /// All workers by shard.
   std::map<int, std::vector<WorkerEntry>> m_workersByShard;
   std::deque<SentWork> m_sentWork;
