Replace a dead owner while the store is slow

Change: a host that stays silent is compared with the reading host. Three reads over the timeout that show the own row renewed and the other one not make it dead, whatever the time between reads. The count begins anew with a change of the row, with a gap that shows no own renewal, and with a read that takes more than twice the time of the one before. ModelStore can delay commits otherwise than reads (CommitDelay, unset by default). Conclusion: slow is told from away by what the own host achieves.

--- a/src/libbasilchute/hostregistry.cpp
+++ b/src/libbasilchute/hostregistry.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <limits>
+#include <utility>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -152,6 +153,7 @@
   Host.Version = Row.Version;
   Host.ChangedAt = m_time.now();
   Host.UnchangedReads = 0;
+  Host.OutpacedReads = 0;
   if (IsNew)
     log("host_seen", fmt::format("host={} weight={}", Id, Host.Record.Weight));
 }
@@ -161,8 +163,12 @@
   // No host can renew its row while the store is unavailable. After a gap in
   // the reads all hosts therefore get the full timeout again.
   bool HadGap = Now > m_lastRead + std::max(m_interval, m_lastInterval) * 2;
-  m_lastRead = Now;
+  nanoseconds Gap = Now - std::exchange(m_lastRead, Now);
+  nanoseconds LastGap = std::exchange(m_lastGap, Gap);
+  bool HasHung = HadGap && Gap > LastGap * 2;
   m_lastInterval = m_interval;
+  uint64_t OwnVersion = rowVersion(m_options.HostId);
+  bool IsOwnRenewed = std::exchange(m_ownVersion, OwnVersion) != OwnVersion;
   std::erase_if(m_refused, [this](const auto &Row) {
     return !m_present.count(Row.first);
   });
@@ -172,11 +178,9 @@
       remove((It++)->first);
       continue;
     }
-    if (HadGap) {
-      Host.ChangedAt = Now;
-      Host.UnchangedReads = 0;
-    }
-    ++Host.UnchangedReads;
+    if (HasHung)
+      Host.OutpacedReads = 0;
+    observe(Host, HadGap, IsOwnRenewed);
     ++It;
   }
   std::erase_if(m_removed, [&](const auto &Host) {
@@ -189,6 +193,24 @@
     m_options.OnRead();
 }
 
+// Reads of a store that stays slow are all far apart, so that the timeout would
+// begin anew with each of them. As long as each shows a renewal of this host,
+// others could have renewed their rows as well. A read that takes much longer
+// than the one before begins the timeout anew.
+void HostRegistry::observe(ObservedHost &Host, bool HadGap, bool IsOwnRenewed) {
+  TimePoint Now = m_time.now();
+  bool IsUnchanged = Host.UnchangedReads > 0;
+  if (!IsUnchanged || (HadGap && !IsOwnRenewed))
+    Host.OutpacedReads = 0;
+  else if (IsOwnRenewed && Host.OutpacedReads++ == 0)
+    Host.OutpacedSince = Now;
+  if (HadGap) {
+    Host.ChangedAt = Now;
+    Host.UnchangedReads = 0;
+  }
+  ++Host.UnchangedReads;
+}
+
 // Earlier processes of this host are certainly dead. Once their rows are
 // removed, other hosts need not wait for the timeout.
 void HostRegistry::removeFormerProcesses() {
@@ -207,10 +229,21 @@
   }
 }
 
-bool HostRegistry::isAlive(const ObservedHost &Host) const {
+milliseconds HostRegistry::timeoutOf(const ObservedHost &Host) const {
   milliseconds Extra = std::max(milliseconds(0), Host.Record.RenewInterval -
                                                      m_options.ReadInterval);
-  return m_time.now() < Host.ChangedAt + m_options.Timeout + Extra ||
+  return m_options.Timeout + Extra;
+}
+
+bool HostRegistry::isOutpaced(const ObservedHost &Host) const {
+  return Host.OutpacedReads >= MinUnchangedReads &&
+         m_time.now() >= Host.OutpacedSince + timeoutOf(Host);
+}
+
+bool HostRegistry::isAlive(const ObservedHost &Host) const {
+  if (isOutpaced(Host))
+    return false;
+  return m_time.now() < Host.ChangedAt + timeoutOf(Host) ||
          Host.UnchangedReads < MinUnchangedReads;
 }
 
--- a/src/libbasilchute/hostregistry.h
+++ b/src/libbasilchute/hostregistry.h
@@ -84,11 +84,19 @@
     TimePoint ChangedAt{};
     /// Number of reads since then.
     int UnchangedReads = 0;
+    /// Number of reads that showed this row unchanged and the row of this host
+    /// renewed, and the time of the first. A slow store would have kept both
+    /// from changing.
+    int OutpacedReads = 0;
+    TimePoint OutpacedSince{};
   };
 
   void read(const std::string &From);
   void onRow(const StoredRow &Row);
   void onRead();
+  void observe(ObservedHost &Host, bool HadGap, bool IsOwnRenewed);
+  bool isOutpaced(const ObservedHost &Host) const;
+  milliseconds timeoutOf(const ObservedHost &Host) const;
   void remove(const std::string &Id);
   void removeFormerProcesses();
   bool isAlive(const ObservedHost &Host) const;
@@ -109,11 +117,15 @@
   /// When the last read was sent, and when it was complete.
   TimePoint m_lastSent{};
   TimePoint m_lastRead{};
+  /// Time between the last two reads.
+  nanoseconds m_lastGap{0};
   /// Intervals after which the next read is due, and the last one was.
   milliseconds m_interval{0};
   milliseconds m_lastInterval{0};
   bool m_isReading = false;
   int m_reads = 0;
+  /// Version of this host's own row in the last read.
+  uint64_t m_ownVersion = 0;
 };
 
 BASILCHUTE_NAMESPACE_END
--- a/src/testing/modelstore.cpp
+++ b/src/testing/modelstore.cpp
@@ -135,13 +135,15 @@
     return;
   }
   bool IsReplyLost = m_store.chance(m_store.LostReplyPercent);
+  milliseconds Delay = m_store.CommitDelay.value_or(m_store.Delay);
   m_store.scheduleAfter()(
-      m_store.Delay, [this, Commit, Done, IsReplyLost, ReplyUnknown] {
+      Delay, [this, Commit, Done, IsReplyLost, ReplyUnknown] {
         Result<uint64_t> Out = m_store.apply(Commit);
         if (IsReplyLost)
           m_deliver(ReplyTimeout, ReplyUnknown);
         else
-          m_deliver(m_store.Delay, [Done, Out] { Done(Out); });
+          m_deliver(m_store.CommitDelay.value_or(m_store.Delay),
+                    [Done, Out] { Done(Out); });
       });
 }
 
--- a/src/testing/modelstore.h
+++ b/src/testing/modelstore.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -40,6 +41,8 @@
 
   /// One-way delay of requests and replies.
   milliseconds Delay{4};
+  /// The same for commits, if they differ.
+  std::optional<milliseconds> CommitDelay;
   bool IsDown = false;
   /// Commits that write a row with one of these keys are refused as invalid.
   std::set<std::string> RefusedKeys;
