Count no worker as silent whose process is gone

Cause: the bound on the previous owner's leases asks that at most a third of the counted workers are silent, and counted those at whose address another worker answers. PreviousRuns knows that their processes are gone. Change: such a worker is neither silent nor fenced for the bound.

--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -102,10 +102,15 @@
   TimePoint Now = m_time.now();
   if (Now > m_previousRuns.unknownEndsAt() || !isFleetComplete())
     return;
-  auto Silent = static_cast<size_t>(
-      std::count_if(m_slots.begin(), m_slots.end(),
-                    [](const auto &Slot) { return !Slot.second.IsFenced; }));
-  m_previousLeases.onFenced(m_slots.size() - Silent, Silent, Now);
+  // A worker whose process is gone accepts the epoch of no owner.
+  size_t Fenced = 0;
+  size_t Silent = 0;
+  for (const auto &[Id, Slot] : m_slots)
+    if (Slot.IsFenced)
+      ++Fenced;
+    else if (!m_previousRuns.isWorkerResolved(Id))
+      ++Silent;
+  m_previousLeases.onFenced(Fenced, Silent, Now);
   std::optional<TimePoint> End = m_previousLeases.endAt();
   if (!End || m_previousRuns.unknownEndsAt() <= *End)
     return;
--- a/src/libbasilchute/previousruns.h
+++ b/src/libbasilchute/previousruns.h
@@ -71,6 +71,11 @@
   bool mayHaveRunsOn(const std::string &Worker, TimePoint Now) const;
   /// Returns true if there are no runs left to wait for.
   bool isResolved(TimePoint Now) const;
+  /// Returns true if resolve() was called for \p Worker: it has answered, or
+  /// its process is gone.
+  bool isWorkerResolved(const std::string &Worker) const {
+    return m_resolved.count(Worker) > 0;
+  }
   /// Returns true while there may be unknown runs of a job that was accepted at
   /// \p Version, on workers that are not known either.
   bool isWithinUnknownTime(uint64_t Version, TimePoint Now) const {
--- a/src/libjobhost/jobhost_leases_test.cpp
+++ b/src/libjobhost/jobhost_leases_test.cpp
@@ -3,6 +3,7 @@
 
 #include "testing/jobtestbed.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <doctest/doctest.h>
 #include <random>
@@ -102,7 +103,8 @@
 /// goes on with the workers that it reaches, and the new one reaches others.
 class CutSession {
 public:
-  CutSession(uint64_t Seed, int Workers)
+  /// If \p ReplacesWorkers, some workers are replaced at their addresses.
+  CutSession(uint64_t Seed, int Workers, bool ReplacesWorkers = false)
       : m_random(Seed * 64 + static_cast<uint64_t>(Workers)),
         m_job(Seed % 4 < 2 ? longRunningJob("lasting", 2 * Workers + 1)
                            : chainJob("lasting", 1, 2 * Workers + 1, 120s)),
@@ -110,14 +112,19 @@
                 .Workers = Workers,
                 .MaxAttempts = 1000,
                 .MaxListDelay = 300ms * (Seed % 2),
+                .WorkerReturn = 700ms,
+                .Crashes =
+                    ReplacesWorkers ? CrashStyle::Replaced : CrashStyle::Silent,
                 .Seed = Seed},
                m_job, Seed % 3 == 0 ? ShortUptime : LongUptime),
-        m_bed(m_busy.Bed) {}
+        m_bed(m_busy.Bed), m_replacesWorkers(ReplacesWorkers) {}
 
   const std::vector<std::string> &run() {
     m_bed.run(milliseconds(randomInt(0, 500)));
     int Owner = m_bed.ownerIndex();
     cutHosts(Owner);
+    if (m_replacesWorkers)
+      replaceWorkers();
     m_bed.run(milliseconds(randomInt(0, 1500)));
     m_bed.host(Owner).Store->IsRefused = true;
     bool HasSecondCrash = randomInt(0, 3) == 0;
@@ -167,6 +174,15 @@
     }
   }
 
+  void replaceWorkers() {
+    std::vector<int> Crashing;
+    for (int Worker = 0; Worker < m_bed.workers(); ++Worker)
+      if (randomInt(0, 3) == 0)
+        Crashing.push_back(Worker);
+    m_bed.later(milliseconds(randomInt(0, 3000)),
+                [this, Crashing] { m_bed.crashWorkers(Crashing); });
+  }
+
   void togglePause(int Host) {
     if (m_bed.host(Host).IsPaused)
       m_bed.resume(Host);
@@ -196,6 +212,7 @@
   Job m_job;
   BusyBed m_busy;
   JobTestBed &m_bed;
+  bool m_replacesWorkers;
 };
 
 } // namespace
@@ -243,6 +260,40 @@
   }
 }
 
+// Guards against processes that are certainly gone and count as workers that
+// may give evidence to the previous owner: its leases then seem to last for 12
+// s.
+TEST_CASE("Long-running tasks of a worker that crashes unseen before its owner "
+          "run again in time beside workers that were replaced") {
+  for (milliseconds Phase = 0ms; Phase < 500ms; Phase += 100ms) {
+    CAPTURE(Phase.count());
+    Job Lasting = longRunningJob("lasting", 18);
+    BusyBed Busy({.Workers = 9, .Crashes = CrashStyle::Replaced}, Lasting,
+                 ShortUptime);
+    JobTestBed &Bed = Busy.Bed;
+    Bed.crashWorkers({1, 2, 3, 4});
+    REQUIRE(Bed.runUntil([&] { return Bed.workers() == 13; }, 10s));
+    Bed.run(1s + Phase);
+    std::vector<TaskName> OnSilent = Bed.Oracle.tasksOn(Bed.worker(0).Entry.Id);
+    REQUIRE(!OnSilent.empty());
+    TimePoint CrashedAt = Bed.now();
+    Bed.worker(0).IsDown = true;
+    Bed.worker(0).crash();
+    Bed.killHost(Bed.ownerIndex());
+    TimePoint Until =
+        std::max(CrashedAt + MaxDown, CrashedAt + MaxDownAfterCrash);
+    CHECK(Bed.runUntil(
+        [&] {
+          return std::none_of(OnSilent.begin(), OnSilent.end(),
+                              [&](const TaskName &Task) {
+                                return Bed.Oracle.workerOf(Task).empty();
+                              });
+        },
+        std::chrono::ceil<milliseconds>(Until - Bed.now())));
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against leases that end with the renewals: all work would stop in an
 // outage of the store.
 TEST_CASE("Long-running tasks go on while the store is away for 9 s") {
@@ -269,6 +320,19 @@
     }
 }
 
+// Guards against the same where processes that are gone are no silent workers.
+TEST_CASE("An owner without the store and its successor start no task twice "
+          "beside workers that were replaced") {
+  for (int Workers : {2, 3, 5, 9})
+    for (uint64_t Seed = 1; Seed <= 200; ++Seed) {
+      CAPTURE(Workers);
+      CAPTURE(Seed);
+      CutSession Session(Seed, Workers, true);
+      for (const std::string &Violation : Session.run())
+        FAIL_CHECK(Violation);
+    }
+}
+
 // Guards against an owner that goes on to start tasks where its leases end: the
 // store and most workers are out of its reach, and the new owner can't reach
 // the one that is left.
