--- a/src/include/basilchute/jobfrontend.h
+++ b/src/include/basilchute/jobfrontend.h
@@ -17,6 +17,9 @@
   /// Returns the shard for a new job. If not set, new jobs go to the first
   /// shard.
   std::function<int(const Job &)> ChooseShard;
+  /// Fails if a job would be stored and not start on the fleet as it is known.
+  /// If not set, every job is stored.
+  std::function<Status(const Job &)> CheckRoom;
   /// True if a transaction of the store may span several partitions. If false,
   /// all jobs go to the first shard.
   bool CanSpanPartitions = true;
@@ -38,9 +41,10 @@
 /// callback once. Not thread-safe.
 class JobFrontend {
 public:
-  /// Success means that the job is stored. Unavailable and Overloaded mean that
-  /// this call has not stored the job and never will, and that no earlier call
-  /// on any host had stored it. NotFound means that the job was cancelled
+  /// Success means that the job is stored. Unavailable, Overloaded and the
+  /// errors of JobFrontendOptions::CheckRoom mean that this call has not stored
+  /// the job and never will, and that no earlier call on any host had stored
+  /// it. NotFound means that the job was cancelled
   /// before it could be stored, and never will be. OutcomeUnknown means that
   /// none of these could be established before the deadline.
   using SubmitDone = std::function<void(Status)>;
--- a/src/libbasilchute/jobfrontend.cpp
+++ b/src/libbasilchute/jobfrontend.cpp
@@ -133,8 +133,16 @@
   }
 
   void submit(const Job &Value, TimePoint Deadline, SubmitDone Done) {
-    int Shard = chooseShard(Value);
     auto Pending = std::make_shared<Submission>();
+    Pending->Id = Value.Id;
+    Pending->Deadline = Deadline;
+    Pending->Done = std::move(Done);
+    if (m_options.CheckRoom) {
+      Status HasRoom = m_options.CheckRoom(Value);
+      if (!HasRoom.has_value())
+        return confirm(Pending, HasRoom.error());
+    }
+    int Shard = chooseShard(Value);
     RowAddress Address = jobAddress(Shard, Value.Id);
     Job Stored = Value;
     Stored.AcceptedAt = m_options.WallTime();
@@ -152,9 +160,6 @@
           {.Address = Address},
           {.Address = cancellationAddress(Shard, Value.Id)}};
     }
-    Pending->Id = Value.Id;
-    Pending->Deadline = Deadline;
-    Pending->Done = std::move(Done);
     tryCommit(Pending);
   }
 
--- a/src/libbasilchute/result.cpp
+++ b/src/libbasilchute/result.cpp
@@ -20,7 +20,7 @@
       {ResultCode::PermissionDenied, "permission_denied",
        "The operator's token is missing or wrong."},
       {ResultCode::NeverFits, "never_fits",
-       "No worker is large enough for the demand."},
+       "No worker, or for a gang no shard, is large enough for the demand."},
       {ResultCode::NotRun, "not_run",
        "The request did not run and can safely be retried."},
       {ResultCode::Unavailable, "unavailable",
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -1,9 +1,11 @@
 #include "libjobhost/jobhost.h"
 
+#include "libbasilchute/gangfit.h"
 #include "libbasilchute/handover.h"
 #include "libbasilchute/jobrows.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <limits>
 #include <set>
 #include <utility>
@@ -31,6 +33,7 @@
       m_frontend(
           {.ChooseShard =
                [this](const Job &Value) { return chooseShardFor(Value); },
+           .CheckRoom = [this](const Job &Value) { return checkGangs(Value); },
            .CanSpanPartitions = m_options.CanSpanPartitions,
            .RunAfter = m_options.RunAfter,
            .WallTime = m_options.WallTime,
@@ -200,14 +203,95 @@
   m_sentWork.push_back(Sent);
 }
 
-// If no owner's report is known, or if the job fits on no shard, any shard may
-// be chosen; its owner then detects whether the job can run.
+std::map<int, std::vector<WorkerEntry>>
+JobHost::largestWorkers(const std::string &Service) const {
+  std::map<int, std::vector<WorkerEntry>> Out;
+  for (const auto &[Id, Worker] : m_largestCapacities) {
+    auto Former = m_formerWorkers.find(Id);
+    bool IsGone =
+        Former != m_formerWorkers.end() &&
+        m_time.now() > Former->second.RemovedAt + FormerWorkerRetention;
+    if (!IsGone && Worker.Service == Service)
+      Out[m_cluster.shardOf(Id)].push_back(Worker);
+  }
+  return Out;
+}
+
+// Workers stay in their shards, so that a gang that fits none of them would
+// wait for workers that join. A gang that does not fit the fleet waits as any
+// job does whose workers are away.
+Status JobHost::checkGangs(const Job &Value) const {
+  auto Queue = m_queues->find(Value.Queue);
+  if (!hasGang(Value) || Queue == m_queues->end())
+    return okStatus();
+  const std::string &Service = Queue->second.Service;
+  std::map<int, std::vector<WorkerEntry>> ByShard = largestWorkers(Service);
+  std::vector<WorkerEntry> Fleet;
+  size_t Step = 0;
+  for (const auto &[Shard, Workers] : ByShard) {
+    std::optional<size_t> Unfit = firstUnfitGang(Value, Service, Workers);
+    if (Shard >= 0 && !Unfit)
+      return okStatus();
+    Step = Unfit.value_or(Step);
+    Fleet.insert(Fleet.end(), Workers.begin(), Workers.end());
+  }
+  if (firstUnfitGang(Value, Service, Fleet))
+    return okStatus();
+  if (ByShard.count(-1))
+    return makeError(ResultCode::NotReady,
+                     "workers for a gang are not assigned to a shard yet");
+  return makeError(
+      ResultCode::NeverFits,
+      fmt::format("steps[{}]: the {} tasks of the gang must run in one shard, "
+                  "and none of {} shards has enough of the {} workers",
+                  Step, Value.Steps[Step].Count, ByShard.size(), Fleet.size()));
+}
+
+bool JobHost::holdsGangs(int Shard, const Job &Value) const {
+  if (!hasGang(Value))
+    return true;
+  auto Queue = m_queues->find(Value.Queue);
+  auto Workers = m_workersByShard.find(Shard);
+  if (Queue == m_queues->end() || Workers == m_workersByShard.end())
+    return false;
+  std::vector<WorkerEntry> Usable = Workers->second;
+  std::erase_if(Usable,
+                [](const WorkerEntry &Worker) { return Worker.IsDraining; });
+  return !firstUnfitGang(Value, Queue->second.Service, Usable);
+}
+
+std::vector<ShardCandidate> JobHost::gangCandidates(const Job &Value) {
+  std::vector<ShardCandidate> Out = candidates(Value);
+  std::erase_if(Out, [&](const ShardCandidate &Candidate) {
+    return !holdsGangs(Candidate.Shard, Value);
+  });
+  return Out;
+}
+
+// Any shard may be chosen for a job that fits on none; its owner then detects
+// whether the job can run. The owner of a shard that holds the gangs may be
+// unknown, or workers there may be away.
+std::vector<ShardCandidate> JobHost::unknownCandidates(const Job &Value) const {
+  auto Queue = m_queues->find(Value.Queue);
+  std::vector<ShardCandidate> All;
+  for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
+    All.push_back({.Shard = Shard});
+  if (!hasGang(Value) || Queue == m_queues->end())
+    return All;
+  const std::string &Service = Queue->second.Service;
+  std::map<int, std::vector<WorkerEntry>> ByShard = largestWorkers(Service);
+  std::vector<ShardCandidate> Out = All;
+  std::erase_if(Out, [&](const ShardCandidate &Candidate) {
+    return firstUnfitGang(Value, Service, ByShard[Candidate.Shard]).has_value();
+  });
+  return Out.empty() ? All : Out;
+}
+
 int JobHost::chooseShardFor(const Job &Value) {
   ShardDemand Demand = demandOf(Value);
-  std::vector<ShardCandidate> Choices = candidates(Value);
+  std::vector<ShardCandidate> Choices = gangCandidates(Value);
   if (Choices.empty())
-    for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
-      Choices.push_back({.Shard = Shard});
+    Choices = unknownCandidates(Value);
   int Out = chooseShard(Choices, Demand);
   recordSentWork(Out, Demand);
   return Out;
@@ -227,11 +311,11 @@
       std::min(Own.Load.WaitingFillMillicores, Demand.FillMillicores);
   // On a shard that cannot run the job, the job would never start, not even if
   // nothing else waits there.
-  if (!canRun(Shard, Value)) {
+  if (!canRun(Shard, Value) || !holdsGangs(Shard, Value)) {
     Own.Load.CapacityMillicores = 0;
     Own.Load.RemainingWork = std::numeric_limits<double>::max();
   }
-  std::vector<ShardCandidate> Others = candidates(Value);
+  std::vector<ShardCandidate> Others = gangCandidates(Value);
   std::erase_if(Others, [&](const ShardCandidate &Other) {
     return Other.Shard == Shard;
   });
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -113,6 +113,21 @@
                      const ShardDemand &Demand) const;
   bool canRun(int Shard, const Job &Value) const;
   bool hasData(int Shard, const Job &Value) const;
+  /// Returns \p Service's workers by shard, those without a shard as shard -1:
+  /// also draining ones and ones that left the list a short time ago, with
+  /// their largest capacities.
+  std::map<int, std::vector<WorkerEntry>>
+  largestWorkers(const std::string &Service) const;
+  /// Fails if the gangs of \p Value fit on the fleet, but not within a shard.
+  Status checkGangs(const Job &Value) const;
+  /// Returns true if the usable workers of \p Shard hold each gang of \p Value
+  /// when they are idle.
+  bool holdsGangs(int Shard, const Job &Value) const;
+  /// Returns the shards that are left for \p Value if no owner of a shard that
+  /// can run it is known.
+  std::vector<ShardCandidate> unknownCandidates(const Job &Value) const;
+  /// Returns the shards that can run \p Value with all its gangs.
+  std::vector<ShardCandidate> gangCandidates(const Job &Value);
   /// Returns the shard for the new job \p Value.
   int chooseShardFor(const Job &Value);
   /// Returns the shard to which the job \p Value that waits on \p Shard should
