Move a gang that its shard no longer holds at any age

What callers see: a gang waited in a full shard for over 8 s, the shard lost a worker that it needs, and it stayed queued for ever although the other shard holds it.

Cause: after 8 s a short job moves only if hasWorkersFor() finds a step that fits no worker of the shard; it looked at single tasks.

Change: hasWorkersFor() asks whether the listed workers hold each gang as a whole.

Test: "A gang that has waited long moves to the shard that still holds it" failed before: CHECK( completes(Bed, "waits", 40s) ) is NOT correct! values: CHECK( false ) CHECK( holdsJob(Bed, 1 - Shard, "waits") ) is NOT correct! values: CHECK( false ) and passes now.

--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -1,3 +1,4 @@
+#include "libbasilchute/gangfit.h"
 #include "libbasilchute/jobshard_impl.h"
 
 #include <algorithm>
@@ -110,10 +111,19 @@
   return !Entry.hasStarted() || !hasRunsOf(Entry);
 }
 
-// Returns true if every step of the job fits on some worker of this shard.
+// Returns true if every step of the job fits on some worker of this shard, and
+// every gang on all of them.
 bool JobShard::Impl::hasWorkersFor(const JobEntry &Entry) const {
   const JobQueue *Queue = queueOf(Entry);
   const std::vector<JobStep> &Steps = Entry.Spec.Steps;
+  if (Queue && hasGang(Entry.Spec)) {
+    std::vector<WorkerEntry> Listed;
+    for (const auto &[Id, Slot] : m_slots)
+      if (Slot.IsListed)
+        Listed.push_back(Slot.Entry);
+    if (firstUnfitGang(Entry.Spec, Queue->Service, Listed))
+      return false;
+  }
   return std::all_of(Steps.begin(), Steps.end(), [&](const JobStep &Step) {
     return std::any_of(m_slots.begin(), m_slots.end(), [&](const auto &Slot) {
       const WorkerEntry &Worker = Slot.second.Entry;
--- a/src/libjobhost/widegang_test.cpp
+++ b/src/libjobhost/widegang_test.cpp
@@ -135,3 +135,28 @@
   CHECK(completes(Bed, "waits", 20s));
   checkNoViolations(Bed);
 }
+
+// Guards against a gang that stays in a shard that has lost a worker which the
+// gang needs, because it has waited too long to be moved.
+TEST_CASE(
+    "A gang that has waited long moves to the shard that still holds it") {
+  JobTestBed Bed({.Workers = 10, .MinShards = 2});
+  Bed.run(5s);
+  // Fill all workers.
+  for (int Number = 0; Number < 4; ++Number)
+    REQUIRE(
+        Bed.submit(0, chainJob(fmt::format("blocker-{}", Number), 1, 20, 14s))
+            .has_value());
+  Bed.run(1s);
+  REQUIRE(Bed.submit(0, gangOf("waits", 5)).has_value());
+  Bed.run(9s);
+  REQUIRE(holdsJob(Bed, 0, "waits") != holdsJob(Bed, 1, "waits"));
+  int Shard = holdsJob(Bed, 0, "waits") ? 0 : 1;
+  int Worker = 0;
+  while (Bed.host(0).Process->shardOf(Bed.worker(Worker).Entry.Id) != Shard)
+    ++Worker;
+  Bed.loseWorker(Worker, 1s);
+  CHECK(completes(Bed, "waits", 40s));
+  CHECK(holdsJob(Bed, 1 - Shard, "waits"));
+  checkNoViolations(Bed);
+}
