Start no task of a part before its home is known not to have cancelled it

Cause: the new owner started the tasks of a part as soon as its rows were read; the cancellation is in the home shard, which it reads up to a second later.

Change: at a takeover a part's tasks wait for that read.

--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -104,6 +104,9 @@
   std::optional<int> HomeShard;
   /// The state of the job in its home shard is being read.
   bool IsReadingHome = false;
+  /// The job may have been cancelled in its home shard before this owner took
+  /// over. No task is started until that is known.
+  bool MayBeCancelledAtHome = false;
   std::vector<TaskState> Tasks;
   /// By step: kind of its tasks.
   std::vector<int> Kinds;
--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -75,7 +75,8 @@
           Entry.Tasks[static_cast<size_t>(Position)].WaitingSince};
 }
 
-// Returns true if the task never ran and would take room that restarts wait for.
+// Returns true if the task never ran and would take room that restarts wait
+// for.
 bool JobShard::Impl::takesRoomOfRestarts(const JobEntry &Entry, int Position,
                                          const RestartDemand &Restarts) {
   return !Entry.isRestart(Position) && Restarts.Millicores > 0 &&
@@ -321,6 +322,7 @@
   if (JobEntry *Added = find(Id)) {
     Added->JobVersion = Row.Version;
     Added->NextDelegation = m_time.now() + LongRunningMaxWait;
+    Added->MayBeCancelledAtHome = true;
   }
 }
 
@@ -348,8 +350,12 @@
                 .To = Cancellation.Key + '\x01'},
                [Weak = weak_from_this(), Id](const Result<RowPage> &Answer) {
                  auto Self = Weak.lock();
-                 if (Self && Answer.has_value() && !Answer.value().Rows.empty())
+                 if (!Self || !Answer.has_value())
+                   return;
+                 if (!Answer.value().Rows.empty())
                    Self->cancelJob(Id);
+                 else if (JobEntry *Found = Self->find(Id))
+                   Found->MayBeCancelledAtHome = false;
                });
   m_store.read({.Table = Progress.Table,
                 .Partition = Progress.Partition,
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -146,6 +146,8 @@
 }
 
 bool JobShard::Impl::canStart(JobEntry &Entry) const {
+  if (Entry.MayBeCancelledAtHome)
+    return false;
   if (!Entry.IsOwnershipCertain)
     Entry.IsOwnershipCertain =
         !m_options.WasOwnerAt || m_options.WasOwnerAt(Entry.JobVersion);
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -205,15 +205,14 @@
 
 std::map<int, std::vector<WorkerEntry>>
 JobHost::largestWorkers(const std::string &Service) const {
+  std::vector<WorkerEntry> Known = m_cluster.largestWorkers();
+  for (const auto &[Id, Former] : m_formerWorkers)
+    if (m_time.now() <= Former.RemovedAt + FormerWorkerRetention)
+      Known.push_back(Former.Entry);
   std::map<int, std::vector<WorkerEntry>> Out;
-  for (const auto &[Id, Worker] : m_largestCapacities) {
-    auto Former = m_formerWorkers.find(Id);
-    bool IsGone =
-        Former != m_formerWorkers.end() &&
-        m_time.now() > Former->second.RemovedAt + FormerWorkerRetention;
-    if (!IsGone && Worker.Service == Service)
-      Out[m_cluster.shardOf(Id)].push_back(Worker);
-  }
+  for (WorkerEntry &Worker : Known)
+    if (Worker.Service == Service)
+      Out[m_cluster.shardOf(Worker.Id)].push_back(std::move(Worker));
   return Out;
 }
 
