--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -288,6 +288,11 @@
          (HomeShard || Task.StoredRun > 0 || !Task.Worker.empty());
 }
 
+std::pair<bool, TimePoint> JobEntry::delegationRank(int Position) const {
+  return {!isRestart(Position),
+          Tasks[static_cast<size_t>(Position)].WaitingSince};
+}
+
 bool JobEntry::hasDelegated() const {
   if (HomeShard)
     return false;
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -137,6 +137,9 @@
   /// this owner knows of a run of it, a previous owner has stored one, or
   /// another shard has delegated the task.
   bool isRestart(int Position) const;
+  /// Returns the rank of a waiting task among those that go to other shards,
+  /// lowest first: restarts, then by the time since which the task has waited.
+  std::pair<bool, TimePoint> delegationRank(int Position) const;
   /// Returns true if all tasks of all preceding steps are done.
   bool isReady(int Position) const;
   /// Returns the position whose crash record counts for the task: its own, or
--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -22,6 +22,14 @@
 /// jobs have their turn.
 constexpr milliseconds FailureDelay{1000};
 
+/// Returns true if the task never ran and would take room that restarts wait
+/// for.
+bool takesRoomOfRestarts(const JobEntry &Entry, int Position,
+                         const RestartDemand &Restarts) {
+  return !Entry.isRestart(Position) && Restarts.Millicores > 0 &&
+         Restarts.Smallest.fits(Entry.stepOf(Position).reservation());
+}
+
 } // namespace
 
 RowAddress JobShard::Impl::progressAddressOf(const std::string &Id) const {
@@ -63,26 +71,11 @@
       Out.push_back(Position);
   }
   std::stable_sort(Out.begin(), Out.end(), [&](int First, int Second) {
-    return delegationRank(Entry, First) < delegationRank(Entry, Second);
+    return Entry.delegationRank(First) < Entry.delegationRank(Second);
   });
   return Out;
 }
 
-// Restarts come before tasks that never ran; then the longest wait counts.
-std::pair<bool, TimePoint> JobShard::Impl::delegationRank(const JobEntry &Entry,
-                                                          int Position) {
-  return {!Entry.isRestart(Position),
-          Entry.Tasks[static_cast<size_t>(Position)].WaitingSince};
-}
-
-// Returns true if the task never ran and would take room that restarts wait
-// for.
-bool JobShard::Impl::takesRoomOfRestarts(const JobEntry &Entry, int Position,
-                                         const RestartDemand &Restarts) {
-  return !Entry.isRestart(Position) && Restarts.Millicores > 0 &&
-         Restarts.Smallest.fits(Entry.stepOf(Position).reservation());
-}
-
 void JobShard::Impl::delegateTasks() {
   TimePoint Now = m_time.now();
   if (!m_options.FindShardWithRoom || Now < m_nextDelegation ||
@@ -104,7 +97,7 @@
       auto [IsNew, Since] = Jobs[Index + 1].first;
       std::pair<bool, TimePoint> Latest{IsNew, Since + MaxOvertaking};
       std::erase_if(Positions, [&](int Position) {
-        return delegationRank(Entry, Position) > Latest;
+        return Entry.delegationRank(Position) > Latest;
       });
     }
     if (Positions.empty())
@@ -130,7 +123,7 @@
     std::vector<int> Delegable = delegableTasks(Entry);
     if (Delegable.empty())
       continue;
-    Out.emplace_back(delegationRank(Entry, Delegable.front()), Id);
+    Out.emplace_back(Entry.delegationRank(Delegable.front()), Id);
   }
   std::sort(Out.begin(), Out.end());
   return Out;
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -29,8 +29,8 @@
 #include "libbasilchute/jobentry.h"
 #include "libbasilchute/leaseevidence.h"
 #include "libbasilchute/orderwindow.h"
+#include "libbasilchute/placementround.h"
 #include "libbasilchute/previousruns.h"
-#include "libbasilchute/roomtokeep.h"
 #include "libbasilchute/unplacedsteps.h"
 #include "libbasilchute/usedworkers.h"
 #include "libbasilchute/workerslot.h"
@@ -81,24 +81,7 @@
   /// time since which a restart has waited, the negative worth per unit of
   /// remaining work for started jobs, or the age for others.
   using Rank = std::tuple<int, int, int, int, double>;
-  struct Round;
   using Slots = std::map<std::string, WorkerSlot>;
-  /// A worker that can take tasks in a round, with the effects of the tasks
-  /// that were placed on it in the round.
-  struct PlacementCandidate {
-    WorkerSlot *Slot;
-    /// Room for starts in the round.
-    Resources Room;
-    double Load;
-    /// Room for tasks for which room is kept. Free is less than Room by what is
-    /// kept but not free yet.
-    WorkerRoom Later;
-    /// Long-running tasks that never ran are not placed here.
-    bool IsKeptForRestarts = false;
-    /// Serving tasks on the worker, with the headroom that the fill tasks on
-    /// the worker leave them.
-    std::vector<ServingLoad> Serving;
-  };
 
   // Reading and committing rows.
   void readJobs(const std::string &From, uint64_t FeedFrom, bool IsInitialLoad);
@@ -145,8 +128,6 @@
 
   // Transfer of jobs to other shards.
   void transfer();
-  static Rank longRunningTransferRank(const JobEntry &Entry,
-                                      const std::set<int> &Positions);
   std::vector<std::string> transferable() const;
   bool canTransfer(const JobEntry &Entry) const;
   bool hasWorkersFor(const JobEntry &Entry) const;
@@ -164,10 +145,6 @@
   /// of these, in the order of the ranks.
   std::vector<std::pair<std::pair<bool, TimePoint>, std::string>>
   jobsToDelegate() const;
-  static std::pair<bool, TimePoint> delegationRank(const JobEntry &Entry,
-                                                   int Position);
-  static bool takesRoomOfRestarts(const JobEntry &Entry, int Position,
-                                  const RestartDemand &Restarts);
   std::vector<int> delegableTasks(const JobEntry &Entry) const;
   bool hasRunsOf(const TaskName &Task) const;
   static std::vector<int> delegatedTo(const DelegationTarget &Target,
@@ -364,24 +341,11 @@
   bool hasTrialRuns(const JobEntry &Entry, int Position) const;
   std::set<std::string> silentWorkers() const;
 
-  /// Service, required label and kind of tasks that could not be placed in a
-  /// round, and the demands of these tasks.
-  using RejectionKey = std::tuple<std::string, std::string, TaskKind>;
-  using Rejections = std::map<RejectionKey, std::vector<Resources>>;
-  /// State of one round of placing.
-  struct Round {
-    std::vector<PlacementCandidate> Candidates;
-    Rejections Rejected;
-    /// Steps of which a task could not be placed: all tasks of a step have the
-    /// same demand.
-    std::set<std::pair<std::string, int>> SkippedSteps;
-  };
-
   // Placement and orders.
   void place();
   /// Returns false if the round must end.
-  bool placeRestarts(Round &Current);
-  void placeOthers(Round &Current);
+  bool placeRestarts(PlacementRound &Current);
+  void placeOthers(PlacementRound &Current);
   /// Sort key of a restart: the time since which it has waited in units of
   /// some hundred milliseconds, and the negative demand. Then job and position.
   using Restart = std::tuple<int64_t, int64_t, std::string, int>;
@@ -389,13 +353,10 @@
   std::vector<std::pair<Rank, std::string>> rankedJobs();
   /// Places as many of the waiting tasks of one job as possible that are no
   /// restarts.
-  void placeJob(Round &Current, JobEntry &Entry);
+  void placeJob(PlacementRound &Current, JobEntry &Entry);
   /// Starts the task if it may start now and a worker has the room.
-  void placeTask(Round &Current, JobEntry &Entry, int Position);
+  void placeTask(PlacementRound &Current, JobEntry &Entry, int Position);
   bool isWaiting(const JobEntry &Entry, int Position) const;
-  /// Returns true if no step of the same kind with at least the same demand can
-  /// be placed once this step could not.
-  static bool excludesOthers(const JobStep &Step);
   bool matchesRejection(const Rejections &Rejected, const JobEntry &Entry,
                         int Position) const;
   void recordRejection(Rejections &Rejected, const JobEntry &Entry,
@@ -418,7 +379,6 @@
   PlacementCandidate *cheapest(std::vector<PlacementCandidate> &Candidates,
                                const JobEntry &Entry, int Position,
                                const std::vector<WorkerSlot *> &GangWorkers);
-  static bool sharesRack(const WorkerSlot &A, const WorkerSlot &B);
   void failIfUnplaceable(JobEntry &Entry, int Position);
   bool isAllowed(const PlacementCandidate &Candidate, const JobEntry &Entry,
                  int Position) const;
@@ -458,8 +418,9 @@
   /// ran.
   void keepRoomForOtherShards(std::vector<PlacementCandidate> &Candidates);
   bool hasLeavingRuns() const;
-  void moveLeavingRuns(Round &Current);
-  void moveLeavingRun(Round &Current, WorkerSlot &Slot, const RunKey &Key);
+  void moveLeavingRuns(PlacementRound &Current);
+  void moveLeavingRun(PlacementRound &Current, WorkerSlot &Slot,
+                      const RunKey &Key);
   /// Reserves room for a run and sends the start order, or has the worker
   /// stored first.
   void start(WorkerSlot &Slot, JobEntry &Entry, int Position);
--- a/src/libbasilchute/jobshard_keep.cpp
+++ b/src/libbasilchute/jobshard_keep.cpp
@@ -44,7 +44,7 @@
       Candidate.Room.Accelerators, std::max<int64_t>(Left.Accelerators, 0));
 }
 
-JobShard::Impl::PlacementCandidate *
+PlacementCandidate *
 JobShard::Impl::holdRoom(std::vector<PlacementCandidate> &Candidates,
                          const JobEntry &Entry, int Position) {
   PlacementCandidate *Best = cheapest(Candidates, Entry, Position, {});
@@ -104,7 +104,7 @@
 // Moves long-running tasks off draining workers while these still run. Room is
 // kept for those that fit nowhere yet, and until a run that is stopped has
 // ended: the notice is used to make room. The largest come first.
-void JobShard::Impl::moveLeavingRuns(Round &Current) {
+void JobShard::Impl::moveLeavingRuns(PlacementRound &Current) {
   std::vector<std::tuple<int64_t, RunKey, WorkerSlot *>> Leaving;
   for (auto &[Id, Slot] : m_slots) {
     if (!Slot.Entry.IsDraining)
@@ -119,7 +119,7 @@
     moveLeavingRun(Current, *Slot, Key);
 }
 
-void JobShard::Impl::moveLeavingRun(Round &Current, WorkerSlot &Slot,
+void JobShard::Impl::moveLeavingRun(PlacementRound &Current, WorkerSlot &Slot,
                                     const RunKey &Key) {
   JobEntry *Entry = find(Key.first.Job);
   int Position = Entry ? Entry->positionOf(Key.first) : -1;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -45,6 +45,19 @@
 /// Cost of the worker of the task's previous run, which failed or was lost.
 constexpr double SameWorkerCost = 3.0;
 
+/// Returns true if no step of the same kind with at least the same demand can
+/// be placed once this step could not. A gang or a limit per worker can be the
+/// reason for the rejection instead of the demand, so that no other step is
+/// rejected because of such a step.
+bool excludesOthers(const JobStep &Step) {
+  return !Step.Gang && Step.MaxPerWorker == 0;
+}
+
+bool sharesRack(const WorkerSlot &A, const WorkerSlot &B) {
+  return A.Entry.Labels.empty() || B.Entry.Labels.empty() ||
+         A.Entry.Labels.back() == B.Entry.Labels.back();
+}
+
 } // namespace
 
 // Every waiting step is compared with every worker, so the work of one round is
@@ -56,7 +69,7 @@
     return;
   m_nextRound = Now + MinRoundInterval;
   uint64_t StartsBefore = m_counts.Starts;
-  Round Current{.Candidates = placementCandidates()};
+  PlacementRound Current{.Candidates = placementCandidates()};
   m_isLightlyLoaded = isLightlyLoaded(Current.Candidates);
   placeTrials(Current.Candidates);
   m_unplacedSteps.beginRound();
@@ -81,7 +94,7 @@
 
 // Room is kept for each restart that finds none, so that their waits do not add
 // up.
-bool JobShard::Impl::placeRestarts(Round &Current) {
+bool JobShard::Impl::placeRestarts(PlacementRound &Current) {
   for (const auto &[Since, Millicores, Id, Position] : waitingRestarts()) {
     if (!m_startWindow.isOpen())
       return false;
@@ -95,7 +108,7 @@
   return true;
 }
 
-void JobShard::Impl::placeOthers(Round &Current) {
+void JobShard::Impl::placeOthers(PlacementRound &Current) {
   for (const auto &[JobRank, Id] : rankedJobs()) {
     placeJob(Current, *find(Id));
     if (m_unplacedSteps.isRoundOver() || !m_startWindow.isOpen())
@@ -159,7 +172,7 @@
   return Waiting != m_waiting.end() && Waiting->second.count(Position) > 0;
 }
 
-void JobShard::Impl::placeJob(Round &Current, JobEntry &Entry) {
+void JobShard::Impl::placeJob(PlacementRound &Current, JobEntry &Entry) {
   auto Waiting = m_waiting.find(Entry.Spec.Id);
   if (Waiting == m_waiting.end())
     return;
@@ -181,7 +194,8 @@
   }
 }
 
-void JobShard::Impl::placeTask(Round &Current, JobEntry &Entry, int Position) {
+void JobShard::Impl::placeTask(PlacementRound &Current, JobEntry &Entry,
+                               int Position) {
   TimePoint Now = m_time.now();
   milliseconds WallTime =
       m_options.WallTime ? m_options.WallTime() : milliseconds(0);
@@ -223,12 +237,6 @@
     keepRoom(Current.Candidates, Entry, Position);
 }
 
-// A gang or a limit per worker can be the reason for the rejection instead of
-// the demand, so other steps must not be rejected because of such a step.
-bool JobShard::Impl::excludesOthers(const JobStep &Step) {
-  return !Step.Gang && Step.MaxPerWorker == 0;
-}
-
 // If a task could not be placed, no other task with at least the same demand
 // can be placed in the round; for fill tasks this holds within a kind. Without
 // this check a backlog of unplaceable tasks would use up the round, and tasks
@@ -255,8 +263,8 @@
   Rejected[rejectionKey(Entry, Position)].push_back(Step.Demand);
 }
 
-JobShard::Impl::RejectionKey JobShard::Impl::rejectionKey(const JobEntry &Entry,
-                                                          int Position) const {
+RejectionKey JobShard::Impl::rejectionKey(const JobEntry &Entry,
+                                          int Position) const {
   const JobQueue *Queue = queueOf(Entry);
   const JobStep &Step = Entry.stepOf(Position);
   TaskKind Kind = Entry.Kinds[static_cast<size_t>(Entry.nameOf(Position).Step)];
@@ -275,8 +283,7 @@
   return Free * 2 > Total;
 }
 
-std::vector<JobShard::Impl::PlacementCandidate>
-JobShard::Impl::placementCandidates() {
+std::vector<PlacementCandidate> JobShard::Impl::placementCandidates() {
   TimePoint Now = m_time.now();
   std::vector<PlacementCandidate> Candidates;
   for (auto &[Id, Slot] : m_slots) {
@@ -314,7 +321,7 @@
   return false;
 }
 
-JobShard::Impl::PlacementCandidate *
+PlacementCandidate *
 JobShard::Impl::cheapest(std::vector<PlacementCandidate> &Candidates,
                          const JobEntry &Entry, int Position,
                          const std::vector<WorkerSlot *> &GangWorkers) {
@@ -345,11 +352,6 @@
   return Best;
 }
 
-bool JobShard::Impl::sharesRack(const WorkerSlot &A, const WorkerSlot &B) {
-  return A.Entry.Labels.empty() || B.Entry.Labels.empty() ||
-         A.Entry.Labels.back() == B.Entry.Labels.back();
-}
-
 void JobShard::Impl::failIfUnplaceable(JobEntry &Entry, int Position) {
   bool IsOldEnough = m_time.now() > Entry.ArrivedAt + FailUnplaceableAfter;
   if (IsOldEnough && !Entry.HomeShard && queueOf(Entry) && !m_fleet.empty() &&
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -21,6 +21,17 @@
 /// Maximum number of jobs for which a better shard is searched at a time.
 constexpr size_t MaxTransferCandidates = 24;
 
+/// Returns the rank of a long-running job by the first of its waiting tasks.
+std::tuple<int, int, int, int, double>
+longRunningTransferRank(const JobEntry &Entry, const std::set<int> &Positions) {
+  std::pair<bool, TimePoint> First = Entry.delegationRank(*Positions.begin());
+  for (int Position : Positions)
+    First = std::min(First, Entry.delegationRank(Position));
+  return {
+      -1, First.first ? 1 : 0, 0, 0,
+      std::chrono::duration<double>(First.second.time_since_epoch()).count()};
+}
+
 } // namespace
 
 // Returns the millicores that fill tasks of this kind could add on all workers
@@ -147,19 +158,6 @@
   });
 }
 
-// Restarts come before jobs that never ran; then the longest wait counts.
-JobShard::Impl::Rank
-JobShard::Impl::longRunningTransferRank(const JobEntry &Entry,
-                                        const std::set<int> &Positions) {
-  auto First =
-      std::min_element(Positions.begin(), Positions.end(), [&](int A, int B) {
-        return delegationRank(Entry, A) < delegationRank(Entry, B);
-      });
-  auto [IsNew, Since] = delegationRank(Entry, *First);
-  return {-1, IsNew ? 1 : 0, 0, 0,
-          std::chrono::duration<double>(Since.time_since_epoch()).count()};
-}
-
 // Returns the jobs that may be transferred, in order of preference:
 // long-running jobs first, because no capacity will become free for them here;
 // then the jobs that would be started last in this shard.
--- a/src/libbasilchute/jobshard_trial.cpp
+++ b/src/libbasilchute/jobshard_trial.cpp
@@ -116,7 +116,7 @@
   return Out;
 }
 
-JobShard::Impl::PlacementCandidate *
+PlacementCandidate *
 JobShard::Impl::leastHarmful(std::vector<PlacementCandidate> &Candidates,
                              JobEntry &Entry, int Position,
                              const std::set<std::string> &GangWorkers) {
@@ -214,7 +214,7 @@
   }
 }
 
-std::vector<JobShard::Impl::PlacementCandidate *>
+std::vector<PlacementCandidate *>
 JobShard::Impl::readyPlaces(std::vector<PlacementCandidate> &Candidates,
                             JobEntry &Entry, const PendingTrial &Pending) {
   bool NeedsProof = CrashHistory::needsProof(
--- /dev/null
+++ b/src/libbasilchute/placementround.h
@@ -0,0 +1,49 @@
+/// \file
+/// State of one round in which the owner of a shard places waiting tasks.
+#pragma once
+
+#include "basilchute/interference.h"
+#include "libbasilchute/roomtokeep.h"
+#include "libbasilchute/workerslot.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+/// A worker that can take tasks in a round, with the effects of the tasks that
+/// were placed on it in the round.
+struct PlacementCandidate {
+  WorkerSlot *Slot;
+  /// Room for starts in the round.
+  Resources Room;
+  double Load;
+  /// Room for tasks for which room is kept. Free is less than Room by what is
+  /// kept but not free yet.
+  WorkerRoom Later;
+  /// Long-running tasks that never ran are not placed here.
+  bool IsKeptForRestarts = false;
+  /// Serving tasks on the worker, with the headroom that the fill tasks on the
+  /// worker leave them.
+  std::vector<ServingLoad> Serving;
+};
+
+/// Service, required label and kind of tasks that could not be placed in a
+/// round, and the demands of these tasks.
+using RejectionKey = std::tuple<std::string, std::string, TaskKind>;
+using Rejections = std::map<RejectionKey, std::vector<Resources>>;
+
+/// One round.
+struct PlacementRound {
+  std::vector<PlacementCandidate> Candidates;
+  Rejections Rejected;
+  /// Steps of which a task could not be placed, by job: all tasks of a step
+  /// have the same demand.
+  std::set<std::pair<std::string, int>> SkippedSteps;
+};
+
+BASILCHUTE_NAMESPACE_END
