--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -52,6 +52,8 @@
   CrashRecord Crash;
   /// When the task became ready, or ready again after a run ended.
   TimePoint WaitingSince{};
+  /// The present wait was reported as overdue.
+  bool IsOverdue = false;
 };
 
 /// A job and its tasks. The position of a task is its index over all steps of
@@ -102,6 +104,9 @@
   std::optional<int> HomeShard;
   /// The state of the job in its home shard is being read.
   bool IsReadingHome = false;
+  /// The job may have been cancelled in its home shard before this owner took
+  /// over. No task is started until that is known.
+  bool MayBeCancelledAtHome = false;
   std::vector<TaskState> Tasks;
   /// By step: kind of its tasks.
   std::vector<int> Kinds;
@@ -132,6 +137,9 @@
   /// this owner knows of a run of it, a previous owner has stored one, or
   /// another shard has delegated the task.
   bool isRestart(int Position) const;
+  /// Returns the rank of a waiting task among those that go to other shards,
+  /// lowest first: restarts, then by the time since which the task has waited.
+  std::pair<bool, TimePoint> delegationRank(int Position) const;
   /// Returns true if all tasks of all preceding steps are done.
   bool isReady(int Position) const;
   /// Returns the position whose crash record counts for the task: its own, or
@@ -177,8 +185,9 @@
   bool addFailedRun(int Position, int Run);
   static constexpr size_t MaxFailedRuns = 32;
   /// Reverts finish() for a long-running task that was delegated and comes back
-  /// in the state \p Progress. It runs nowhere.
-  void reopen(const TaskProgress &Progress);
+  /// in the state \p Progress. It runs nowhere and has waited since before
+  /// \p Now.
+  void reopen(const TaskProgress &Progress, TimePoint Now);
   /// Returns true if another shard runs long-running tasks of the job.
   bool hasDelegated() const;
   /// Returns true if every task is done.
--- a/src/libbasilchute/jobfrontend.cpp
+++ b/src/libbasilchute/jobfrontend.cpp
@@ -133,8 +133,16 @@
   }
 
   void submit(const Job &Value, TimePoint Deadline, SubmitDone Done) {
-    int Shard = chooseShard(Value);
     auto Pending = std::make_shared<Submission>();
+    Pending->Id = Value.Id;
+    Pending->Deadline = Deadline;
+    Pending->Done = std::move(Done);
+    if (m_options.CheckRoom) {
+      Status HasRoom = m_options.CheckRoom(Value);
+      if (!HasRoom.has_value())
+        return confirm(Pending, HasRoom.error());
+    }
+    int Shard = chooseShard(Value);
     RowAddress Address = jobAddress(Shard, Value.Id);
     Job Stored = Value;
     Stored.AcceptedAt = m_options.WallTime();
@@ -152,9 +160,6 @@
           {.Address = Address},
           {.Address = cancellationAddress(Shard, Value.Id)}};
     }
-    Pending->Id = Value.Id;
-    Pending->Deadline = Deadline;
-    Pending->Done = std::move(Done);
     tryCommit(Pending);
   }
 
@@ -416,19 +421,25 @@
                 if (!Answer.has_value())
                   return Request->fail(Answer.error());
                 const std::vector<StoredRow> &Rows = Answer.value().Rows;
-                if (Rows.empty() && Location.Version == 0)
-                  return Self->barJob(Request);
+                if (Rows.empty())
+                  return Self->onNoRows(Request, Location);
                 if (Rows.front().Address == Address && Location.Version == 0)
                   return Request->Done(jobNotFound(Request->Id));
-                if (Rows.empty())
-                  return Self->retryCancel(
-                      Request, "the job is being transferred to another shard");
                 if (Rows.back().Address == Address)
                   return Request->Done(okStatus());
                 Self->writeCancellation(Request, Location, Address);
               });
   }
 
+  // An index row names the shard that the job has just left; without an index
+  // there is no such job.
+  void onNoRows(const std::shared_ptr<Cancellation> &Request,
+                const JobLocation &Location) {
+    if (Location.Version == 0)
+      return barJob(Request);
+    retryCancel(Request, "the job is being transferred to another shard");
+  }
+
   // A submission of the job may be on its way, and must not be stored after the
   // caller was told that the job does not exist.
   void barJob(const std::shared_ptr<Cancellation> &Request) {
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -12,7 +12,9 @@
 /// - jobshard_orders.cpp: start orders and stop orders;
 /// - jobshard_lagging.cpp: runs that are too slow on their worker;
 /// - jobshard_interference.cpp: interference and the pace of fill tasks;
-/// - jobshard_relocate.cpp: runs that move to another worker;
+/// - jobshard_keep.cpp: room that is kept for tasks that fit nowhere yet, and
+///   long-running runs that move off draining workers;
+/// - jobshard_relocate.cpp: stalled fill runs that move to another worker;
 /// - jobshard_transfer.cpp: transfer of waiting jobs to another shard;
 /// - jobshard_delegate.cpp: tasks that another shard runs for this one;
 /// - jobshard_addedtasks.cpp: tasks that other shards delegate to this one, or
@@ -27,6 +29,7 @@
 #include "libbasilchute/jobentry.h"
 #include "libbasilchute/leaseevidence.h"
 #include "libbasilchute/orderwindow.h"
+#include "libbasilchute/placementround.h"
 #include "libbasilchute/previousruns.h"
 #include "libbasilchute/unplacedsteps.h"
 #include "libbasilchute/usedworkers.h"
@@ -78,21 +81,7 @@
   /// time since which a restart has waited, the negative worth per unit of
   /// remaining work for started jobs, or the age for others.
   using Rank = std::tuple<int, int, int, int, double>;
-  /// Which of the waiting tasks of a job are placed.
-  enum class WaitingTasks { Restarts, Others };
   using Slots = std::map<std::string, WorkerSlot>;
-  /// A worker that can take tasks in a round, with the effects of the tasks
-  /// that were placed on it in the round.
-  struct PlacementCandidate {
-    WorkerSlot *Slot;
-    Resources Room;
-    double Load;
-    /// Millicores that are reserved for waiting tasks.
-    int64_t ReservedMillicores = 0;
-    /// Serving tasks on the worker, with the headroom that the fill tasks on
-    /// the worker leave them.
-    std::vector<ServingLoad> Serving;
-  };
 
   // Reading and committing rows.
   void readJobs(const std::string &From, uint64_t FeedFrom, bool IsInitialLoad);
@@ -152,9 +141,10 @@
 
   // Delegation of waiting long-running tasks to other shards.
   void delegateTasks();
-  /// Returns the jobs with tasks to delegate, each with the time since which
-  /// one of these has waited. The task that has waited longest comes first.
-  std::vector<std::pair<TimePoint, std::string>> jobsToDelegate() const;
+  /// Returns the jobs with tasks to delegate, each with the rank of the first
+  /// of these, in the order of the ranks.
+  std::vector<std::pair<std::pair<bool, TimePoint>, std::string>>
+  jobsToDelegate() const;
   std::vector<int> delegableTasks(const JobEntry &Entry) const;
   bool hasRunsOf(const TaskName &Task) const;
   static std::vector<int> delegatedTo(const DelegationTarget &Target,
@@ -307,7 +297,7 @@
   /// Counts a crash of a worker that a previous owner has not counted.
   void countEarlierCrash(JobEntry &Entry, int Position,
                          const std::string &Worker);
-  void restoreCrashes(const JobEntry &Entry);
+  void restoreCrashes(JobEntry &Entry);
   void onStartSeen(WorkerSlot &Slot, ReservedRun &Run, milliseconds Clock);
   void onSuspectSeen(JobEntry &Entry, int Position);
   void onSuspectEnded(JobEntry &Entry, int Position, RunOutcome Outcome);
@@ -351,23 +341,22 @@
   bool hasTrialRuns(const JobEntry &Entry, int Position) const;
   std::set<std::string> silentWorkers() const;
 
-  /// Service, required label and kind of tasks that could not be placed in a
-  /// round, and the demands of these tasks.
-  using RejectionKey = std::tuple<std::string, std::string, TaskKind>;
-  using Rejections = std::map<RejectionKey, std::vector<Resources>>;
-
   // Placement and orders.
   void place();
-  std::vector<std::tuple<Rank, std::string, WaitingTasks>> rankedJobs();
-  /// Places as many of the chosen waiting tasks of one job as possible.
-  void placeJob(JobEntry &Entry, WaitingTasks Which,
-                std::vector<PlacementCandidate> &Candidates,
-                Rejections &Rejected);
-  /// Returns true if no step of the same kind with at least the same demand can
-  /// be placed once this step could not.
-  static bool excludesOthers(const JobStep &Step);
-  void holdRoomUntilDue(std::vector<PlacementCandidate> &Candidates,
-                        const JobEntry &Entry, int Position);
+  /// Returns false if the round must end.
+  bool placeRestarts(PlacementRound &Current);
+  void placeOthers(PlacementRound &Current);
+  /// Sort key of a restart: the time since which it has waited in units of
+  /// some hundred milliseconds, and the negative demand. Then job and position.
+  using Restart = std::tuple<int64_t, int64_t, std::string, int>;
+  std::vector<Restart> waitingRestarts();
+  std::vector<std::pair<Rank, std::string>> rankedJobs();
+  /// Places as many of the waiting tasks of one job as possible that are no
+  /// restarts.
+  void placeJob(PlacementRound &Current, JobEntry &Entry);
+  /// Starts the task if it may start now and a worker has the room.
+  void placeTask(PlacementRound &Current, JobEntry &Entry, int Position);
+  bool isWaiting(const JobEntry &Entry, int Position) const;
   bool matchesRejection(const Rejections &Rejected, const JobEntry &Entry,
                         int Position) const;
   void recordRejection(Rejections &Rejected, const JobEntry &Entry,
@@ -390,7 +379,6 @@
   PlacementCandidate *cheapest(std::vector<PlacementCandidate> &Candidates,
                                const JobEntry &Entry, int Position,
                                const std::vector<WorkerSlot *> &GangWorkers);
-  static bool sharesRack(const WorkerSlot &A, const WorkerSlot &B);
   void failIfUnplaceable(JobEntry &Entry, int Position);
   bool isAllowed(const PlacementCandidate &Candidate, const JobEntry &Entry,
                  int Position) const;
@@ -418,9 +406,21 @@
                                    TaskKind Kind);
   void reserveFor(PlacementCandidate &Candidate, const JobEntry &Entry,
                   int Position);
-  void reserveCapacity(std::vector<PlacementCandidate> &Candidates,
-                       const JobEntry &Entry, int Position);
-  void stopRunsOnDrainingWorkers();
+  /// Keeps room for the task on a worker that has it, or else on one that will
+  /// have it. Returns the worker if it has the room now.
+  PlacementCandidate *holdRoom(std::vector<PlacementCandidate> &Candidates,
+                               const JobEntry &Entry, int Position);
+  void keepRoom(std::vector<PlacementCandidate> &Candidates,
+                const JobEntry &Entry, int Position);
+  /// Returns the restarts that have waited for a while for room.
+  RestartDemand overdueRestarts() const;
+  /// Keeps room for restarts of other shards from long-running tasks that never
+  /// ran.
+  void keepRoomForOtherShards(std::vector<PlacementCandidate> &Candidates);
+  bool hasLeavingRuns() const;
+  void moveLeavingRuns(PlacementRound &Current);
+  void moveLeavingRun(PlacementRound &Current, WorkerSlot &Slot,
+                      const RunKey &Key);
   /// Reserves room for a run and sends the start order, or has the worker
   /// stored first.
   void start(WorkerSlot &Slot, JobEntry &Entry, int Position);
@@ -451,6 +451,9 @@
   std::string placementFields();
   void logLongTaskWaits(const std::vector<PlacementCandidate> &Candidates,
                         int64_t MostMillicores);
+  /// Reports once for each wait that a task is overdue.
+  void logOverdueTask(const std::vector<PlacementCandidate> &Candidates,
+                      JobEntry &Entry, int Position);
   std::string waitReason(const JobEntry &Entry, int Position) const;
   std::string waitFields(const std::vector<PlacementCandidate> &Candidates,
                          const JobEntry &Entry, int Position) const;
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -1,3 +1,4 @@
+#include "libbasilchute/gangfit.h"
 #include "libbasilchute/jobshard_impl.h"
 
 #include <algorithm>
@@ -20,6 +21,17 @@
 /// Maximum number of jobs for which a better shard is searched at a time.
 constexpr size_t MaxTransferCandidates = 24;
 
+/// Returns the rank of a long-running job by the first of its waiting tasks.
+std::tuple<int, int, int, int, double>
+longRunningTransferRank(const JobEntry &Entry, const std::set<int> &Positions) {
+  std::pair<bool, TimePoint> First = Entry.delegationRank(*Positions.begin());
+  for (int Position : Positions)
+    First = std::min(First, Entry.delegationRank(Position));
+  return {
+      -1, First.first ? 1 : 0, 0, 0,
+      std::chrono::duration<double>(First.second.time_since_epoch()).count()};
+}
+
 } // namespace
 
 // Returns the millicores that fill tasks of this kind could add on all workers
@@ -62,10 +74,12 @@
     if (!Slot.IsListed || Slot.Entry.IsDraining || Slot.MissedPolls > 0)
       continue;
     Out.CapacityMillicores += Slot.Entry.Capacity.Millicores;
-    int64_t Room = Slot.eventualFreeCapacity().Millicores;
-    Out.LargestRoomMillicores = std::max(Out.LargestRoomMillicores, Room);
+    Resources Room = Slot.eventualFreeCapacity();
+    Out.LargestRoomMillicores =
+        std::max(Out.LargestRoomMillicores, Room.Millicores);
     addRoomyWorker(Out, Room);
   }
+  Out.WaitingRestarts = overdueRestarts();
   for (const auto &[Id, Entry] : m_jobs) {
     if (isFinal(Entry.State))
       continue;
@@ -110,10 +124,19 @@
   return !Entry.hasStarted() || !hasRunsOf(Entry);
 }
 
-// Returns true if every step of the job fits on some worker of this shard.
+// Returns true if every step of the job fits on some worker of this shard, and
+// every gang on all of them.
 bool JobShard::Impl::hasWorkersFor(const JobEntry &Entry) const {
   const JobQueue *Queue = queueOf(Entry);
   const std::vector<JobStep> &Steps = Entry.Spec.Steps;
+  if (Queue && hasGang(Entry.Spec)) {
+    std::vector<WorkerEntry> Listed;
+    for (const auto &[Id, Slot] : m_slots)
+      if (Slot.IsListed)
+        Listed.push_back(Slot.Entry);
+    if (firstUnfitGang(Entry.Spec, Queue->Service, Listed))
+      return false;
+  }
   return std::all_of(Steps.begin(), Steps.end(), [&](const JobStep &Step) {
     return std::any_of(m_slots.begin(), m_slots.end(), [&](const auto &Slot) {
       const WorkerEntry &Worker = Slot.second.Entry;
@@ -145,7 +168,7 @@
     if (!canTransfer(Entry))
       continue;
     if (Entry.Spec.Steps.front().LongRunning)
-      Ranked.push_back({{-1, 0, 0, 0, 0}, Id});
+      Ranked.push_back({longRunningTransferRank(Entry, Positions), Id});
     else if (latenessOf(Entry) == 0 || !hasWorkersFor(Entry))
       Ranked.push_back({{0, 0, 0, 0, -std::get<4>(rankOf(Entry))}, Id});
   }
--- a/src/libbasilchute/jobshard_trial.cpp
+++ b/src/libbasilchute/jobshard_trial.cpp
@@ -116,7 +116,7 @@
   return Out;
 }
 
-JobShard::Impl::PlacementCandidate *
+PlacementCandidate *
 JobShard::Impl::leastHarmful(std::vector<PlacementCandidate> &Candidates,
                              JobEntry &Entry, int Position,
                              const std::set<std::string> &GangWorkers) {
@@ -161,7 +161,7 @@
       if (needsApproval(Entry))
         requestApproval(Candidates, Entry, Member, Members.size());
       else if (Now > Task.WaitingSince + ReserveTrialRoomAfter)
-        reserveCapacity(Candidates, Entry, Member);
+        keepRoom(Candidates, Entry, Member);
       return false;
     }
     if (harmOf(*Best->Slot).LongRunningTasks > 0 &&
@@ -214,7 +214,7 @@
   }
 }
 
-std::vector<JobShard::Impl::PlacementCandidate *>
+std::vector<PlacementCandidate *>
 JobShard::Impl::readyPlaces(std::vector<PlacementCandidate> &Candidates,
                             JobEntry &Entry, const PendingTrial &Pending) {
   bool NeedsProof = CrashHistory::needsProof(
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -1,9 +1,11 @@
 #include "libjobhost/jobhost.h"
 
+#include "libbasilchute/gangfit.h"
 #include "libbasilchute/handover.h"
 #include "libbasilchute/jobrows.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <limits>
 #include <set>
 #include <utility>
@@ -31,6 +33,7 @@
       m_frontend(
           {.ChooseShard =
                [this](const Job &Value) { return chooseShardFor(Value); },
+           .CheckRoom = [this](const Job &Value) { return checkGangs(Value); },
            .CanSpanPartitions = m_options.CanSpanPartitions,
            .RunAfter = m_options.RunAfter,
            .WallTime = m_options.WallTime,
@@ -93,6 +96,9 @@
                                             size_t Tasks) {
     return findDelegationTarget(Shard, Value, Holders, Tasks);
   };
+  Options.RestartsElsewhere = [this, Shard] {
+    return restartsElsewhere(Shard);
+  };
   Options.ShardCount = [this] { return m_cluster.shards(); };
   Options.Log = m_options.Log;
   auto Acquired = std::make_unique<JobShard>(std::move(Options), m_store,
@@ -129,11 +135,8 @@
 }
 
 void JobHost::updateShardWorkers(int Shard) {
-  std::vector<WorkerEntry> Largest;
-  for (const WorkerEntry &Worker : m_fleet)
-    Largest.push_back(m_largestCapacities.at(Worker.Id));
   m_ownedShards.at(Shard)->setWorkers(m_workersByShard[Shard],
-                                      std::move(Largest));
+                                      m_cluster.largestWorkers());
 }
 
 bool JobHost::canRun(int Shard, const Job &Value) const {
@@ -200,14 +203,94 @@
   m_sentWork.push_back(Sent);
 }
 
-// If no owner's report is known, or if the job fits on no shard, any shard may
-// be chosen; its owner then detects whether the job can run.
+std::map<int, std::vector<WorkerEntry>>
+JobHost::largestWorkers(const std::string &Service) const {
+  std::vector<WorkerEntry> Known = m_cluster.largestWorkers();
+  for (const auto &[Id, Former] : m_formerWorkers)
+    if (m_time.now() <= Former.RemovedAt + FormerWorkerRetention)
+      Known.push_back(Former.Entry);
+  std::map<int, std::vector<WorkerEntry>> Out;
+  for (WorkerEntry &Worker : Known)
+    if (Worker.Service == Service)
+      Out[m_cluster.shardOf(Worker.Id)].push_back(std::move(Worker));
+  return Out;
+}
+
+// Workers stay in their shards, so that a gang that fits none of them would
+// wait for workers that join. A gang that does not fit the fleet waits as any
+// job does whose workers are away.
+Status JobHost::checkGangs(const Job &Value) const {
+  auto Queue = m_queues->find(Value.Queue);
+  if (!hasGang(Value) || Queue == m_queues->end())
+    return okStatus();
+  const std::string &Service = Queue->second.Service;
+  std::map<int, std::vector<WorkerEntry>> ByShard = largestWorkers(Service);
+  std::vector<WorkerEntry> Fleet;
+  size_t Step = 0;
+  for (const auto &[Shard, Workers] : ByShard) {
+    std::optional<size_t> Unfit = firstUnfitGang(Value, Service, Workers);
+    if (Shard >= 0 && !Unfit)
+      return okStatus();
+    Step = Unfit.value_or(Step);
+    Fleet.insert(Fleet.end(), Workers.begin(), Workers.end());
+  }
+  if (firstUnfitGang(Value, Service, Fleet))
+    return okStatus();
+  if (ByShard.count(-1))
+    return makeError(ResultCode::NotReady,
+                     "workers for a gang are not assigned to a shard yet");
+  return makeError(
+      ResultCode::NeverFits,
+      fmt::format("steps[{}]: the {} tasks of the gang must run in one shard, "
+                  "and none of {} shards has enough of the {} workers",
+                  Step, Value.Steps[Step].Count, ByShard.size(), Fleet.size()));
+}
+
+bool JobHost::holdsGangs(int Shard, const Job &Value) const {
+  if (!hasGang(Value))
+    return true;
+  auto Queue = m_queues->find(Value.Queue);
+  auto Workers = m_workersByShard.find(Shard);
+  if (Queue == m_queues->end() || Workers == m_workersByShard.end())
+    return false;
+  std::vector<WorkerEntry> Usable = Workers->second;
+  std::erase_if(Usable,
+                [](const WorkerEntry &Worker) { return Worker.IsDraining; });
+  return !firstUnfitGang(Value, Queue->second.Service, Usable);
+}
+
+std::vector<ShardCandidate> JobHost::gangCandidates(const Job &Value) {
+  std::vector<ShardCandidate> Out = candidates(Value);
+  std::erase_if(Out, [&](const ShardCandidate &Candidate) {
+    return !holdsGangs(Candidate.Shard, Value);
+  });
+  return Out;
+}
+
+// Any shard may be chosen for a job that fits on none; its owner then detects
+// whether the job can run. The owner of a shard that holds the gangs may be
+// unknown, or workers there may be away.
+std::vector<ShardCandidate> JobHost::unknownCandidates(const Job &Value) const {
+  auto Queue = m_queues->find(Value.Queue);
+  std::vector<ShardCandidate> All;
+  for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
+    All.push_back({.Shard = Shard});
+  if (!hasGang(Value) || Queue == m_queues->end())
+    return All;
+  const std::string &Service = Queue->second.Service;
+  std::map<int, std::vector<WorkerEntry>> ByShard = largestWorkers(Service);
+  std::vector<ShardCandidate> Out = All;
+  std::erase_if(Out, [&](const ShardCandidate &Candidate) {
+    return firstUnfitGang(Value, Service, ByShard[Candidate.Shard]).has_value();
+  });
+  return Out.empty() ? All : Out;
+}
+
 int JobHost::chooseShardFor(const Job &Value) {
   ShardDemand Demand = demandOf(Value);
-  std::vector<ShardCandidate> Choices = candidates(Value);
+  std::vector<ShardCandidate> Choices = gangCandidates(Value);
   if (Choices.empty())
-    for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
-      Choices.push_back({.Shard = Shard});
+    Choices = unknownCandidates(Value);
   int Out = chooseShard(Choices, Demand);
   recordSentWork(Out, Demand);
   return Out;
@@ -227,11 +310,11 @@
       std::min(Own.Load.WaitingFillMillicores, Demand.FillMillicores);
   // On a shard that cannot run the job, the job would never start, not even if
   // nothing else waits there.
-  if (!canRun(Shard, Value)) {
+  if (!canRun(Shard, Value) || !holdsGangs(Shard, Value)) {
     Own.Load.CapacityMillicores = 0;
     Own.Load.RemainingWork = std::numeric_limits<double>::max();
   }
-  std::vector<ShardCandidate> Others = candidates(Value);
+  std::vector<ShardCandidate> Others = gangCandidates(Value);
   std::erase_if(Others, [&](const ShardCandidate &Other) {
     return Other.Shard == Shard;
   });
@@ -282,6 +365,16 @@
   return Out;
 }
 
+RestartDemand JobHost::restartsElsewhere(int Shard) const {
+  RestartDemand Out;
+  for (int Other = 0; Other < m_cluster.shards(); ++Other) {
+    const ShardReport *Report = m_cluster.report(Other);
+    if (Other != Shard && Report)
+      Out.add(Report->Load.WaitingRestarts);
+  }
+  return Out;
+}
+
 size_t JobHost::tasksToSend(const ShardCandidate &Target,
                             const ShardDemand &Demand) const {
   int64_t Task = std::max<int64_t>(Demand.LargestTaskMillicores, 1);
@@ -308,7 +401,6 @@
   std::vector<WorkerEntry> OldFleet = std::move(m_fleet);
   m_fleet = std::move(Fleet);
   updateFormerWorkers(OldFleet);
-  updateLargestCapacities();
   m_cluster.setFleet(m_fleet);
   groupWorkers();
 }
@@ -324,24 +416,6 @@
   });
 }
 
-// A new incarnation may be another kind of worker, which shows in its labels.
-void JobHost::updateLargestCapacities() {
-  for (const WorkerEntry &Worker : m_fleet) {
-    WorkerEntry &Largest = m_largestCapacities[Worker.Id];
-    Resources Capacity = Worker.Capacity;
-    if (Largest.Labels == Worker.Labels)
-      Capacity = larger(Capacity, Largest.Capacity);
-    Largest = Worker;
-    Largest.Capacity = Capacity;
-  }
-  std::set<std::string> Listed;
-  for (const WorkerEntry &Worker : m_fleet)
-    Listed.insert(Worker.Id);
-  std::erase_if(m_largestCapacities, [&](const auto &Worker) {
-    return !Listed.count(Worker.first) && !m_formerWorkers.count(Worker.first);
-  });
-}
-
 std::vector<WorkerEntry> JobHost::formerWorkersOf(int Shard) const {
   std::vector<WorkerEntry> Out;
   for (const auto &[Id, Worker] : m_formerWorkers)
