Keep room for other shards from nothing but tasks that never ran

Found by an independent review, by reading: - A never-run task that was refused for kept room was recorded as rejected, so that short tasks with its demand were shut out of the round although they may use the room; and room was kept for it in turn. - A part that had just come was delegated on at once, since its wait came with it. - Restarts counted for other shards that wait for something other than room (a previous run, an approval, a delay), or for ever; now for 30 s at most. - Rows that add tasks, read at a takeover, did not wait for the read of the home (UNASKED). - A worker that is listed counts as silent again although an earlier process of it is gone: a new process may accept a previous owner's epoch (TWICE, not shown).

Change: the five, each in a line or two.

--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -242,11 +242,15 @@
       if (Task.Place && Task.Phase == TaskPhase::Waiting)
         m_previousRuns.setPlace(Entry.nameOf(Position), *Task.Place);
     }
-    for (const TaskProgress &Task : Stored->Tasks)
-      if (Task.Waited.count() > 0 && Task.Position >= 0 &&
-          Task.Position < static_cast<int>(Entry.Tasks.size()))
-        Entry.Tasks[static_cast<size_t>(Task.Position)].WaitingSince =
-            m_time.now() - Task.Waited;
+    for (const TaskProgress &Task : Stored->Tasks) {
+      if (Task.Waited.count() == 0 || Task.Position < 0 ||
+          Task.Position >= static_cast<int>(Entry.Tasks.size()))
+        continue;
+      Entry.Tasks[static_cast<size_t>(Task.Position)].WaitingSince =
+          m_time.now() - Task.Waited;
+      // Tasks that have waited elsewhere stay for a while before they go on.
+      Entry.NextDelegation = m_time.now() + LongRunningMaxWait;
+    }
     if (m_options.WallTime)
       Entry.ArrivedAt -= std::clamp(m_options.WallTime() - Spec.AcceptedAt,
                                     milliseconds(0), MaxJobAge);
--- a/src/libbasilchute/jobshard_addedtasks.cpp
+++ b/src/libbasilchute/jobshard_addedtasks.cpp
@@ -62,6 +62,8 @@
   addJob(Row.Part.Spec, 0, &*Row.Part.Added);
   JobEntry &Entry = *find(Row.JobId);
   Entry.JobVersion = Row.Version;
+  // A row from before the takeover does not show a cancellation since then.
+  Entry.MayBeCancelledAtHome = Row.Version <= m_loadVersion;
   onTasksAdded(Entry, Row);
   return true;
 }
--- a/src/libbasilchute/jobshard_keep.cpp
+++ b/src/libbasilchute/jobshard_keep.cpp
@@ -8,6 +8,9 @@
 
 /// Restarts that have waited for this long find no room in their shard.
 constexpr milliseconds OverdueRestart{300};
+/// Other shards keep no room any more for restarts that have waited longer:
+/// what they need may not exist there.
+constexpr milliseconds MaxKeptElsewhere{30000};
 
 } // namespace
 
@@ -60,12 +63,18 @@
   TimePoint Limit = m_time.now() - OverdueRestart;
   for (const auto &[Id, Positions] : m_waiting) {
     const JobEntry &Entry = m_jobs.at(Id);
-    if (!Entry.Spec.Steps.front().LongRunning)
+    if (!Entry.Spec.Steps.front().LongRunning || needsApproval(Entry) ||
+        Entry.MayBeCancelledAtHome)
       continue;
-    for (int Position : Positions)
+    for (int Position : Positions) {
+      const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
       if (Entry.isRestart(Position) && !isSuspect(Entry, Position) &&
-          Entry.Tasks[static_cast<size_t>(Position)].WaitingSince < Limit)
+          Task.WaitingSince < Limit &&
+          Task.WaitingSince + MaxKeptElsewhere > m_time.now() &&
+          Task.EarliestStart <= m_time.now() &&
+          !mayHavePreviousRun(Entry, Position))
         Out.add(Entry.stepOf(Position).reservation());
+    }
   }
   return Out;
 }
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -45,6 +45,16 @@
 /// Cost of the worker of the task's previous run, which failed or was lost.
 constexpr double SameWorkerCost = 3.0;
 
+/// Returns true if room is kept from the task for restarts of other shards.
+bool isKeptFrom(const PlacementRound &Current, const JobEntry &Entry,
+                int Position) {
+  return Entry.stepOf(Position).LongRunning && !Entry.isRestart(Position) &&
+         std::any_of(Current.Candidates.begin(), Current.Candidates.end(),
+                     [](const PlacementCandidate &Candidate) {
+                       return Candidate.IsKeptForRestarts;
+                     });
+}
+
 /// Returns true if no step of the same kind with at least the same demand can
 /// be placed once this step could not. A gang or a limit per worker can be the
 /// reason for the rejection instead of the demand, so that no other step is
@@ -232,6 +242,9 @@
     m_unplacedSteps.addLimited(Id, StepIndex);
   else
     m_unplacedSteps.addPlain();
+  // Short tasks may take what is kept from this one.
+  if (isKeptFrom(Current, Entry, Position))
+    return;
   recordRejection(Current.Rejected, Entry, Position);
   if (!Entry.isRestart(Position) && Now > Task.WaitingSince + ReserveRoomAfter)
     keepRoom(Current.Candidates, Entry, Position);
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -102,13 +102,14 @@
   TimePoint Now = m_time.now();
   if (Now > m_previousRuns.unknownEndsAt() || !isFleetComplete())
     return;
-  // A worker whose process is gone accepts the epoch of no owner.
+  // A worker whose process is gone accepts the epoch of no owner. While it is
+  // listed, that may be with a new process, which may accept one.
   size_t Fenced = 0;
   size_t Silent = 0;
   for (const auto &[Id, Slot] : m_slots)
     if (Slot.IsFenced)
       ++Fenced;
-    else if (!m_previousRuns.isWorkerResolved(Id))
+    else if (Slot.IsListed || !m_previousRuns.isWorkerResolved(Id))
       ++Silent;
   m_previousLeases.onFenced(Fenced, Silent, Now);
   std::optional<TimePoint> End = m_previousLeases.endAt();
