--- a/src/libjobhost/restartload_test.cpp
+++ b/src/libjobhost/restartload_test.cpp
@@ -186,3 +186,38 @@
                          LostAt + RestartBound - Bed.now())));
   checkNoViolations(Bed);
 }
+
+// Guards against short work that is shut out of idle workers: a long-running
+// task that never ran was refused there since the room is kept for restarts of
+// another shard, and the refusal counted for all tasks with its demand.
+TEST_CASE("Short work uses the room that is kept for restarts of another "
+          "shard") {
+  constexpr Resources Special{
+      .Millicores = 8000, .MemoryMib = 16000, .Accelerators = 2};
+  JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
+  Bed.setCapacity(0, Special);
+  Bed.run(6s);
+  Job Restarts = longJob("special", 2);
+  Restarts.Steps[0].Demand.Accelerators = 1;
+  CHECK(Bed.submit(0, Restarts).has_value());
+  REQUIRE(runsWithin(Bed, taskOf("special", 1), 4s));
+  int Full = shardOf(Bed, taskOf("special"));
+  // The restarts find no room anywhere: no other worker has accelerators.
+  Bed.loseWorker(0, 60s);
+  Bed.run(LeaseTimes{}.Sole + 2s);
+  for (int Number = 0; Number < 12; ++Number)
+    CHECK(
+        Bed.submit(0, longJob("new-" + std::to_string(Number), 1)).has_value());
+  Bed.run(4s);
+  std::vector<std::string> Short;
+  for (int Number = 0; Number < 8; ++Number) {
+    Job Value = chainJob("short-" + std::to_string(Number), 1, 1, 300ms);
+    Value.Steps[0].Demand.Millicores = 4000;
+    CHECK(Bed.submit(0, Value).has_value());
+    if (holdsJob(Bed, 1 - Full, Value.Id))
+      Short.push_back(Value.Id);
+  }
+  REQUIRE_FALSE(Short.empty());
+  for (const std::string &Id : Short)
+    CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone(Id); }, 3s));
+}
