--- a/src/libjobhost/rebornworker_test.cpp
+++ b/src/libjobhost/rebornworker_test.cpp
@@ -1,6 +1,6 @@
 // Workers that return under their id as another kind.
 
-#include "testing/jobtestbed.h"
+#include "testing/longjobs.h"
 
 #include <doctest/doctest.h>
 
@@ -132,3 +132,24 @@
   CHECK(Test.Bed.submit(0, largeJob("a", 4)).has_value());
   CHECK_FALSE(Test.runsOnLargeWithin(1, 5s));
 }
+
+// Guards against ends that a worker forgets unread: it was started again under
+// its id between two polls, and the second one acknowledges by the count of the
+// former process. Their tasks are then started again.
+TEST_CASE("A worker that is started again between two polls forgets no end "
+          "unread") {
+  for (milliseconds After : {0ms, 30ms, 60ms, 100ms, 500ms}) {
+    CAPTURE(After.count());
+    JobTestBed Bed({.Hosts = 1, .Workers = 1});
+    Bed.run(3s);
+    REQUIRE(Bed.submit(0, chainJob("before", 3, 8, 100ms)).has_value());
+    Bed.run(3s + After);
+    REQUIRE(Bed.Oracle.allDone("before"));
+    Bed.worker(0).crash();
+    REQUIRE(Bed.submit(0, chainJob("after", 3, 8, 30ms)).has_value());
+    CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("after"); }, 5s));
+    Bed.run(2s);
+    CHECK(Bed.state(0, "after").value() == JobState::Completed);
+    checkNoViolations(Bed);
+  }
+}
