Poll for one process of a worker on the connection to that process only

Cause: an acknowledgement destroys the only proof that work was done, and it named no process. A worker may be started again under its id, and numbers its ends from 1 again. A poll that was sent between an answered poll and the owner's notice of the restart acknowledged by the count of the former process (MissedPolls is zero then), so that the new process dropped up to that many ends unread; and it extended leases by the clock of the former process. libcurl opens a new connection silently if the kept one has ended.

Change: a poll with an acknowledgement or a lease goes out on a connection that has carried a poll before, or fails as Unavailable with nothing sent; the next one carries neither and shows which process is there. The bed keeps to the same contract, and a poll that waits at a worker which is started again ends with its connection, as it does on sockets.

--- a/src/include/basilchute/taskworker.h
+++ b/src/include/basilchute/taskworker.h
@@ -92,7 +92,16 @@
 
 /// Poll of a worker: extends the leases of all its runs and requests its
 /// running tasks and completions.
+///
+/// Leases and acknowledgements hold for the process that has answered the last
+/// poll: another one under the same id has a clock and completions of its own.
+/// A poll with any of them reaches that process or none.
 struct PollOrder {
+  /// Returns true if the poll is for the process that answered last only.
+  bool isForOneProcess() const {
+    return LeaseUntil.has_value() || AcknowledgedCompletions > 0;
+  }
+
   uint64_t Epoch = 0;
   /// New end of the leases; none leaves the leases unchanged.
   std::optional<milliseconds> LeaseUntil;
@@ -175,7 +184,8 @@
 class TaskWorkers {
 public:
   using StartDone = std::function<void(Result<StartReply>)>;
-  /// May also fail with StaleEpoch or WrongIncarnation.
+  /// May also fail with StaleEpoch or WrongIncarnation. Unavailable if the poll
+  /// is for one process and that one cannot be reached for certain.
   using PollDone = std::function<void(Result<PollReply>)>;
   /// May also fail with StaleEpoch or WrongIncarnation.
   using OrderDone = std::function<void(Status)>;
--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -111,7 +111,7 @@
 // time-out of the request, however long the connection was idle before.
 int onSocket(void *UserData, curl_socket_t Socket, curlsocktype) {
   auto *Current = static_cast<Transfer *>(UserData);
-  if (!Current->maySend())
+  if (!Current->maySend() || Current->Request.UseKeptConnection)
     return CURL_SOCKOPT_ERROR;
   auto Timeout = static_cast<unsigned>(Current->Request.Timeout.count());
   setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &Timeout, sizeof(Timeout));
@@ -208,9 +208,11 @@
   bool HasEndedEarly =
       !Failed.maySend() &&
       (Code == CURLE_ABORTED_BY_CALLBACK || Code == CURLE_COULDNT_CONNECT);
+  bool HasNoKept = Failed.Request.UseKeptConnection && Failed.Sends == 0;
   std::string Message =
       fmt::format("request to \"{}\": {}", Address,
                   HasEndedEarly ? "the connection ended before the response"
+                  : HasNoKept   ? "no kept connection"
                                 : curl_easy_strerror(Code));
   if (Failed.sentBytes() == 0)
     return makeError(ResultCode::Unavailable, Message);
--- a/src/libutil/httpclient.h
+++ b/src/libutil/httpclient.h
@@ -29,6 +29,10 @@
   /// True to open a new connection for the request. A server may close a kept
   /// one just when the request arrives, which leaves the outcome unknown.
   bool UseNewConnection = false;
+  /// True to send the request only on a connection that this client has used
+  /// before, so that it reaches the very process that has answered there. If
+  /// there is none, the result is Unavailable. Excludes UseNewConnection.
+  bool UseKeptConnection = false;
 };
 
 /// Settings of an HttpClient.
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -174,38 +174,66 @@
 
 void HostTaskWorkers::poll(const WorkerEntry &Worker, PollOrder Order,
                            PollDone Done) {
-  runOnProcessor(
-      [this, Id = Worker.Id, Order, Done] { pollWorker(Id, Order, Done); });
+  runOnProcessor([this, Id = Worker.Id, Order, Done] {
+    pollWorker(Id, {.Order = Order, .Done = Done});
+  });
+}
+
+std::optional<Error>
+HostTaskWorkers::brokenConnection(const ModelWorker &Model,
+                                  const PendingPoll &Poll) const {
+  if (Poll.Process)
+    return *Poll.Process == Model.incarnation() ? std::nullopt
+                                                : std::optional(noResponse());
+  auto Kept = m_pollConnections.find(Model.Entry.Id);
+  bool IsKept =
+      Kept != m_pollConnections.end() && Kept->second == Model.incarnation();
+  if (Poll.Order.isForOneProcess() && !IsKept)
+    return makeError(ResultCode::Unavailable, "no kept connection");
+  return std::nullopt;
 }
 
 // A worker replies as soon as it has a completion to report.
-void HostTaskWorkers::pollWorker(const std::string &Worker,
-                                 const PollOrder &Order, const PollDone &Done) {
+void HostTaskWorkers::pollWorker(const std::string &Worker, PendingPoll Poll) {
   if (std::optional<CallFailure> Failure =
-          failureOf(Worker, Order.Wait + OrderTimeout)) {
-    reply(Failure->After, [Done, Why = Failure->Why] { Done(Why); });
+          failureOf(Worker, Poll.Order.Wait + OrderTimeout)) {
+    m_pollConnections.erase(Worker);
+    reply(Failure->After,
+          [Done = Poll.Done, Why = Failure->Why] { Done(Why); });
     return;
   }
-  m_bed.later(m_bed.options().NetworkDelay, [this,
-                                             Model = m_bed.workerById(Worker),
-                                             Order, Done] {
-    if (Model->IsDown) {
-      milliseconds After =
-          Model->isRefusing() ? m_bed.options().NetworkDelay : OrderTimeout;
-      reply(After, [Done] { Done(noResponse()); });
-      return;
-    }
-    Result<PollReply> Out = Model->poll(Order);
-    if (!Out.has_value() || Model->hasUnacknowledged() ||
-        Order.Wait < PollCheckInterval) {
-      reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
-      return;
-    }
-    PollOrder Remaining = Order;
-    Remaining.Wait -= PollCheckInterval;
-    m_bed.later(PollCheckInterval, [this, Id = Model->Entry.Id, Remaining,
-                                    Done] { pollWorker(Id, Remaining, Done); });
-  });
+  m_bed.later(m_bed.options().NetworkDelay,
+              [this, Model = m_bed.workerById(Worker), Poll] {
+                answerPoll(*Model, Poll);
+              });
+}
+
+void HostTaskWorkers::answerPoll(ModelWorker &Model, PendingPoll Poll) {
+  milliseconds NetworkDelay = m_bed.options().NetworkDelay;
+  if (Model.IsDown) {
+    m_pollConnections.erase(Model.Entry.Id);
+    milliseconds After = Model.isRefusing() ? NetworkDelay : OrderTimeout;
+    reply(After, [Done = Poll.Done] { Done(noResponse()); });
+    return;
+  }
+  if (std::optional<Error> Why = brokenConnection(Model, Poll)) {
+    m_pollConnections.erase(Model.Entry.Id);
+    reply(NetworkDelay, [Done = Poll.Done, Why] { Done(*Why); });
+    return;
+  }
+  Poll.Process = Model.incarnation();
+  Result<PollReply> Out = Model.poll(Poll.Order);
+  if (!Out.has_value() || Model.hasUnacknowledged() ||
+      Poll.Order.Wait < PollCheckInterval) {
+    reply(NetworkDelay, [this, Id = Model.Entry.Id, Poll, Out] {
+      m_pollConnections[Id] = *Poll.Process;
+      Poll.Done(Out);
+    });
+    return;
+  }
+  Poll.Order.Wait -= PollCheckInterval;
+  m_bed.later(PollCheckInterval,
+              [this, Id = Model.Entry.Id, Poll] { pollWorker(Id, Poll); });
 }
 
 JobTestBed::JobTestBed(JobTestBedOptions Options)
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -110,10 +110,21 @@
   void reply(milliseconds Delay, std::function<void()> Action);
   void executeStart(ModelWorker &Model, const StartOrder &Order,
                     const StartDone &Done);
+  /// A poll on its way or at the worker.
+  struct PendingPoll {
+    PollOrder Order;
+    PollDone Done;
+    /// Process that it has reached; none before.
+    std::optional<TimePoint> Process;
+  };
+  /// Returns why the poll ends without an answer of \p Model: no connection
+  /// leads to the process that it is for, or the connection has ended.
+  std::optional<Error> brokenConnection(const ModelWorker &Model,
+                                        const PendingPoll &Poll) const;
   /// Polls the worker again at short intervals until it has a completion or
   /// the wait is over.
-  void pollWorker(const std::string &Worker, const PollOrder &Order,
-                  const PollDone &Done);
+  void pollWorker(const std::string &Worker, PendingPoll Poll);
+  void answerPoll(ModelWorker &Model, PendingPoll Poll);
 
   JobTestBed &m_bed;
   int m_host;
@@ -121,6 +132,8 @@
   TimePoint m_busyUntil{};
   int m_startsInFlight = 0;
   int m_maxStartsInFlight = 0;
+  /// Process at the other end of the connection for polls, by worker.
+  std::map<std::string, TimePoint> m_pollConnections;
 };
 
 /// Access of one host to the approval service, which approves every second
