Take no answer at a former address of a worker for the end of its runs

Cause: a call that is answered by another worker (421) ended the wait for what previous owners may have left on the worker that was called.

Change: such an answer proves it only if the list is from after the takeover and still names the address that was called. Otherwise the list is read again and the wait goes on.

Not covered: a worker that is in no list any more and answers at a former address, if this host missed the entry with the address between.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -237,10 +237,12 @@
   void poll(WorkerSlot &Slot);
   bool canExtendLeases(const WorkerSlot &Slot) const;
   milliseconds pollWaitFor(const WorkerSlot &Slot) const;
-  void onPoll(const std::string &Worker, TimePoint Sent,
+  /// \p Polled is the worker's entry when the poll was sent.
+  void onPoll(const WorkerEntry &Polled, TimePoint Sent,
               Result<PollReply> Answer);
   void refreshFleet();
-  void onMissedPoll(WorkerSlot &Slot, const Error &Why);
+  void onMissedPoll(WorkerSlot &Slot, const std::string &Address,
+                    const Error &Why);
   void onCompletion(WorkerSlot &Slot, const Completion &Report);
   void applyCompletion(JobEntry &Entry, int Position, const WorkerSlot &Slot,
                        const Completion &Report);
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -135,22 +135,23 @@
   Slot.IsPollPending = true;
   ++m_counts.Polls;
   m_workers.poll(Slot.Entry, Order,
-                 [Weak = weak_from_this(), Id = Slot.Entry.Id,
+                 [Weak = weak_from_this(), Worker = Slot.Entry,
                   Now](Result<PollReply> Answer) {
                    if (auto Self = Weak.lock())
-                     Self->onPoll(Id, Now, std::move(Answer));
+                     Self->onPoll(Worker, Now, std::move(Answer));
                  });
 }
 
-void JobShard::Impl::onPoll(const std::string &Worker, TimePoint Sent,
+void JobShard::Impl::onPoll(const WorkerEntry &Polled, TimePoint Sent,
                             Result<PollReply> Answer) {
+  const std::string &Worker = Polled.Id;
   auto It = m_slots.find(Worker);
   if (It == m_slots.end())
     return;
   WorkerSlot &Slot = It->second;
   Slot.IsPollPending = false;
   if (!Answer.has_value()) {
-    onMissedPoll(Slot, Answer.error());
+    onMissedPoll(Slot, Polled.Address, Answer.error());
     return;
   }
   PollReply &Reply = Answer.value();
@@ -210,7 +211,8 @@
   m_options.RefreshFleet();
 }
 
-void JobShard::Impl::onMissedPoll(WorkerSlot &Slot, const Error &Why) {
+void JobShard::Impl::onMissedPoll(WorkerSlot &Slot, const std::string &Address,
+                                  const Error &Why) {
   TimePoint Now = m_time.now();
   if (Why.Code == ResultCode::StaleEpoch) {
     loseOwnership("fenced");
@@ -234,7 +236,12 @@
     if (Slot.Incarnation.count() == 0)
       resolveExposures(Slot, milliseconds(-1));
     loseIncarnation(Slot, "worker_replaced", Now);
-    m_previousRuns.resolve(Slot.Entry.Id);
+    // By a list from before the takeover the worker may have been called at a
+    // former address, and run work of the previous owner at its present one.
+    if (isFleetComplete() && Slot.Entry.Address == Address)
+      m_previousRuns.resolve(Slot.Entry.Id);
+    else
+      refreshFleet();
     return;
   }
   // A worker can be missing from the list because it is cut off, also if it was
--- a/src/libjobhost/unlistedworker_test.cpp
+++ b/src/libjobhost/unlistedworker_test.cpp
@@ -176,3 +176,31 @@
   CHECK(completes(Bed, "b", 10s));
   checkNoViolations(Bed);
 }
+
+// Guards against a new owner that calls a former address of a worker, since its
+// list is old, and takes the answer of another worker there for proof that the
+// runs which the previous owner started at the new address are gone.
+TEST_CASE("The tasks of a worker that moved do not start twice if the new "
+          "owner's list names its former address") {
+  for (milliseconds ListDelay : {100ms, 1000ms, 3000ms}) {
+    CAPTURE(ListDelay.count());
+    JobTestBed Bed(roomy());
+    Bed.run(3s);
+    int Owner = Bed.ownerIndex();
+    REQUIRE(Owner >= 0);
+    TestJobHost &Next = Bed.host(1 - Owner);
+    Next.IsFleetStale = true;
+    Bed.moveWorker(0);
+    Bed.run(1s);
+    REQUIRE(Bed.submit(Owner, chainJob("a", 1, 56, 12s)).has_value());
+    Bed.run(1s);
+    REQUIRE(!Bed.Oracle.tasksOn("w0").empty());
+    Bed.killHost(Owner);
+    CHECK(Bed.runUntil([&] { return Bed.ownerIndex() == 1 - Owner; }, 5s));
+    Bed.run(ListDelay);
+    Next.IsFleetStale = false;
+    Bed.publishWorkers();
+    CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("a"); }, 40s));
+    checkNoViolations(Bed);
+  }
+}
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -94,7 +94,8 @@
         .After = RoundTrip};
   if (AtAddress->IsDown)
     return CallFailure{.Why = noResponse(), .After = Timeout};
-  if (AtAddress != Model)
+  if (AtAddress != Model ||
+      m_bed.hasMoved(Worker, m_bed.host(m_host).FleetAsOf))
     return CallFailure{.Why = makeError(ResultCode::WrongIncarnation,
                                         "another worker is at the address"),
                        .After = RoundTrip};
@@ -435,7 +436,7 @@
 void JobTestBed::updateFleet(TestJobHost &Target,
                              const std::vector<WorkerEntry> &Fleet,
                              TimePoint AsOf) {
-  if (AsOf < Target.FleetAsOf)
+  if (AsOf < Target.FleetAsOf || Target.IsFleetStale)
     return;
   Target.FleetAsOf = AsOf;
   Target.Process->setFleet(Fleet);
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -168,6 +168,8 @@
   bool IsStopping = false;
   /// When the worker list that the process has was read.
   TimePoint FleetAsOf{};
+  /// The process gets no newer list of workers.
+  bool IsFleetStale = false;
   /// Callbacks that arrived while the host was paused.
   std::vector<std::function<void()>> Backlog;
 };
@@ -220,6 +222,12 @@
   /// Starts a new worker, with a name that no worker had before, and returns
   /// its index.
   int addWorker();
+  /// Lets the worker crash and start again at another address at once. Another
+  /// worker answers the hosts that call the former address.
+  void moveWorker(int Worker);
+  /// Returns true if a host with the list that was read at \p FleetAsOf calls a
+  /// former address of the worker.
+  bool hasMoved(const std::string &Worker, TimePoint FleetAsOf) const;
   /// Changes the worker's capacity and lists it so. The oracle reports starts
   /// that bring the worker over it later than all hosts must have heard of it.
   void setCapacity(int Worker, const Resources &Capacity);
@@ -295,6 +303,8 @@
   std::vector<std::unique_ptr<ModelWorker>> m_workers;
   std::unordered_map<std::string, ModelWorker *> m_workersById;
   std::set<int> m_unlisted;
+  /// When workers began to answer at their present address, if not always.
+  std::map<std::string, TimePoint> m_movedAt;
   int m_maxDownByTasks = 0;
   /// When a host was last killed.
   TimePoint m_lastKill{};
