Give the runs of a transferred job numbers of their own

Timeline: the store is away from 3625 s; an owner runs job-9 on w1, none of it is stored; it is killed at 3632, w1 leaves the list with the ends. The next owner of the shard waits 12 s for w1, the leases of which are over by then, and transfers the job to a shard with room at 3655, where it starts again, as run 1 again. The end of that run is acknowledged.

Cause: the restart is due, but the two runs have one number. A job that counts as not started is read without progress in the other shard, so that its numbers begin at 1, while an owner that stays in the shard goes on above the job's age. Two failures with one number would also count as one attempt.

Change: the numbers of a transferred job without progress begin above its age as well.

--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -69,6 +69,12 @@
   }
 }
 
+void JobEntry::skipRunNumbers(milliseconds WallTime) {
+  m_firstRun = lowestRunNumber(WallTime);
+  for (TaskState &Task : Tasks)
+    Task.LastRun = m_firstRun;
+}
+
 JobProgress JobEntry::progress() const {
   JobProgress Out{.State = State, .WasDelegated = WasDelegated};
   for (size_t Position = 0; Position < Tasks.size(); ++Position) {
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -255,8 +255,11 @@
       Entry.ArrivedAt -= std::clamp(m_options.WallTime() - Spec.AcceptedAt,
                                     milliseconds(0), MaxJobAge);
   }
-  if (!Stored)
+  if (!Stored) {
     Entry.ArrivedAt -= Spec.WaitedBeforeTransfer;
+    if (Spec.WaitedBeforeTransfer.count() > 0 && m_options.WallTime)
+      Entry.skipRunNumbers(m_options.WallTime());
+  }
   auto Part = m_parts.find(Spec.Id);
   if (Part != m_parts.end()) {
     Entry.HomeShard = Part->second.HomeShard;
--- a/src/libjobhost/jobhost_takeover_test.cpp
+++ b/src/libjobhost/jobhost_takeover_test.cpp
@@ -446,3 +446,35 @@
   CHECK((State.has_value() && State.value() == JobState::Completed));
   checkNoViolations(Bed);
 }
+
+// Guards against the same number if the second owner is that of another shard:
+// the job was transferred, and no start in the first shard had been stored.
+TEST_CASE("A transferred job whose starts were not stored gives its runs "
+          "different numbers") {
+  JobTestBed Bed(traced({.Workers = 2, .MinShards = 2}));
+  Bed.run(6s);
+  Bed.Store.RefusesCommit = [](const RowCommit &Commit) {
+    return std::any_of(Commit.Conditions.begin(), Commit.Conditions.end(),
+                       [](const RowCondition &Condition) {
+                         return Condition.Address.Table == "progress";
+                       });
+  };
+  REQUIRE(Bed.submit(0, chainJob("job", 1, 1, 200ms)).has_value());
+  TaskName Task{"job", 0, 0, 0};
+  REQUIRE(Bed.runUntil([&] { return isRunning(Bed, Task); }, 2s));
+  int Worker = Bed.worker(0).runs(Task) ? 0 : 1;
+  Bed.run(1s);
+  REQUIRE(Bed.Oracle.allDone("job"));
+  for (int Host = 0; Host < Bed.hosts(); ++Host) {
+    Bed.host(Host).UnreachableWorkers.insert(Bed.worker(Worker).Entry.Id);
+    Bed.killHost(Host);
+    Bed.startHost(Host);
+  }
+  Bed.Store.RefusesCommit = nullptr;
+  Bed.setWorkerListed(Worker, false);
+  CHECK(Bed.runUntil([&] { return isRunning(Bed, Task); }, 30s));
+  Bed.run(3s);
+  CHECK(Bed.Oracle.starts() == 2);
+  CHECK(Bed.LogLines["job_moved"] == 1);
+  checkNoViolations(Bed);
+}
