Log what tells a lost completion from a lease or a mistaken process

Cause: the three hypotheses on the record (docs/incidents/2026-12-06-started-after-done.md) could not be told apart: no line named the completions that an owner drops because it does not hold the job, the process to which a worker's numbers belong, or an answer at a former address.

One line for each such event.

No change of decisions; 166 unit cases about workers pass.

--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -238,10 +238,14 @@
     loseIncarnation(Slot, "worker_replaced", Now);
     // By a list from before the takeover the worker may have been called at a
     // former address, and run work of the previous owner at its present one.
-    if (isFleetComplete() && Slot.Entry.Address == Address)
+    if (isFleetComplete() && Slot.Entry.Address == Address) {
       m_previousRuns.resolve(Slot.Entry.Id);
-    else
-      refreshFleet();
+      return;
+    }
+    log("former_address_called",
+        fmt::format("worker={} shard={} address={}", Slot.Entry.Id,
+                    m_options.Shard, Address));
+    refreshFleet();
     return;
   }
   // A worker can be missing from the list because it is cut off, also if it was
@@ -275,6 +279,14 @@
                                      TimePoint NextSince) {
   for (const auto &[Key, Run] : Slot.Runs)
     m_previousRuns.clearReported(Key.first);
+  if (Slot.Incarnation.count() != 0)
+    log("worker_process_ended",
+        fmt::format("worker={} shard={} why={} born_ms={} runs={} "
+                    "acknowledged={} not_stored={}",
+                    Slot.Entry.Id, m_options.Shard, Why,
+                    Slot.Incarnation.count(), Slot.Runs.size(),
+                    Slot.LastStoredCompletion,
+                    Slot.LastSeenCompletion - Slot.LastStoredCompletion));
   bool MayHaveLapsed = !Slot.LostRuns.empty() && NextSince > Slot.LeaseEnd;
   std::vector<JobEntry *> GivenUp = countCrash(
       Slot, Why, MayHaveLapsed ? CrashDoubt::MayHaveLapsed : CrashDoubt::None);
@@ -321,8 +333,15 @@
   }
   JobEntry *Entry = find(Report.Task.Job);
   int Position = Entry ? Entry->positionOf(Report.Task) : -1;
-  if (Position < 0)
+  if (Position < 0) {
+    log("completion_ignored",
+        fmt::format("job={} step={} index={} run={} worker={} number={} how={} "
+                    "why=unknown_job",
+                    Report.Task.Job, Report.Task.Step, Report.Task.Index,
+                    Report.Run, Slot.Entry.Id, Report.Number,
+                    runOutcomeName(Report.Outcome)));
     return;
+  }
   if (Report.Outcome == RunOutcome::Done)
     ++m_counts.RunsSucceeded;
   else
