Name no worker as resolved in a handover record while its list is cut

What callers would see: tasks that are done start again (TWICE).

Cause: a worker lists at most 500 completions an answer. An owner that has polled it and knows that there are more does not count it as resolved, but named it so in its handover record, by the mark that it is fenced. The next owner did not wait for it, and started tasks whose completions it had not read.

Evidence: the new case, with a limit of 2, failed before (10 starts of 6 tasks, "a.0.0.2 run 1: was acknowledged as done after a later start") and passes now, with all cases about handovers.

--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -139,8 +139,9 @@
     Out.UnknownVersion = m_previousRuns.unknownVersion();
     Out.ResolvedWorkers = m_previousRuns.resolvedBefore();
     Out.SilentWorkers = m_previousRuns.silent();
+    // A worker that has answered may have more completions than it has listed.
     for (const auto &[Id, Slot] : m_slots)
-      if (Slot.IsFenced)
+      if (m_previousRuns.isWorkerResolved(Id))
         Out.ResolvedWorkers.insert(Id);
   }
   for (const auto &[Worker, Known] : m_previousRuns.known(Now))
--- a/src/libjobhost/handover_test.cpp
+++ b/src/libjobhost/handover_test.cpp
@@ -451,3 +451,36 @@
   CHECK(Bed.Oracle.starts() == 12);
   checkNoViolations(Bed);
 }
+
+// Guards against tasks that a third owner starts again: the second one has
+// polled the worker, but the worker's list was cut before their completions, so
+// that the handover record must not name the worker as resolved.
+TEST_CASE("Tasks whose completions are not listed yet are not started again "
+          "after a handover") {
+  JobTestBed Bed({.Hosts = 3, .Workers = 1});
+  Bed.run(3s);
+  Bed.worker(0).MaxListedCompletions = 2;
+  int First = Bed.ownerIndex();
+  REQUIRE(First >= 0);
+  Bed.Store.RefusesCommit = [](const RowCommit &Commit) {
+    return std::any_of(Commit.Conditions.begin(), Commit.Conditions.end(),
+                       [](const RowCondition &Condition) {
+                         return Condition.Address.Table == "progress";
+                       });
+  };
+  REQUIRE(Bed.submit(First, chainJob("a", 1, 6, 300ms)).has_value());
+  Bed.run(1500ms);
+  REQUIRE(Bed.Oracle.starts() == 6);
+  Bed.killHost(First);
+  REQUIRE(Bed.runUntil(
+      [&] { return Bed.ownerIndex() >= 0 && Bed.ownerIndex() != First; }, 5s));
+  int Second = Bed.ownerIndex();
+  Bed.run(1s);
+  Bed.restartHost(Second, 2s, 1s);
+  Bed.run(1s);
+  Bed.Store.RefusesCommit = nullptr;
+  Bed.run(15s);
+  CHECK(Bed.Oracle.starts() == 6);
+  CHECK(Bed.Oracle.allDone("a"));
+  checkNoViolations(Bed);
+}
