Do not call a stored job unknown near the deadline of a query

What callers saw: 410 for a job that was accepted (LOST).

Cause: a query reads the index row, then the progress row in the shard named there.

Change: the answer is Unavailable (503), as for other queries without time.

--- a/src/libbasilchute/jobfrontend.cpp
+++ b/src/libbasilchute/jobfrontend.cpp
@@ -341,27 +341,35 @@
   void readProgress(const std::string &Id, const JobLocation &Location,
                     TimePoint Deadline, milliseconds RetryDelay,
                     const StateDone &Done) {
-    readUntil(
-        oneRow(progressAddress(Location.Shard, Id)), Deadline, FirstRetryDelay,
-        [Weak = weak_from_this(), Id, Location, Deadline, RetryDelay,
-         Done](Result<RowPage> Answer) {
-          auto Self = Weak.lock();
-          if (!Self)
-            return;
-          if (!Answer.has_value())
-            return Done(Answer.error());
-          bool WasTransferred =
-              Answer.value().Rows.empty() && Location.Version > 0;
-          if (!WasTransferred || Self->m_time.now() + RetryDelay >= Deadline)
-            return Done(Self->stateFrom(Id, Answer.value()));
-          // The job was transferred after its index row had been read.
-          Self->m_options.RunAfter(RetryDelay, [Weak, Id, Deadline, RetryDelay,
-                                                Done] {
-            if (auto Frontend = Weak.lock())
-              Frontend->readState(
-                  Id, Deadline, std::min(RetryDelay * 2, MaxRetryDelay), Done);
-          });
-        });
+    readUntil(oneRow(progressAddress(Location.Shard, Id)), Deadline,
+              FirstRetryDelay,
+              [Weak = weak_from_this(), Id, Location, Deadline, RetryDelay,
+               Done](Result<RowPage> Answer) {
+                auto Self = Weak.lock();
+                if (!Self)
+                  return;
+                if (!Answer.has_value())
+                  return Done(Answer.error());
+                bool WasTransferred =
+                    Answer.value().Rows.empty() && Location.Version > 0;
+                if (!WasTransferred)
+                  return Done(Self->stateFrom(Id, Answer.value()));
+                // The job was transferred after its index row had been read.
+                if (Self->m_time.now() + RetryDelay >= Deadline)
+                  return Done(makeError(
+                      ResultCode::Unavailable,
+                      fmt::format(
+                          "no time is left to find job \"{}\", which is being "
+                          "transferred",
+                          Id)));
+                Self->m_options.RunAfter(RetryDelay, [Weak, Id, Deadline,
+                                                      RetryDelay, Done] {
+                  if (auto Frontend = Weak.lock())
+                    Frontend->readState(Id, Deadline,
+                                        std::min(RetryDelay * 2, MaxRetryDelay),
+                                        Done);
+                });
+              });
   }
 
   static Error jobNotFound(const std::string &Id) {
--- a/src/libbasilchute/jobfrontend_test.cpp
+++ b/src/libbasilchute/jobfrontend_test.cpp
@@ -47,6 +47,12 @@
         [this](Status Outcome) { m_cancelled.push_back(Outcome); });
   }
   void run(milliseconds Span) { m_bed.run(Span); }
+  void askState(milliseconds Within) {
+    m_frontend.state(
+        validJob().Id, m_bed.now() + Within,
+        [this](const Result<JobState> &State) { m_states.push_back(State); });
+  }
+  const std::vector<Result<JobState>> &states() const { return m_states; }
   const std::vector<Status> &submitted() const { return m_submitted; }
   const std::vector<Status> &cancelled() const { return m_cancelled; }
   ModelStore &store() { return m_bed.Store; }
@@ -96,6 +102,7 @@
   HostRowStore m_store;
   JobFrontend m_frontend;
   std::vector<Status> m_submitted;
+  std::vector<Result<JobState>> m_states;
   std::vector<Status> m_cancelled;
 };
 
@@ -347,3 +354,25 @@
               ResultCode::OutcomeUnknown);
     }
 }
+
+// Guards against a stored job that is answered as unknown (410): it was
+// transferred between the reads of its rows, and no time was left for others.
+TEST_CASE("A query during a transfer near its deadline does not say that the "
+          "job is unknown") {
+  int Unknown = 0;
+  for (milliseconds Within = 5ms; Within <= 100ms; Within += 5ms)
+    for (milliseconds MoveAfter = 0ms; MoveAfter <= 40ms; MoveAfter += 1ms) {
+      LoneFrontend Frontend(true);
+      Frontend.submit();
+      Frontend.run(100ms);
+      Frontend.askState(Within);
+      Frontend.run(MoveAfter);
+      Frontend.move(0, 1);
+      Frontend.run(LoneFrontend::Timeout);
+      REQUIRE(Frontend.states().size() == 1);
+      const Result<JobState> &State = Frontend.states().front();
+      Unknown +=
+          !State.has_value() && State.error().Code == ResultCode::NotFound;
+    }
+  CHECK(Unknown == 0);
+}
