Skip as many run numbers after a transfer as after a takeover

Cause: begins the numbers of a transferred job above its age, but without the gap that each owner adds after a takeover: an owner at an age of 1 s begins at 75, the one of the other shard at 5 s with 51, and meets the same numbers at 7.4 s. Found by an independent review.

--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -69,8 +69,8 @@
   }
 }
 
-void JobEntry::skipRunNumbers(milliseconds WallTime) {
-  m_firstRun = lowestRunNumber(WallTime);
+void JobEntry::skipRunNumbers(int RunGap, milliseconds WallTime) {
+  m_firstRun = lowestRunNumber(WallTime) + RunGap;
   for (TaskState &Task : Tasks)
     Task.LastRun = m_firstRun;
 }
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -124,9 +124,9 @@
   /// time since 1970, or zero if it is not known.
   void restore(const JobProgress &Stored, int RunGap, milliseconds WallTime);
   /// Begins the run numbers of a job without stored progress above the job's
-  /// age, because an owner in another shard may have used lower ones that it
-  /// did not store.
-  void skipRunNumbers(milliseconds WallTime);
+  /// age, because owners in another shard may have used lower ones that they
+  /// did not store. \p RunGap is that of restore().
+  void skipRunNumbers(int RunGap, milliseconds WallTime);
   /// Returns the progress to be stored.
   JobProgress progress() const;
   /// Returns the progress to be stored with the job in another shard. There
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -258,7 +258,7 @@
   if (!Stored) {
     Entry.ArrivedAt -= Spec.WaitedBeforeTransfer;
     if (Spec.WaitedBeforeTransfer.count() > 0 && m_options.WallTime)
-      Entry.skipRunNumbers(m_options.WallTime());
+      Entry.skipRunNumbers(RunNumberGap, m_options.WallTime());
   }
   auto Part = m_parts.find(Spec.Id);
   if (Part != m_parts.end()) {
