Count no crash of a worker that was called at its former address

Cause: an answer of another worker at the address was taken for a crash of the worker (a stored suspicion counted with proof, and was used up) before it was asked whether the list still names that address.

Change: if the list is from before the takeover, nothing is concluded from such an answer but that the list must be read again; the process that has answered this owner itself is gone in any case.

Evidence: the new case counted 8 crashes of a worker that lived before, none now; 81 cases about crashes, replaced and moved workers pass.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -243,6 +243,9 @@
   void refreshFleet();
   void onMissedPoll(WorkerSlot &Slot, const std::string &Address,
                     const Error &Why);
+  /// Called if another worker answers at \p Address, at which \p Slot's was
+  /// polled.
+  void onOtherWorkerAt(const std::string &Address, WorkerSlot &Slot);
   void onCompletion(WorkerSlot &Slot, const Completion &Report);
   void applyCompletion(JobEntry &Entry, int Position, const WorkerSlot &Slot,
                        const Completion &Report);
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -230,22 +230,8 @@
   Slot.NextPollAt =
       Now + (Slot.MissedPolls <= MaxQuickRetries ? MissedPollRetryDelay
                                                  : SlowPollRetryDelay);
-  // Another incarnation answers at this address; the runs of the previous one
-  // are gone.
   if (Why.Code == ResultCode::WrongIncarnation) {
-    if (Slot.Incarnation.count() == 0)
-      resolveExposures(Slot, milliseconds(-1));
-    loseIncarnation(Slot, "worker_replaced", Now);
-    // By a list from before the takeover the worker may have been called at a
-    // former address, and run work of the previous owner at its present one.
-    if (isFleetComplete() && Slot.Entry.Address == Address) {
-      m_previousRuns.resolve(Slot.Entry.Id);
-      return;
-    }
-    log("former_address_called",
-        fmt::format("worker={} shard={} address={}", Slot.Entry.Id,
-                    m_options.Shard, Address));
-    refreshFleet();
+    onOtherWorkerAt(Address, Slot);
     return;
   }
   // A worker can be missing from the list because it is cut off, also if it was
@@ -256,6 +242,26 @@
   }
 }
 
+// The process that has answered this owner is gone. Another one may not be: by
+// a list from before the takeover, the worker may have been called at a former
+// address, and run work of the previous owner at its present one.
+void JobShard::Impl::onOtherWorkerAt(const std::string &Address,
+                                     WorkerSlot &Slot) {
+  bool IsGone = Slot.Incarnation.count() != 0 ||
+                (isFleetComplete() && Slot.Entry.Address == Address);
+  if (!IsGone) {
+    log("former_address_called",
+        fmt::format("worker={} shard={} address={}", Slot.Entry.Id,
+                    m_options.Shard, Address));
+    refreshFleet();
+    return;
+  }
+  if (Slot.Incarnation.count() == 0)
+    resolveExposures(Slot, milliseconds(-1));
+  loseIncarnation(Slot, "worker_replaced", m_time.now());
+  m_previousRuns.resolve(Slot.Entry.Id);
+}
+
 // An owner that may have lost the shard must not conclude that the leases have
 // expired: the new owner may have polled the worker and extended them.
 bool JobShard::Impl::hasLeaseExpired(const WorkerSlot &Slot) const {
--- a/src/libjobhost/unlistedworker_test.cpp
+++ b/src/libjobhost/unlistedworker_test.cpp
@@ -204,3 +204,32 @@
     checkNoViolations(Bed);
   }
 }
+
+// Guards against a crash that is counted against a task since a new owner calls
+// a former address of its worker, which lives.
+TEST_CASE("A worker that is called at its former address has not crashed under "
+          "its tasks") {
+  JobTestBed Bed(roomy());
+  Bed.run(3s);
+  int Owner = Bed.ownerIndex();
+  REQUIRE(Owner >= 0);
+  TestJobHost &Next = Bed.host(1 - Owner);
+  Next.IsFleetStale = true;
+  Bed.moveWorker(0);
+  Bed.run(1s);
+  REQUIRE(Bed.submit(Owner, chainJob("a", 1, 56, 12s)).has_value());
+  REQUIRE(!Bed.Oracle.tasksOn("w0").empty());
+  // The owner stores that it has not seen the runs to last.
+  Bed.host(Owner).UnreachableWorkers.insert("w0");
+  Bed.run(2s);
+  int Crashes = Bed.LogLines["worker_crashed"];
+  Bed.killHost(Owner);
+  CHECK(Bed.runUntil([&] { return Bed.ownerIndex() == 1 - Owner; }, 5s));
+  Bed.run(1s);
+  CHECK(Bed.LogLines["former_address_called"] > 0);
+  CHECK(Bed.LogLines["worker_crashed"] == Crashes);
+  Next.IsFleetStale = false;
+  Bed.publishWorkers();
+  CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("a"); }, 40s));
+  checkNoViolations(Bed);
+}
