Send a poll for one process on the very connection that it has answered

Cause: any kept connection to the address did, also one that a poll of another entry at the same address had opened to another process; an acknowledgement reached that one.

Change: the client says on which local port an answer came, and a poll for one process is sent on the connection with that port or not at all, by worker and address.

--- a/src/libutil/http.h
+++ b/src/libutil/http.h
@@ -30,6 +30,9 @@
   int Status = 200;
   std::vector<HttpHeader> Headers;
   std::string Body;
+  /// In a response that a client has received: the local port of its
+  /// connection; zero if not known.
+  int LocalPort = 0;
 };
 
 /// Returns true if \p A and \p B are equal, ignoring case.
--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -119,9 +119,11 @@
 }
 
 // Called before each time that libcurl sends the request.
-int onConnected(void *UserData, char *, char *, int, int) {
+int onConnected(void *UserData, char *, char *, int, int LocalPort) {
   auto *Current = static_cast<Transfer *>(UserData);
-  if (!Current->maySend())
+  bool IsOther = Current->Request.LocalPort != 0 &&
+                 Current->Request.LocalPort != LocalPort;
+  if (!Current->maySend() || IsOther)
     return CURL_PREREQFUNC_ABORT;
   ++Current->Sends;
   // libcurl would take another kept connection to send the request again, which
@@ -228,6 +230,9 @@
   long Status = 0;
   curl_easy_getinfo(Ended.Easy, CURLINFO_RESPONSE_CODE, &Status);
   Ended.Response.Status = static_cast<int>(Status);
+  long LocalPort = 0;
+  curl_easy_getinfo(Ended.Easy, CURLINFO_LOCAL_PORT, &LocalPort);
+  Ended.Response.LocalPort = static_cast<int>(LocalPort);
   bool HasNoBody =
       Ended.Request.Method == "HEAD" || Status == 204 || Status == 304;
   if (!Ended.HasFraming && !HasNoBody)
--- a/src/libutil/httpclient.h
+++ b/src/libutil/httpclient.h
@@ -33,6 +33,9 @@
   /// before, so that it reaches the very process that has answered there. If
   /// there is none, the result is Unavailable. Excludes UseNewConnection.
   bool UseKeptConnection = false;
+  /// With UseKeptConnection: the local port of the connection that must be
+  /// used; zero for any.
+  int LocalPort = 0;
 };
 
 /// Settings of an HttpClient.
