Delegate tasks that surely run nowhere before the takeover is complete

Cause: two gates for the whole shard. delegableTasks() left a job out for as long as any of its tasks might have an unknown run, and delegateTasks() did nothing until no run of any previous owner was left anywhere.

What they protect, and what keeps it now: - a run of the very task: mayHavePreviousRun() and hasRunsOf() of the task, the same that hold a start in its own shard back. A stored place is on one worker or nowhere; a task without one waits for every silent worker, as before; - a delegation by a previous owner whose commit is under way: it has the version of the owner row as a condition, and the rows were read after that changed; - a job that is not read yet: canSendOrders() is false until all are. So a task goes to another shard only when it might start in this one at that moment, and its row, written in the same commit, keeps it from starting here. Jobs are still not transferred within the unknown time: short tasks have no place. Until every worker has answered or missed a poll, nothing is delegated.

--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -55,8 +55,7 @@
   bool MayDelegate =
       !isFinal(Entry.State) && !Entry.IsTransferring &&
       !m_dirty.count(Entry.Spec.Id) && Entry.Spec.Repetitions == 0 &&
-      Now >= Entry.NextDelegation && Entry.Spec.Steps.front().LongRunning &&
-      !m_previousRuns.isWithinUnknownTime(Entry.JobVersion, Now);
+      Now >= Entry.NextDelegation && Entry.Spec.Steps.front().LongRunning;
   if (!MayDelegate)
     return Out;
   bool RunsNowhere = !Entry.HomeShard && !Entry.hasPlaced() &&
@@ -76,10 +75,14 @@
   return Out;
 }
 
+// A new owner first hears from its workers what runs and what room is left.
+// Delegations of previous owners need no wait: their commits have the version
+// of the owner row as a condition, and the rows were read after it had changed.
 void JobShard::Impl::delegateTasks() {
   TimePoint Now = m_time.now();
   if (!m_options.FindShardWithRoom || Now < m_nextDelegation ||
-      m_isCommitting || !canSendOrders() || !isTakeoverComplete())
+      m_isCommitting || !canSendOrders() ||
+      !(isTakeoverComplete() || wereAllWorkersPolled()))
     return;
   m_nextDelegation = Now + DelegationInterval;
   RestartDemand Restarts = overdueRestarts();
--- a/src/libjobhost/jobhost_delegation_test.cpp
+++ b/src/libjobhost/jobhost_delegation_test.cpp
@@ -105,6 +105,17 @@
       return workerOf(Bed, Task) >= 0;
     });
   }
+  /// Cuts \p Count workers of the first shard off from all hosts.
+  void cutWorkers(int Count) {
+    for (int Worker = 0; Worker < Bed.workers() && Count > 0; ++Worker) {
+      const std::string &Id = Bed.worker(Worker).Entry.Id;
+      if (Bed.worker(Worker).IsDown || Bed.host(0).Process->shardOf(Id) != 0)
+        continue;
+      for (int Host = 0; Host < Bed.hosts(); ++Host)
+        Bed.host(Host).UnreachableWorkers.insert(Id);
+      --Count;
+    }
+  }
   /// Makes room for one task in the second shard, \p Pause after the last.
   void makeRoom(milliseconds Pause) {
     REQUIRE(Bed.cancel(0, Fillers.back()).has_value());
@@ -118,6 +129,15 @@
   JobTestBed Bed{{.Workers = 8, .MinShards = 2, .WorkerCapacity = TwoTasks}};
 };
 
+/// Kills all hosts that own shards. They start again at once.
+void killOwners(JobTestBed &Bed) {
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    if (Bed.host(Host).Process->ownedShards() > 0) {
+      Bed.killHost(Host);
+      Bed.startHost(Host);
+    }
+}
+
 } // namespace
 
 // Guards against a shard that takes tasks of a job once only: the tasks of the
@@ -166,11 +186,7 @@
     Divided.loseWorkerIn(Divided.HomeShard);
     REQUIRE(Divided.delegatesWithin(RestartBound));
     Bed.run(Delay);
-    for (int Host = 0; Host < Bed.hosts(); ++Host)
-      if (Bed.host(Host).Process->ownedShards() > 0) {
-        Bed.killHost(Host);
-        Bed.startHost(Host);
-      }
+    killOwners(Bed);
     CHECK(allRunWithin(Bed, 6, 15s));
     Bed.run(15s);
     CHECK(Bed.Oracle.running() == 6);
@@ -178,6 +194,41 @@
   }
 }
 
+// Guards against tasks that wait in a full shard beside room in another one
+// until all possible runs of other tasks have ended: their own place is stored.
+TEST_CASE("After a crash of the owners tasks that surely run nowhere go to "
+          "another shard at once") {
+  FullShards Full;
+  JobTestBed &Bed = Full.Bed;
+  std::vector<TaskName> Lost = Full.loseWorkers(1, 0s);
+  REQUIRE(Lost.size() == 2);
+  Bed.run(LeaseTimes{}.Sole + 2s);
+  Full.cutWorkers(2);
+  Full.makeRoom(0s);
+  Full.makeRoom(0s);
+  killOwners(Bed);
+  CHECK(Bed.runUntil([&] { return Full.allRun(Lost); }, RestartBound));
+  Bed.run(15s);
+  checkNoViolations(Bed);
+}
+
+// Guards against a second run of a task whose worker is cut off and runs on: it
+// went to another shard before its run had ended.
+TEST_CASE(
+    "After a crash of the owners tasks that may run on a silent worker go "
+    "to no other shard") {
+  FullShards Full;
+  JobTestBed &Bed = Full.Bed;
+  Full.cutWorkers(2);
+  for (int Number = 0; Number < 5; ++Number)
+    Full.makeRoom(0s);
+  killOwners(Bed);
+  Bed.run(20s);
+  CHECK(Bed.LogLines["tasks_delegated"] > 0);
+  CHECK(Full.allRun(Full.tasks()));
+  checkNoViolations(Bed);
+}
+
 // Guards against the same if the answers to the commits are lost, before or
 // after they take effect.
 TEST_CASE("Added tasks run once although the answers of the store are lost") {
