Delegate tasks of up to 16 jobs in one commit

Cause: a delegation took one job, and the next one had to wait for the answer to its commit, for a tick and for its turn beside the commits of progress.

delegateTasks() now adds jobs, in the order of before, to one commit until it has 16 jobs, or as many rows or bytes as the store takes. The room that is sent to a shard counts at once (FindShardWithRoom), so that no more goes there than before within the time of a report. As any job can fail the commit for all (a cancelled one, a part that is there already), the jobs of a failed commit are tried again in commits of four, then each alone, until one succeeds; a job waits for 1 s only if it failed alone. After an unknown outcome each of them is held back as before.

--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -93,6 +93,8 @@
   bool WasDelegated = false;
   /// No task is delegated before this time.
   TimePoint NextDelegation{};
+  /// Commits of delegations that failed since the last success.
+  int FailedDelegations = 0;
   /// Keys of rows that add tasks which this owner has added. The commit that
   /// stores the progress with these tasks removes the rows.
   std::vector<std::string> AddedTaskRows;
--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <tuple>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -21,6 +22,12 @@
 /// Time until tasks of a job are delegated again after a failure, so that other
 /// jobs have their turn.
 constexpr milliseconds FailureDelay{1000};
+/// Maximum number of jobs in one commit of delegations, and the number of rows
+/// that each one takes.
+constexpr size_t MaxDelegations = 16;
+constexpr size_t RowsPerDelegation = 6;
+/// A job of a commit that failed is tried again with this many times fewer.
+constexpr size_t FewerDelegations = 4;
 
 /// Returns true if the task never ran and would take room that restarts wait
 /// for.
@@ -30,6 +37,13 @@
          Restarts.Smallest.fits(Entry.stepOf(Position).reservation());
 }
 
+size_t bytesOf(const RowCommit &Commit) {
+  size_t Out = 0;
+  for (const RowChange &Change : Commit.Changes)
+    Out += Change.Value.size();
+  return Out;
+}
+
 } // namespace
 
 RowAddress JobShard::Impl::progressAddressOf(const std::string &Id) const {
@@ -85,50 +99,87 @@
       !(isTakeoverComplete() || wereAllWorkersPolled()))
     return;
   m_nextDelegation = Now + DelegationInterval;
-  RestartDemand Restarts = overdueRestarts();
-  if (m_options.RestartsElsewhere)
-    Restarts.add(m_options.RestartsElsewhere());
-  std::vector<std::pair<std::pair<bool, TimePoint>, std::string>> Jobs =
-      jobsToDelegate();
-  for (size_t Index = 0; Index < Jobs.size(); ++Index) {
-    JobEntry &Entry = *find(Jobs[Index].second);
-    std::vector<int> Positions = delegableTasks(Entry);
-    std::erase_if(Positions, [&](int Position) {
-      return takesRoomOfRestarts(Entry, Position, Restarts);
-    });
-    if (Index + 1 < Jobs.size()) {
-      auto [IsNew, Since] = Jobs[Index + 1].first;
-      std::pair<bool, TimePoint> Latest{IsNew, Since + MaxOvertaking};
-      std::erase_if(Positions, [&](int Position) {
-        return Entry.delegationRank(Position) > Latest;
-      });
-    }
-    if (Positions.empty())
+  RowCommit Commit;
+  Commit.Conditions = {{.Address = shardOwnerAddress(m_options.Shard),
+                        .Version = m_options.Epoch}};
+  std::vector<Delegation> Sent;
+  size_t MaxJobs = MaxDelegations;
+  for (const DelegableJob &Job : jobsToDelegate()) {
+    if (Sent.size() >= MaxJobs ||
+        Commit.Conditions.size() + Commit.Changes.size() + RowsPerDelegation >
+            MaxRowsPerCommit ||
+        bytesOf(Commit) > MaxCommitBytes - 3 * MaxProgressBytes)
+      break;
+    JobEntry &Entry = *find(Job.Id);
+    size_t MaxJobsOfEntry = maxJobsWith(Entry);
+    if (Sent.size() >= MaxJobsOfEntry)
       continue;
     std::set<int> Holders = Entry.PartShards;
     if (Entry.HomeShard)
       Holders.insert(*Entry.HomeShard);
     std::optional<DelegationTarget> Target =
-        m_options.FindShardWithRoom(Entry.Spec, Holders, Positions.size());
+        m_options.FindShardWithRoom(Entry.Spec, Holders, Job.Positions.size());
     if (!Target)
       continue;
-    sendDelegation(Entry, delegatedTo(*Target, Entry, Positions),
-                   Target->Shard);
-    return;
+    MaxJobs = std::min(MaxJobs, MaxJobsOfEntry);
+    Sent.push_back(
+        {.Id = Job.Id,
+         .Target = Target->Shard,
+         .IsAdded = addDelegation(Commit, Entry,
+                                  delegatedTo(*Target, Entry, Job.Positions),
+                                  Target->Shard)});
   }
+  if (Sent.empty())
+    return;
+  m_isCommitting = true;
+  m_store.commit(std::move(Commit), [Weak = weak_from_this(),
+                                     Sent](const Result<uint64_t> &Answer) {
+    if (auto Self = Weak.lock())
+      Self->onDelegated(Sent, Answer);
+  });
 }
 
-std::vector<std::pair<std::pair<bool, TimePoint>, std::string>>
+// The job whose task comes first is the first one. Of each job those tasks
+// follow that come before the first one of the next job, or soon after it.
+std::vector<JobShard::Impl::DelegableJob>
 JobShard::Impl::jobsToDelegate() const {
-  std::vector<std::pair<std::pair<bool, TimePoint>, std::string>> Out;
+  RestartDemand Restarts = overdueRestarts();
+  if (m_options.RestartsElsewhere)
+    Restarts.add(m_options.RestartsElsewhere());
+  std::vector<DelegableJob> Out;
   for (const auto &[Id, Positions] : m_waiting) {
     const JobEntry &Entry = m_jobs.at(Id);
     std::vector<int> Delegable = delegableTasks(Entry);
+    std::erase_if(Delegable, [&](int Position) {
+      return takesRoomOfRestarts(Entry, Position, Restarts);
+    });
     if (Delegable.empty())
       continue;
-    Out.emplace_back(Entry.delegationRank(Delegable.front()), Id);
+    Out.push_back({.Rank = Entry.delegationRank(Delegable.front()),
+                   .Id = Id,
+                   .Positions = std::move(Delegable)});
   }
-  std::sort(Out.begin(), Out.end());
+  std::sort(Out.begin(), Out.end(),
+            [](const DelegableJob &A, const DelegableJob &B) {
+              return std::tie(A.Rank, A.Id) < std::tie(B.Rank, B.Id);
+            });
+  for (size_t Index = 0; Index + 1 < Out.size(); ++Index) {
+    const JobEntry &Entry = m_jobs.at(Out[Index].Id);
+    auto [IsNew, Since] = Out[Index + 1].Rank;
+    std::pair<bool, TimePoint> Latest{IsNew, Since + MaxOvertaking};
+    std::erase_if(Out[Index].Positions, [&](int Position) {
+      return Entry.delegationRank(Position) > Latest;
+    });
+  }
+  return Out;
+}
+
+// Any job can fail a commit for all: fewer and fewer are tried with one that
+// was in a failed one.
+size_t JobShard::Impl::maxJobsWith(const JobEntry &Entry) {
+  size_t Out = MaxDelegations;
+  for (int Failure = 0; Failure < Entry.FailedDelegations && Out > 1; ++Failure)
+    Out /= FewerDelegations;
   return Out;
 }
 
@@ -156,9 +207,9 @@
 // also one of a version that knows no parts. To a shard that has tasks of the
 // job, or may have some, they go in a row of their own: the rows of a part are
 // written by the owner of its shard.
-void JobShard::Impl::sendDelegation(JobEntry &Entry,
-                                    const std::vector<int> &Positions,
-                                    int Target) {
+bool JobShard::Impl::addDelegation(RowCommit &Commit, JobEntry &Entry,
+                                   const std::vector<int> &Positions,
+                                   int Target) {
   const std::string &Id = Entry.Spec.Id;
   int HomeShard = Entry.HomeShard.value_or(m_options.Shard);
   bool IsAdded = Target == HomeShard || !Entry.PartShards.insert(Target).second;
@@ -188,13 +239,11 @@
   RowAddress Progress = progressAddressOf(Id);
   JobPart Part{
       .Spec = Entry.Spec, .HomeShard = HomeShard, .Positions = Positions};
-  RowCommit Commit;
-  Commit.Conditions = {{.Address = shardOwnerAddress(m_options.Shard),
-                        .Version = m_options.Epoch},
-                       {.Address = cancellationAddress(HomeShard, Id)},
-                       {.Address = Progress, .Version = Entry.RowVersion}};
-  Commit.Changes = {
-      {.Address = Progress, .Value = encodeProgress(Kept.progress())}};
+  Commit.Conditions.push_back({.Address = cancellationAddress(HomeShard, Id)});
+  Commit.Conditions.push_back(
+      {.Address = Progress, .Version = Entry.RowVersion});
+  Commit.Changes.push_back(
+      {.Address = Progress, .Value = encodeProgress(Kept.progress())});
   if (IsAdded) {
     Part.Added = std::move(Moved);
     Commit.Changes.push_back(
@@ -208,55 +257,63 @@
     Commit.Changes.push_back({.Address = partProgressAddress(Target, Id),
                               .Value = encodeProgress(Moved)});
   }
-  m_isCommitting = true;
-  m_store.commit(std::move(Commit), [Weak = weak_from_this(), Id, Target,
-                                     IsAdded](const Result<uint64_t> &Answer) {
-    if (auto Self = Weak.lock())
-      Self->onDelegated(Id, Target, IsAdded, Answer);
-  });
+  return IsAdded;
 }
 
-void JobShard::Impl::onDelegated(const std::string &Id, int Target,
-                                 bool IsAdded, const Result<uint64_t> &Answer) {
+void JobShard::Impl::onDelegated(const std::vector<Delegation> &Sent,
+                                 const Result<uint64_t> &Answer) {
   m_isCommitting = false;
-  JobEntry &Entry = *find(Id);
-  // The next job need not wait for the interval.
+  // The next jobs need not wait for the interval.
   m_nextDelegation = m_time.now();
   if (Answer.has_value()) {
-    log("tasks_delegated",
-        fmt::format("job={} tasks={} from={} to={}", Id,
-                    Entry.Delegating.size(), m_options.Shard, Target));
-    Entry.RowVersion = Answer.value();
-    finishDelegation(Entry);
+    for (const Delegation &Job : Sent) {
+      JobEntry &Entry = *find(Job.Id);
+      log("tasks_delegated",
+          fmt::format("job={} tasks={} from={} to={}", Job.Id,
+                      Entry.Delegating.size(), m_options.Shard, Job.Target));
+      Entry.RowVersion = Answer.value();
+      Entry.FailedDelegations = 0;
+      finishDelegation(Entry);
+    }
     return;
   }
-  log("delegation_failed",
-      fmt::format("job={} from={} to={} result={} message=\"{}\"", Id,
-                  m_options.Shard, Target, resultCodeName(Answer.error().Code),
-                  Answer.error().Message));
   ResultCode Code = Answer.error().Code;
-  if (Code == ResultCode::Unavailable || Code == ResultCode::Overloaded) {
-    Entry.IsTransferring = false;
-    if (!IsAdded)
-      Entry.PartShards.erase(Target);
-    Entry.Delegating.clear();
-    Entry.NextDelegation = m_time.now() + FailureDelay;
-    m_nextDelegation = m_time.now() + DelegationInterval;
-    queueReady(Entry);
-    return;
+  log("delegation_failed",
+      fmt::format("jobs={} first={} from={} result={} message=\"{}\"",
+                  Sent.size(), Sent.front().Id, m_options.Shard,
+                  resultCodeName(Code), Answer.error().Message));
+  bool IsNotDone =
+      Code == ResultCode::Unavailable || Code == ResultCode::Overloaded;
+  bool IsAlone = Sent.size() == 1;
+  for (const Delegation &Job : Sent) {
+    JobEntry &Entry = *find(Job.Id);
+    ++Entry.FailedDelegations;
+    // A part that is there already is no reason to wait, another failure may
+    // last: other jobs come first.
+    if (IsAlone && (IsNotDone || Job.IsAdded))
+      Entry.NextDelegation = m_time.now() + FailureDelay;
+    if (IsNotDone)
+      revertDelegation(Entry, Job);
+    else
+      // The commit may still take effect. No task is started until a commit of
+      // the job's progress succeeds, which makes the delegation impossible, or
+      // the progress row shows that it took effect.
+      markDirty(Entry);
   }
-  // A part that is there already is no reason to wait, another conflict may
-  // last: other jobs come first.
-  if (IsAdded)
-    Entry.NextDelegation = m_time.now() + FailureDelay;
-  // The commit may still take effect. No task is started until a commit of the
-  // job's progress succeeds, which makes the delegation impossible, or the
-  // progress row shows that it took effect.
-  markDirty(Entry);
+  if (IsNotDone)
+    m_nextDelegation = m_time.now() + DelegationInterval;
   if (Code == ResultCode::Conflict)
     verifyOwnership();
 }
 
+void JobShard::Impl::revertDelegation(JobEntry &Entry, const Delegation &Sent) {
+  Entry.IsTransferring = false;
+  if (!Sent.IsAdded)
+    Entry.PartShards.erase(Sent.Target);
+  Entry.Delegating.clear();
+  queueReady(Entry);
+}
+
 // A job whose first tasks run in another shard runs.
 void JobShard::Impl::markRunning(JobEntry &Entry) {
   if (Entry.hasStarted())
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -141,19 +141,35 @@
 
   // Delegation of waiting long-running tasks to other shards.
   void delegateTasks();
-  /// Returns the jobs with tasks to delegate, each with the rank of the first
-  /// of these, in the order of the ranks.
-  std::vector<std::pair<std::pair<bool, TimePoint>, std::string>>
-  jobsToDelegate() const;
+  /// A job with tasks to delegate, and the rank of the first of these.
+  struct DelegableJob {
+    std::pair<bool, TimePoint> Rank;
+    std::string Id;
+    std::vector<int> Positions;
+  };
+  /// Returns these jobs in the order of their ranks.
+  std::vector<DelegableJob> jobsToDelegate() const;
   std::vector<int> delegableTasks(const JobEntry &Entry) const;
   bool hasRunsOf(const TaskName &Task) const;
   static std::vector<int> delegatedTo(const DelegationTarget &Target,
                                       const JobEntry &Entry,
                                       const std::vector<int> &Positions);
-  void sendDelegation(JobEntry &Entry, const std::vector<int> &Positions,
-                      int Target);
-  void onDelegated(const std::string &Id, int Target, bool IsAdded,
+  /// Adds the delegation of tasks of one job to \p Commit. Returns true if the
+  /// tasks are added to others of the job.
+  bool addDelegation(RowCommit &Commit, JobEntry &Entry,
+                     const std::vector<int> &Positions, int Target);
+  /// Returns the number of jobs that one commit may delegate if \p Entry is one
+  /// of them.
+  static size_t maxJobsWith(const JobEntry &Entry);
+  /// The part of one job in a commit of delegations.
+  struct Delegation {
+    std::string Id;
+    int Target = 0;
+    bool IsAdded = false;
+  };
+  void onDelegated(const std::vector<Delegation> &Sent,
                    const Result<uint64_t> &Answer);
+  void revertDelegation(JobEntry &Entry, const Delegation &Sent);
   static void markRunning(JobEntry &Entry);
   void finishDelegation(JobEntry &Entry);
   void onCurrentProgress(JobEntry &Entry, const StoredRow &Row);
--- a/src/libjobhost/restartload_test.cpp
+++ b/src/libjobhost/restartload_test.cpp
@@ -187,6 +187,38 @@
   checkNoViolations(Bed);
 }
 
+// Guards against restarts that change their shard one job at a time, while the
+// room stands idle: a rack of workers of a full shard is lost.
+TEST_CASE("Restarts of many jobs get the room of another shard within 3 s") {
+  JobTestBed Bed(
+      {.Workers = 50, .MinShards = 2, .WorkerCapacity = LargeWorker});
+  Bed.run(6s);
+  // Fills the second shard.
+  std::string Filler = idForShard("filler-", 1);
+  CHECK(Bed.submit(0, longJob(Filler, 200)).has_value());
+  REQUIRE(allRunWithin(Bed, 200, 4s));
+  Bed.run(2s);
+  for (int Number = 0; Number < 50; ++Number) {
+    Job Value = longJob("job-" + std::to_string(Number), 4);
+    Value.Steps[0].MaxPerWorker = 1;
+    CHECK(Bed.submit(0, Value).has_value());
+  }
+  REQUIRE(allRunWithin(Bed, 400, 10s));
+  std::vector<int> Lost;
+  for (int Worker = 0; Worker < Bed.workers() && Lost.size() < 12; ++Worker)
+    if (Bed.host(0).Process->shardOf(Bed.worker(Worker).Entry.Id) == 0)
+      Lost.push_back(Worker);
+  for (int Worker : Lost)
+    loseWorker(Bed, Worker);
+  Bed.run(LeaseTimes{}.Sole + 2s);
+  REQUIRE(Bed.Oracle.running() == 304);
+  Bed.Store.CommitDelay = 50ms;
+  CHECK(Bed.cancel(0, Filler).has_value());
+  REQUIRE(allRunWithin(Bed, 104, 1s));
+  CHECK(allRunWithin(Bed, 200, 3s));
+  checkNoViolations(Bed);
+}
+
 // Guards against short work that is shut out of idle workers: a long-running
 // task that never ran was refused there since the room is kept for restarts of
 // another shard, and the refusal counted for all tasks with its demand.
