Carry the wait of a restart to the next owner and through a transfer

Causes: the wait was kept in memory and sent with delegations only; and the 1.2 s for which a task that has waited elsewhere stays held its whole job back.

- The row of a restart that surely runs nowhere has the time since which it waits, as a negative waited_ms, which earlier versions take for 0.
A new owner reads it by its wall clock, up to 10 min.
Waits of suspects begin anew.
- A transfer sends the waits as a delegation does.
- TaskState::HereSince says since when this owner has the task.
It stays for 1.2 s from then, before a delegation or another transfer; other tasks of the job do not wait.
So after a takeover the first delegation follows 1.2 s after the load, as before.
Only the order of starts and delegations depends on the wait, not whether a task may start: mayHavePreviousRun() and the stored place decide that as before.

--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -14,6 +14,9 @@
 /// must not use the same numbers.
 constexpr milliseconds RunNumberTime{100};
 constexpr int64_t MaxLowestRunNumber = int64_t(1) << 30;
+/// Upper bound on a wait as computed from wall clocks. A larger value is taken
+/// to be a difference between the clocks of two hosts.
+constexpr milliseconds MaxRestoredWait{600000};
 
 } // namespace
 
@@ -83,21 +86,63 @@
          .Done = IsDone,
          .Checkpoint = Task.Checkpoint,
          .Place = IsDone ? std::nullopt : Task.Place,
-         .Crash = Task.Crash});
+         .Crash = Task.Crash,
+         .WaitingSince = storedWait(static_cast<int>(Position))});
   }
   return Out;
 }
 
+milliseconds JobEntry::storedWait(int Position) const {
+  const TaskState &Task = Tasks[static_cast<size_t>(Position)];
+  bool IsStored = Task.Phase == TaskPhase::Waiting && Task.Place == "" &&
+                  isRestart(Position) && Task.WaitingSince != TimePoint{} &&
+                  WallOffset;
+  if (!IsStored)
+    return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(
+      Task.WaitingSince.time_since_epoch() + *WallOffset);
+}
+
+// The waits of suspects begin anew: each owner looks for harmless workers and
+// for other ones than those that crashed for some time of its own.
+void JobEntry::restoreWait(const TaskProgress &Stored, TimePoint Now,
+                           milliseconds WallTime) {
+  bool IsKnown = Stored.Position >= 0 &&
+                 Stored.Position < static_cast<int>(Tasks.size()) &&
+                 !Stored.Done && !Stored.Crash.IsSuspect;
+  if (!IsKnown)
+    return;
+  TaskState &Task = Tasks[static_cast<size_t>(Stored.Position)];
+  Task.HereSince = Now;
+  milliseconds Waited = Stored.Waited;
+  if (Waited.count() == 0 && Stored.WaitingSince.count() > 0)
+    Waited = std::clamp(WallTime - Stored.WaitingSince, milliseconds(0),
+                        MaxRestoredWait);
+  if (Waited.count() > 0)
+    Task.WaitingSince = Now - Waited;
+}
+
+bool JobEntry::hasWaitedHere(int Position, milliseconds Wait,
+                             TimePoint Now) const {
+  const TaskState &Task = Tasks[static_cast<size_t>(Position)];
+  return Now > std::max(Task.WaitingSince, Task.HereSince) + Wait;
+}
+
 // A job that has not started is read without its progress in the other shard,
 // also by hosts of earlier versions, which store no place before its first
 // starts. So its row must not say that there are no runs.
-JobProgress JobEntry::progressWithoutRuns() const {
+JobProgress JobEntry::progressWithoutRuns(TimePoint Now) const {
   if (!m_hasStarted)
     return {.State = State};
   JobProgress Out = progress();
-  for (TaskProgress &Task : Out.Tasks)
-    if (storesPlace(Task.Position) && !Task.Done)
-      Task.Place = "";
+  for (TaskProgress &Task : Out.Tasks) {
+    if (!storesPlace(Task.Position) || Task.Done)
+      continue;
+    Task.Place = "";
+    TimePoint Since = Tasks[static_cast<size_t>(Task.Position)].WaitingSince;
+    if (Since != TimePoint{})
+      Task.Waited = std::chrono::duration_cast<milliseconds>(Now - Since);
+  }
   return Out;
 }
 
@@ -273,6 +318,7 @@
   Task.Place = "";
   Task.Crash = Progress.Crash;
   Task.WaitingSince = Now - Progress.Waited;
+  Task.HereSince = Now;
 }
 
 void JobEntry::finishAllBut(const std::vector<int> &Positions) {
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -50,8 +50,11 @@
   /// Crashes of workers under the task. For a member of a gang only the worker
   /// and incarnation are its own.
   CrashRecord Crash;
-  /// When the task became ready, or ready again after a run ended.
+  /// When the task became ready, or ready again after a run ended. Also in
+  /// another shard or under another owner.
   TimePoint WaitingSince{};
+  /// Since when this owner has the task, if it has waited elsewhere before.
+  TimePoint HereSince{};
   /// The present wait was reported as overdue.
   bool IsOverdue = false;
 };
@@ -77,6 +80,8 @@
   /// it found one.
   TimePoint ShardSearchAt{};
   bool HasBetterShard = false;
+  /// Time since 1970 at zero of the local clock, if it is known.
+  std::optional<nanoseconds> WallOffset;
   /// Version of the job's own row in the shard.
   uint64_t JobVersion = 0;
   /// This owner certainly owned the shard when the job arrived.
@@ -129,7 +134,14 @@
   JobProgress progress() const;
   /// Returns the progress to be stored with the job in another shard. There
   /// must be no run of any task that is not done.
-  JobProgress progressWithoutRuns() const;
+  JobProgress progressWithoutRuns(TimePoint Now) const;
+  /// Restores the wait of a task from its stored progress. \p WallTime is the
+  /// time since 1970, or zero if it is not known.
+  void restoreWait(const TaskProgress &Stored, TimePoint Now,
+                   milliseconds WallTime);
+  /// Returns true if the task has waited for more than \p Wait in this shard
+  /// under this owner.
+  bool hasWaitedHere(int Position, milliseconds Wait, TimePoint Now) const;
   /// Returns the position of \p Name, or -1 if the job has no such task.
   int positionOf(const TaskName &Name) const;
   TaskName nameOf(int Position) const;
@@ -210,6 +222,9 @@
 private:
   /// Returns a run number that grows with the age of the job.
   int lowestRunNumber(milliseconds WallTime) const;
+  /// Returns the time since 1970 since which a restart waits that surely runs
+  /// nowhere; zero for other tasks.
+  milliseconds storedWait(int Position) const;
   size_t groupIndex(int Position) const;
   /// Returns true if no run of the task is known, from any owner.
   bool isUntried(int Position) const;
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -30,6 +30,9 @@
   CrashRecord Crash;
   /// Time for which the task has waited when another shard sent it.
   milliseconds Waited{0};
+  /// Time since 1970 since which a task that runs nowhere has waited, in the
+  /// shard that stores it; zero if not known.
+  milliseconds WaitingSince{0};
 };
 
 /// Stored progress of a job.
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -224,6 +224,8 @@
                             const JobProgress *Stored) {
   auto Added = m_jobs.try_emplace(Spec.Id, Spec, Version, m_time.now()).first;
   JobEntry &Entry = Added->second;
+  if (m_options.WallTime)
+    Entry.WallOffset = m_options.WallTime() - m_time.now().time_since_epoch();
   for (const JobStep &Step : Spec.Steps) {
     Entry.Kinds.push_back(kindOf(Step.Image));
     if (Step.IsFill)
@@ -242,15 +244,10 @@
       if (Task.Place && Task.Phase == TaskPhase::Waiting)
         m_previousRuns.setPlace(Entry.nameOf(Position), *Task.Place);
     }
-    for (const TaskProgress &Task : Stored->Tasks) {
-      if (Task.Waited.count() == 0 || Task.Position < 0 ||
-          Task.Position >= static_cast<int>(Entry.Tasks.size()))
-        continue;
-      Entry.Tasks[static_cast<size_t>(Task.Position)].WaitingSince =
-          m_time.now() - Task.Waited;
-      // Tasks that have waited elsewhere stay for a while before they go on.
-      Entry.NextDelegation = m_time.now() + LongRunningMaxWait;
-    }
+    for (const TaskProgress &Task : Stored->Tasks)
+      Entry.restoreWait(Task, m_time.now(),
+                        m_options.WallTime ? m_options.WallTime()
+                                           : milliseconds(0));
     if (m_options.WallTime)
       Entry.ArrivedAt -= std::clamp(m_options.WallTime() - Spec.AcceptedAt,
                                     milliseconds(0), MaxJobAge);
--- a/src/libbasilchute/jobshard_addedtasks.cpp
+++ b/src/libbasilchute/jobshard_addedtasks.cpp
@@ -99,8 +99,6 @@
 
 void JobShard::Impl::onTasksAdded(JobEntry &Entry, const AddedTasks &Row) {
   Entry.AddedTaskRows.push_back(Row.Key);
-  // Tasks that have waited elsewhere stay for a while before they go on.
-  Entry.NextDelegation = m_time.now() + LongRunningMaxWait;
   markDirty(Entry, milliseconds(0));
   log("tasks_added", fmt::format("job={} shard={} tasks={} home={}", Row.JobId,
                                  m_options.Shard, Row.Part.Positions.size(),
--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -79,7 +79,8 @@
     const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
     const JobStep &Step = Entry.stepOf(Position);
     if (Step.LongRunning && !Step.Gang && !Task.Crash.IsSuspect &&
-        Now > Task.WaitingSince + Wait && !hasRunsOf(Entry.nameOf(Position)) &&
+        Entry.hasWaitedHere(Position, Wait, Now) &&
+        !hasRunsOf(Entry.nameOf(Position)) &&
         !mayHavePreviousRun(Entry, Position))
       Out.push_back(Position);
   }
@@ -374,7 +375,6 @@
   addStored(Spec, Stored->second);
   if (JobEntry *Added = find(Id)) {
     Added->JobVersion = Row.Version;
-    Added->NextDelegation = m_time.now() + LongRunningMaxWait;
     Added->MayBeCancelledAtHome = true;
   }
 }
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -463,6 +463,7 @@
   void removeWaiting(const JobEntry &Entry, int Position);
   Rank rankOf(const JobEntry &Entry) const;
   bool hasWaitedLong(const JobEntry &Entry) const;
+  bool hasWaitedLongHere(const JobEntry &Entry) const;
   int latenessOf(const JobEntry &Entry) const;
   void relocateStalledRuns();
   void logState();
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -113,7 +113,7 @@
   bool IsYoung = Now < Entry.ArrivedAt + MaxTransferAge;
   bool IsLongRunning = Entry.Spec.Steps.front().LongRunning;
   if (IsLongRunning && (Entry.hasStarted() || !IsYoung) &&
-      !hasWaitedLong(Entry))
+      !hasWaitedLongHere(Entry))
     return false;
   if (Now < Entry.ArrivedAt + MinTransferAge ||
       (!IsYoung && !IsLongRunning && hasWorkersFor(Entry)))
@@ -124,6 +124,17 @@
   return !Entry.hasStarted() || !hasRunsOf(Entry);
 }
 
+// A job that has waited elsewhere before stays for a while before it goes on.
+bool JobShard::Impl::hasWaitedLongHere(const JobEntry &Entry) const {
+  auto Waiting = m_waiting.find(Entry.Spec.Id);
+  return Waiting != m_waiting.end() &&
+         std::any_of(Waiting->second.begin(), Waiting->second.end(),
+                     [&](int Position) {
+                       return Entry.hasWaitedHere(Position, LongRunningMaxWait,
+                                                  m_time.now());
+                     });
+}
+
 // Returns true if every step of the job fits on some worker of this shard, and
 // every gang on all of them.
 bool JobShard::Impl::hasWorkersFor(const JobEntry &Entry) const {
@@ -228,7 +239,7 @@
         {.Address = jobAddress(Target, Id), .Value = encodeJob(Moved)});
     Commit.Changes.push_back(
         {.Address = progressAddress(Target, Id),
-         .Value = encodeProgress(Entry.progressWithoutRuns())});
+         .Value = encodeProgress(Entry.progressWithoutRuns(m_time.now()))});
     Commit.Changes.push_back(
         {.Address = jobIndexAddress(Id), .Value = encodeJobIndex(Target)});
   }
--- a/src/libbasilchute/progressrows.cpp
+++ b/src/libbasilchute/progressrows.cpp
@@ -25,6 +25,8 @@
 constexpr size_t MaxLargeRowTasks = 100000;
 /// Upper bound on the tag and length of a field in a progress row.
 constexpr size_t FieldOverhead = 6;
+/// Latest time since 1970 that is read from a row.
+constexpr milliseconds MaxWallTime = std::chrono::hours(300 * 365 * 24);
 /// Values of StoredTask.place; others mean that the place is not known.
 constexpr int NoPlace = 1;
 constexpr int FirstWorkerPlace = 2;
@@ -50,6 +52,11 @@
           .Incarnation = milliseconds(From.exposed_incarnation())};
 }
 
+milliseconds waitingSinceOf(const v1::StoredTask &From) {
+  return -std::clamp(milliseconds(From.waited_ms()), -MaxWallTime,
+                     milliseconds(0));
+}
+
 void storeTask(const TaskProgress &Task, v1::StoredTask &Stored) {
   Stored.set_position(Task.Position);
   Stored.set_run(Task.Run);
@@ -63,7 +70,8 @@
   Stored.set_crash_age_ms(Task.Crash.RunAge.count());
   Stored.set_exposed_worker(Task.Crash.Worker);
   Stored.set_exposed_incarnation(Task.Crash.Incarnation.count());
-  Stored.set_waited_ms(Task.Waited.count());
+  Stored.set_waited_ms(Task.Waited.count() > 0 ? Task.Waited.count()
+                                               : -Task.WaitingSince.count());
 }
 
 using StoredPlaces = std::map<std::string, int>;
@@ -224,7 +232,8 @@
          .Checkpoint = Task.checkpoint(),
          .Place = placeOf(Task, From),
          .Crash = loadCrash(Task),
-         .Waited = boundedTime(Task.waited_ms(), MaxDuration)});
+         .Waited = boundedTime(Task.waited_ms(), MaxDuration),
+         .WaitingSince = waitingSinceOf(Task)});
   }
   return Out;
 }
--- a/src/libjobhost/jobhost_delegation_test.cpp
+++ b/src/libjobhost/jobhost_delegation_test.cpp
@@ -1,6 +1,7 @@
 // Tests of long-running tasks that other shards than that of their job run,
 // where tasks of the job run already, or did before.
 
+#include "libbasilchute/jobrows.h"
 #include "testing/longjobs.h"
 
 #include <algorithm>
@@ -336,6 +337,36 @@
   checkNoViolations(Bed);
 }
 
+// Guards against tasks that wait for as long as others of their job come from
+// other shards: each of these held all of them back for 1.2 s.
+TEST_CASE("Tasks that are added keep no other task of their job waiting") {
+  FullShards Full;
+  JobTestBed &Bed = Full.Bed;
+  std::vector<TaskName> Lost = Full.loseWorkers(1, 0s);
+  Bed.run(LeaseTimes{}.Sole + 500ms);
+  REQUIRE_FALSE(Full.allRun(Lost));
+  for (int Number = 0; Number < 4; ++Number)
+    Full.makeRoom(0s);
+  uint64_t Version = 1;
+  auto AddRow = [&] {
+    const std::string &Id = Lost.front().Job;
+    JobPart Part{.Spec = longJob(Id, 4),
+                 .HomeShard = 0,
+                 .Added = JobProgress{.State = JobState::Running}};
+    RowCommit Commit;
+    Commit.Changes = {{.Address = addedTasksAddress(0, Id, 1, Version++),
+                       .Value = encodePart(Part)}};
+    CHECK(Bed.Store.apply(Commit).has_value());
+  };
+  for (int Number = 0; Number < 6 && !Full.allRun(Lost); ++Number) {
+    AddRow();
+    Bed.run(500ms);
+  }
+  CHECK(Bed.LogLines["tasks_added"] > 0);
+  CHECK(Full.allRun(Lost));
+  checkNoViolations(Bed);
+}
+
 // Guards against a job whose delegations fail and that takes every turn since
 // its tasks have waited longest: the tasks of other jobs waited for ever.
 TEST_CASE("A job whose delegations fail keeps no other job waiting") {
--- a/src/libjobhost/jobhost_fullshard_test.cpp
+++ b/src/libjobhost/jobhost_fullshard_test.cpp
@@ -48,6 +48,35 @@
   checkNoViolations(Bed);
 }
 
+// Guards against waits that begin anew with each owner: the task with the lower
+// id got the room.
+TEST_CASE("Under a new owner the long-running task that has waited longer gets "
+          "the room") {
+  for (bool IsPlanned : {false, true}) {
+    CAPTURE(IsPlanned);
+    JobTestBed Bed({.Workers = 3, .WorkerCapacity = TwoTasks});
+    Bed.run(3s);
+    for (const char *Id : {"a", "b", "other"})
+      CHECK(Bed.submit(0, longJob(Id, 1, 8000)).has_value());
+    REQUIRE(allRunWithin(Bed, 3, 2s));
+    Bed.run(4s);
+    loseWorker(Bed, workerOf(Bed, taskOf("b")));
+    Bed.run(1s);
+    loseWorker(Bed, workerOf(Bed, taskOf("a")));
+    Bed.run(LeaseTimes{}.Sole + 2s);
+    int Owner = Bed.ownerIndex();
+    if (IsPlanned)
+      Bed.restartHost(Owner, 800ms, 200ms);
+    else
+      Bed.killHost(Owner);
+    Bed.run(12s);
+    CHECK(Bed.cancel((Owner + 1) % Bed.hosts(), "other").has_value());
+    CHECK(runsWithin(Bed, taskOf("b"), 2s));
+    CHECK(workerOf(Bed, taskOf("a")) < 0);
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against room that is given away in the short time before a failed
 // long-running task may be started again.
 TEST_CASE("The room of a failed long-running task is kept until the task is "
@@ -130,6 +159,49 @@
   checkNoViolations(Bed);
 }
 
+// Guards against a wait that begins anew in the other shard, where restarts
+// that lost their worker later then come first.
+TEST_CASE("A long-running job that is transferred takes its wait along") {
+  JobTestBed Bed({.Workers = 8,
+                  .MinShards = 2,
+                  .WorkerCapacity = {.Millicores = 4000, .MemoryMib = 16000}});
+  Bed.run(3s);
+  for (int Number = 0; Number < 8; ++Number)
+    CHECK(
+        Bed.submit(0, longJob("job-" + std::to_string(Number), 1)).has_value());
+  REQUIRE(allRunWithin(Bed, 8, 20s));
+  Bed.run(10s);
+  TaskName Lost = taskOf("job-0");
+  int Other = 1 - shardOf(Bed, Lost);
+  milliseconds Waited{0};
+  Bed.Store.RefusesCommit = [&](const RowCommit &Commit) {
+    for (const RowChange &Change : Commit.Changes) {
+      Result<JobProgress> Progress = decodeProgress(Change.Value);
+      bool IsMove = Change.Address == progressAddress(Other, Lost.Job) &&
+                    Progress.has_value() && !Progress.value().Tasks.empty();
+      if (IsMove)
+        Waited = std::max(Waited, Progress.value().Tasks.front().Waited);
+    }
+    return false;
+  };
+  loseWorker(Bed, workerOf(Bed, Lost));
+  Bed.run(LeaseTimes{}.Sole + 3s);
+  REQUIRE(Waited == 0ms);
+  // Makes room for the job twice over.
+  int Left = 2;
+  for (int Number = 1; Number < 8 && Left > 0; ++Number) {
+    std::string Id = "job-" + std::to_string(Number);
+    if (shardOf(Bed, taskOf(Id)) != Other)
+      continue;
+    CHECK(Bed.cancel(0, Id).has_value());
+    --Left;
+  }
+  CHECK(runsWithin(Bed, Lost, 3s));
+  CHECK(shardOf(Bed, Lost) == Other);
+  CHECK(Waited > 2s);
+  checkNoViolations(Bed);
+}
+
 // Guards against a shard that several long-running jobs, sent on old reports,
 // fill to the last core while another shard has room: when it loses a worker,
 // the tasks of both jobs must run again.
