End a cancelled job whose first delegation had taken effect

Cause: a job that has not started is delegated in part, the answer is lost, and the job is cancelled. When its row shows that the delegation took effect, finishDelegation() makes the job running again, so that it is neither stored as cancelled nor kept from starting its other tasks.

--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -325,7 +325,9 @@
 }
 
 void JobShard::Impl::finishDelegation(JobEntry &Entry) {
-  markRunning(Entry);
+  // The job may have been cancelled meanwhile.
+  if (!isFinal(Entry.State))
+    markRunning(Entry);
   Entry.WasDelegated = true;
   for (int Position : Entry.Delegating) {
     TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
--- a/src/libjobhost/jobhost_delegation_test.cpp
+++ b/src/libjobhost/jobhost_delegation_test.cpp
@@ -251,6 +251,32 @@
   }
 }
 
+// Guards against a cancelled job that runs on: it had not started, and counted
+// as running once its delegation was found to have taken effect.
+TEST_CASE("A job that is cancelled while its first delegation is pending does "
+          "not run") {
+  FullShards Full;
+  JobTestBed &Bed = Full.Bed;
+  std::string Id = idForShard("new-", 0);
+  REQUIRE(Bed.submit(0, longJob(Id, 2)).has_value());
+  REQUIRE(holdsJob(Bed, 0, Id));
+  Full.makeRoom(0s);
+  Bed.run(1s);
+  Bed.Store.LostReplyPercent = 100;
+  REQUIRE(Bed.runUntil([&] { return holdsJob(Bed, 1, Id + ".part"); }, 4s));
+  Bed.beginCancel(0, Id);
+  Bed.run(200ms);
+  Bed.Store.LostReplyPercent = 0;
+  // Makes room for all tasks of the job in its shard.
+  Bed.beginCancel(0, Full.Jobs.front());
+  Bed.run(6s);
+  for (int Index = 0; Index < 2; ++Index)
+    CHECK(workerOf(Bed, taskOf(Id, Index)) < 0);
+  Result<JobState> State = Bed.state(0, Id);
+  CHECK((State.has_value() && State.value() == JobState::Cancelled));
+  checkNoViolations(Bed);
+}
+
 // Guards against tasks that wait for their turn behind others that cannot be
 // delegated, or for one delegation after the other. Pattern: a rack of workers
 // with long-running tasks of many jobs is lost.
