--- a/src/libjobhost/jobhost_delegation_test.cpp
+++ b/src/libjobhost/jobhost_delegation_test.cpp
@@ -1,6 +1,7 @@
 // Tests of long-running tasks that other shards than that of their job run,
 // where tasks of the job run already, or did before.
 
+#include "libbasilchute/jobrows.h"
 #include "testing/longjobs.h"
 
 #include <algorithm>
@@ -105,6 +106,17 @@
       return workerOf(Bed, Task) >= 0;
     });
   }
+  /// Cuts \p Count workers of the first shard off from all hosts.
+  void cutWorkers(int Count) {
+    for (int Worker = 0; Worker < Bed.workers() && Count > 0; ++Worker) {
+      const std::string &Id = Bed.worker(Worker).Entry.Id;
+      if (Bed.worker(Worker).IsDown || Bed.host(0).Process->shardOf(Id) != 0)
+        continue;
+      for (int Host = 0; Host < Bed.hosts(); ++Host)
+        Bed.host(Host).UnreachableWorkers.insert(Id);
+      --Count;
+    }
+  }
   /// Makes room for one task in the second shard, \p Pause after the last.
   void makeRoom(milliseconds Pause) {
     REQUIRE(Bed.cancel(0, Fillers.back()).has_value());
@@ -118,6 +130,15 @@
   JobTestBed Bed{{.Workers = 8, .MinShards = 2, .WorkerCapacity = TwoTasks}};
 };
 
+/// Kills all hosts that own shards. They start again at once.
+void killOwners(JobTestBed &Bed) {
+  for (int Host = 0; Host < Bed.hosts(); ++Host)
+    if (Bed.host(Host).Process->ownedShards() > 0) {
+      Bed.killHost(Host);
+      Bed.startHost(Host);
+    }
+}
+
 } // namespace
 
 // Guards against a shard that takes tasks of a job once only: the tasks of the
@@ -166,11 +187,7 @@
     Divided.loseWorkerIn(Divided.HomeShard);
     REQUIRE(Divided.delegatesWithin(RestartBound));
     Bed.run(Delay);
-    for (int Host = 0; Host < Bed.hosts(); ++Host)
-      if (Bed.host(Host).Process->ownedShards() > 0) {
-        Bed.killHost(Host);
-        Bed.startHost(Host);
-      }
+    killOwners(Bed);
     CHECK(allRunWithin(Bed, 6, 15s));
     Bed.run(15s);
     CHECK(Bed.Oracle.running() == 6);
@@ -178,6 +195,41 @@
   }
 }
 
+// Guards against tasks that wait in a full shard beside room in another one
+// until all possible runs of other tasks have ended: their own place is stored.
+TEST_CASE("After a crash of the owners tasks that surely run nowhere go to "
+          "another shard at once") {
+  FullShards Full;
+  JobTestBed &Bed = Full.Bed;
+  std::vector<TaskName> Lost = Full.loseWorkers(1, 0s);
+  REQUIRE(Lost.size() == 2);
+  Bed.run(LeaseTimes{}.Sole + 2s);
+  Full.cutWorkers(2);
+  Full.makeRoom(0s);
+  Full.makeRoom(0s);
+  killOwners(Bed);
+  CHECK(Bed.runUntil([&] { return Full.allRun(Lost); }, RestartBound));
+  Bed.run(15s);
+  checkNoViolations(Bed);
+}
+
+// Guards against a second run of a task whose worker is cut off and runs on: it
+// went to another shard before its run had ended.
+TEST_CASE(
+    "After a crash of the owners tasks that may run on a silent worker go "
+    "to no other shard") {
+  FullShards Full;
+  JobTestBed &Bed = Full.Bed;
+  Full.cutWorkers(2);
+  for (int Number = 0; Number < 5; ++Number)
+    Full.makeRoom(0s);
+  killOwners(Bed);
+  Bed.run(20s);
+  CHECK(Bed.LogLines["tasks_delegated"] > 0);
+  CHECK(Full.allRun(Full.tasks()));
+  checkNoViolations(Bed);
+}
+
 // Guards against the same if the answers to the commits are lost, before or
 // after they take effect.
 TEST_CASE("Added tasks run once although the answers of the store are lost") {
@@ -199,6 +251,32 @@
   }
 }
 
+// Guards against a cancelled job that runs on: it had not started, and counted
+// as running once its delegation was found to have taken effect.
+TEST_CASE("A job that is cancelled while its first delegation is pending does "
+          "not run") {
+  FullShards Full;
+  JobTestBed &Bed = Full.Bed;
+  std::string Id = idForShard("new-", 0);
+  REQUIRE(Bed.submit(0, longJob(Id, 2)).has_value());
+  REQUIRE(holdsJob(Bed, 0, Id));
+  Full.makeRoom(0s);
+  Bed.run(1s);
+  Bed.Store.LostReplyPercent = 100;
+  REQUIRE(Bed.runUntil([&] { return holdsJob(Bed, 1, Id + ".part"); }, 4s));
+  Bed.beginCancel(0, Id);
+  Bed.run(200ms);
+  Bed.Store.LostReplyPercent = 0;
+  // Makes room for all tasks of the job in its shard.
+  Bed.beginCancel(0, Full.Jobs.front());
+  Bed.run(6s);
+  for (int Index = 0; Index < 2; ++Index)
+    CHECK(workerOf(Bed, taskOf(Id, Index)) < 0);
+  Result<JobState> State = Bed.state(0, Id);
+  CHECK((State.has_value() && State.value() == JobState::Cancelled));
+  checkNoViolations(Bed);
+}
+
 // Guards against tasks that wait for their turn behind others that cannot be
 // delegated, or for one delegation after the other. Pattern: a rack of workers
 // with long-running tasks of many jobs is lost.
@@ -285,6 +363,36 @@
   checkNoViolations(Bed);
 }
 
+// Guards against tasks that wait for as long as others of their job come from
+// other shards: each of these held all of them back for 1.2 s.
+TEST_CASE("Tasks that are added keep no other task of their job waiting") {
+  FullShards Full;
+  JobTestBed &Bed = Full.Bed;
+  std::vector<TaskName> Lost = Full.loseWorkers(1, 0s);
+  Bed.run(LeaseTimes{}.Sole + 500ms);
+  REQUIRE_FALSE(Full.allRun(Lost));
+  for (int Number = 0; Number < 4; ++Number)
+    Full.makeRoom(0s);
+  uint64_t Version = 1;
+  auto AddRow = [&] {
+    const std::string &Id = Lost.front().Job;
+    JobPart Part{.Spec = longJob(Id, 4),
+                 .HomeShard = 0,
+                 .Added = JobProgress{.State = JobState::Running}};
+    RowCommit Commit;
+    Commit.Changes = {{.Address = addedTasksAddress(0, Id, 1, Version++),
+                       .Value = encodePart(Part)}};
+    CHECK(Bed.Store.apply(Commit).has_value());
+  };
+  for (int Number = 0; Number < 6 && !Full.allRun(Lost); ++Number) {
+    AddRow();
+    Bed.run(500ms);
+  }
+  CHECK(Bed.LogLines["tasks_added"] > 0);
+  CHECK(Full.allRun(Lost));
+  checkNoViolations(Bed);
+}
+
 // Guards against a job whose delegations fail and that takes every turn since
 // its tasks have waited longest: the tasks of other jobs waited for ever.
 TEST_CASE("A job whose delegations fail keeps no other job waiting") {
