Soak workers that start again between two polls

The soak restarted workers only after a silence, which each owner notices by a failed poll.

The stand-in forgets such ends when the poll comes, and in half of its lives also while it waits, which the protocol leaves open.

--- a/testsuite/soak/judge.py
+++ b/testsuite/soak/judge.py
@@ -218,6 +218,11 @@
         """The worker's lease lapsed before the end was taken note of."""
         run.is_void = True
 
+    def acknowledged(self, worker, seen, listed, host):
+        if seen > listed:
+            self.violation("UNREAD", worker, f"{host} has seen its ends up to "
+                           f"{seen}, {listed} were listed in this life")
+
     def noted(self, worker, born, number):
         run = self.by_end.get((worker, born, number))
         if run is None or run.is_noted or run.is_void:
@@ -235,6 +240,9 @@
     def is_done(self, task):
         return any(run.how == "done" for run in self.runs.get(task, ()))
 
+    def has_crashed(self, task):
+        return any(run.how == "crashed" for run in self.runs.get(task, ()))
+
     def failures(self, task):
         return sum(1 for run in self.runs.get(task, ()) if run.how == "failed")
 
--- a/testsuite/soak/judge_test.py
+++ b/testsuite/soak/judge_test.py
@@ -57,6 +57,12 @@
         self.judge.noted("w1", 1, 1)
         self.assertEqual(self.broken(), ["TWICE"])
 
+    def test_an_end_that_was_not_listed_is_acknowledged(self):
+        self.judge.acknowledged("w1", 3, 3, "a")
+        self.assertEqual(self.broken(), [])
+        self.judge.acknowledged("w1", 4, 3, "a")
+        self.assertEqual(self.broken(), ["UNREAD"])
+
     def test_start_after_an_end_that_lapsed(self):
         self.submit()
         run = self.start()
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -1,6 +1,7 @@
 """The faults of one soak: a plan made from the seed, and what carries it out."""
 
 import asyncio
+import copy
 
 from wire import Rule
 
@@ -73,6 +74,18 @@
     return Fault(at, duration, group, kind, targets, details)
 
 
+def make_restarts(random, seconds, workers, is_dense):
+    """Workers that start again at once, between two polls of their owner."""
+    out = []
+    at = 3.0
+    while at < seconds - 5:
+        kind = random.choice(["restart", "restart", "move"])
+        out.append(Fault(at, random.uniform(0.3, 4), "life", kind,
+                         random.sample(range(workers), 2), {}))
+        at += random.uniform(0.5, 3 if is_dense else 6)
+    return out
+
+
 def make_plan(random, seconds, hosts, workers, is_dense):
     """Returns bursts of faults that overlap, with calm spans between some."""
     out = []
@@ -84,6 +97,8 @@
             out.append(make_fault(random, at + random.uniform(0, 1.5), hosts,
                                   workers))
         at += random.choice(pauses)
+    # A copy, so that the other faults and the clients of a seed stay the same.
+    out += make_restarts(copy.copy(random), seconds, workers, is_dense)
     return sorted(out, key=lambda fault: fault.at)
 
 
@@ -110,7 +125,7 @@
             await asyncio.gather(*(self.host(fault, number)
                                    for number in fault.targets))
         elif fault.group == "life":
-            await self.worker_life(fault, fault.targets[0])
+            await self.worker_life(fault, *fault.targets)
         elif fault.kind == "down":
             await self.store_down(fault)
         else:
@@ -192,7 +207,7 @@
         self.judge.impairments.mark(host.name)
         host.is_busy = False
 
-    async def worker_life(self, fault, number):
+    async def worker_life(self, fault, number, other=None):
         worker = self.world.workers[number]
         if worker.is_busy:
             return
@@ -210,6 +225,12 @@
             await asyncio.sleep(fault.duration)
             worker.is_cut = False
             worker.rules.remove(rule)
+        elif fault.kind == "restart":
+            await worker.restart()
+        elif fault.kind == "move":
+            former = await worker.move(self.world.workers[other])
+            await asyncio.sleep(fault.duration)
+            former.stop()
         elif fault.kind == "unlist":
             worker.is_listed = False
             worker.unlist()
--- a/testsuite/soak/soak_test.py
+++ b/testsuite/soak/soak_test.py
@@ -13,8 +13,59 @@
 
 from plan import make_plan
 from soak import parse
-from standins import Store
-from wire import peer_of
+from judge import Judge, Step, Submission
+from standins import Store, Worker
+from wire import Client, peer_of, read_message
+
+TASK = "00000000000000aa.0.0.0"
+
+
+class Workers:
+    """Two workers, and an owner of their shard that polls the first."""
+
+    def __init__(self):
+        self.judge = Judge(2, io.StringIO())
+        self.judge.submissions[TASK.split(".")[0]] = Submission(
+            TASK.split(".")[0], "spec", [Step(1, 500, 0.01)])
+        self.store = Store(dict, random.Random(1), print)
+        self.first, self.other = (Worker(name, self.store, self.judge, dict,
+                                         random.Random(1))
+                                  for name in ("w1", "w2"))
+
+    async def start(self):
+        await self.first.start()
+        await self.other.start()
+        self.address = ("127.0.0.1", self.first.server.port)
+        self.reader, self.writer = await asyncio.open_connection(*self.address)
+
+    async def call(self, path, **fields):
+        """Calls on a new connection."""
+        client = Client()
+        body = json.dumps(fields | {"fencing_token": 1}).encode()
+        status, data = await client.call(self.address, "POST",
+                                         "/basilchute/" + path, body)
+        client.close()
+        return status, json.loads(data or "{}")
+
+    async def poll(self, last_seen, wait_ms=0):
+        """Polls on the kept connection."""
+        body = json.dumps({"fencing_token": 1, "last_seen": last_seen,
+                           "wait_ms": wait_ms}).encode()
+        self.writer.write(b"POST /basilchute/hold HTTP/1.1\r\n"
+                          b"Expected-Instance: w1\r\nContent-Length: "
+                          + str(len(body)).encode() + b"\r\n\r\n" + body)
+        _, _, data = await read_message(self.reader)
+        return json.loads(data)
+
+    async def run_task(self, run=1):
+        await self.call("run-start", task=TASK, run=run, spec="spec",
+                        deadline_ms=5000)
+        await asyncio.sleep(0.2)
+
+    def stop(self):
+        self.writer.close()
+        self.first.crash()
+        self.other.crash()
 
 
 class SoakTest(unittest.TestCase):
@@ -48,6 +99,90 @@
         self.assertEqual(hosts, set(range(40)))
         self.assertEqual(workers, set(range(60)))
 
+    def test_workers_start_again_in_each_plan(self):
+        for is_dense in (False, True):
+            plan = make_plan(random.Random(1), 45, 4, 7, is_dense)
+            kinds = {fault.kind for fault in plan if fault.group == "life"}
+            self.assertLessEqual({"restart", "move"}, kinds)
+
+    def test_a_restart_ends_connections_between_two_polls(self):
+        async def check():
+            bed = Workers()
+            await bed.start()
+            born = (await bed.poll(0))["born"]
+            poll = asyncio.ensure_future(bed.poll(0, wait_ms=100))
+            await asyncio.sleep(0.05)
+            restart = asyncio.ensure_future(bed.first.restart())
+            # The poll that is in flight gets its answer from the same process.
+            self.assertEqual((await poll)["born"], born)
+            self.assertEqual(await bed.reader.read(), b"")
+            await restart
+            status, answer = await bed.call("hold", last_seen=0)
+            self.assertEqual(status, 200)
+            self.assertGreater(answer["born"], born)
+            bed.stop()
+
+        asyncio.run(check())
+
+    def test_a_worker_of_a_task_whose_worker_crashed_is_spared(self):
+        async def check():
+            bed = Workers()
+            bed.judge.step_of(TASK).work_s = 10
+            await bed.start()
+            await bed.run_task()
+            await bed.first.restart()
+            born = bed.first.born
+            await bed.run_task(run=2)
+            await bed.first.restart()
+            port = bed.first.server.port
+            (await bed.first.move(bed.other)).stop()
+            self.assertEqual((bed.first.born, bed.first.server.port),
+                             (born, port))
+            self.assertEqual(len(bed.first.runs), 1)
+            bed.stop()
+
+        asyncio.run(check())
+
+    def test_an_end_forgotten_for_a_former_process_is_a_violation(self):
+        async def check():
+            bed = Workers()
+            await bed.start()
+            await bed.first.restart()
+            await bed.run_task()
+            await bed.call("hold", last_seen=3)
+            rules = [rule for rule, _ in bed.judge.violations]
+            self.assertEqual(rules, ["UNREAD"])
+            await bed.call("run-start", task=TASK, run=2, spec="spec",
+                           deadline_ms=5000)
+            rules = [rule for rule, _ in bed.judge.violations]
+            self.assertEqual(rules, ["UNREAD", "TWICE"])
+            bed.stop()
+
+        asyncio.run(check())
+
+    def test_another_worker_answers_at_a_former_address(self):
+        async def check():
+            bed = Workers()
+            await bed.start()
+            born = (await bed.poll(0))["born"]
+            poll = asyncio.ensure_future(bed.poll(0, wait_ms=100))
+            await asyncio.sleep(0.05)
+            move = asyncio.ensure_future(bed.first.move(bed.other))
+            self.assertEqual((await poll)["born"], born)
+            former = await move
+            self.assertEqual(await bed.reader.read(), b"")
+            bed.reader, bed.writer = await asyncio.open_connection(*bed.address)
+            self.assertEqual(list(await bed.poll(0)), ["clock_ms"])
+            self.assertNotEqual(bed.first.server.port, former.port)
+            bed.address = ("127.0.0.1", bed.first.server.port)
+            status, answer = await bed.call("hold", last_seen=0)
+            self.assertEqual(status, 200)
+            self.assertGreater(answer["born"], born)
+            former.stop()
+            bed.stop()
+
+        asyncio.run(check())
+
     def test_the_owner_of_a_connection_is_found(self):
         with socket.create_server(("127.0.0.1", 0)) as server:
             with socket.create_connection(server.getsockname()) as client:
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -11,6 +11,8 @@
 MAX_HOLD_MS = 6000
 HEARTBEAT_S = 1.0
 MAX_LISTED_ENDS = 500
+# A poll waits for up to 2 s.
+IDLE_LIMIT_S = 2.5
 
 
 class Store:
@@ -145,6 +147,17 @@
         self.task = None
 
     async def start(self):
+        port = self.random.choice([0, self.server.port]) if self.server else 0
+        self.server = self.new_server()
+        await self.server.start(port)
+        self.begin()
+
+    def new_server(self):
+        server = Server(self.serve, self.hosts, self.random, self.judge.log)
+        server.rules = self.rules
+        return server
+
+    def begin(self):
         """Begins a new life, which knows nothing of an earlier one."""
         self.life += 1
         self.born = max(int(time.time() * 1000), getattr(self, "born", 0) + 1)
@@ -156,33 +169,69 @@
         self.highest = {}
         self.ends = []
         self.last_end = 0
+        self.listed = 0
+        # The protocol leaves open whether an acknowledgement also holds for
+        # ends that come while its poll waits.
+        self.forgets_later = self.random.random() < 0.5
         self.sequence = 0
         self.is_draining = False
         self.is_listed = True
         self.changed = asyncio.Event()
-        port = self.random.choice([0, self.server.port]) if self.server else 0
-        self.server = Server(self.serve, self.hosts, self.random,
-                             self.judge.log)
-        self.server.rules = self.rules
-        await self.server.start(port)
         self.is_up = True
         self.task = asyncio.ensure_future(self.work(self.life))
         self.judge.log(f"worker {self.name}: up, born {self.born}")
 
     def crash(self, is_removed=False):
         """Ends the life without a word; a worker that has left is removed."""
+        self.end_life()
+        self.server.stop()
+        if is_removed:
+            self.unlist()
+
+    def end_life(self):
         self.is_up = False
         self.life += 1
         self.changed.set()
-        self.server.stop()
         self.task.cancel()
         for run, _, _ in self.runs.values():
             self.judge.end(run, 0, "crashed")
         self.runs = {}
-        if is_removed:
-            self.unlist()
         self.judge.log(f"worker {self.name}: gone")
 
+    def is_spared(self):
+        """Hosts give a task up that seems to crash its workers."""
+        return any(self.judge.has_crashed(run.task)
+                   for run, _, _ in self.runs.values())
+
+    async def restart(self):
+        """Begins a new life between two calls, at the same address at once."""
+        def act():
+            if self.is_spared():
+                return
+            self.end_life()
+            self.server.end_connections()
+            self.begin()
+
+        await self.server.between_calls(act, IDLE_LIMIT_S)
+
+    async def move(self, other):
+        """As restart(), at a new address. Returns the server at the former one,
+        where the other worker answers now, or the new one if it is spared."""
+        former, new = self.server, self.new_server()
+        await new.start()
+
+        def act():
+            if self.is_spared():
+                return
+            self.end_life()
+            former.handle = other.serve
+            former.end_connections()
+            self.server = new
+            self.begin()
+
+        await former.between_calls(act, IDLE_LIMIT_S)
+        return new if self.server is former else former
+
     def unlist(self):
         address = ("servers", "", self.name)
         if address in self.store.rows:
@@ -278,7 +327,7 @@
         if call.path == "/basilchute/run-stop":
             return self.stop_task(body)
         if call.path == "/basilchute/hold":
-            return await self.hold(body, life)
+            return await self.hold(body, life, call.host)
         return self.answer(200 if call.path == "/basilchute/pace" else 400)
 
     def extend(self, body):
@@ -318,14 +367,18 @@
             self.runs[key] = (run, step, (due, "stopped"))
         return self.answer(200)
 
-    async def hold(self, body, life):
-        if "deadline_ms" in body:
-            self.extend(body)
-        seen = body.get("last_seen", 0)
+    def forget(self, seen):
         for number, *_ in self.ends:
             if number <= seen:
                 self.judge.noted(self.name, self.born, number)
         self.ends = [end for end in self.ends if end[0] > seen]
+
+    async def hold(self, body, life, host):
+        if "deadline_ms" in body:
+            self.extend(body)
+        seen = body.get("last_seen", 0)
+        self.judge.acknowledged(self.name, seen, self.listed, host)
+        self.forget(seen)
         until = time.monotonic() + min(body.get("wait_ms", 0), 2000) / 1000
         while not self.ends and time.monotonic() < until and life == self.life:
             try:
@@ -333,12 +386,15 @@
                                        max(0.001, until - time.monotonic()))
             except TimeoutError:
                 pass
+            if self.forgets_later and life == self.life:
+                self.forget(seen)
         if life != self.life:
             return None
         running = [[run.task, run.number, "", self.percent(run, step),
                     step.cpu] for run, step, _ in self.runs.values()]
         finished = [[number, run.task, run.number, how, saved]
                     for number, run, how, saved in self.ends[:MAX_LISTED_ENDS]]
+        self.listed = max([self.listed] + [end[0] for end in finished])
         return 200, json.dumps({"clock_ms": self.clock(), "born": self.born,
                                 "running": running, "finished": finished})
 
--- a/testsuite/soak/wire.py
+++ b/testsuite/soak/wire.py
@@ -177,6 +177,7 @@
         self.port = 0
         self.listener = None
         self.tasks = set()
+        self.when_idle = None
 
     async def start(self, port=0):
         """Listens on the port if it is free, otherwise on another."""
@@ -197,6 +198,13 @@
         for task in list(self.tasks):
             task.cancel()
 
+    def end_connections(self):
+        """Ends all connections as a process does that ends; listens on."""
+        for connection in list(self.connections):
+            connection.writer.close()
+        for task in list(self.tasks):
+            task.cancel()
+
     def end_kept(self, rule):
         """Ends connections that wait for their next call."""
         for connection in list(self.connections):
@@ -232,6 +240,8 @@
 
     async def exchange(self, connection):
         first, headers, body = await read_message(connection.reader)
+        if connection.writer.is_closing():
+            return False
         if connection.is_silent:
             return True
         method, target, _ = first.split(" ", 2)
@@ -261,8 +271,28 @@
         data = body.encode() if isinstance(body, str) else body
         connection.writer.write(self.head(status, data) + data)
         connection.is_busy = False
+        if self.when_idle and self.is_idle():
+            act, self.when_idle = self.when_idle, None
+            act()
         return True
 
+    def is_idle(self):
+        return not any(each.is_busy and not each.is_silent
+                       for each in self.connections)
+
+    async def between_calls(self, act, limit):
+        """Acts as soon as no call is in flight, or at the limit."""
+        if self.is_idle():
+            act()
+            return
+        acted = asyncio.Event()
+        self.when_idle = lambda: (act(), acted.set())
+        try:
+            await asyncio.wait_for(acted.wait(), limit)
+        except TimeoutError:
+            self.when_idle = None
+            act()
+
     @staticmethod
     def head(status, data):
         return (f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
