Test bed: let delayed start orders reach a worker's next process

The bed dropped a delayed order if its worker had been started again. A test may now choose that the next process carries it out (DelayedStartsOutliveRestart), the delay (StartDelay), the longest lease that a worker grants (MaxLease), and that stop orders are lost (LosesStops).

--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -120,18 +120,31 @@
   }
   ModelWorker *Model = m_bed.workerById(Worker.Id);
   if (m_bed.Store.chance(Model->DelayedStartPercent)) {
-    // The order is delayed inside the worker and lost if the worker restarts.
-    m_bed.later(m_bed.Store.randomDelay(2000, 12000),
-                [Model, Order, Incarnation = Model->incarnation()] {
-                  if (!Model->IsDown && Model->incarnation() == Incarnation)
-                    (void)Model->start(Order);
-                });
-    reply(OrderTimeout, [Done] { Done(noResponse()); });
+    delayStart(*Model, Order, Done);
     return;
   }
   send([this, Model, Order, Done] { executeStart(*Model, Order, Done); });
 }
 
+void HostTaskWorkers::delayStart(ModelWorker &Model, const StartOrder &Order,
+                                 const StartDone &Done) {
+  milliseconds Delay = Model.StartDelay ? *Model.StartDelay
+                                        : m_bed.Store.randomDelay(2000, 12000);
+  bool IsAnswered = Delay < OrderTimeout;
+  m_bed.later(Delay, [this, &Model, Order, Done, IsAnswered,
+                      Incarnation = Model.incarnation()] {
+    bool IsLost = !Model.DelayedStartsOutliveRestart &&
+                  Model.incarnation() != Incarnation;
+    Result<StartReply> Out = noResponse();
+    if (!IsLost && !Model.IsDown)
+      Out = Model.start(Order);
+    if (IsAnswered)
+      reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
+  });
+  if (!IsAnswered)
+    reply(OrderTimeout, [Done] { Done(noResponse()); });
+}
+
 void HostTaskWorkers::executeStart(ModelWorker &Model, const StartOrder &Order,
                                    const StartDone &Done) {
   Result<StartReply> Out = noResponse();
@@ -160,6 +173,10 @@
     reply(Failure->After, [Done, Why = Failure->Why] { Done(Why); });
     return;
   }
+  if (m_bed.workerById(Worker.Id)->LosesStops) {
+    reply(OrderTimeout, [Done] { Done(noResponse()); });
+    return;
+  }
   send([this, Model = m_bed.workerById(Worker.Id), Order, Done] {
     Status Out = Model->IsDown ? Status(noResponse()) : Model->stop(Order);
     reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -108,6 +108,9 @@
   void send(std::function<void()> Action);
   /// Runs \p Action on the host's processor after \p Delay.
   void reply(milliseconds Delay, std::function<void()> Action);
+  /// Holds a start order up.
+  void delayStart(ModelWorker &Model, const StartOrder &Order,
+                  const StartDone &Done);
   void executeStart(ModelWorker &Model, const StartOrder &Order,
                     const StartDone &Done);
   /// A poll on its way or at the worker.
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -512,6 +512,8 @@
 }
 
 void ModelWorker::extend(milliseconds LeaseUntil) {
+  if (MaxLease)
+    LeaseUntil = std::min(LeaseUntil, clock() + *MaxLease);
   m_leaseUntil = std::max(m_leaseUntil, LeaseUntil);
   m_leaseExpired = clock() > m_leaseUntil;
 }
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -162,6 +162,16 @@
   /// Percentage of start orders that are executed seconds later and get no
   /// reply.
   int DelayedStartPercent = 0;
+  /// Delay of these orders; some seconds if it is not set. One that is carried
+  /// out before the host's timeout is answered.
+  std::optional<milliseconds> StartDelay;
+  /// Delayed start orders reach the process that is there by then. If it is not
+  /// set, they are lost if the worker restarts.
+  bool DelayedStartsOutliveRestart = false;
+  /// While set, stop orders are lost.
+  bool LosesStops = false;
+  /// Longest lease that the worker grants, if it is set.
+  std::optional<milliseconds> MaxLease;
   /// Percentage of runs that fail.
   int FailPercent = 0;
   /// While set, runs start only if the worker is approved and the order has the
