Keep a task back while its start order may reach its worker's next process

Cause: a start order names the worker's id only, and its deadline is on the clock of the process that it was sent for. When a poll showed another process, all runs were released, also those whose order was still on its way, and their tasks started elsewhere at once; the next process carried the order out as well, long after its time. The same goes for orders that were given up since their time was over on the former process's clock.

Change: a run whose order has no answer stays reserved when its worker is started again. The new process is told to stop it, so that it rejects the run from then on. The task is free once the stop is confirmed and a poll that was sent after that does not name the run: two round trips, as the first poll does not wait. A confirmation alone is no proof, as the order may have come first and a stop takes time. Without any confirmation the wait ends 12 s after the order was sent. Runs without an order on the way are released at once, as are those whose deadline is over on the new clock, too. A run whose order was answered after the poll was sent is kept until the next poll. Unanswered orders of the last 12 s, whose tasks may run elsewhere, are stopped at the new process as soon as it answers. An answer to an order for a former process counts for the order only, not for the clock, the silence or the tickets of the present one.

Weighed: a wait by time alone would be seconds for each such task; a connection that leads to one process only, as polls have, would be stronger, but orders to a worker go out in parallel and their answers do not name the process.

Not covered: an order that the next process carries out before it has answered a poll of this owner, if its task already runs elsewhere (it had been given up at the former process, or kept out of a process in between, or was sent by a previous owner).

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -10,6 +10,8 @@
 /// - jobshard_place.cpp, jobshard_gang.cpp: choice of workers for tasks;
 /// - jobshard_begin.cpp: whether a long-running job begins in this shard;
 /// - jobshard_orders.cpp: start orders and stop orders;
+/// - jobshard_astray.cpp: start orders that may reach the next process of
+///   their worker;
 /// - jobshard_lagging.cpp: runs that are too slow on their worker;
 /// - jobshard_interference.cpp: interference and the pace of fill tasks;
 /// - jobshard_keep.cpp: room that is kept for tasks that fit nowhere yet, and
@@ -253,10 +255,31 @@
   void releaseMissingRuns(WorkerSlot &Slot, const PollReply &Reply,
                           TimePoint Sent);
   bool hasLeaseExpired(const WorkerSlot &Slot) const;
-  void releaseAllRuns(WorkerSlot &Slot, std::string_view Why);
+  void releaseAllRuns(WorkerSlot &Slot, std::string_view Why,
+                      const std::set<RunKey> &Kept);
   /// \p NextSince is the latest time at which the next one can have begun.
   void loseIncarnation(WorkerSlot &Slot, std::string_view Why,
-                       TimePoint NextSince);
+                       TimePoint NextSince, const std::set<RunKey> &Kept);
+
+  // Start orders that may reach the next process of their worker.
+  /// Returns the runs that the next process of the worker may start, or may
+  /// have started after it answered the poll that was sent at \p Polled.
+  std::set<RunKey> runsForNext(const WorkerSlot &Slot, TimePoint Polled) const;
+  void setAstray(WorkerSlot &Slot, const std::set<RunKey> &Runs);
+  void addUnansweredStart(WorkerSlot &Slot, const RunKey &Key, TimePoint Sent);
+  /// Has the worker reject the runs of these orders.
+  void stopUnansweredStarts(WorkerSlot &Slot);
+  /// Returns true if the start order of the astray run had not been carried out
+  /// before a poll that was sent at \p Polled, and will not be.
+  static bool isKeptOut(const ReservedRun &Run, TimePoint Polled);
+  /// Has the worker stop the astray runs that it does not run.
+  void stopAstrayRuns(WorkerSlot &Slot);
+  void onAstrayStop(const std::string &Worker, milliseconds Incarnation,
+                    const RunKey &Key, const Status &Answer);
+  static bool hasAstrayRuns(const WorkerSlot &Slot);
+  /// Returns true if a stop order for an astray run was confirmed after the
+  /// last poll was sent.
+  static bool awaitsPollAfterStop(const WorkerSlot &Slot);
   void releaseRun(WorkerSlot &Slot, const RunKey &Key, std::string_view Why);
   void removeUnlistedWorkers();
 
@@ -435,8 +458,15 @@
            !Slot.Entry.IsDraining && Slot.MissedPolls == 0 &&
            Slot.isEntryCurrent();
   }
-  void onStart(const std::string &Worker, const RunKey &Key, TimePoint Sent,
-               Result<StartReply> Answer);
+  /// A start order on its way.
+  struct SentStart {
+    std::string Worker;
+    /// Process that it is for.
+    milliseconds Incarnation{0};
+    RunKey Key;
+    TimePoint Sent;
+  };
+  void onStart(const SentStart &Order, Result<StartReply> Answer);
   void stop(WorkerSlot &Slot, const RunKey &Key);
   /// Sends the stop order for a run again that should have ended, if the last
   /// one was sent long enough ago.
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -98,15 +98,19 @@
   if (Ticket)
     Order.Ticket = *Ticket;
   m_workers.start(Slot.Entry, std::move(Order),
-                  [Weak = weak_from_this(), Id = Slot.Entry.Id, Key,
-                   Now](Result<StartReply> Answer) {
+                  [Weak = weak_from_this(),
+                   Sent = SentStart{.Worker = Slot.Entry.Id,
+                                    .Incarnation = Slot.Incarnation,
+                                    .Key = Key,
+                                    .Sent = Now}](Result<StartReply> Answer) {
                     if (auto Self = Weak.lock())
-                      Self->onStart(Id, Key, Now, std::move(Answer));
+                      Self->onStart(Sent, std::move(Answer));
                   });
 }
 
-void JobShard::Impl::onStart(const std::string &Worker, const RunKey &Key,
-                             TimePoint Sent, Result<StartReply> Answer) {
+void JobShard::Impl::onStart(const SentStart &Order,
+                             Result<StartReply> Answer) {
+  const auto &[Worker, Incarnation, Key, Sent] = Order;
   if (Answer.has_value()) {
     nanoseconds RoundTrip = m_time.now() - Sent;
     m_startWindow.onAnswered(RoundTrip, m_time.now());
@@ -120,6 +124,13 @@
   if (SlotIt == m_slots.end())
     return;
   WorkerSlot &Slot = SlotIt->second;
+  // The former process may have sent the answer, or the present one, of which
+  // the order's sender knew nothing.
+  bool IsOfThisProcess = Slot.Incarnation == Incarnation;
+  bool IsOutcomeUnknown =
+      !Answer.has_value() && Answer.error().Code != ResultCode::Unavailable;
+  if (IsOutcomeUnknown)
+    addUnansweredStart(Slot, Key, Sent);
   auto RunIt = Slot.Runs.find(Key);
   if (RunIt == Slot.Runs.end())
     return;
@@ -130,15 +141,15 @@
         Reservation.Phase == RunPhase::Unconfirmed)
       Reservation.Phase = RunPhase::Running;
     Reservation.ConfirmedAt = Now;
-    onStartSeen(Slot, Reservation, Answer.value().Clock);
+    if (IsOfThisProcess)
+      onStartSeen(Slot, Reservation, Answer.value().Clock);
     repeatStop(Slot, Key);
     return;
   }
-  bool IsOutcomeUnknown =
-      !Answer.has_value() && Answer.error().Code != ResultCode::Unavailable;
   if (IsOutcomeUnknown) {
     ++m_counts.StartsUnanswered;
-    Slot.setSilent(Now);
+    if (IsOfThisProcess)
+      Slot.setSilent(Now);
     if (Reservation.Phase == RunPhase::Starting)
       Reservation.Phase = RunPhase::Unconfirmed;
     Slot.NextStartAt = std::max(Slot.NextStartAt, Now + NoStartAfterNoAnswer);
@@ -158,11 +169,10 @@
   bool IsFenced =
       Answer.has_value() && Answer.value().Outcome == StartOutcome::StaleEpoch;
   if (Answer.has_value() && Answer.value().Outcome == StartOutcome::NoApproval)
-    m_approvals.removeTicket(
-        {.Job = Key.first.Job,
-         .Occurrence = Key.first.Occurrence,
-         .Step = Key.first.Step},
-        {.Worker = Worker, .Incarnation = Slot.Incarnation});
+    m_approvals.removeTicket({.Job = Key.first.Job,
+                              .Occurrence = Key.first.Occurrence,
+                              .Step = Key.first.Step},
+                             {.Worker = Worker, .Incarnation = Incarnation});
   releaseRun(Slot, Key, "start_refused");
   if (IsFenced)
     loseOwnership("fenced");
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -60,7 +60,8 @@
 
 milliseconds JobShard::Impl::pollWaitFor(const WorkerSlot &Slot) const {
   if (!Slot.IsFenced || Slot.MissedPolls > 0 ||
-      Slot.LastSeenCompletion > Slot.LastStoredCompletion)
+      Slot.LastSeenCompletion > Slot.LastStoredCompletion ||
+      hasAstrayRuns(Slot))
     return milliseconds(0);
   bool HasFill = false;
   bool HasServing = false;
@@ -157,7 +158,10 @@
   PollReply &Reply = Answer.value();
   TimePoint Now = m_time.now();
   if (Slot.Incarnation.count() != 0 && Reply.Incarnation != Slot.Incarnation) {
-    loseIncarnation(Slot, "worker_reborn", Now - Reply.Clock);
+    std::set<RunKey> Astray = runsForNext(Slot, Sent);
+    loseIncarnation(Slot, "worker_reborn", Now - Reply.Clock, Astray);
+    setAstray(Slot, Astray);
+    stopUnansweredStarts(Slot);
   }
   if (Slot.Incarnation != Reply.Incarnation || Slot.MissedPolls > 0)
     resolveExposures(Slot, Reply.Incarnation);
@@ -192,11 +196,13 @@
     onRunningTask(Slot, Running);
   if (!Reply.HasMoreCompletions)
     releaseMissingRuns(Slot, Reply, Sent);
+  stopAstrayRuns(Slot);
   stopLaggingRuns(Slot);
   observeInterference(Slot);
   updatePaces(Slot);
-  Slot.NextPollAt =
-      IsFirstPoll ? Now : std::max(Now, Sent + m_options.MinPollInterval);
+  Slot.NextPollAt = IsFirstPoll || awaitsPollAfterStop(Slot)
+                        ? Now
+                        : std::max(Now, Sent + m_options.MinPollInterval);
   pollWorkers();
   commit();
   place();
@@ -235,7 +241,7 @@
   if (Why.Code == ResultCode::WrongIncarnation) {
     if (Slot.Incarnation.count() == 0)
       resolveExposures(Slot, milliseconds(-1));
-    loseIncarnation(Slot, "worker_replaced", Now);
+    loseIncarnation(Slot, "worker_replaced", Now, {});
     // By a list from before the takeover the worker may have been called at a
     // former address, and run work of the previous owner at its present one.
     if (isFleetComplete() && Slot.Entry.Address == Address)
@@ -248,7 +254,7 @@
   // draining, and still run its tasks.
   if (hasLeaseExpired(Slot) && !Slot.Runs.empty()) {
     Slot.LostRuns = silentWorker(Slot).Runs;
-    releaseAllRuns(Slot, "lease_over");
+    releaseAllRuns(Slot, "lease_over", {});
   }
 }
 
@@ -258,10 +264,12 @@
   return m_time.now() > Slot.LeaseEnd && isSoleOwner();
 }
 
-void JobShard::Impl::releaseAllRuns(WorkerSlot &Slot, std::string_view Why) {
+void JobShard::Impl::releaseAllRuns(WorkerSlot &Slot, std::string_view Why,
+                                    const std::set<RunKey> &Kept) {
   std::vector<RunKey> Keys;
   for (const auto &[Key, Run] : Slot.Runs)
-    Keys.push_back(Key);
+    if (!Kept.count(Key))
+      Keys.push_back(Key);
   if (!Keys.empty())
     log("runs_lost", fmt::format("worker={} runs={} why={}", Slot.Entry.Id,
                                  Keys.size(), Why));
@@ -272,13 +280,14 @@
 // A previous owner can see too that the incarnation is gone, and may start its
 // tasks again on a worker that has not answered this owner yet.
 void JobShard::Impl::loseIncarnation(WorkerSlot &Slot, std::string_view Why,
-                                     TimePoint NextSince) {
+                                     TimePoint NextSince,
+                                     const std::set<RunKey> &Kept) {
   for (const auto &[Key, Run] : Slot.Runs)
     m_previousRuns.clearReported(Key.first);
   bool MayHaveLapsed = !Slot.LostRuns.empty() && NextSince > Slot.LeaseEnd;
   std::vector<JobEntry *> GivenUp = countCrash(
       Slot, Why, MayHaveLapsed ? CrashDoubt::MayHaveLapsed : CrashDoubt::None);
-  releaseAllRuns(Slot, Why);
+  releaseAllRuns(Slot, Why, Kept);
   Slot.resetIncarnation();
   for (JobEntry *Entry : GivenUp)
     giveUp(*Entry);
@@ -286,7 +295,7 @@
 
 void JobShard::Impl::releaseRun(WorkerSlot &Slot, const RunKey &Key,
                                 std::string_view Why) {
-  RunPhase Phase = Slot.Runs.at(Key).Phase;
+  bool NeverBegan = Slot.Runs.at(Key).mayBeOnItsWay();
   Slot.Runs.erase(Key);
   JobEntry *Entry = find(Key.first.Job);
   int Position = Entry ? Entry->positionOf(Key.first) : -1;
@@ -302,8 +311,7 @@
                               Key.first.Job, Key.first.Step, Key.first.Index,
                               Key.second, Slot.Entry.Id, Why));
   setWaiting(*Entry, Position, milliseconds(0));
-  Task.LastRunNeverBegan =
-      Phase == RunPhase::Starting || Phase == RunPhase::Unconfirmed;
+  Task.LastRunNeverBegan = NeverBegan;
 }
 
 void JobShard::Impl::onCompletion(WorkerSlot &Slot, const Completion &Report) {
@@ -428,6 +436,7 @@
   TimePoint Now = m_time.now();
   if (Reservation.Phase != RunPhase::Stopping)
     Reservation.Phase = RunPhase::Running;
+  Reservation.IsAstray = false;
   repeatStop(Slot, Key);
   Reservation.Percent = Run.Percent;
   Reservation.Usage = Run.Usage;
@@ -513,8 +522,9 @@
       continue;
     bool IsConfirmed =
         Run.Phase == RunPhase::Running || Run.Phase == RunPhase::Stopping;
-    bool IsGone =
-        IsConfirmed ? Run.ConfirmedAt < Sent : Reply.Clock > Run.StartDeadline;
+    bool IsGone = IsConfirmed
+                      ? Run.ConfirmedAt < Sent
+                      : Reply.Clock > Run.StartDeadline || isKeptOut(Run, Sent);
     if (IsGone)
       Missing.push_back(Key);
   }
@@ -538,7 +548,7 @@
     std::vector<JobEntry *> Ended =
         countCrash(Slot, "worker_gone", CrashDoubt::MayBeCutOff);
     GivenUp.insert(GivenUp.end(), Ended.begin(), Ended.end());
-    releaseAllRuns(Slot, "worker_gone");
+    releaseAllRuns(Slot, "worker_gone", {});
     log("worker_dropped", fmt::format("worker={}", Slot.Entry.Id));
     It = m_slots.erase(It);
   }
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -152,7 +152,6 @@
 }
 
 void WorkerSlot::resetIncarnation() {
-  Runs.clear();
   UnstoredCompletions.clear();
   LastSeenCompletion = 0;
   LastStoredCompletion = 0;
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -78,10 +78,19 @@
   bool IsStopWanted = false;
   /// When a stop order was last sent.
   TimePoint StopSentAt{};
+  /// The start order was sent for a former process of the worker, and the
+  /// present one may still carry it out.
+  bool IsAstray = false;
+  /// When the present process has confirmed a stop order for an astray run.
+  std::optional<TimePoint> StopConfirmedAt;
   /// Time on the worker's clock of the first answer that shows the run to have
   /// begun.
   std::optional<milliseconds> SeenAtClock;
 
+  /// Returns true if the start order was sent and may not have arrived yet.
+  bool mayBeOnItsWay() const {
+    return Phase == RunPhase::Starting || Phase == RunPhase::Unconfirmed;
+  }
   /// Returns the time for which the run's tail has been above its target.
   milliseconds timeOverTarget(TimePoint Now) const;
 };
@@ -144,6 +153,9 @@
   int ConsecutiveFailures = 0;
   /// All runs have ended by this time unless a later poll extends their leases.
   TimePoint LeaseEnd{};
+  /// Start orders without an answer, with the time of their sending, also of
+  /// former processes.
+  std::map<RunKey, TimePoint> UnansweredStarts;
   /// When the pace of any fill run was last changed.
   TimePoint PaceChangedAt{};
 
@@ -192,7 +204,8 @@
   FillShares measuredFillShares() const;
   /// Part of the worker that fill runs should use at the ordered pace.
   FillShares plannedFillShares() const;
-  /// Resets the state that belongs to one incarnation of the worker.
+  /// Resets the state, other than the runs, that belongs to one incarnation of
+  /// the worker.
   void resetIncarnation();
 
 private:
--- /dev/null
+++ b/src/libjobhost/astraystart_test.cpp
@@ -0,0 +1,105 @@
+// Start orders that reach the next process of their worker.
+
+#include "testing/longjobs.h"
+
+#include <doctest/doctest.h>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Maximum lease of the workers, as the hosts know it.
+constexpr milliseconds MaxLease{6000};
+/// Time in which the former processes get a clock that is far ahead of that of
+/// the next ones.
+constexpr milliseconds LongLife{10000};
+
+/// A bed whose first worker is started again while start orders for it are held
+/// up.
+struct HeldStartsBed {
+  explicit HeldStartsBed(milliseconds StartDelay)
+      : Bed({.Hosts = 1, .Workers = 3}) {
+    for (int Worker = 0; Worker < Bed.workers(); ++Worker)
+      Bed.worker(Worker).MaxLease = MaxLease;
+    Bed.run(LongLife);
+    first().DelayedStartPercent = 100;
+    first().StartDelay = StartDelay;
+    first().DelayedStartsOutliveRestart = true;
+  }
+
+  ModelWorker &first() { return Bed.worker(0); }
+  /// Sends orders for the tasks of the job, and restarts the worker.
+  void startAndRestart(const Job &Spec, milliseconds RestartAfter) {
+    int Starts = Bed.Oracle.starts();
+    REQUIRE(Bed.submit(0, Spec).has_value());
+    REQUIRE(Bed.runUntil([&] { return Bed.Oracle.starts() > Starts; }, 1000ms));
+    Bed.run(RestartAfter);
+    REQUIRE(Bed.Oracle.tasksOn(first().Entry.Id).empty());
+    first().crash();
+    first().DelayedStartPercent = 0;
+  }
+
+  JobTestBed Bed;
+};
+
+} // namespace
+
+// Guards against tasks that start elsewhere while the order for their first run
+// is on its way to a worker that was started again, whose next process carries
+// it out.
+TEST_CASE("A start order that reaches the next process of its worker starts no "
+          "task twice") {
+  for (milliseconds StartDelay : {150ms, 300ms, 600ms, 1500ms, 4000ms})
+    for (milliseconds RestartAfter : {0ms, 50ms, 100ms}) {
+      CAPTURE(StartDelay.count());
+      CAPTURE(RestartAfter.count());
+      HeldStartsBed Test(StartDelay);
+      Test.startAndRestart(chainJob("a", 1, 12, 6s), RestartAfter);
+      CHECK(
+          Test.Bed.runUntil([&] { return Test.Bed.Oracle.allDone("a"); }, 12s));
+      Test.Bed.run(2s);
+      CHECK(Test.Bed.state(0, "a").value() == JobState::Completed);
+      checkNoViolations(Test.Bed);
+    }
+}
+
+// Guards against orders whose time was over on the clock of the former process
+// only.
+TEST_CASE("A start order that was void at the former process of its worker is "
+          "not carried out by the next one") {
+  for (milliseconds RestartAfter : {700ms, 1500ms, 3000ms}) {
+    CAPTURE(RestartAfter.count());
+    HeldStartsBed Test(4000ms);
+    Test.startAndRestart(chainJob("a", 1, 12, 6s), RestartAfter);
+    CHECK(Test.Bed.runUntil([&] { return Test.Bed.Oracle.allDone("a"); }, 12s));
+    Test.Bed.run(2s);
+    checkNoViolations(Test.Bed);
+  }
+}
+
+// Guards against tasks that wait for ever for a worker that answers polls and
+// loses stop orders.
+TEST_CASE("The wait for a start order that may reach the next process of its "
+          "worker is bounded") {
+  HeldStartsBed Test(4000ms);
+  Test.first().LosesStops = true;
+  Test.startAndRestart(chainJob("a", 1, 12, 1s), 50ms);
+  CHECK(Test.Bed.runUntil([&] { return Test.Bed.Oracle.allDone("a"); }, 20s));
+  checkNoViolations(Test.Bed);
+}
+
+// Guards against members of a gang that wait for one whose order is on its way
+// to a former process.
+TEST_CASE("A gang starts again after an order for a member was on its way to a "
+          "worker that was started again") {
+  for (milliseconds StartDelay : {150ms, 600ms, 4000ms}) {
+    CAPTURE(StartDelay.count());
+    HeldStartsBed Test(StartDelay);
+    Job Gang = chainJob("a", 1, 20, 2s);
+    Gang.Steps[0].Gang = true;
+    Test.startAndRestart(Gang, 50ms);
+    CHECK(Test.Bed.runUntil([&] { return Test.Bed.Oracle.allDone("a"); }, 12s));
+    checkNoViolations(Test.Bed);
+  }
+}
