Count the longest lease of a worker after an order reached its next process

Cause: a start order that was sent for one process and reached the next one gave it a lease by the former process's clock, cut only at the longest lease that the worker grants, 6 s or 10 s by site. The owner counted 1 s from the order, or 4.7 s from its polls, and started the tasks elsewhere. The protocol lets such an order extend all leases even if it is refused as old or for want of room.

Change: JobShardOptions::MaxWorkerLease is counted from an answer to a start whose clock is behind that of the process it was sent for, and from each answered poll of the next process while an unanswered order of the last 12 s may still arrive. The bound outlives the first poll of the next process, which limited it to the owner's own leases.

Tests: the bed takes the longest lease as an option, 6 s as before.

--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -39,6 +39,9 @@
   uint64_t Epoch = 0;
   /// Bounds on the leases that polls give to the runs on a worker.
   LeaseTimes Leases;
+  /// Longest lease that a worker grants, also by an order with a time on the
+  /// clock of another process.
+  milliseconds MaxWorkerLease{6000};
   /// Time for which a start order is valid.
   milliseconds StartLease{500};
   /// Maximum time that a poll waits at the worker for a completion.
--- a/src/libbasilchute/jobshard_astray.cpp
+++ b/src/libbasilchute/jobshard_astray.cpp
@@ -11,6 +11,9 @@
 constexpr milliseconds MaxOrderDelay{12000};
 /// Delay before a stop order for an astray run is sent again.
 constexpr milliseconds AstrayStopInterval{600};
+/// The clock of another process is behind by more than this; answers of one
+/// process may overtake each other by less.
+constexpr milliseconds MaxClockStepBack{1000};
 
 } // namespace
 
@@ -60,6 +63,8 @@
   for (const auto &[Key, Sent] : Slot.UnansweredStarts) {
     if (Now >= Sent + MaxOrderDelay)
       continue;
+    Slot.AstrayOrdersUntil =
+        std::max(Slot.AstrayOrdersUntil, Sent + MaxOrderDelay);
     if (!Slot.Runs.count(Key) && canSendOrders())
       m_workers.stop(
           Slot.Entry,
@@ -134,4 +139,26 @@
   pollWorkers();
 }
 
+// An order that arrives after its run was stopped is rejected, but extends the
+// leases of the other runs.
+void JobShard::Impl::updateAstrayLeases(WorkerSlot &Slot) const {
+  TimePoint Now = m_time.now();
+  if (Now < Slot.AstrayOrdersUntil)
+    Slot.AstrayLeaseEnd = Now + maxLocalDuration(m_options.MaxWorkerLease);
+  Slot.LeaseEnd = std::max(Slot.LeaseEnd, Slot.AstrayLeaseEnd);
+}
+
+void JobShard::Impl::checkStartClock(WorkerSlot &Slot,
+                                     const StartReply &Answer) const {
+  bool TakesLease = Answer.Outcome == StartOutcome::Started ||
+                    Answer.Outcome == StartOutcome::StaleRun ||
+                    Answer.Outcome == StartOutcome::NoRoom;
+  if (!TakesLease || Answer.Clock + MaxClockStepBack >= Slot.AliveClock)
+    return;
+  TimePoint Now = m_time.now();
+  Slot.AstrayLeaseEnd = Now + maxLocalDuration(m_options.MaxWorkerLease);
+  Slot.LeaseEnd = std::max(Slot.LeaseEnd, Slot.AstrayLeaseEnd);
+  Slot.NextPollAt = Now;
+}
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -280,6 +280,11 @@
   /// Returns true if a stop order for an astray run was confirmed after the
   /// last poll was sent.
   static bool awaitsPollAfterStop(const WorkerSlot &Slot);
+  /// Takes into account that the worker may hold leases by orders that were
+  /// sent for a former process.
+  void updateAstrayLeases(WorkerSlot &Slot) const;
+  /// Does so if another process has answered a start order.
+  void checkStartClock(WorkerSlot &Slot, const StartReply &Answer) const;
   void releaseRun(WorkerSlot &Slot, const RunKey &Key, std::string_view Why);
   void removeUnlistedWorkers();
 
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -127,6 +127,8 @@
   // The former process may have sent the answer, or the present one, of which
   // the order's sender knew nothing.
   bool IsOfThisProcess = Slot.Incarnation == Incarnation;
+  if (IsOfThisProcess && Answer.has_value())
+    checkStartClock(Slot, Answer.value());
   bool IsOutcomeUnknown =
       !Answer.has_value() && Answer.error().Code != ResultCode::Unavailable;
   if (IsOutcomeUnknown)
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -181,6 +181,7 @@
   if (IsFirstPoll)
     Slot.LeaseEnd =
         std::min(Slot.LeaseEnd, Now + maxLocalDuration(m_options.Leases.Sole));
+  updateAstrayLeases(Slot);
   if (Slot.IsListed)
     m_leaseEvidence.onAnswer(Worker, Reply.Incarnation, Sent, isSoleOwner());
   // A run of a previous owner may be among the completions that follow.
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -156,6 +156,11 @@
   /// Start orders without an answer, with the time of their sending, also of
   /// former processes.
   std::map<RunKey, TimePoint> UnansweredStarts;
+  /// Start orders for former processes may arrive until this time, and extend
+  /// leases by a time on another clock, ...
+  TimePoint AstrayOrdersUntil{};
+  /// ... and the leases by those that have arrived are over by this time.
+  TimePoint AstrayLeaseEnd{};
   /// When the pace of any fill run was last changed.
   TimePoint PaceChangedAt{};
 
--- a/src/libjobhost/astraystart_test.cpp
+++ b/src/libjobhost/astraystart_test.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Maximum lease of the workers, as the hosts know it.
-constexpr milliseconds MaxLease{6000};
 /// Time in which the former processes get a clock that is far ahead of that of
 /// the next ones.
 constexpr milliseconds LongLife{10000};
@@ -18,8 +16,8 @@
 /// A bed whose first worker is started again while start orders for it are held
 /// up.
 struct HeldStartsBed {
-  explicit HeldStartsBed(milliseconds StartDelay)
-      : Bed({.Hosts = 1, .Workers = 3}) {
+  explicit HeldStartsBed(milliseconds StartDelay, milliseconds MaxLease = 6s)
+      : Bed({.Hosts = 1, .Workers = 3, .MaxWorkerLease = MaxLease}) {
     for (int Worker = 0; Worker < Bed.workers(); ++Worker)
       Bed.worker(Worker).MaxLease = MaxLease;
     Bed.run(LongLife);
@@ -103,3 +101,22 @@
     checkNoViolations(Test.Bed);
   }
 }
+
+// Guards against an owner that counts on the end of its own leases, although an
+// order with a time on the former process's clock has extended them.
+TEST_CASE("The lease of a start order that reached the next process of its "
+          "worker is over before its task starts elsewhere") {
+  for (milliseconds MaxLease : {6000ms, 10000ms})
+    for (milliseconds CutOffAfter :
+         {0ms, 50ms, 150ms, 300ms, 350ms, 400ms, 500ms, 600ms, 800ms}) {
+      CAPTURE(MaxLease.count());
+      CAPTURE(CutOffAfter.count());
+      HeldStartsBed Test(120ms, MaxLease);
+      Test.startAndRestart(longJob("a", 6, 1000), 50ms);
+      Test.Bed.run(CutOffAfter);
+      Test.Bed.host(0).UnreachableWorkers = {Test.first().Entry.Id};
+      Test.Bed.run(MaxLease + 6s);
+      CHECK(Test.Bed.Oracle.running() == 6);
+      checkNoViolations(Test.Bed);
+    }
+}
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -344,6 +344,7 @@
           .ShardCount = {.WorkersPerWeight = m_options.WorkersPerWeight,
                          .MinShards = m_options.MinShards},
           .CanSpanPartitions = m_options.CanSpanPartitions,
+          .MaxWorkerLease = m_options.MaxWorkerLease,
           .RunAfter = Deliver,
           .RefreshFleet =
               [this, Deliver, Index] {
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -65,6 +65,8 @@
   /// the worker up to the previous capacity. Zero for the time in which all
   /// hosts hear of it and their orders on the way arrive.
   milliseconds CapacityAllowance{0};
+  /// Longest lease of a worker, as the hosts know it.
+  milliseconds MaxWorkerLease{6000};
   CrashStyle Crashes = CrashStyle::Silent;
   /// Whether a commit may span several partitions.
   bool CanSpanPartitions = true;
