Keep the runs ordered at a worker's address when a former one answers

Cause: a poll may be at a worker's former address while the list brings the present one, and orders go there.

Change: such an answer counts as a missed poll. The next poll goes to the present address.

--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -238,14 +238,16 @@
       Now + (Slot.MissedPolls <= MaxQuickRetries ? MissedPollRetryDelay
                                                  : SlowPollRetryDelay);
   // Another incarnation answers at this address; the runs of the previous one
-  // are gone.
-  if (Why.Code == ResultCode::WrongIncarnation) {
+  // are gone. If the address is a former one, orders may be on their way to the
+  // present one.
+  if (Why.Code == ResultCode::WrongIncarnation &&
+      Slot.Entry.Address == Address) {
     if (Slot.Incarnation.count() == 0)
       resolveExposures(Slot, milliseconds(-1));
     loseIncarnation(Slot, "worker_replaced", Now, {});
     // By a list from before the takeover the worker may have been called at a
     // former address, and run work of the previous owner at its present one.
-    if (isFleetComplete() && Slot.Entry.Address == Address)
+    if (isFleetComplete())
       m_previousRuns.resolve(Slot.Entry.Id);
     else
       refreshFleet();
--- a/src/libjobhost/astraystart_test.cpp
+++ b/src/libjobhost/astraystart_test.cpp
@@ -102,6 +102,29 @@
   }
 }
 
+// Guards against an answer at a former address that releases the runs whose
+// orders are on their way to the present one: the list came between the poll
+// and its answer.
+TEST_CASE("An answer at the former address of a worker releases no run that "
+          "was ordered at the present one") {
+  for (milliseconds ListDelay : {4ms, 5ms, 6ms})
+    for (milliseconds MoveAt = 210ms; MoveAt < 240ms; MoveAt += 1ms) {
+      CAPTURE(ListDelay.count());
+      CAPTURE(MoveAt.count());
+      JobTestBed Bed({.Hosts = 1, .Workers = 3, .MaxListDelay = ListDelay});
+      Bed.run(LongLife);
+      REQUIRE(Bed.submit(0, chainJob("before", 3, 8, 100ms)).has_value());
+      Bed.run(MoveAt);
+      Bed.moveWorker(0);
+      for (const char *Id : {"a", "b", "c", "d", "e", "f"}) {
+        REQUIRE(Bed.submit(0, chainJob(Id, 1, 2, 3s)).has_value());
+        Bed.run(1ms);
+      }
+      CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("f"); }, 10s));
+      checkNoViolations(Bed);
+    }
+}
+
 // Guards against an owner that counts on the end of its own leases, although an
 // order with a time on the former process's clock has extended them.
 TEST_CASE("The lease of a start order that reached the next process of its "
