--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -156,9 +156,8 @@
     });
     if (Delegable.empty())
       continue;
-    Out.push_back({.Rank = Entry.delegationRank(Delegable.front()),
-                   .Id = Id,
-                   .Positions = std::move(Delegable)});
+    std::pair<bool, TimePoint> Rank = Entry.delegationRank(Delegable.front());
+    Out.push_back({.Rank = Rank, .Id = Id, .Positions = std::move(Delegable)});
   }
   std::sort(Out.begin(), Out.end(),
             [](const DelegableJob &A, const DelegableJob &B) {
