Count only stored workers as evidence, and two thirds silent as too few

Cause: the sum that ends the wait earlier allows for workers of which the new owner has never heard, and so asks for a third of silent ones at most. The row `workers` names them since, but an owner took the answers of workers for evidence that the row did not name (yet).

Now only a worker whose name is certainly stored is evidence. A new owner reads that row after its takeover, so it knows every worker that may be evidence to any previous owner; a name goes out of the row only when the worker is fenced, its process gone or the leases over. More than two thirds of the counted workers must accept an owner's epoch, so that none has evidence once at most two thirds may. The rule before holds beside it, alone while a host of an earlier version may give leases: field 8 of the host's row says that a host keeps to this (there is no protoc here; the field is written by its number).

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -131,6 +131,9 @@
   /// there is no such owner, zero if the number is not known. Only known while
   /// OnAcquired is called, after a claim.
   uint32_t previousWorkers(int Shard) const;
+  /// Returns whether all previous owners that may still give leases take only
+  /// workers for evidence whose names they have stored.
+  bool havePreviousStoredEvidence() const;
   /// Returns the largest number of workers that any report on \p Shard counts
   /// which other hosts may read, zero if they may have no report. \p Shard must
   /// be owned by this host.
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -60,6 +60,9 @@
   /// for evidence. Zero if that is not known, or if a previous owner may not
   /// have kept to LeaseTimes.
   size_t PreviousWorkers = 0;
+  /// Whether previous owners take only workers for evidence that UsedWorkers
+  /// has stored.
+  bool HasPreviousStoredEvidence = false;
   /// Version of the rows with the previous owner's record. Zero if there is no
   /// record that names all runs that are left, for example because this host
   /// has owned the shard under this epoch before.
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -131,6 +131,10 @@
     return m_shards[static_cast<size_t>(Shard)].PreviousWorkers;
   }
 
+  bool havePreviousStoredEvidence() const {
+    return m_hosts->haveStoredEvidence(leaseHorizon());
+  }
+
   uint32_t publishedWorkers(int Shard) const {
     return m_published.most(Shard,
                             m_shards[static_cast<size_t>(Shard)].OwnedEpoch);
@@ -234,7 +238,8 @@
                       .RenewalCount = m_renewalCount,
                       .RenewInterval = renewInterval(),
                       .IsLeaving = m_isLeaving,
-                      .BoundsLeases = m_options.CanSpanPartitions};
+                      .BoundsLeases = m_options.CanSpanPartitions,
+                      .HasStoredEvidence = true};
     if (m_options.Report)
       Record.Shards = m_options.Report();
     m_published.onSent(Now, Record.Shards);
@@ -297,9 +302,14 @@
     return std::max(Row.SeenAt, *Renewed + maxSafeAge() + ClockRateMargin);
   }
 
+  // An owner whose row has not changed since then gives no leases any more.
+  TimePoint leaseHorizon() const {
+    return m_time.now() - m_options.Horizon - m_options.Timeout;
+  }
+
   // Hosts of earlier versions may give longer leases, without evidence.
   uint32_t fewestWorkers(int Shard) const {
-    TimePoint Since = m_time.now() - m_options.Horizon - m_options.Timeout;
+    TimePoint Since = leaseHorizon();
     if (!m_hosts->haveBoundedLeases(Since))
       return 0;
     return m_hosts->fewestWorkers(Shard, Since);
@@ -628,6 +638,9 @@
 TimePoint HostCluster::previousSoleUntil(int Shard) const {
   return m_impl->previousSoleUntil(Shard);
 }
+bool HostCluster::havePreviousStoredEvidence() const {
+  return m_impl->havePreviousStoredEvidence();
+}
 uint32_t HostCluster::previousWorkers(int Shard) const {
   return m_impl->previousWorkers(Shard);
 }
--- a/src/libbasilchute/hostregistry.cpp
+++ b/src/libbasilchute/hostregistry.cpp
@@ -84,6 +84,17 @@
          });
 }
 
+bool HostRegistry::haveStoredEvidence(TimePoint Since) const {
+  auto IsStored = [&](const auto &Host) {
+    return Host.first == m_options.HostId ||
+           Host.second.Record.HasStoredEvidence ||
+           Host.second.ChangedAt < Since;
+  };
+  return m_refused.empty() &&
+         std::all_of(m_hosts.begin(), m_hosts.end(), IsStored) &&
+         std::all_of(m_removed.begin(), m_removed.end(), IsStored);
+}
+
 uint32_t HostRegistry::fewestWorkers(int Shard, TimePoint Since) const {
   uint32_t Out = std::numeric_limits<uint32_t>::max();
   for (const auto *Hosts : {&m_hosts, &m_removed})
--- a/src/libbasilchute/hostregistry.h
+++ b/src/libbasilchute/hostregistry.h
@@ -70,6 +70,9 @@
   /// Returns true if every host whose row may have changed since \p Since
   /// bounds its leases, see HostRecord::BoundsLeases.
   bool haveBoundedLeases(TimePoint Since) const;
+  /// Returns true if every other host whose row may have changed or was removed
+  /// since \p Since has HostRecord::HasStoredEvidence.
+  bool haveStoredEvidence(TimePoint Since) const;
   /// Returns the smallest number of workers in any report on \p Shard by
   /// another host whose row may have changed or was removed since \p Since; the
   /// largest value if there is none, zero if one has no number.
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -31,6 +31,27 @@
 /// the partition of each stored index row depends on it.
 constexpr uint64_t IndexPartitions = 16;
 
+/// Number of a field of StoredHost that the generated code does not have.
+constexpr int StoredEvidenceField = 8;
+
+void setStoredEvidence(v1::StoredHost &To, bool Value) {
+  if (Value)
+    To.GetReflection()->MutableUnknownFields(&To)->AddVarint(
+        StoredEvidenceField, 1);
+}
+
+bool hasStoredEvidence(const v1::StoredHost &From) {
+  const google::protobuf::UnknownFieldSet &Fields =
+      From.GetReflection()->GetUnknownFields(From);
+  for (int Index = 0; Index < Fields.field_count(); ++Index) {
+    const google::protobuf::UnknownField &Field = Fields.field(Index);
+    if (Field.number() == StoredEvidenceField &&
+        Field.type() == google::protobuf::UnknownField::TYPE_VARINT)
+      return Field.varint() != 0;
+  }
+  return false;
+}
+
 int64_t boundedMillicores(int64_t Millicores) {
   return std::clamp<int64_t>(Millicores, 0, MaxShardMillicores);
 }
@@ -286,6 +307,7 @@
   Out.set_beat(Value.RenewalCount);
   Out.set_leaving(Value.IsLeaving);
   Out.set_bounds_leases(Value.BoundsLeases);
+  setStoredEvidence(Out, Value.HasStoredEvidence);
   Out.set_renew_ms(Value.RenewInterval.count());
   for (const auto &[Shard, Report] : Value.Shards) {
     v1::StoredShardCount &To = *Out.add_shards();
@@ -329,7 +351,8 @@
                  .RenewInterval =
                      boundedTime(From.renew_ms(), MaxRenewInterval),
                  .IsLeaving = From.leaving(),
-                 .BoundsLeases = From.bounds_leases()};
+                 .BoundsLeases = From.bounds_leases(),
+                 .HasStoredEvidence = hasStoredEvidence(From)};
   for (const v1::StoredShardCount &Shard : From.shards()) {
     ShardReport &Report = Out.Shards[Shard.shard()];
     Report.Epoch = Shard.epoch();
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -76,6 +76,9 @@
   /// The host keeps to LeaseTimes, and claims a shard only while the row of its
   /// owner is unchanged. Hosts of earlier versions do not.
   bool BoundsLeases = false;
+  /// The host takes only answers of workers that UsedWorkers has stored as
+  /// evidence. Hosts of earlier versions take those of others too.
+  bool HasStoredEvidence = false;
   /// Reports on the shards that the host owns and whose rows it has read.
   std::map<int, ShardReport> Shards;
 };
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -31,7 +31,10 @@
                        m_options.PreviousWorkers),
       m_usedWorkers(
           std::make_shared<UsedWorkers>(usedWorkersOptions(), Store, Time)),
-      m_leaseEvidence(m_options.Leases.MaxEvidenceAge) {}
+      m_leaseEvidence(m_options.Leases.MaxEvidenceAge,
+                      [this](const std::string &Worker) {
+                        return m_usedWorkers->isStored(Worker);
+                      }) {}
 
 void JobShard::Impl::log(std::string_view Event,
                          std::string_view Fields) const {
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -210,6 +210,8 @@
   /// Ends the wait for unknown runs earlier if the workers that have answered
   /// show that their leases end earlier.
   void limitPreviousRuns();
+  /// Counts the workers that have not accepted this owner's epoch.
+  void countUnfenced(TimePoint Now);
   /// Has stored that the task has no run, if it stores its place and that is
   /// certain.
   void storeNoRun(JobEntry &Entry, int Position);
@@ -577,6 +579,8 @@
   PreviousRuns m_previousRuns;
   PreviousLeases m_previousLeases;
   std::shared_ptr<UsedWorkers> m_usedWorkers;
+  /// Workers that the row named when it was read.
+  std::set<std::string> m_previousWorkers;
   TimePoint m_nextWorkerStore{};
   TimePoint m_nextFleetRefresh{};
   LeaseEvidence m_leaseEvidence;
--- a/src/libbasilchute/jobshard_leases_test.cpp
+++ b/src/libbasilchute/jobshard_leases_test.cpp
@@ -16,9 +16,16 @@
 /// A store without rows, whose feeds stay silent.
 class EmptyStore : public RowStore {
 public:
-  void commit(RowCommit, CommitDone Done) override { Done(uint64_t{1}); }
+  void commit(RowCommit, CommitDone Done) override {
+    if (IsAway)
+      Done(makeError(ResultCode::Unavailable, "the store is away"));
+    else
+      Done(uint64_t{1});
+  }
   void read(RowRange, ReadDone Done) override { Done(RowPage{.Version = 1}); }
   void readChanges(std::string, uint64_t, milliseconds, ReadDone) override {}
+
+  bool IsAway = false;
 };
 
 /// One worker, whose polls the test answers.
@@ -45,7 +52,8 @@
 /// The owner of a shard with one worker.
 class Owner {
 public:
-  Owner() {
+  explicit Owner(bool IsStoreAway = false) {
+    Store.IsAway = IsStoreAway;
     Shard.setWorkers({Worker}, {Worker});
     Shard.load();
     answerAfter(10ms);
@@ -133,3 +141,13 @@
   Test.answerAfter(300ms);
   CHECK_FALSE(Test.lease());
 }
+
+// Guards against evidence of a worker that joined while the store was away: the
+// next owner may never hear of it.
+TEST_CASE("A worker whose name can't be stored is no evidence") {
+  Owner Test(true);
+  CHECK(Test.lease() == Times.Sole);
+  Test.IsSole = false;
+  Test.answerAfter(300ms);
+  CHECK_FALSE(Test.lease());
+}
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -89,7 +89,8 @@
     m_handover.reset();
   }
   m_previousRuns.setListComplete(isFleetComplete());
-  for (const std::string &Worker : m_usedWorkers->names())
+  m_previousWorkers = m_usedWorkers->names();
+  for (const std::string &Worker : m_previousWorkers)
     m_previousRuns.addWorker(Worker);
   for (auto &[Id, Slot] : m_slots) {
     m_previousRuns.addWorker(Id);
@@ -98,20 +99,33 @@
   }
 }
 
-void JobShard::Impl::limitPreviousRuns() {
-  TimePoint Now = m_time.now();
-  if (Now > m_previousRuns.unknownEndsAt() || !isFleetComplete())
-    return;
+void JobShard::Impl::countUnfenced(TimePoint Now) {
   // A worker whose process is gone accepts the epoch of no owner. While it is
   // listed, that may be with a new process, which may accept one.
   size_t Fenced = 0;
   size_t Silent = 0;
+  size_t Unfenced = 0;
   for (const auto &[Id, Slot] : m_slots)
     if (Slot.IsFenced)
       ++Fenced;
-    else if (Slot.IsListed || !m_previousRuns.isWorkerResolved(Id))
+    else if (Slot.IsListed || !m_previousRuns.isWorkerResolved(Id)) {
       ++Silent;
+      Unfenced += m_previousWorkers.count(Id);
+    }
   m_previousLeases.onFenced(Fenced, Silent, Now);
+  if (!m_options.HasPreviousStoredEvidence || !m_usedWorkers->isReadable())
+    return;
+  for (const std::string &Worker : m_previousWorkers)
+    if (!m_slots.count(Worker) && !m_previousRuns.isWorkerResolved(Worker))
+      ++Unfenced;
+  m_previousLeases.onUnfenced(Unfenced, Now);
+}
+
+void JobShard::Impl::limitPreviousRuns() {
+  TimePoint Now = m_time.now();
+  if (Now > m_previousRuns.unknownEndsAt() || !isFleetComplete())
+    return;
+  countUnfenced(Now);
   std::optional<TimePoint> End = m_previousLeases.endAt();
   if (!End || m_previousRuns.unknownEndsAt() <= *End)
     return;
@@ -121,7 +135,8 @@
       Slot.LeaseEnd = std::min(Slot.LeaseEnd, m_previousRuns.endsAt(Id));
   log("previous_leases_limited",
       fmt::format("shard={} epoch={} silent={} until_ms={}", m_options.Shard,
-                  m_options.Epoch, Silent, (*End - Now) / milliseconds(1)));
+                  m_options.Epoch, m_previousRuns.silent().size(),
+                  (*End - Now) / milliseconds(1)));
 }
 
 std::optional<HandoverRecord> JobShard::Impl::handOver() {
--- a/src/libbasilchute/leaseevidence.cpp
+++ b/src/libbasilchute/leaseevidence.cpp
@@ -25,7 +25,7 @@
 bool LeaseEvidence::isSufficient(size_t Counted, TimePoint Now) const {
   auto Accepting = static_cast<size_t>(
       std::count_if(m_workers.begin(), m_workers.end(), [&](const auto &Entry) {
-        return Now <= Entry.second.Sent + m_maxAge;
+        return Now <= Entry.second.Sent + m_maxAge && m_isStored(Entry.first);
       }));
   return 3 * Accepting > 2 * Counted;
 }
@@ -42,6 +42,12 @@
     m_noEvidenceFrom = Now;
 }
 
+void PreviousLeases::onUnfenced(size_t Unfenced, TimePoint Now) {
+  bool IsEnough = m_counted == NoReports || 3 * Unfenced <= 2 * m_counted;
+  if (!m_noEvidenceFrom && m_counted > 0 && IsEnough)
+    m_noEvidenceFrom = Now;
+}
+
 std::optional<TimePoint> PreviousLeases::endAt() const {
   if (!m_noEvidenceFrom)
     return std::nullopt;
--- a/src/libbasilchute/leaseevidence.h
+++ b/src/libbasilchute/leaseevidence.h
@@ -16,17 +16,23 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
 /// What an owner knows of the workers that still accept its epoch.
 class LeaseEvidence {
 public:
-  explicit LeaseEvidence(milliseconds MaxAge) : m_maxAge(MaxAge) {}
+  /// \p IsStored returns whether a worker is certainly named in the row that
+  /// the next owner reads. No other worker counts.
+  LeaseEvidence(milliseconds MaxAge,
+                std::function<bool(const std::string &)> IsStored)
+      : m_maxAge(MaxAge), m_isStored(std::move(IsStored)) {}
 
   /// Records that \p Worker has answered a poll that was sent at \p Sent. The
   /// answer counts only if the same incarnation has answered while this host
@@ -49,6 +55,7 @@
   };
 
   milliseconds m_maxAge;
+  std::function<bool(const std::string &)> m_isStored;
   std::map<std::string, Acceptance> m_workers;
 };
 
@@ -69,6 +76,9 @@
   /// lately, \p Fenced have accepted the new owner's epoch and \p Silent have
   /// not.
   void onFenced(size_t Fenced, size_t Silent, TimePoint Now);
+  /// Records that at \p Now, of all workers that may be evidence to a previous
+  /// owner, \p Unfenced have not accepted the new owner's epoch.
+  void onUnfenced(size_t Unfenced, TimePoint Now);
   /// Returns the time by which all leases that previous owners gave to workers
   /// that have not accepted the new epoch have ended; none if that cannot be
   /// concluded from the workers that have.
--- a/src/libbasilchute/leaseevidence_test.cpp
+++ b/src/libbasilchute/leaseevidence_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <set>
 
 using namespace basilchute;
 using namespace std::chrono_literals;
@@ -17,7 +18,8 @@
 
 /// Evidence of a sole owner that \p Workers workers have answered at Start.
 LeaseEvidence evidenceOf(int Workers) {
-  LeaseEvidence Out(Times.MaxEvidenceAge);
+  LeaseEvidence Out(Times.MaxEvidenceAge,
+                    [](const std::string &) { return true; });
   for (int Index = 0; Index < Workers; ++Index)
     Out.onAnswer(workerName(Index), Incarnation, Start, true);
   return Out;
@@ -37,6 +39,23 @@
   CHECK_FALSE(evidenceOf(0).isSufficient(0, Start));
 }
 
+// Guards against evidence of workers of which the next owner can't have heard,
+// so that it takes the leases on them for ended.
+TEST_CASE("A worker counts as evidence while its name is certainly stored") {
+  std::set<std::string> Stored{"w0"};
+  LeaseEvidence Evidence(Times.MaxEvidenceAge, [&](const std::string &Worker) {
+    return Stored.count(Worker) > 0;
+  });
+  Evidence.onAnswer("w0", Incarnation, Start, true);
+  Evidence.onAnswer("w1", Incarnation, Start, true);
+  CHECK(Evidence.isSufficient(1, Start));
+  CHECK_FALSE(Evidence.isSufficient(2, Start));
+  Stored.insert("w1");
+  CHECK(Evidence.isSufficient(2, Start));
+  Stored.clear();
+  CHECK_FALSE(Evidence.isSufficient(1, Start));
+}
+
 // Guards against evidence by the time of the answer: the worker may have
 // accepted the epoch at any moment since the poll was sent.
 TEST_CASE("Evidence grows too old from the time at which the poll was sent") {
@@ -105,6 +124,21 @@
     }
 }
 
+// Guards against a wait for leases on evidence that no owner can have: more
+// than two thirds of the counted workers must accept its epoch.
+TEST_CASE("Previous leases are limited once at most two thirds of the counted "
+          "workers may be evidence") {
+  for (size_t Counted = 0; Counted <= 12; ++Counted)
+    for (size_t Unfenced = 0; Unfenced <= 12; ++Unfenced) {
+      CAPTURE(Counted);
+      CAPTURE(Unfenced);
+      PreviousLeases Leases(Times, Start, Counted);
+      Leases.onUnfenced(Unfenced, Start + 1s);
+      CHECK(Leases.endAt().has_value() ==
+            (Counted > 0 && 3 * Unfenced <= 2 * Counted));
+    }
+}
+
 // Guards against a wait for leases on evidence after owners that gave none:
 // they crashed, one after the other, before they had reported on the shard.
 TEST_CASE("Without a report of any previous owner only the leases of sole "
--- a/src/libbasilchute/usedworkers.cpp
+++ b/src/libbasilchute/usedworkers.cpp
@@ -55,6 +55,7 @@
   m_version = Row.Version;
   m_names.clear();
   Result<std::set<std::string>> Names = decodeUsedWorkers(Row.Value);
+  m_isReadable = Names.has_value();
   if (Names.has_value())
     m_names = std::move(Names.value());
   else
--- a/src/libbasilchute/usedworkers.h
+++ b/src/libbasilchute/usedworkers.h
@@ -41,6 +41,8 @@
   /// Sets the row that the previous owners left, as the store has it after the
   /// takeover. A row that cannot be decoded is logged and counts as empty.
   void restore(const StoredRow &Row);
+  /// Returns true if the row could be decoded, or there is none.
+  bool isReadable() const { return m_isReadable; }
   /// Returns the names that the row has or may have.
   const std::set<std::string> &names() const { return m_names; }
   /// Returns true if the row certainly has \p Worker, and no pending commit
@@ -69,6 +71,7 @@
   std::set<std::string> m_names;
   std::set<std::string> m_uncertain;
   uint64_t m_version = 0;
+  bool m_isReadable = true;
   /// A commit or a read of the row is pending.
   bool m_isWriting = false;
   /// The row must be read before the next commit, and if it is unchanged the
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -77,6 +77,7 @@
       Cluster.Horizon + Leases.OnEvidence + LeaseExpiryMargin - Cluster.Timeout;
   Options.PreviousSoleUntil = m_cluster.previousSoleUntil(Shard);
   Options.PreviousWorkers = m_cluster.previousWorkers(Shard);
+  Options.HasPreviousStoredEvidence = m_cluster.havePreviousStoredEvidence();
   Options.PublishedWorkers = [this, Shard]() -> size_t {
     return m_cluster.publishedWorkers(Shard);
   };
--- a/src/libjobhost/jobhost_leases_test.cpp
+++ b/src/libjobhost/jobhost_leases_test.cpp
@@ -294,6 +294,30 @@
   }
 }
 
+// Guards against a wait of 12 s where more than a third of the workers are
+// silent, although those that answer are too many for any other owner's
+// evidence.
+TEST_CASE("Long-running tasks of five of nine workers that crash unseen before "
+          "their owner run again in time") {
+  for (milliseconds Phase = 0ms; Phase < 500ms; Phase += 100ms) {
+    CAPTURE(Phase.count());
+    Job Lasting = longRunningJob("lasting", 12);
+    BusyBed Busy({.Workers = 9}, Lasting, LongUptime);
+    JobTestBed &Bed = Busy.Bed;
+    Bed.run(Phase);
+    TimePoint CrashedAt = Bed.now();
+    for (int Worker = 0; Worker < 5; ++Worker) {
+      Bed.worker(Worker).IsDown = true;
+      Bed.worker(Worker).crash();
+    }
+    Bed.killHost(Bed.ownerIndex());
+    TimePoint Until = CrashedAt + std::max(MaxDown, MaxDownAfterCrash);
+    CHECK(Bed.runUntil([&] { return allRun(Bed, Lasting); },
+                       std::chrono::ceil<milliseconds>(Until - Bed.now())));
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against leases that end with the renewals: all work would stop in an
 // outage of the store.
 TEST_CASE("Long-running tasks go on while the store is away for 9 s") {
