Name no worker that has drained or left, without a run, in the row of workers

Cause: a worker stayed in the row until its entry had left the list and the last lease was over, 5 s after the last poll, though the owner knew that it ran nothing.

Now a worker that drains or has left the list goes out of the row when it has accepted the owner's epoch, has no run and no completion that is not stored.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -224,6 +224,9 @@
   }
   /// Returns the workers that are listed or may have runs.
   std::set<std::string> workersInUse() const;
+  /// Returns true if the worker has no runs, reports none that ended, and will
+  /// get none.
+  bool isDone(const WorkerSlot &Slot) const;
   UsedWorkersOptions usedWorkersOptions();
   /// Has these workers stored.
   void storeWorkersInUse();
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -262,10 +262,19 @@
           .Log = m_options.Log};
 }
 
+// Nothing starts on a worker that drains or has left the list.
+bool JobShard::Impl::isDone(const WorkerSlot &Slot) const {
+  bool Leaves = Slot.Entry.IsDraining || !Slot.IsListed;
+  return Leaves && Slot.IsFenced && Slot.Runs.empty() &&
+         Slot.UnstoredCompletions.empty() &&
+         m_previousRuns.isWorkerResolved(Slot.Entry.Id);
+}
+
 std::set<std::string> JobShard::Impl::workersInUse() const {
   std::set<std::string> Out;
   for (const auto &[Id, Slot] : m_slots)
-    Out.insert(Id);
+    if (!isDone(Slot))
+      Out.insert(Id);
   for (const std::string &Worker : m_usedWorkers->names())
     if (m_previousRuns.mayHaveRunsOn(Worker, m_time.now()))
       Out.insert(Worker);
--- a/src/libjobhost/jobhost_leases_test.cpp
+++ b/src/libjobhost/jobhost_leases_test.cpp
@@ -318,6 +318,29 @@
   }
 }
 
+// Guards against workers that have drained and left, without a run, and count
+// as evidence that a previous owner may have.
+TEST_CASE("Long-running tasks of a worker that crashes unseen before its owner "
+          "run again in time beside workers that have drained") {
+  for (milliseconds Phase = 0ms; Phase < 500ms; Phase += 100ms) {
+    CAPTURE(Phase.count());
+    Job Lasting = longRunningJob("lasting", 12);
+    BusyBed Busy({.Workers = 12, .MaxListDelay = 10ms}, Lasting, LongUptime);
+    JobTestBed &Bed = Busy.Bed;
+    for (int Worker = 5; Worker < 12; ++Worker)
+      Bed.drainWorker(Worker, 4s);
+    Bed.run(4500ms + Phase);
+    TimePoint CrashedAt = Bed.now();
+    Bed.worker(0).IsDown = true;
+    Bed.worker(0).crash();
+    Bed.killHost(Bed.ownerIndex());
+    TimePoint Until = CrashedAt + std::max(MaxDown, MaxDownAfterCrash);
+    CHECK(Bed.runUntil([&] { return allRun(Bed, Lasting); },
+                       std::chrono::ceil<milliseconds>(Until - Bed.now())));
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against leases that end with the renewals: all work would stop in an
 // outage of the store.
 TEST_CASE("Long-running tasks go on while the store is away for 9 s") {
