Count crashes under young runs after a planned change of the owner

Cause: the handover record names the runs that were not seen to last. A crash under a run that an answer had shown, for 0.3 s to 3 s, is weak evidence to the owner that lived to see it, and nothing to the next one.

Now the record names these runs too (field 5 of the task's index, written by its number), with the longest time that they can have lasted, but for those that the outgoing owner adopted itself, which only look young. They count as weak, or, if the task was a suspect and so tried, as a crash in a trial, never as proof.

Evidence: the test failed before, with 19 starts in place of 5 for a delay of 2.5 s; none after.

--- a/src/libbasilchute/handover.cpp
+++ b/src/libbasilchute/handover.cpp
@@ -1,5 +1,6 @@
 #include "libbasilchute/handover.h"
 
+#include "libbasilchute/extrafields.h"
 #include "libbasilchute/jobrows.h"
 #include "schema/jobs.pb.h"
 
@@ -18,6 +19,8 @@
 /// No run lasts longer without an owner: an upper bound on every lease and on
 /// every horizon.
 constexpr milliseconds MaxRemaining{600000};
+/// Number of a field of StoredTaskIndex.
+constexpr int YoungField = 5;
 /// Maximum number of rows of one record.
 constexpr size_t MaxRows = MaxCommitBytes / MaxRowBytes;
 
@@ -57,6 +60,9 @@
       Index.set_step(Task.Step);
       Index.set_index(Task.Index);
       Index.set_unseen(Runs.Unseen.count(Task) > 0);
+      if (auto Young = Runs.Young.find(Task); Young != Runs.Young.end())
+        setExtraField(Index, YoungField,
+                      static_cast<uint64_t>(Young->second.count()));
       m_size += Index.ByteSizeLong() + sizeof(uint32_t);
     }
   }
@@ -154,6 +160,9 @@
                         .Index = Index.index()};
           if (Index.unseen())
             Runs.Unseen.insert(Task);
+          uint64_t Young = extraField(Index, YoungField);
+          if (Young > 0 && Young <= MaxRemaining.count())
+            Runs.Young[Task] = milliseconds(Young);
           Runs.Tasks.insert(std::move(Task));
         }
     }
--- a/src/libbasilchute/handover.h
+++ b/src/libbasilchute/handover.h
@@ -27,6 +27,9 @@
     /// Those of the tasks that have not been seen to last. If another
     /// incarnation of the worker is found, it crashed under one of them.
     std::set<TaskName> Unseen;
+    /// The same of tasks that have been seen to last for a short time, with the
+    /// longest time that the run can have lasted.
+    std::map<TaskName, milliseconds> Young;
     /// Incarnation of the worker; zero if it is not known.
     milliseconds Incarnation{0};
   };
--- a/src/libbasilchute/handover_test.cpp
+++ b/src/libbasilchute/handover_test.cpp
@@ -21,6 +21,7 @@
                            .Step = 1,
                            .Index = Index});
     Runs.Unseen.insert(*Runs.Tasks.rbegin());
+    Runs.Young[*Runs.Tasks.begin()] = milliseconds(700 + Worker);
   }
   return Out;
 }
@@ -31,6 +32,7 @@
     CHECK(Read.Workers.at(Worker).Tasks == Runs.Tasks);
     CHECK(Read.Workers.at(Worker).Remaining == Runs.Remaining);
     CHECK(Read.Workers.at(Worker).Unseen == Runs.Unseen);
+    CHECK(Read.Workers.at(Worker).Young == Runs.Young);
     CHECK(Read.Workers.at(Worker).Incarnation == Runs.Incarnation);
   }
   CHECK(Read.UnknownRemaining == Written.UnknownRemaining);
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -2,6 +2,7 @@
 
 #include "basilchute/jobfrontend.h"
 #include "basilchute/limits.h"
+#include "libbasilchute/extrafields.h"
 #include "libbasilchute/progressrows.h"
 #include "schema/jobs.pb.h"
 
@@ -31,27 +32,9 @@
 /// the partition of each stored index row depends on it.
 constexpr uint64_t IndexPartitions = 16;
 
-/// Number of a field of StoredHost that the generated code does not have.
+/// Number of a field of StoredHost.
 constexpr int StoredEvidenceField = 8;
 
-void setStoredEvidence(v1::StoredHost &To, bool Value) {
-  if (Value)
-    To.GetReflection()->MutableUnknownFields(&To)->AddVarint(
-        StoredEvidenceField, 1);
-}
-
-bool hasStoredEvidence(const v1::StoredHost &From) {
-  const google::protobuf::UnknownFieldSet &Fields =
-      From.GetReflection()->GetUnknownFields(From);
-  for (int Index = 0; Index < Fields.field_count(); ++Index) {
-    const google::protobuf::UnknownField &Field = Fields.field(Index);
-    if (Field.number() == StoredEvidenceField &&
-        Field.type() == google::protobuf::UnknownField::TYPE_VARINT)
-      return Field.varint() != 0;
-  }
-  return false;
-}
-
 int64_t boundedMillicores(int64_t Millicores) {
   return std::clamp<int64_t>(Millicores, 0, MaxShardMillicores);
 }
@@ -307,7 +290,7 @@
   Out.set_beat(Value.RenewalCount);
   Out.set_leaving(Value.IsLeaving);
   Out.set_bounds_leases(Value.BoundsLeases);
-  setStoredEvidence(Out, Value.HasStoredEvidence);
+  setExtraField(Out, StoredEvidenceField, Value.HasStoredEvidence ? 1 : 0);
   Out.set_renew_ms(Value.RenewInterval.count());
   for (const auto &[Shard, Report] : Value.Shards) {
     v1::StoredShardCount &To = *Out.add_shards();
@@ -346,13 +329,13 @@
   v1::StoredHost From;
   if (!From.ParseFromString(Bytes) || From.weight() <= 0)
     return badRow("host");
-  HostRecord Out{.Weight = From.weight(),
-                 .RenewalCount = From.beat(),
-                 .RenewInterval =
-                     boundedTime(From.renew_ms(), MaxRenewInterval),
-                 .IsLeaving = From.leaving(),
-                 .BoundsLeases = From.bounds_leases(),
-                 .HasStoredEvidence = hasStoredEvidence(From)};
+  HostRecord Out{
+      .Weight = From.weight(),
+      .RenewalCount = From.beat(),
+      .RenewInterval = boundedTime(From.renew_ms(), MaxRenewInterval),
+      .IsLeaving = From.leaving(),
+      .BoundsLeases = From.bounds_leases(),
+      .HasStoredEvidence = extraField(From, StoredEvidenceField) != 0};
   for (const v1::StoredShardCount &Shard : From.shards()) {
     ShardReport &Report = Out.Shards[Shard.shard()];
     Report.Epoch = Shard.epoch();
--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -190,7 +190,9 @@
     for (const TaskName &Task : HandedOver->second.Tasks)
       if (auto [Entry, Position] = findRunning(Task); Entry)
         setExposure(*Entry, Position, Id, HandedOver->second.Incarnation);
-    m_handedOver.erase(HandedOver);
+    HandedOver->second.Tasks.clear();
+    if (HandedOver->second.Young.empty())
+      m_handedOver.erase(HandedOver);
   }
   if (Slot.Entry.IsDraining || Slot.Incarnation.count() == 0)
     return;
@@ -260,7 +262,10 @@
     return Out;
   bool HasCrashed = HandedOver->second.Incarnation != Incarnation;
   std::set<TaskName> Tasks = std::move(HandedOver->second.Tasks);
+  std::map<TaskName, milliseconds> Young = std::move(HandedOver->second.Young);
   m_handedOver.erase(HandedOver);
+  if (HasCrashed && !Slot.Entry.IsDraining)
+    countYoungRuns(Young, Slot.Entry.Id);
   for (const TaskName &Task : Tasks) {
     auto [Entry, Position] = findRunning(Task);
     if (!Entry || !HasCrashed)
@@ -274,6 +279,43 @@
   return Out;
 }
 
+// A suspect starts as a trial only. Other workers may have crashed at the same
+// time, so that the crash is no proof.
+void JobShard::Impl::countYoungRuns(
+    const std::map<TaskName, milliseconds> &Young, const std::string &Worker) {
+  std::set<TaskName> Counted;
+  for (const auto &[Task, MaxAge] : Young) {
+    auto [Entry, Position] = findRunning(Task);
+    if (!Entry)
+      continue;
+    TaskName Unit = crashUnit(*Entry, Position);
+    if (!Counted.insert(Unit).second)
+      continue;
+    CrashRecord &Record = crashRecord(*Entry, Position);
+    bool WasTrial = Record.IsSuspect;
+    CountedCrash Crash{
+        .Run = {.Task = Unit, .KnownAge = MaxAge, .MaxAge = MaxAge},
+        .Evidence = WasTrial ? CrashEvidence::Strong : CrashEvidence::Weak,
+        .Suspects = Young.size(),
+        .WasTrial = WasTrial,
+        .MayHaveHidden = Entry->MayHaveHiddenCrashes,
+        .Worker = Worker};
+    bool IsGivenUp = CrashHistory::count(Record, Crash);
+    if (Record.IsSuspect)
+      m_suspects.insert(Unit);
+    markDirty(*Entry);
+    ++m_counts.WorkerCrashes;
+    log("worker_crashed",
+        fmt::format("worker={} shard={} why=before_takeover runs=1 suspects={} "
+                    "tasks={}.{}.{}.{}:{}",
+                    Worker, m_options.Shard, Young.size(), Unit.Job,
+                    Unit.Occurrence, Unit.Step, Unit.Index,
+                    crashEvidenceName(Crash.Evidence)));
+    if (IsGivenUp)
+      giveUp(*Entry);
+  }
+}
+
 void JobShard::Impl::countEarlierCrash(JobEntry &Entry, int Position,
                                        const std::string &Worker) {
   TaskName Unit = crashUnit(Entry, Position);
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -274,6 +274,9 @@
   /// not known or has ended.
   std::pair<JobEntry *, int> findRunning(const TaskName &Task);
   SilentWorker silentWorker(const WorkerSlot &Slot);
+  /// Returns the runs on the worker that have been seen and are young, with the
+  /// longest time that they can have lasted.
+  std::map<TaskName, milliseconds> youngRuns(const WorkerSlot &Slot);
   std::vector<SilentWorker> otherSilentWorkers(const WorkerSlot &Slot);
   /// Counts a crash of the worker for its runs. Returns the jobs to be given
   /// up, which giveUp() ends.
@@ -301,6 +304,9 @@
   /// have several members on the worker.
   std::set<TaskName> resolveHandedOver(const WorkerSlot &Slot,
                                        milliseconds Incarnation);
+  /// Counts a crash of \p Worker for young runs that a previous owner had seen.
+  void countYoungRuns(const std::map<TaskName, milliseconds> &Young,
+                      const std::string &Worker);
   /// Counts a crash of a worker that a previous owner has not counted.
   void countEarlierCrash(JobEntry &Entry, int Position,
                          const std::string &Worker);
@@ -597,6 +603,8 @@
   struct HandedOver {
     milliseconds Incarnation{0};
     std::set<TaskName> Tasks;
+    /// Young runs that it had seen, with the longest time they can have lasted.
+    std::map<TaskName, milliseconds> Young;
   };
   std::map<std::string, HandedOver> m_handedOver;
   /// Workers that were dropped and may only be cut off.
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -80,9 +80,11 @@
       m_previousRuns.addKnown(Worker, Runs.Tasks,
                               m_takeoverTime +
                                   maxLocalDuration(Runs.Remaining));
-      if (Runs.Incarnation.count() != 0 && !Runs.Unseen.empty())
+      if (Runs.Incarnation.count() != 0 &&
+          !(Runs.Unseen.empty() && Runs.Young.empty()))
         m_handedOver[Worker] = {.Incarnation = Runs.Incarnation,
-                                .Tasks = Runs.Unseen};
+                                .Tasks = Runs.Unseen,
+                                .Young = Runs.Young};
     }
     for (const std::string &Worker : m_handover->SilentWorkers)
       m_previousRuns.addWorker(Worker);
@@ -139,6 +141,26 @@
                   (*End - Now) / milliseconds(1)));
 }
 
+std::map<TaskName, milliseconds>
+JobShard::Impl::youngRuns(const WorkerSlot &Slot) {
+  std::map<TaskName, milliseconds> Out;
+  if (Slot.Entry.IsDraining)
+    return Out;
+  TimePoint Until = Slot.SilentAt == TimePoint{} ? m_time.now() : Slot.SilentAt;
+  for (const auto &[Key, Run] : Slot.Runs) {
+    auto [Entry, Position] = findRunning(Key.first);
+    // An adopted run is young only as far as this owner knows.
+    if (!Entry || Run.Phase == RunPhase::Reserved || Run.IsAdopted)
+      continue;
+    ExposedRun Exposed{.KnownAge = Slot.knownAge(Run),
+                       .Crashes = crashRecord(*Entry, Position).Crashes};
+    if (!Exposed.isUnseen() && Exposed.isYoung())
+      Out[Key.first] =
+          std::chrono::duration_cast<milliseconds>(Until - Run.ObservedSince);
+  }
+  return Out;
+}
+
 std::optional<HandoverRecord> JobShard::Impl::handOver() {
   if (!m_isLoaded || m_hasLostOwnership)
     return std::nullopt;
@@ -174,6 +196,7 @@
       if (ExposedRun{.KnownAge = Slot.knownAge(Run)}.isUnseen())
         Runs.Unseen.insert(Key.first);
     }
+    Runs.Young = youngRuns(Slot);
     for (const auto &[Number, Task] : Slot.UnstoredCompletions)
       Runs.Tasks.insert(Task);
   }
@@ -183,6 +206,7 @@
       continue;
     Passed->second.Incarnation = Runs.Incarnation;
     Passed->second.Unseen = Runs.Tasks;
+    Passed->second.Young = Runs.Young;
   }
   size_t Tasks = 0;
   for (const auto &[Worker, Runs] : Out.Workers)
--- a/src/libjobhost/workercrash_test.cpp
+++ b/src/libjobhost/workercrash_test.cpp
@@ -2,6 +2,7 @@
 
 #include "testing/jobtestbed.h"
 
+#include <cstdlib>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
@@ -73,7 +74,7 @@
 
 // Guards against decisions that on-call cannot see.
 TEST_CASE("Each decision on a deadly task is logged and counted") {
-  JobTestBed Bed({.Workers = 4});
+  JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
   Bed.run(3s);
   Bed.Oracle.setDeadly(taskOf("deadly"));
   CHECK(Bed.submit(0, chainJob("deadly", 1, 1)).has_value());
@@ -157,7 +158,7 @@
   // At several times relative to the crash and to the worker's return.
   for (milliseconds Delay : {50ms, 700ms, 2000ms, 3300ms, 3700ms}) {
     CAPTURE(Delay.count());
-    JobTestBed Bed({.Workers = 4});
+    JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
     Bed.run(3s);
     Bed.Oracle.setDeadly(taskOf("deadly"));
     changeOwnerAfterStarts(Bed, Delay, false);
@@ -168,12 +169,29 @@
   }
 }
 
+// Guards against a planned change of the owner after which the crash of a
+// silent worker counts for none of its runs that an answer had shown.
+TEST_CASE("A crash that follows a planned change of the owner counts for young "
+          "runs") {
+  for (milliseconds Delay : {1500ms, 1700ms, 2000ms, 2500ms}) {
+    CAPTURE(Delay.count());
+    JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
+    Bed.run(3s);
+    Bed.Oracle.setDeadly(taskOf("deadly"), 1400ms);
+    changeOwnerAfterStarts(Bed, Delay, false);
+    CHECK(Bed.submit(0, chainJob("deadly", 1, 1, 9s)).has_value());
+    CHECK(reaches(Bed, "deadly", JobState::Failed, 90s));
+    CHECK(Bed.Oracle.deadly(taskOf("deadly"))->Starts <= MaxDeadlyStarts);
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against a count that begins anew whenever the owner is killed, also
 // before the worker is back, so that no owner has counted the crash.
 TEST_CASE("Crashes stay counted if the owner is killed after each") {
   for (milliseconds Delay : {1700ms, 2500ms, 3300ms, 3700ms, 5000ms}) {
     CAPTURE(Delay.count());
-    JobTestBed Bed({.Workers = 4});
+    JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
     Bed.run(3s);
     Bed.Oracle.setDeadly(taskOf("deadly"));
     changeOwnerAfterStarts(Bed, Delay, true);
@@ -229,7 +247,7 @@
 // owner was killed that had seen the task start for the first time.
 TEST_CASE("Two crashes under a task fail no job if the killed owner had stored "
           "the first") {
-  JobTestBed Bed({.Workers = 4});
+  JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
   Bed.run(3s);
   CHECK(Bed.submit(0, chainJob("innocent", 1, 1, 9s)).has_value());
   auto CrashItsWorker = [&] {
