Try a task for longer that crashed two workers without being seen to last

Cause: a run that no answer has shown may have lasted until the first call without an answer, but the trial after it was survived within 0.3 s. The task survived each trial, and the crash that followed was weak evidence outside of a trial.

Now the trial after the second counted crash, or after the first one where an owner was killed that may have hidden another, lasts for longer than such a run can have (1 s where that is not known: the owner that saw it is gone).

--- a/src/libbasilchute/crashhistory.cpp
+++ b/src/libbasilchute/crashhistory.cpp
@@ -24,6 +24,10 @@
 /// A task that was only young at the crashes before is not given up after the
 /// first trial.
 constexpr int MinStrongCrashes = 2;
+/// Crashes after which a trial is longer than the time for which a run can have
+/// lasted that was not seen to last, and that time if it is not known.
+constexpr int LongTrialCrashes = 2;
+constexpr milliseconds UnseenRunAge{1000};
 /// By so many fewer a task is given up that may have crashed workers without
 /// being counted.
 constexpr int HiddenCrashes = 1;
@@ -200,14 +204,17 @@
   Record.Worker.clear();
   Record.Incarnation = milliseconds(0);
   const ExposedRun &Run = Crash.Run;
+  int Hidden = Crash.MayHaveHidden ? HiddenCrashes : 0;
   // A run in a trial, or among many crashes, can have lasted although no answer
-  // came in the meantime.
-  bool MayHaveLasted = !Run.isUnseen() || Crash.WasTrial ||
+  // came in the meantime. Most tasks with one crash are innocent, and not to be
+  // tried for long.
+  bool IsRepeated =
+      Record.Crashes + (Run.IsAdopted ? 0 : Hidden) >= LongTrialCrashes;
+  bool MayHaveLasted = !Run.isUnseen() || Crash.WasTrial || IsRepeated ||
                        Crash.Evidence == CrashEvidence::Weak;
   if (MayHaveLasted)
     Record.RunAge =
         std::max(Record.RunAge, std::min(Run.MaxAge, YoungAgeOfCounted));
-  int Hidden = Crash.MayHaveHidden ? HiddenCrashes : 0;
   // An adopted run that was seen to last is young only as far as is known.
   bool MayBeOld = Run.IsAdopted && !Run.isUnseen();
   Record.IsSuspect = Record.IsSuspect ||
@@ -240,6 +247,8 @@
   addCrash(Record, Worker);
   Record.StrongCrashes = std::min(Record.StrongCrashes + 1, Record.Crashes);
   Record.IsSuspect = true;
+  if (Record.Crashes >= LongTrialCrashes)
+    Record.RunAge = std::max(Record.RunAge, UnseenRunAge);
   Record.Weight = 1;
   Record.Worker.clear();
   Record.Incarnation = milliseconds(0);
--- a/src/libbasilchute/crashhistory_test.cpp
+++ b/src/libbasilchute/crashhistory_test.cpp
@@ -187,6 +187,35 @@
   }
 }
 
+// Guards against a task that survives each trial, since the runs under which
+// its workers crashed were not seen to last: it crashed workers until the end
+// of the day while owners changed.
+TEST_CASE("The trial of a task that crashed twice lasts for longer than a run "
+          "without an answer can have") {
+  CountedCrash Crash{.Run = unseen("a"), .Evidence = CrashEvidence::Strong};
+  CrashRecord Record;
+  CHECK_FALSE(CrashHistory::count(Record, Crash));
+  // Most suspects of one crash are innocent.
+  CHECK(CrashHistory::trialTime(Record) == 300ms);
+  CHECK_FALSE(CrashHistory::count(Record, Crash));
+  CHECK(CrashHistory::trialTime(Record) > Crash.Run.MaxAge);
+
+  CrashRecord Hidden;
+  Crash.MayHaveHidden = true;
+  CHECK_FALSE(CrashHistory::count(Hidden, Crash));
+  CHECK(CrashHistory::trialTime(Hidden) > Crash.Run.MaxAge);
+  CrashRecord Adopted;
+  Crash.Run.IsAdopted = true;
+  CHECK_FALSE(CrashHistory::count(Adopted, Crash));
+  CHECK(CrashHistory::trialTime(Adopted) == 300ms);
+
+  CrashRecord Earlier;
+  CHECK_FALSE(CrashHistory::countUnseen(Earlier, false));
+  CHECK(CrashHistory::trialTime(Earlier) == 300ms);
+  CHECK_FALSE(CrashHistory::countUnseen(Earlier, false));
+  CHECK(CrashHistory::trialTime(Earlier) > 1000ms);
+}
+
 // Guards against a trial that had not started, or on another worker, as proof.
 TEST_CASE("Only the workers of a started trial prove anything") {
   CrashHistory History;
