Go on with a trial that a previous owner began

Cause: a trial lived in the memory of its owner. The next one adopted the run as any other: other tasks started beside it, and its crash was no proof.

Now an owner that finds the worker of a suspect in the incarnation that the row names goes on with the trial, as only a trial can have started the task. If the worker does not run it, the trial ends undecided, as before.

--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -243,11 +243,16 @@
     if (Record.Worker != Id)
       continue;
     // The worker of a trial is named until the trial ends.
-    if (m_crashes.trialOf(crashUnit(*Entry, Position))) {
+    const CrashTrial *Trial = m_crashes.trialOf(crashUnit(*Entry, Position));
+    if (Trial && Trial->Workers.count(Id)) {
       m_exposed[Id].insert(Task);
       continue;
     }
     bool HasCrashed = Record.Incarnation != Incarnation;
+    if (!HasCrashed && isSuspect(*Entry, Position)) {
+      resumeTrial(*Entry, Position, Id);
+      continue;
+    }
     clearExposure(*Entry, Position);
     if (HasCrashed && Crashed.insert(crashUnit(*Entry, Position)).second)
       countEarlierCrash(*Entry, Position, Id);
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -331,6 +331,8 @@
   /// Starts trials, and leaves only those candidates that have none.
   void placeTrials(std::vector<PlacementCandidate> &Candidates);
   void updateTrials(std::vector<PlacementCandidate> &Candidates);
+  /// Goes on with a trial that a previous owner began on \p Worker.
+  void resumeTrial(JobEntry &Entry, int Position, const std::string &Worker);
   std::vector<TaskName> suspectsInOrder();
   bool hasWaitedForTrial(const JobEntry &Entry, int Position) const;
   static std::vector<int> trialPositions(const JobEntry &Entry, int Position);
--- a/src/libbasilchute/jobshard_trial.cpp
+++ b/src/libbasilchute/jobshard_trial.cpp
@@ -184,6 +184,25 @@
   return true;
 }
 
+// Only a trial can have started the task of a suspect. If the worker does not
+// run it, the trial ends undecided.
+void JobShard::Impl::resumeTrial(JobEntry &Entry, int Position,
+                                 const std::string &Worker) {
+  TaskName Unit = crashUnit(Entry, Position);
+  m_exposed[Worker].insert(Entry.nameOf(Position));
+  if (m_crashes.trialOf(Unit)) {
+    m_crashes.addWorker(Unit, Worker);
+    return;
+  }
+  m_crashes.begin(Unit, {Worker}, crashRecord(Entry, Position).Weight,
+                  m_time.now());
+  m_crashes.setStarted(Unit);
+  log("trial_resumed",
+      fmt::format("job={} step={} index={} worker={} crashes={}", Unit.Job,
+                  Unit.Step, Unit.Index, Worker,
+                  crashRecord(Entry, Position).Crashes));
+}
+
 void JobShard::Impl::updateTrials(std::vector<PlacementCandidate> &Candidates) {
   std::map<TaskName, CrashTrial> Trials = m_crashes.trials();
   for (const auto &[Unit, Trial] : Trials) {
--- a/src/libjobhost/workercrash_test.cpp
+++ b/src/libjobhost/workercrash_test.cpp
@@ -169,6 +169,22 @@
   }
 }
 
+// Guards against trials that end with a planned change of the owner, so that
+// the crash is no proof and does not count as one of a trial.
+TEST_CASE("A trial goes on if the owner changes as planned during it") {
+  for (milliseconds Delay : {500ms, 700ms, 1000ms}) {
+    CAPTURE(Delay.count());
+    JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
+    Bed.run(3s);
+    Bed.Oracle.setDeadly(taskOf("deadly"), 1400ms);
+    changeOwnerAfterStarts(Bed, Delay, false);
+    CHECK(Bed.submit(0, chainJob("deadly", 1, 1, 9s)).has_value());
+    CHECK(reaches(Bed, "deadly", JobState::Failed, 90s));
+    CHECK(Bed.Oracle.deadly(taskOf("deadly"))->Starts <= MaxDeadlyStarts);
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against a planned change of the owner after which the crash of a
 // silent worker counts for none of its runs that an answer had shown.
 TEST_CASE("A crash that follows a planned change of the owner counts for young "
