Give no run number again where the stored ones are ahead of the job's age

Cause: an owner's numbers begin 64 above the larger of the stored number and the job's age in 0.1 s. Handovers in quick succession store higher numbers than that age, so that the age no longer tells two owners apart that read the same row.

--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -14,6 +14,8 @@
 /// must not use the same numbers.
 constexpr milliseconds RunNumberTime{100};
 constexpr int64_t MaxLowestRunNumber = int64_t(1) << 30;
+/// Where the stored numbers are higher, they advance by the age, up to this.
+constexpr int MaxRunAdvance = 4096;
 
 } // namespace
 
@@ -48,7 +50,8 @@
   State = Stored.State;
   WasDelegated = Stored.WasDelegated;
   StoredState = Stored.State;
-  m_firstRun = std::max(Stored.HighestRun, LowestRun) + RunGap;
+  int Advance = std::min(LowestRun, MaxRunAdvance);
+  m_firstRun = std::max(Stored.HighestRun + Advance, LowestRun) + RunGap;
   for (TaskState &Task : Tasks)
     Task.LastRun = m_firstRun;
   for (const TaskProgress &Progress : Stored.Tasks) {
@@ -57,7 +60,7 @@
       continue;
     TaskState &Task = Tasks[static_cast<size_t>(Progress.Position)];
     Task.StoredRun = Progress.Run;
-    Task.LastRun = std::max(Progress.Run, LowestRun) + RunGap;
+    Task.LastRun = std::max(Progress.Run + Advance, LowestRun) + RunGap;
     Task.FailedRuns = {Progress.FailedRuns.begin(), Progress.FailedRuns.end()};
     Task.Checkpoint = Progress.Checkpoint;
     if (storesPlace(Progress.Position))
--- /dev/null
+++ b/src/libbasilchute/jobentry_test.cpp
@@ -0,0 +1,43 @@
+#include "libbasilchute/jobentry.h"
+
+#include <doctest/doctest.h>
+
+using namespace basilchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr milliseconds AcceptedAt = 1h;
+constexpr int RunGap = 64;
+
+/// Returns the last run number before those that an owner gives which reads
+/// \p Stored when the job has the age \p Age.
+int lastRunAt(milliseconds Age, const JobProgress &Stored) {
+  Job Spec{.Id = "a", .AcceptedAt = AcceptedAt};
+  Spec.Steps.push_back({.Count = 2});
+  JobEntry Entry(Spec, 1, TimePoint{});
+  Entry.restore(Stored, RunGap, AcceptedAt + Age);
+  CHECK(Entry.Tasks[0].LastRun == Entry.Tasks[1].LastRun);
+  return Entry.Tasks[0].LastRun;
+}
+
+} // namespace
+
+// Guards against two runs of a task with one number: the stored numbers were
+// ahead of the job's age, and an owner that stored nothing was followed by
+// another one.
+TEST_CASE("Owners that read the same row give their runs different numbers") {
+  for (int Highest : {0, 100, 5000}) {
+    JobProgress Stored{.Tasks = {{.Position = 0, .Run = Highest},
+                                 {.Position = 1, .Run = Highest}},
+                       .HighestRun = Highest};
+    int Last = Highest;
+    for (milliseconds Age = 200ms; Age < 400s; Age += 3100ms) {
+      CAPTURE(Highest);
+      CAPTURE(Age.count());
+      int Run = lastRunAt(Age, Stored);
+      CHECK(Run >= Last + 30);
+      Last = Run;
+    }
+  }
+}
