Start a long-running suspect that no worker was chosen for in time

Owners that are killed count crashes under what they have merely adopted, so that nearly all of them are innocent.

Cause: the number of trials bounds the harm, and nothing bounds the wait.

Now a long-running suspect with at most two counted crashes for which no worker was chosen within 2.2 s starts without a trial: with the 3 s after which a crash is found, it runs within 5.5 s where there is room. A trial that has a worker goes on; it begins within 4.5 s or is given up. A task that does crash each worker gets one start more by this, and then keeps to trials.

--- a/src/libbasilchute/crashhistory.cpp
+++ b/src/libbasilchute/crashhistory.cpp
@@ -28,6 +28,9 @@
 /// lasted that was not seen to last, and that time if it is not known.
 constexpr int LongTrialCrashes = 2;
 constexpr milliseconds UnseenRunAge{1000};
+/// A task that crashes each worker starts at most once more if it is released
+/// after so many.
+constexpr int MaxReleasedCrashes = 2;
 /// By so many fewer a task is given up that may have crashed workers without
 /// being counted.
 constexpr int HiddenCrashes = 1;
@@ -269,6 +272,10 @@
              (MayHaveHidden && !Record.HasTrace ? HiddenCrashes : 0);
 }
 
+bool CrashHistory::mayRelease(const CrashRecord &Record) {
+  return Record.Crashes + Record.RepeatedCrashes <= MaxReleasedCrashes;
+}
+
 // A task that crashed its worker only after some time is watched for longer
 // than that.
 milliseconds CrashHistory::trialTime(const CrashRecord &Record) {
--- a/src/libbasilchute/crashhistory.h
+++ b/src/libbasilchute/crashhistory.h
@@ -186,6 +186,9 @@
   /// Returns true if a crash in the next trial may give the task up, so that it
   /// must be proof.
   static bool needsProof(const CrashRecord &Record, bool MayHaveHidden);
+  /// Returns true if so few crashes are counted that the task may start without
+  /// a trial once more.
+  static bool mayRelease(const CrashRecord &Record);
   /// Returns the time after which a trial counts as survived.
   static milliseconds trialTime(const CrashRecord &Record);
 
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -335,6 +335,10 @@
   void resumeTrial(JobEntry &Entry, int Position, const std::string &Worker);
   std::vector<TaskName> suspectsInOrder();
   bool hasWaitedForTrial(const JobEntry &Entry, int Position) const;
+  /// Returns true if a suspect has waited so long for a trial that it starts
+  /// without one.
+  bool canRelease(JobEntry &Entry, int Position);
+  void release(JobEntry &Entry, int Position);
   static std::vector<int> trialPositions(const JobEntry &Entry, int Position);
   bool canTry(JobEntry &Entry, int Position);
   bool beginTrial(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
--- a/src/libbasilchute/jobshard_trial.cpp
+++ b/src/libbasilchute/jobshard_trial.cpp
@@ -17,6 +17,9 @@
 /// about 3 s.
 constexpr milliseconds MaxTrialWait{2500};
 constexpr milliseconds MaxLongRunningTrialWait{1000};
+/// A long-running suspect that no worker was chosen for within this time starts
+/// without a trial, unless CrashHistory::mayRelease() forbids it.
+constexpr milliseconds MaxSuspectWait{2200};
 /// Time for which a suspect waits for a worker that has not crashed under it.
 constexpr milliseconds MaxWaitForOther{3000};
 /// Room is reserved for a suspect that has waited for this long.
@@ -37,6 +40,10 @@
   std::set<std::string> Silent = silentWorkers();
   for (const TaskName &Unit : suspectsInOrder()) {
     auto [Entry, Position] = findRunning(Unit);
+    if (Entry && canRelease(*Entry, Position)) {
+      release(*Entry, Position);
+      continue;
+    }
     if (Entry && canTry(*Entry, Position) &&
         m_crashes.mayBegin(crashRecord(*Entry, Position), m_slots.size(),
                            Silent, hasWaitedForTrial(*Entry, Position)))
@@ -47,6 +54,27 @@
   });
 }
 
+// Among many suspects most are innocent. A task that does crash its worker is
+// a suspect again then, and is not released any more.
+bool JobShard::Impl::canRelease(JobEntry &Entry, int Position) {
+  const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+  return Entry.stepOf(Position).LongRunning && !Entry.stepOf(Position).Gang &&
+         m_time.now() > Task.WaitingSince + MaxSuspectWait &&
+         CrashHistory::mayRelease(Task.Crash) &&
+         unconfirmedCrashes(Entry.nameOf(Position)) == 0 &&
+         canTry(Entry, Position);
+}
+
+void JobShard::Impl::release(JobEntry &Entry, int Position) {
+  const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+  TaskName Unit = Entry.nameOf(Position);
+  log("suspect_released",
+      fmt::format("job={} step={} index={} crashes={} waited_ms={}", Unit.Job,
+                  Unit.Step, Unit.Index, Task.Crash.Crashes,
+                  (m_time.now() - Task.WaitingSince) / milliseconds(1)));
+  clearSuspicion(Entry, Position);
+}
+
 bool JobShard::Impl::hasWaitedForTrial(const JobEntry &Entry,
                                        int Position) const {
   milliseconds MaxWait = Entry.stepOf(Position).LongRunning
--- a/src/libjobhost/workercrash_test.cpp
+++ b/src/libjobhost/workercrash_test.cpp
@@ -74,7 +74,8 @@
 
 // Guards against decisions that on-call cannot see.
 TEST_CASE("Each decision on a deadly task is logged and counted") {
-  JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
+  JobTestBed Bed(
+      {.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
   Bed.run(3s);
   Bed.Oracle.setDeadly(taskOf("deadly"));
   CHECK(Bed.submit(0, chainJob("deadly", 1, 1)).has_value());
@@ -158,7 +159,8 @@
   // At several times relative to the crash and to the worker's return.
   for (milliseconds Delay : {50ms, 700ms, 2000ms, 3300ms, 3700ms}) {
     CAPTURE(Delay.count());
-    JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
+    JobTestBed Bed(
+        {.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
     Bed.run(3s);
     Bed.Oracle.setDeadly(taskOf("deadly"));
     changeOwnerAfterStarts(Bed, Delay, false);
@@ -174,7 +176,8 @@
 TEST_CASE("A trial goes on if the owner changes as planned during it") {
   for (milliseconds Delay : {500ms, 700ms, 1000ms}) {
     CAPTURE(Delay.count());
-    JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
+    JobTestBed Bed(
+        {.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
     Bed.run(3s);
     Bed.Oracle.setDeadly(taskOf("deadly"), 1400ms);
     changeOwnerAfterStarts(Bed, Delay, false);
@@ -191,7 +194,8 @@
           "runs") {
   for (milliseconds Delay : {1500ms, 1700ms, 2000ms, 2500ms}) {
     CAPTURE(Delay.count());
-    JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
+    JobTestBed Bed(
+        {.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
     Bed.run(3s);
     Bed.Oracle.setDeadly(taskOf("deadly"), 1400ms);
     changeOwnerAfterStarts(Bed, Delay, false);
@@ -202,12 +206,36 @@
   }
 }
 
+// Guards against long-running tasks that wait for their trials one after the
+// other, though most suspects of a crash are innocent.
+TEST_CASE("Many long-running suspects run again in time") {
+  for (milliseconds Age : {50ms, 150ms, 250ms}) {
+    CAPTURE(Age.count());
+    JobTestBed Bed({.Workers = 6});
+    Bed.run(3s);
+    Job Lasting = longRunningJob("lasting", 30);
+    CHECK(Bed.submit(0, Lasting).has_value());
+    auto CountRunning = [&] {
+      int Out = 0;
+      for (int Index = 0; Index < 30; ++Index)
+        Out += Bed.Oracle.workerOf({"lasting", 0, 0, Index}).empty() ? 0 : 1;
+      return Out;
+    };
+    REQUIRE(Bed.runUntil([&] { return CountRunning() == 30; }, 2s));
+    Bed.run(Age);
+    Bed.crashWorkers({0, 1});
+    CHECK(Bed.runUntil([&] { return CountRunning() == 30; }, 6s));
+    checkNoViolations(Bed);
+  }
+}
+
 // Guards against a count that begins anew whenever the owner is killed, also
 // before the worker is back, so that no owner has counted the crash.
 TEST_CASE("Crashes stay counted if the owner is killed after each") {
   for (milliseconds Delay : {1700ms, 2500ms, 3300ms, 3700ms, 5000ms}) {
     CAPTURE(Delay.count());
-    JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
+    JobTestBed Bed(
+        {.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
     Bed.run(3s);
     Bed.Oracle.setDeadly(taskOf("deadly"));
     changeOwnerAfterStarts(Bed, Delay, true);
@@ -263,7 +291,8 @@
 // owner was killed that had seen the task start for the first time.
 TEST_CASE("Two crashes under a task fail no job if the killed owner had stored "
           "the first") {
-  JobTestBed Bed({.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
+  JobTestBed Bed(
+      {.Workers = 4, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
   Bed.run(3s);
   CHECK(Bed.submit(0, chainJob("innocent", 1, 1, 9s)).has_value());
   auto CrashItsWorker = [&] {
