--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -228,6 +228,8 @@
   /// Ends the wait for unknown runs earlier if the workers that have answered
   /// show that their leases end earlier.
   void limitPreviousRuns();
+  /// Counts the workers that have not accepted this owner's epoch.
+  void countUnfenced(TimePoint Now);
   /// Has stored that the task has no run, if it stores its place and that is
   /// certain.
   void storeNoRun(JobEntry &Entry, int Position);
@@ -240,6 +242,9 @@
   }
   /// Returns the workers that are listed or may have runs.
   std::set<std::string> workersInUse() const;
+  /// Returns true if the worker has no runs, reports none that ended, and will
+  /// get none.
+  bool isDone(const WorkerSlot &Slot) const;
   UsedWorkersOptions usedWorkersOptions();
   /// Has these workers stored.
   void storeWorkersInUse();
@@ -316,6 +321,9 @@
   /// not known or has ended.
   std::pair<JobEntry *, int> findRunning(const TaskName &Task);
   SilentWorker silentWorker(const WorkerSlot &Slot);
+  /// Returns the runs on the worker that have been seen and are young, with the
+  /// longest time that they can have lasted.
+  std::map<TaskName, milliseconds> youngRuns(const WorkerSlot &Slot);
   std::vector<SilentWorker> otherSilentWorkers(const WorkerSlot &Slot);
   /// Counts a crash of the worker for its runs. Returns the jobs to be given
   /// up, which giveUp() ends.
@@ -343,6 +351,9 @@
   /// have several members on the worker.
   std::set<TaskName> resolveHandedOver(const WorkerSlot &Slot,
                                        milliseconds Incarnation);
+  /// Counts a crash of \p Worker for young runs that a previous owner had seen.
+  void countYoungRuns(const std::map<TaskName, milliseconds> &Young,
+                      const std::string &Worker);
   /// Counts a crash of a worker that a previous owner has not counted.
   void countEarlierCrash(JobEntry &Entry, int Position,
                          const std::string &Worker);
@@ -367,8 +378,14 @@
   /// Starts trials, and leaves only those candidates that have none.
   void placeTrials(std::vector<PlacementCandidate> &Candidates);
   void updateTrials(std::vector<PlacementCandidate> &Candidates);
+  /// Goes on with a trial that a previous owner began on \p Worker.
+  void resumeTrial(JobEntry &Entry, int Position, const std::string &Worker);
   std::vector<TaskName> suspectsInOrder();
   bool hasWaitedForTrial(const JobEntry &Entry, int Position) const;
+  /// Returns true if a suspect has waited so long for a trial that it starts
+  /// without one.
+  bool canRelease(JobEntry &Entry, int Position);
+  void release(JobEntry &Entry, int Position);
   static std::vector<int> trialPositions(const JobEntry &Entry, int Position);
   bool canTry(JobEntry &Entry, int Position);
   bool beginTrial(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
@@ -632,6 +649,8 @@
   PreviousRuns m_previousRuns;
   PreviousLeases m_previousLeases;
   std::shared_ptr<UsedWorkers> m_usedWorkers;
+  /// Workers that the row named when it was read.
+  std::set<std::string> m_previousWorkers;
   TimePoint m_nextWorkerStore{};
   TimePoint m_nextFleetRefresh{};
   LeaseEvidence m_leaseEvidence;
@@ -645,6 +664,8 @@
   struct HandedOver {
     milliseconds Incarnation{0};
     std::set<TaskName> Tasks;
+    /// Young runs that it had seen, with the longest time they can have lasted.
+    std::map<TaskName, milliseconds> Young;
   };
   std::map<std::string, HandedOver> m_handedOver;
   /// Workers that were dropped and may only be cut off.
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -254,10 +254,11 @@
 // former address, and run work of the previous owner at its present one.
 void JobShard::Impl::onOtherWorkerAt(const std::string &Address,
                                      WorkerSlot &Slot) {
-  bool IsCurrent =
-      isFleetComplete() && Slot.Entry.Address == Address &&
+  bool IsListCurrent =
+      isFleetComplete() &&
       !(m_options.MayHaveMoved && m_options.MayHaveMoved(Slot.Entry.Id));
-  bool IsGone = Slot.Incarnation.count() != 0 || IsCurrent;
+  bool IsGone = Slot.Entry.Address == Address &&
+                (Slot.Incarnation.count() != 0 || IsListCurrent);
   if (!IsGone) {
     log("former_address_called",
         fmt::format("worker={} shard={} address={}", Slot.Entry.Id,
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -80,16 +80,19 @@
       m_previousRuns.addKnown(Worker, Runs.Tasks,
                               m_takeoverTime +
                                   maxLocalDuration(Runs.Remaining));
-      if (Runs.Incarnation.count() != 0 && !Runs.Unseen.empty())
+      if (Runs.Incarnation.count() != 0 &&
+          !(Runs.Unseen.empty() && Runs.Young.empty()))
         m_handedOver[Worker] = {.Incarnation = Runs.Incarnation,
-                                .Tasks = Runs.Unseen};
+                                .Tasks = Runs.Unseen,
+                                .Young = Runs.Young};
     }
     for (const std::string &Worker : m_handover->SilentWorkers)
       m_previousRuns.addWorker(Worker);
     m_handover.reset();
   }
   m_previousRuns.setListComplete(isFleetComplete());
-  for (const std::string &Worker : m_usedWorkers->names())
+  m_previousWorkers = m_usedWorkers->names();
+  for (const std::string &Worker : m_previousWorkers)
     m_previousRuns.addWorker(Worker);
   for (auto &[Id, Slot] : m_slots) {
     m_previousRuns.addWorker(Id);
@@ -98,20 +101,33 @@
   }
 }
 
-void JobShard::Impl::limitPreviousRuns() {
-  TimePoint Now = m_time.now();
-  if (Now > m_previousRuns.unknownEndsAt() || !isFleetComplete())
-    return;
+void JobShard::Impl::countUnfenced(TimePoint Now) {
   // A worker whose process is gone accepts the epoch of no owner. While it is
   // listed, that may be with a new process, which may accept one.
   size_t Fenced = 0;
   size_t Silent = 0;
+  size_t Unfenced = 0;
   for (const auto &[Id, Slot] : m_slots)
     if (Slot.IsFenced)
       ++Fenced;
-    else if (Slot.IsListed || !m_previousRuns.isWorkerResolved(Id))
+    else if (Slot.IsListed || !m_previousRuns.isWorkerResolved(Id)) {
       ++Silent;
+      Unfenced += m_previousWorkers.count(Id);
+    }
   m_previousLeases.onFenced(Fenced, Silent, Now);
+  if (!m_options.HasPreviousStoredEvidence || !m_usedWorkers->isReadable())
+    return;
+  for (const std::string &Worker : m_previousWorkers)
+    if (!m_slots.count(Worker) && !m_previousRuns.isWorkerResolved(Worker))
+      ++Unfenced;
+  m_previousLeases.onUnfenced(Unfenced, Now);
+}
+
+void JobShard::Impl::limitPreviousRuns() {
+  TimePoint Now = m_time.now();
+  if (Now > m_previousRuns.unknownEndsAt() || !isFleetComplete())
+    return;
+  countUnfenced(Now);
   std::optional<TimePoint> End = m_previousLeases.endAt();
   if (!End || m_previousRuns.unknownEndsAt() <= *End)
     return;
@@ -121,7 +137,28 @@
       Slot.LeaseEnd = std::min(Slot.LeaseEnd, m_previousRuns.endsAt(Id));
   log("previous_leases_limited",
       fmt::format("shard={} epoch={} silent={} until_ms={}", m_options.Shard,
-                  m_options.Epoch, Silent, (*End - Now) / milliseconds(1)));
+                  m_options.Epoch, m_previousRuns.silent().size(),
+                  (*End - Now) / milliseconds(1)));
+}
+
+std::map<TaskName, milliseconds>
+JobShard::Impl::youngRuns(const WorkerSlot &Slot) {
+  std::map<TaskName, milliseconds> Out;
+  if (Slot.Entry.IsDraining)
+    return Out;
+  TimePoint Until = Slot.SilentAt == TimePoint{} ? m_time.now() : Slot.SilentAt;
+  for (const auto &[Key, Run] : Slot.Runs) {
+    auto [Entry, Position] = findRunning(Key.first);
+    // An adopted run is young only as far as this owner knows.
+    if (!Entry || Run.Phase == RunPhase::Reserved || Run.IsAdopted)
+      continue;
+    ExposedRun Exposed{.KnownAge = Slot.knownAge(Run),
+                       .Crashes = crashRecord(*Entry, Position).Crashes};
+    if (!Exposed.isUnseen() && Exposed.isYoung())
+      Out[Key.first] =
+          std::chrono::duration_cast<milliseconds>(Until - Run.ObservedSince);
+  }
+  return Out;
 }
 
 std::optional<HandoverRecord> JobShard::Impl::handOver() {
@@ -160,6 +197,7 @@
       if (ExposedRun{.KnownAge = Slot.knownAge(Run)}.isUnseen())
         Runs.Unseen.insert(Key.first);
     }
+    Runs.Young = youngRuns(Slot);
     for (const auto &[Number, Task] : Slot.UnstoredCompletions)
       Runs.Tasks.insert(Task);
   }
@@ -169,6 +207,7 @@
       continue;
     Passed->second.Incarnation = Runs.Incarnation;
     Passed->second.Unseen = Runs.Tasks;
+    Passed->second.Young = Runs.Young;
   }
   size_t Tasks = 0;
   for (const auto &[Worker, Runs] : Out.Workers)
@@ -248,10 +287,19 @@
           .Log = m_options.Log};
 }
 
+// Nothing starts on a worker that drains or has left the list.
+bool JobShard::Impl::isDone(const WorkerSlot &Slot) const {
+  bool Leaves = Slot.Entry.IsDraining || !Slot.IsListed;
+  return Leaves && Slot.IsFenced && Slot.Runs.empty() &&
+         Slot.UnstoredCompletions.empty() &&
+         m_previousRuns.isWorkerResolved(Slot.Entry.Id);
+}
+
 std::set<std::string> JobShard::Impl::workersInUse() const {
   std::set<std::string> Out;
   for (const auto &[Id, Slot] : m_slots)
-    Out.insert(Id);
+    if (!isDone(Slot))
+      Out.insert(Id);
   for (const std::string &Worker : m_usedWorkers->names())
     if (m_previousRuns.mayHaveRunsOn(Worker, m_time.now()))
       Out.insert(Worker);
