--- a/src/testing/jobfuzz_test.cpp
+++ b/src/testing/jobfuzz_test.cpp
@@ -1,23 +1,25 @@
 // Fuzzing of job hosts with random faults, checked by the oracle.
 //
-// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling|crashing]
+// Usage: basilchute_jobfuzz FIRST_SEED COUNT [shards|rolling|crashing|cuts]
 // [capacity] [lost-answers] [cancels]. Prints each seed that violated an
 // invariant; sessions with the same seed are identical. With "shards" there are
 // two or three shards, and many workers leave the worker list, so that jobs are
 // transferred between shards. With "rolling" hosts and workers are replaced one
 // by one at the same time, see RollingSession. With "crashing" some tasks crash
-// the workers that start them, see CrashSession. With "capacity" workers shrink
-// and grow meanwhile, but not in sessions with "crashing". With "lost-answers"
-// answers to start orders are late or lost at times, and long-running jobs are
-// submitted and cancelled, but not in sessions with "rolling" or "crashing".
-// With "cancels" wide long-running jobs are submitted, and jobs are cancelled
-// while they are transferred or tasks of them delegated, in sessions with
-// "shards".
-// BASILCHUTE_TRACE prints every event of the hosts.
+// the workers that start them, see CrashSession. With "cuts" owners reach
+// different workers and the store at different times, see CutsSession. With
+// "capacity" workers shrink and grow meanwhile, but not in sessions with
+// "crashing". With "lost-answers" answers to start orders are late or lost at
+// times, and long-running jobs are submitted and cancelled, but not in sessions
+// with "rolling" or "crashing". With "cancels" wide long-running jobs are
+// submitted, and jobs are cancelled while they are transferred or tasks of them
+// delegated, in sessions with "shards". BASILCHUTE_TRACE prints every event of
+// the hosts.
 
 #include "libbasilchute/jobrows.h"
 #include "testing/capacitychanges.h"
 #include "testing/crashsession.h"
+#include "testing/cutssession.h"
 #include "testing/jobtestbed.h"
 #include "testing/rollingsession.h"
 
@@ -360,6 +362,8 @@
     return RollingSession(Seed, ChangesCapacity, HasTrace).run();
   if (Modes.count("crashing"))
     return CrashSession(Seed, HasTrace).run();
+  if (Modes.count("cuts"))
+    return CutsSession(Seed, HasTrace).run();
   return Session(Seed, Modes.count("shards") > 0, ChangesCapacity,
                  Modes.count("lost-answers") > 0, Modes.count("cancels") > 0)
       .run();
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -493,6 +493,20 @@
   return *Out ? **Out : Status(noResponse());
 }
 
+void JobTestBed::beginSubmit(int Host, const Job &Value,
+                             std::function<void()> OnAccepted) {
+  Oracle.addJob({.Spec = Value,
+                 .MaxAttempts = m_options.MaxAttempts,
+                 .CanRun = canRun(Value)});
+  if (!host(Host).Process)
+    return;
+  host(Host).Process->frontend().submit(Value, now() + CallTimeout,
+                                        [OnAccepted](const Status &Reply) {
+                                          if (Reply.has_value())
+                                            OnAccepted();
+                                        });
+}
+
 Status JobTestBed::cancel(int Host, const std::string &Id) {
   Restarts.onCancelling(Id);
   auto Out = std::make_shared<std::optional<Status>>();
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -195,6 +195,11 @@
   Status submit(int Host, const Job &Value);
   Status cancel(int Host, const std::string &Id);
   Result<JobState> state(int Host, const std::string &Id);
+  /// Submits \p Value through \p Host without a wait for the answer. Calls
+  /// \p OnAccepted if the host answers that it has the job. Restarts does not
+  /// check the job.
+  void beginSubmit(int Host, const Job &Value,
+                   std::function<void()> OnAccepted);
   /// Sends a cancellation to \p Host without a wait for the answer, which does
   /// not come if the host ends before.
   void beginCancel(int Host, const std::string &Id);
