--- a/src/libjobhost/rebornworker_test.cpp
+++ b/src/libjobhost/rebornworker_test.cpp
@@ -153,3 +153,24 @@
     checkNoViolations(Bed);
   }
 }
+
+// Guards against a start order for a process of a worker that is carried out by
+// the next one, with a lease by the clock of the former. The owner takes the
+// run to have ended with the leases that it knows.
+TEST_CASE("A start order for a process of a worker reaches no later one") {
+  for (milliseconds After : {0ms, 5ms, 10ms, 15ms, 20ms}) {
+    CAPTURE(After.count());
+    JobTestBed Bed({.Hosts = 1, .Workers = 2});
+    Bed.run(20s);
+    Bed.beginSubmit(0, chainJob("a", 1, 8, 12s), [] {});
+    Bed.run(After);
+    Bed.worker(0).crash();
+    Bed.run(15ms);
+    Bed.host(0).UnreachableWorkers.insert("w0");
+    Bed.run(8s);
+    Bed.host(0).UnreachableWorkers.clear();
+    CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("a"); }, 40s));
+    Bed.run(2s);
+    checkNoViolations(Bed);
+  }
+}
