--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -129,7 +129,12 @@
     reply(OrderTimeout, [Done] { Done(noResponse()); });
     return;
   }
-  send([this, Model, Order, Done] { executeStart(*Model, Order, Done); });
+  send([this, Model, Order, Done, Address = Model->Entry.Address] {
+    if (Model->Entry.Address == Address)
+      executeStart(*Model, Order, Done);
+    else
+      reply(OrderTimeout, [Done] { Done(noResponse()); });
+  });
 }
 
 void HostTaskWorkers::executeStart(ModelWorker &Model, const StartOrder &Order,
@@ -160,8 +165,10 @@
     reply(Failure->After, [Done, Why = Failure->Why] { Done(Why); });
     return;
   }
-  send([this, Model = m_bed.workerById(Worker.Id), Order, Done] {
-    Status Out = Model->IsDown ? Status(noResponse()) : Model->stop(Order);
+  ModelWorker *Model = m_bed.workerById(Worker.Id);
+  send([this, Model, Order, Done, Address = Model->Entry.Address] {
+    bool IsGone = Model->IsDown || Model->Entry.Address != Address;
+    Status Out = IsGone ? Status(noResponse()) : Model->stop(Order);
     reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
   });
 }
@@ -204,8 +211,13 @@
     return;
   }
   m_bed.later(m_bed.options().NetworkDelay,
-              [this, Model = m_bed.workerById(Worker), Poll] {
-                answerPoll(*Model, Poll);
+              [this, Model = m_bed.workerById(Worker), Poll,
+               Address = m_bed.workerById(Worker)->Entry.Address] {
+                if (Model->Entry.Address == Address)
+                  answerPoll(*Model, Poll);
+                else
+                  reply(OrderTimeout,
+                        [Done = Poll.Done] { Done(noResponse()); });
               });
 }
 
