--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -124,7 +124,12 @@
     delayStart(*Model, Order, Done);
     return;
   }
-  send([this, Model, Order, Done] { executeStart(*Model, Order, Done); });
+  send([this, Model, Order, Done, Address = Model->Entry.Address] {
+    if (Model->Entry.Address == Address)
+      executeStart(*Model, Order, Done);
+    else
+      reply(OrderTimeout, [Done] { Done(noResponse()); });
+  });
 }
 
 void HostTaskWorkers::delayStart(ModelWorker &Model, const StartOrder &Order,
@@ -175,12 +180,14 @@
     reply(Failure->After, [Done, Why = Failure->Why] { Done(Why); });
     return;
   }
-  if (m_bed.workerById(Worker.Id)->LosesStops) {
+  ModelWorker *Model = m_bed.workerById(Worker.Id);
+  if (Model->LosesStops) {
     reply(OrderTimeout, [Done] { Done(noResponse()); });
     return;
   }
-  send([this, Model = m_bed.workerById(Worker.Id), Order, Done] {
-    Status Out = Model->IsDown ? Status(noResponse()) : Model->stop(Order);
+  send([this, Model, Order, Done, Address = Model->Entry.Address] {
+    bool IsGone = Model->IsDown || Model->Entry.Address != Address;
+    Status Out = IsGone ? Status(noResponse()) : Model->stop(Order);
     reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
   });
 }
@@ -224,8 +231,13 @@
     return;
   }
   m_bed.later(m_bed.options().NetworkDelay,
-              [this, Model = m_bed.workerById(Worker), Poll] {
-                answerPoll(*Model, Poll);
+              [this, Model = m_bed.workerById(Worker), Poll,
+               Address = m_bed.workerById(Worker)->Entry.Address] {
+                if (Model->Entry.Address == Address)
+                  answerPoll(*Model, Poll);
+                else
+                  reply(OrderTimeout,
+                        [Done = Poll.Done] { Done(noResponse()); });
               });
 }
 
@@ -517,6 +529,20 @@
   return *Out ? **Out : Status(noResponse());
 }
 
+void JobTestBed::beginSubmit(int Host, const Job &Value,
+                             std::function<void()> OnAccepted) {
+  Oracle.addJob({.Spec = Value,
+                 .MaxAttempts = m_options.MaxAttempts,
+                 .CanRun = canRun(Value)});
+  if (!host(Host).Process)
+    return;
+  host(Host).Process->frontend().submit(Value, now() + CallTimeout,
+                                        [OnAccepted](const Status &Reply) {
+                                          if (Reply.has_value())
+                                            OnAccepted();
+                                        });
+}
+
 Status JobTestBed::cancel(int Host, const std::string &Id) {
   Restarts.onCancelling(Id);
   auto Out = std::make_shared<std::optional<Status>>();
