Draw the random values of a job in an order that is the same on all machines

A session with one seed differed between compilers: several values were drawn in the arguments of one call, whose order C++ leaves open (right to left by gcc on this x86-64 machine, left to right by others). They are drawn in statements of their own now, in the order that a reader expects.

Not run: arm64.

--- a/src/testing/crashsession.cpp
+++ b/src/testing/crashsession.cpp
@@ -147,10 +147,13 @@
 
 Job CrashSession::randomJob(JobKind Kind) {
   std::string Id = fmt::format("job-{}", m_jobs++);
-  if (Kind == JobKind::LongRunning)
-    return longRunningJob(Id, randomInt(1, 5), randomInt(1, 3) * 1000);
+  if (Kind == JobKind::LongRunning) {
+    int Tasks = randomInt(1, 5);
+    return longRunningJob(Id, Tasks, randomInt(1, 3) * 1000);
+  }
   int Steps = Kind == JobKind::Gang ? 1 : randomInt(1, 4);
-  Job Out = chainJob(Id, Steps, randomInt(1, 6), randomTime(100, 2500));
+  int Width = randomInt(1, 6);
+  Job Out = chainJob(Id, Steps, Width, randomTime(100, 2500));
   for (JobStep &Step : Out.Steps) {
     Step.Gang = Kind == JobKind::Gang;
     Step.IsFill = Kind == JobKind::Fill;
--- a/src/testing/jobfuzz_test.cpp
+++ b/src/testing/jobfuzz_test.cpp
@@ -205,8 +205,11 @@
   }
 
   void submit() {
-    Job Value = chainJob(fmt::format("job-{}", m_jobs++), randomInt(1, 4),
-                         randomInt(1, 6), milliseconds(randomInt(100, 3000)));
+    int Steps = randomInt(1, 4);
+    int Width = randomInt(1, 6);
+    milliseconds Estimate(randomInt(100, 3000));
+    Job Value =
+        chainJob(fmt::format("job-{}", m_jobs++), Steps, Width, Estimate);
     if (m_bed.submit(randomHost(), Value).has_value())
       m_accepted.push_back(Value.Id);
   }
--- a/src/testing/rollingsession.cpp
+++ b/src/testing/rollingsession.cpp
@@ -224,8 +224,11 @@
 }
 
 void RollingSession::submitShort() {
-  Job Value = chainJob(fmt::format("short-{}", m_jobs++), randomInt(1, 4),
-                       randomInt(1, 5), randomTime(100, 2500));
+  int Steps = randomInt(1, 4);
+  int Width = randomInt(1, 5);
+  milliseconds Estimate = randomTime(100, 2500);
+  Job Value =
+      chainJob(fmt::format("short-{}", m_jobs++), Steps, Width, Estimate);
   if (m_bed.submit(randomInt(0, m_bed.hosts()), Value).has_value())
     m_accepted.push_back(Value.Id);
 }
