--- a/src/testing/cutssession.cpp
+++ b/src/testing/cutssession.cpp
@@ -150,10 +150,12 @@
   constexpr int CutPercents[] = {10, 30, 60};
   cutWorkers(Owner, CutPercents[randomInt(0, 3)]);
   m_bed.later(randomTime(0, 4000), [this, Owner] { strike(Owner); });
+  int Host = randomHost();
   if (chance(30))
-    keepOldList(randomHost(), randomTime(1000, MaxFaultMs));
+    keepOldList(Host, randomTime(1000, MaxFaultMs));
+  Host = randomHost();
   if (chance(20))
-    delayStartAnswers(randomHost(), randomTime(500, 4000));
+    delayStartAnswers(Host, randomTime(500, 4000));
   for (int Number = randomInt(0, 5); Number > 0; --Number)
     m_bed.later(randomTime(0, 10000), [this] { troubleWorker(); });
 }
