--- a/src/libjobhost/unlistedworker_test.cpp
+++ b/src/libjobhost/unlistedworker_test.cpp
@@ -177,32 +177,55 @@
   checkNoViolations(Bed);
 }
 
-// Guards against a new owner that calls a former address of a worker, since its
-// list is old, and takes the answer of another worker there for proof that the
-// runs which the previous owner started at the new address are gone.
-TEST_CASE("The tasks of a worker that moved do not start twice if the new "
-          "owner's list names its former address") {
-  for (milliseconds ListDelay : {100ms, 1000ms, 3000ms}) {
-    CAPTURE(ListDelay.count());
-    JobTestBed Bed(roomy());
+namespace {
+
+/// Two hosts. The first worker has moved to another address and runs tasks of
+/// the owner there; the other host has a list from before.
+struct MovedWorkerBed {
+  MovedWorkerBed() {
     Bed.run(3s);
-    int Owner = Bed.ownerIndex();
+    Owner = Bed.ownerIndex();
     REQUIRE(Owner >= 0);
-    TestJobHost &Next = Bed.host(1 - Owner);
-    Next.IsFleetStale = true;
+    next().IsFleetStale = true;
     Bed.moveWorker(0);
     Bed.run(1s);
     REQUIRE(Bed.submit(Owner, chainJob("a", 1, 56, 12s)).has_value());
-    Bed.run(1s);
     REQUIRE(!Bed.Oracle.tasksOn("w0").empty());
+  }
+
+  TestJobHost &next() { return Bed.host(1 - Owner); }
+  /// Kills the owner, and waits until the other host owns the shard.
+  void changeOwner() {
     Bed.killHost(Owner);
     CHECK(Bed.runUntil([&] { return Bed.ownerIndex() == 1 - Owner; }, 5s));
-    Bed.run(ListDelay);
-    Next.IsFleetStale = false;
+  }
+  /// Lets the new owner have the present list, and all tasks end.
+  void finish() {
+    next().IsFleetStale = false;
     Bed.publishWorkers();
     CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("a"); }, 40s));
     checkNoViolations(Bed);
   }
+
+  JobTestBed Bed{roomy()};
+  int Owner = -1;
+};
+
+} // namespace
+
+// Guards against a new owner that calls a former address of a worker, since its
+// list is old, and takes the answer of another worker there for proof that the
+// runs which the previous owner started at the new address are gone.
+TEST_CASE("The tasks of a worker that moved do not start twice if the new "
+          "owner's list names its former address") {
+  for (milliseconds ListDelay : {100ms, 1000ms, 3000ms}) {
+    CAPTURE(ListDelay.count());
+    MovedWorkerBed Moved;
+    Moved.Bed.run(1s);
+    Moved.changeOwner();
+    Moved.Bed.run(ListDelay);
+    Moved.finish();
+  }
 }
 
 // Guards against the same if the list, when it comes, does not have the worker
@@ -211,26 +234,13 @@
           "start twice") {
   for (milliseconds ListDelay : {50ms, 300ms, 1000ms}) {
     CAPTURE(ListDelay.count());
-    JobTestBed Bed(roomy());
-    Bed.run(3s);
-    int Owner = Bed.ownerIndex();
-    REQUIRE(Owner >= 0);
-    TestJobHost &Next = Bed.host(1 - Owner);
-    Next.IsFleetStale = true;
-    Bed.moveWorker(0);
-    Bed.run(1s);
-    REQUIRE(Bed.submit(Owner, chainJob("a", 1, 56, 12s)).has_value());
-    Bed.run(1s);
-    REQUIRE(!Bed.Oracle.tasksOn("w0").empty());
-    Bed.setWorkerListed(0, false);
-    Bed.run(500ms);
-    Bed.killHost(Owner);
-    CHECK(Bed.runUntil([&] { return Bed.ownerIndex() == 1 - Owner; }, 5s));
-    Bed.run(ListDelay);
-    Next.IsFleetStale = false;
-    Bed.publishWorkers();
-    CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("a"); }, 40s));
-    checkNoViolations(Bed);
+    MovedWorkerBed Moved;
+    Moved.Bed.run(1s);
+    Moved.Bed.setWorkerListed(0, false);
+    Moved.Bed.run(500ms);
+    Moved.changeOwner();
+    Moved.Bed.run(ListDelay);
+    Moved.finish();
   }
 }
 
@@ -238,27 +248,15 @@
 // a former address of its worker, which lives.
 TEST_CASE("A worker that is called at its former address has not crashed under "
           "its tasks") {
-  JobTestBed Bed(roomy());
-  Bed.run(3s);
-  int Owner = Bed.ownerIndex();
-  REQUIRE(Owner >= 0);
-  TestJobHost &Next = Bed.host(1 - Owner);
-  Next.IsFleetStale = true;
-  Bed.moveWorker(0);
-  Bed.run(1s);
-  REQUIRE(Bed.submit(Owner, chainJob("a", 1, 56, 12s)).has_value());
-  REQUIRE(!Bed.Oracle.tasksOn("w0").empty());
+  MovedWorkerBed Moved;
+  JobTestBed &Bed = Moved.Bed;
   // The owner stores that it has not seen the runs to last.
-  Bed.host(Owner).UnreachableWorkers.insert("w0");
+  Bed.host(Moved.Owner).UnreachableWorkers.insert("w0");
   Bed.run(2s);
   int Crashes = Bed.LogLines["worker_crashed"];
-  Bed.killHost(Owner);
-  CHECK(Bed.runUntil([&] { return Bed.ownerIndex() == 1 - Owner; }, 5s));
+  Moved.changeOwner();
   Bed.run(1s);
   CHECK(Bed.LogLines["former_address_called"] > 0);
   CHECK(Bed.LogLines["worker_crashed"] == Crashes);
-  Next.IsFleetStale = false;
-  Bed.publishWorkers();
-  CHECK(Bed.runUntil([&] { return Bed.Oracle.allDone("a"); }, 40s));
-  checkNoViolations(Bed);
+  Moved.finish();
 }
