--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "libutil/httpclient.h"
 
 #include "libutil/curlpoller.h"
+#include "libutil/keptconnections.h"
 
 #include <algorithm>
 #include <atomic>
@@ -47,6 +48,12 @@
   bool IsTooLarge = false;
   /// Connections on which libcurl began to send the request.
   int Sends = 0;
+  KeptConnections *Kept = nullptr;
+  /// Connection on which the request was sent last, when, and when that
+  /// connection had last answered.
+  int LocalPort = 0;
+  TimePoint SentAt{};
+  std::optional<TimePoint> LastAnswer;
 
   /// Returns false if the request must not be sent again. libcurl sends one
   /// again by itself if a kept connection ends before the first byte of the
@@ -54,6 +61,11 @@
   bool maySend() const {
     return isIdempotent() || Sends == 0 || sentBytes() == 0;
   }
+  /// Returns HOST:PORT of the server.
+  std::string peer() const {
+    return Request.Address.substr(0, Request.Address.find('/'));
+  }
+  bool hasResponse() const { return !Response.Headers.empty(); }
   bool isIdempotent() const {
     return Request.IsIdempotent || Request.Method == "GET" ||
            Request.Method == "HEAD";
@@ -73,6 +85,8 @@
   }
 };
 
+TimePoint now() { return SystemClock().now(); }
+
 size_t onBody(char *Data, size_t Size, size_t Count, void *UserData) {
   auto *Current = static_cast<Transfer *>(UserData);
   size_t Bytes = Size * Count;
@@ -128,6 +142,9 @@
   if (!Current->maySend() || IsOther)
     return CURL_PREREQFUNC_ABORT;
   ++Current->Sends;
+  Current->LocalPort = LocalPort;
+  Current->SentAt = now();
+  Current->LastAnswer = Current->Kept->lastAnswer(Current->peer(), LocalPort);
   // libcurl would take another kept connection to send the request again, which
   // may be reset too, and close it when it is stopped.
   if (!Current->isIdempotent())
@@ -202,6 +219,18 @@
   prepareHeaders(Current);
 }
 
+/// Returns how well the connection of a failed request had been proven, and how
+/// much of the response was received.
+std::string describeConnection(const Transfer &Failed) {
+  std::string Proof =
+      Failed.LastAnswer
+          ? fmt::format("answered {} ms before",
+                        (Failed.SentAt - *Failed.LastAnswer) / milliseconds(1))
+          : "new";
+  return fmt::format(" (connection: {}; {} bytes of a body)", Proof,
+                     Failed.Response.Body.size());
+}
+
 Error makeFailure(const Transfer &Failed, CURLcode Code) {
   const std::string &Address = Failed.Request.Address;
   if (Failed.IsTooLarge)
@@ -220,10 +249,9 @@
                                 : curl_easy_strerror(Code));
   if (Failed.sentBytes() == 0)
     return makeError(ResultCode::Unavailable, Message);
-  bool HasResponse = !Failed.Response.Headers.empty();
-  return makeError(HasResponse ? ResultCode::AnswerCut
-                               : ResultCode::OutcomeUnknown,
-                   Message);
+  return makeError(Failed.hasResponse() ? ResultCode::AnswerCut
+                                        : ResultCode::OutcomeUnknown,
+                   Message + describeConnection(Failed));
 }
 
 Result<HttpResponse> makeResult(Transfer &Ended, CURLcode Code) {
@@ -232,9 +260,7 @@
   long Status = 0;
   curl_easy_getinfo(Ended.Easy, CURLINFO_RESPONSE_CODE, &Status);
   Ended.Response.Status = static_cast<int>(Status);
-  long LocalPort = 0;
-  curl_easy_getinfo(Ended.Easy, CURLINFO_LOCAL_PORT, &LocalPort);
-  Ended.Response.LocalPort = static_cast<int>(LocalPort);
+  Ended.Response.LocalPort = Ended.LocalPort;
   bool HasNoBody =
       Ended.Request.Method == "HEAD" || Status == 204 || Status == 304;
   if (!Ended.HasFraming && !HasNoBody)
@@ -259,8 +285,9 @@
 /// A thread of the client with its connections.
 class ClientThread {
 public:
-  explicit ClientThread(const HttpClientOptions &Options)
-      : m_options(Options), m_multi(curl_multi_init()), m_poller(m_multi) {
+  ClientThread(const HttpClientOptions &Options, KeptConnections &Kept)
+      : m_options(Options), m_kept(Kept), m_multi(curl_multi_init()),
+        m_poller(m_multi) {
     cds_wfcq_init(&m_queueHead, &m_queueTail);
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxConnections(m_options));
     curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
@@ -316,6 +343,7 @@
                __cds_wfcq_dequeue_blocking(queueHead(), &m_queueTail)) {
       Transfer *New = reinterpret_cast<QueueNode *>(Node)->Owner.load(
           std::memory_order_acquire);
+      New->Kept = &m_kept;
       prepare(*New, m_options);
       m_active.insert(New);
       curl_multi_add_handle(m_multi, New->Easy);
@@ -336,12 +364,15 @@
       m_resentRequests += static_cast<uint64_t>(std::max(Ended->Sends - 1, 0));
       curl_multi_remove_handle(m_multi, Ended->Easy);
       m_active.erase(Ended);
+      if (Code == CURLE_OK)
+        m_kept.onAnswered(Ended->peer(), Ended->LocalPort, now());
       Ended->OnDone(makeResult(*Ended, Code));
       delete Ended;
     }
   }
 
   HttpClientOptions m_options;
+  KeptConnections &m_kept;
   CURLM *m_multi;
   CurlPoller m_poller;
   cds_wfcq_head m_queueHead{};
@@ -357,11 +388,12 @@
 
 class HttpClient::Impl {
 public:
-  explicit Impl(const HttpClientOptions &Options) {
+  explicit Impl(const HttpClientOptions &Options)
+      : m_kept(Options.MaxIdleTime) {
     static const CURLcode InitCode = curl_global_init(CURL_GLOBAL_DEFAULT);
     (void)InitCode;
     for (int I = 0; I < Options.Threads; ++I)
-      m_threads.push_back(std::make_unique<ClientThread>(Options));
+      m_threads.push_back(std::make_unique<ClientThread>(Options, m_kept));
   }
 
   void send(ClientRequest Request, Callback OnDone) {
@@ -385,6 +417,7 @@
   }
 
 private:
+  KeptConnections m_kept;
   std::vector<std::unique_ptr<ClientThread>> m_threads;
   std::atomic<size_t> m_next{0};
 };
