Tell how long a failed request had received nothing

A second read takes another silent connection ('answered 20471 ms before; 0 bytes, silent for 2500 ms') or has too little time left for its answer ('982964 bytes, silent for 13 ms'). No logic changes.

--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -54,6 +54,9 @@
   int LocalPort = 0;
   TimePoint SentAt{};
   std::optional<TimePoint> LastAnswer;
+  /// When the last bytes of a response were received; SentAt if there were
+  /// none.
+  TimePoint LastReceived{};
 
   /// Returns false if the request must not be sent again. libcurl sends one
   /// again by itself if a kept connection ends before the first byte of the
@@ -89,6 +92,7 @@
 
 size_t onBody(char *Data, size_t Size, size_t Count, void *UserData) {
   auto *Current = static_cast<Transfer *>(UserData);
+  Current->LastReceived = now();
   size_t Bytes = Size * Count;
   if (Current->Response.Body.size() + Bytes > Current->MaxBody) {
     Current->IsTooLarge = true;
@@ -100,6 +104,7 @@
 
 size_t onHeader(char *Data, size_t Size, size_t Count, void *UserData) {
   auto *Current = static_cast<Transfer *>(UserData);
+  Current->LastReceived = now();
   std::string_view Line(Data, Size * Count);
   while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
     Line.remove_suffix(1);
@@ -144,6 +149,7 @@
   ++Current->Sends;
   Current->LocalPort = LocalPort;
   Current->SentAt = now();
+  Current->LastReceived = Current->SentAt;
   Current->LastAnswer = Current->Kept->lastAnswer(Current->peer(), LocalPort);
   // libcurl would take another kept connection to send the request again, which
   // may be reset too, and close it when it is stopped.
@@ -227,8 +233,9 @@
           ? fmt::format("answered {} ms before",
                         (Failed.SentAt - *Failed.LastAnswer) / milliseconds(1))
           : "new";
-  return fmt::format(" (connection: {}; {} bytes of a body)", Proof,
-                     Failed.Response.Body.size());
+  return fmt::format(" (connection: {}; {} bytes of a body, silent for {} ms)",
+                     Proof, Failed.Response.Body.size(),
+                     (now() - Failed.LastReceived) / milliseconds(1));
 }
 
 Error makeFailure(const Transfer &Failed, CURLcode Code) {
