--- a/src/libutil/httpclient_test.cpp
+++ b/src/libutil/httpclient_test.cpp
@@ -46,6 +46,47 @@
     std::this_thread::sleep_for(1ms);
 }
 
+/// Answers each request on its connections until silence(), and from then on
+/// only requests on connections that are opened later.
+class SilencedServer {
+public:
+  const std::string &address() const { return m_server.address(); }
+  /// Leaves the requests on the present connections without an answer; they
+  /// stay open.
+  void silence() { m_firstSound = m_connections + 1; }
+  /// Returns the number of requests that were left without an answer.
+  int unanswered() const { return m_unanswered; }
+  /// Answers a request only when \p Count requests have arrived.
+  void answerTogether(size_t Count) { m_together = Count; }
+
+private:
+  void serve(int Fd, int Number) {
+    m_connections = std::max(m_connections.load(), Number);
+    while (!m_server.readRequest(Fd).empty()) {
+      ++m_requests;
+      awaitCount(m_requests, m_together);
+      if (Number < m_firstSound)
+        ++m_unanswered;
+      else
+        RawServer::write(Fd, OkResponse);
+    }
+  }
+  std::atomic<int> m_connections{0};
+  std::atomic<int> m_firstSound{0};
+  std::atomic<int> m_unanswered{0};
+  std::atomic<size_t> m_requests{0};
+  std::atomic<size_t> m_together{0};
+  RawServer m_server{[this](int Fd, int Number) { serve(Fd, Number); }};
+};
+
+/// Keeps \p Count connections to \p Server, all of which then fall silent.
+void keepSilent(HttpClient &Client, SilencedServer &Server, size_t Count) {
+  Server.answerTogether(Count);
+  readTogether(Client, Server.address(), Count);
+  Server.answerTogether(0);
+  Server.silence();
+}
+
 void resetConnection(int Fd) {
   linger Abort{.l_onoff = 1, .l_linger = 0};
   setsockopt(Fd, SOL_SOCKET, SO_LINGER, &Abort, sizeof(Abort));
@@ -263,6 +304,25 @@
   }
 }
 
+// Guards against one time-out for each kept connection when all of them have
+// gone silent without a reset.
+TEST_CASE("connections that went silent together cost one time-out") {
+  for (std::string Method : {"GET", "POST"}) {
+    SilencedServer Server;
+    HttpClient Client({});
+    keepSilent(Client, Server, 4);
+    ClientRequest Request{.Method = Method,
+                          .Address = Server.address() + "/",
+                          .Body = Method == "POST" ? "x=1" : "",
+                          .Timeout = 300ms};
+    REQUIRE(sendAndWait(Client, Request).has_error());
+    Request.Timeout = 60s;
+    CAPTURE(Method);
+    CHECK(sendAndWait(Client, Request).has_value());
+    CHECK(Server.unanswered() == 1);
+  }
+}
+
 TEST_CASE("a connection without a response times out and is not reused") {
   RawServer *ServerPointer = nullptr;
   RawServer Server([&](int Fd, int Number) {
