--- /dev/null
+++ b/src/libutil/httptransfer.h
@@ -0,0 +1,88 @@
+/// \file
+/// One request of an HttpClient while it is in progress, as a libcurl transfer.
+#pragma once
+
+#include "libutil/httpclient.h"
+#include "libutil/keptconnections.h"
+
+#include <atomic>
+#include <curl/curl.h>
+#include <optional>
+#include <string>
+#include <urcu/wfcqueue.h>
+
+BASILCHUTE_NAMESPACE_BEGIN
+
+struct Transfer;
+
+/// Node of the queue of new transfers.
+struct QueueNode {
+  cds_wfcq_node Link{};
+  /// Written before the node is queued. The queue's own barriers are not part
+  /// of the C++ memory model, and ThreadSanitizer does not see them.
+  std::atomic<Transfer *> Owner{nullptr};
+};
+
+/// A request in progress.
+struct Transfer {
+  QueueNode Node;
+  ClientRequest Request;
+  HttpClient::Callback OnDone;
+  HttpResponse Response;
+  std::string Url;
+  CURL *Easy = nullptr;
+  curl_slist *HeaderLines = nullptr;
+  size_t MaxBody = 0;
+  /// True if the response has a header that delimits its body.
+  bool HasFraming = false;
+  bool IsTooLarge = false;
+  /// Connections on which libcurl began to send the request.
+  int Sends = 0;
+  KeptConnections *Kept = nullptr;
+  /// Connection on which the request was sent last, when, and when that
+  /// connection had last answered.
+  int LocalPort = 0;
+  TimePoint SentAt{};
+  std::optional<TimePoint> LastAnswer;
+  /// When the last bytes of a response were received; SentAt if there were
+  /// none.
+  TimePoint LastReceived{};
+
+  /// Returns false if the request must not be sent again. libcurl sends one
+  /// again by itself if a kept connection ends before the first byte of the
+  /// response, also a POST that the server may have carried out.
+  bool maySend() const {
+    return isIdempotent() || Sends == 0 || sentBytes() == 0;
+  }
+  /// Returns HOST:PORT of the server.
+  std::string peer() const {
+    return Request.Address.substr(0, Request.Address.find('/'));
+  }
+  bool hasResponse() const { return !Response.Headers.empty(); }
+  bool isIdempotent() const {
+    return Request.IsIdempotent || Request.Method == "GET" ||
+           Request.Method == "HEAD";
+  }
+  /// Returns the number of bytes that were sent on all connections; zero if the
+  /// kept connection had been reset while it was idle.
+  long sentBytes() const {
+    long Bytes = 0;
+    curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &Bytes);
+    return Bytes;
+  }
+
+  ~Transfer() {
+    curl_slist_free_all(HeaderLines);
+    if (Easy)
+      curl_easy_cleanup(Easy);
+  }
+};
+
+/// Creates the libcurl handle of \p New, whose request, callback and record of
+/// connections are set.
+void prepareTransfer(Transfer &New, const HttpClientOptions &Options);
+/// Returns the response of \p Ended, or an error as described at HttpClient if
+/// \p Code is one or the response is not delimited.
+Result<HttpResponse> transferResult(Transfer &Ended, CURLcode Code);
+
+BASILCHUTE_NAMESPACE_END
