Close kept connections that are as old as one that fell silent

Cause: a kept connection was trusted because it was open. When all of them fall silent without a reset, each request took another one and waited for its whole time-out, so that one silence cost as many time-outs as the host had connections to the store.

A request that receives nothing for all the time that a response may take is evidence about its peer: kept connections that have not answered since the response was due are closed instead of used. One that has answered since is used as before, so that a single lost connection costs no other. The rule is the HTTP client's and holds for each use: feeds, reads, commits, orders, polls and approvals. ServerWait tells the long polls, whose response may be held back.

--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -55,6 +55,7 @@
 
   uint64_t opened() const { return m_openedConnections; }
   uint64_t resent() const { return m_resentRequests; }
+  uint64_t refused() const { return m_refusedConnections; }
 
   void send(ClientRequest Request, HttpClient::Callback OnDone) {
     auto *New = new Transfer;
@@ -99,22 +100,39 @@
     while (CURLMsg *Message = curl_multi_info_read(m_multi, &Remaining)) {
       if (Message->msg != CURLMSG_DONE)
         continue;
-      CURLcode Code = Message->data.result;
       Transfer *Ended = nullptr;
       curl_easy_getinfo(Message->easy_handle, CURLINFO_PRIVATE, &Ended);
-      long Opened = 0;
-      curl_easy_getinfo(Ended->Easy, CURLINFO_NUM_CONNECTS, &Opened);
-      m_openedConnections += static_cast<uint64_t>(Opened);
-      m_resentRequests += static_cast<uint64_t>(std::max(Ended->Sends - 1, 0));
-      curl_multi_remove_handle(m_multi, Ended->Easy);
-      m_active.erase(Ended);
-      if (Code == CURLE_OK)
-        m_kept.onAnswered(Ended->peer(), Ended->LocalPort, m_time.now());
-      Ended->OnDone(transferResult(*Ended, Code));
-      delete Ended;
+      complete(*Ended, Message->data.result);
     }
   }
 
+  void complete(Transfer &Ended, CURLcode Code) {
+    long Opened = 0;
+    curl_easy_getinfo(Ended.Easy, CURLINFO_NUM_CONNECTS, &Opened);
+    m_openedConnections += static_cast<uint64_t>(Opened);
+    curl_multi_remove_handle(m_multi, Ended.Easy);
+    if (Ended.IsRefused && !Ended.Request.UseKeptConnection) {
+      // The next kept connection is tried; with none left a new one is opened.
+      Ended.IsRefused = false;
+      ++m_refusedConnections;
+      curl_multi_add_handle(m_multi, Ended.Easy);
+      return;
+    }
+    m_resentRequests += static_cast<uint64_t>(std::max(Ended.Sends - 1, 0));
+    recordEvidence(Ended, Code);
+    m_active.erase(&Ended);
+    Ended.OnDone(transferResult(Ended, Code));
+    delete &Ended;
+  }
+
+  void recordEvidence(const Transfer &Ended, CURLcode Code) {
+    TimePoint Now = m_time.now();
+    if (Code == CURLE_OK)
+      m_kept.onAnswered(Ended.peer(), Ended.LocalPort, Now);
+    else if (Ended.wasSilent(Code, Now))
+      m_kept.onSilent(Ended.peer(), Ended.silentSince());
+  }
+
   HttpClientOptions m_options;
   KeptConnections &m_kept;
   SystemClock m_time;
@@ -125,6 +143,7 @@
   std::set<Transfer *> m_active;
   std::atomic<uint64_t> m_openedConnections{0};
   std::atomic<uint64_t> m_resentRequests{0};
+  std::atomic<uint64_t> m_refusedConnections{0};
   std::atomic<bool> m_isStopping{false};
   std::thread m_thread;
 };
@@ -147,17 +166,11 @@
                                               std::move(OnDone));
   }
 
-  uint64_t opened() const {
+  /// Returns the sum of \p Count over all threads.
+  uint64_t total(uint64_t (ClientThread::*Count)() const) const {
     uint64_t Total = 0;
     for (const std::unique_ptr<ClientThread> &Thread : m_threads)
-      Total += Thread->opened();
-    return Total;
-  }
-
-  uint64_t resent() const {
-    uint64_t Total = 0;
-    for (const std::unique_ptr<ClientThread> &Thread : m_threads)
-      Total += Thread->resent();
+      Total += (Thread.get()->*Count)();
     return Total;
   }
 
@@ -173,7 +186,14 @@
 void HttpClient::send(ClientRequest Request, Callback OnDone) {
   m_impl->send(std::move(Request), std::move(OnDone));
 }
-uint64_t HttpClient::openedConnections() const { return m_impl->opened(); }
-uint64_t HttpClient::resentRequests() const { return m_impl->resent(); }
+uint64_t HttpClient::openedConnections() const {
+  return m_impl->total(&ClientThread::opened);
+}
+uint64_t HttpClient::resentRequests() const {
+  return m_impl->total(&ClientThread::resent);
+}
+uint64_t HttpClient::refusedConnections() const {
+  return m_impl->total(&ClientThread::refused);
+}
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libutil/httpclient.h
+++ b/src/libutil/httpclient.h
@@ -21,6 +21,9 @@
   std::string Body;
   milliseconds ConnectTimeout{1000};
   milliseconds Timeout{5000};
+  /// Part of Timeout for which the server may hold its response back, as in a
+  /// long poll.
+  milliseconds ServerWait{0};
   /// True if the server may receive the request twice without harm. If a kept
   /// connection ends before the response, it is then sent again; any other
   /// request is sent at most once, and such an end gives OutcomeUnknown. GET
@@ -54,7 +57,10 @@
   std::chrono::seconds MaxIdleTime{20};
 };
 
-/// Sends HTTP requests from threads of its own.
+/// Sends HTTP requests from threads of its own. A request that times out
+/// without a byte of a response shows that its connection has gone silent;
+/// kept connections to that address that have not answered since are closed
+/// instead of used.
 class HttpClient {
 public:
   /// Called exactly once, on one of the client's threads. The error is
@@ -76,6 +82,10 @@
   /// Returns how often an idempotent request was sent again, because a kept
   /// connection ended before the response. Thread-safe.
   uint64_t resentRequests() const;
+  /// Returns how many kept connections were closed instead of used, because
+  /// they had not answered since another one to the same address fell silent.
+  /// Thread-safe.
+  uint64_t refusedConnections() const;
 
 private:
   class Impl;
--- a/src/libutil/httptransfer.cpp
+++ b/src/libutil/httptransfer.cpp
@@ -67,6 +67,10 @@
                  Current->Request.LocalPort != LocalPort;
   if (!Current->maySend() || IsOther)
     return CURL_PREREQFUNC_ABORT;
+  if (Current->Kept->isSuspect(Current->peer(), LocalPort)) {
+    Current->IsRefused = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   ++Current->Sends;
   Current->LocalPort = LocalPort;
   Current->SentAt = now();
--- a/src/libutil/httptransfer.h
+++ b/src/libutil/httptransfer.h
@@ -48,6 +48,10 @@
   /// none.
   TimePoint LastReceived{};
 
+  /// True if the connection that libcurl chose is suspect. Nothing was sent on
+  /// it, and libcurl has closed it.
+  bool IsRefused = false;
+
   /// Returns false if the request must not be sent again. libcurl sends one
   /// again by itself if a kept connection ends before the first byte of the
   /// response, also a POST that the server may have carried out.
@@ -58,6 +62,17 @@
   std::string peer() const {
     return Request.Address.substr(0, Request.Address.find('/'));
   }
+  /// Returns true if the transfer ended with \p Code and its connection had
+  /// received nothing for all the time that a response may take.
+  bool wasSilent(CURLcode Code, TimePoint Now) const {
+    return Code == CURLE_OPERATION_TIMEDOUT && Sends > 0 &&
+           Now - LastReceived >= Request.Timeout - Request.ServerWait;
+  }
+  /// Returns up to when the connection may have been sound: when the next bytes
+  /// were due.
+  TimePoint silentSince() const {
+    return hasResponse() ? LastReceived : SentAt + Request.ServerWait;
+  }
   bool hasResponse() const { return !Response.Headers.empty(); }
   bool isIdempotent() const {
     return Request.IsIdempotent || Request.Method == "GET" ||
--- a/src/libutil/keptconnections.cpp
+++ b/src/libutil/keptconnections.cpp
@@ -1,5 +1,7 @@
 #include "libutil/keptconnections.h"
 
+#include <algorithm>
+
 BASILCHUTE_NAMESPACE_BEGIN
 
 void KeptConnections::onAnswered(const std::string &Peer, int LocalPort,
@@ -10,6 +12,20 @@
     forgetIdle(Now);
 }
 
+void KeptConnections::onSilent(const std::string &Peer, TimePoint Since) {
+  std::lock_guard<std::mutex> Lock(m_mutex);
+  TimePoint &Newest = m_silentSince[Peer];
+  Newest = std::max(Newest, Since);
+}
+
+bool KeptConnections::isSuspect(const std::string &Peer, int LocalPort) const {
+  std::lock_guard<std::mutex> Lock(m_mutex);
+  auto Silent = m_silentSince.find(Peer);
+  auto Answered = m_lastAnswers.find({Peer, LocalPort});
+  return Silent != m_silentSince.end() && Answered != m_lastAnswers.end() &&
+         Answered->second <= Silent->second;
+}
+
 std::optional<TimePoint> KeptConnections::lastAnswer(const std::string &Peer,
                                                      int LocalPort) const {
   std::lock_guard<std::mutex> Lock(m_mutex);
@@ -19,9 +35,11 @@
 
 void KeptConnections::forgetIdle(TimePoint Now) {
   m_lastForget = Now;
-  std::erase_if(m_lastAnswers, [&](const auto &Record) {
+  auto IsOver = [&](const auto &Record) {
     return Record.second + m_maxIdle < Now;
-  });
+  };
+  std::erase_if(m_lastAnswers, IsOver);
+  std::erase_if(m_silentSince, IsOver);
 }
 
 BASILCHUTE_NAMESPACE_END
