Send a late read of the store a second time on a new connection

A shorter time-out would throw away the answers of a store that is only slow.

At most two calls per read; commits are never repeated.

A slow server, a hedge that fails, a POST and a client that stops have tests of their own.

--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -7,6 +7,8 @@
 #include <set>
 #include <sys/resource.h>
 #include <thread>
+#include <utility>
+#include <vector>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -46,8 +48,10 @@
     startQueued();
     for (Transfer *Active : m_active) {
       curl_multi_remove_handle(m_multi, Active->Easy);
-      Active->OnDone(makeError(ResultCode::OutcomeUnknown,
-                               "HTTP client stopped before the request ended"));
+      if (!Active->Twin || !Active->IsHedge)
+        Active->OnDone(
+            makeError(ResultCode::OutcomeUnknown,
+                      "HTTP client stopped before the request ended"));
       delete Active;
     }
     curl_multi_cleanup(m_multi);
@@ -56,6 +60,7 @@
   uint64_t opened() const { return m_openedConnections; }
   uint64_t resent() const { return m_resentRequests; }
   uint64_t refused() const { return m_refusedConnections; }
+  uint64_t hedged() const { return m_hedgedRequests; }
 
   void send(ClientRequest Request, HttpClient::Callback OnDone) {
     auto *New = new Transfer;
@@ -78,7 +83,7 @@
     while (!m_isStopping) {
       startQueued();
       completeEnded();
-      m_poller.poll(MaxPollWait);
+      m_poller.poll(hedgeOverdue());
       completeEnded();
     }
   }
@@ -88,13 +93,52 @@
                __cds_wfcq_dequeue_blocking(queueHead(), &m_queueTail)) {
       Transfer *New = reinterpret_cast<QueueNode *>(Node)->Owner.load(
           std::memory_order_acquire);
-      New->Kept = &m_kept;
-      prepareTransfer(*New, m_options);
-      m_active.insert(New);
-      curl_multi_add_handle(m_multi, New->Easy);
+      start(*New);
     }
   }
 
+  void start(Transfer &New) {
+    New.Kept = &m_kept;
+    New.SentAt = m_time.now();
+    prepareTransfer(New, m_options);
+    m_active.insert(&New);
+    if (New.mayHedge())
+      m_hedgeable.insert(&New);
+    curl_multi_add_handle(m_multi, New.Easy);
+  }
+
+  /// Sends the requests that have waited for too long a second time. Returns
+  /// the time until the next one is due, at most MaxPollWait.
+  milliseconds hedgeOverdue() {
+    TimePoint Now = m_time.now();
+    TimePoint Next = Now + MaxPollWait;
+    std::vector<Transfer *> Overdue;
+    for (Transfer *Waiting : m_hedgeable) {
+      if (Waiting->hedgeAt() <= Now)
+        Overdue.push_back(Waiting);
+      else
+        Next = std::min(Next, Waiting->hedgeAt());
+    }
+    for (Transfer *Late : Overdue) {
+      m_hedgeable.erase(Late);
+      hedge(*Late);
+    }
+    return std::chrono::ceil<milliseconds>(Next - Now);
+  }
+
+  void hedge(Transfer &Late) {
+    auto *Hedge = new Transfer;
+    Hedge->Request = Late.Request;
+    Hedge->Request.UseNewConnection = true;
+    Hedge->Request.HedgeAfter = milliseconds(0);
+    Hedge->OnDone = Late.OnDone;
+    Hedge->IsHedge = true;
+    Hedge->Twin = &Late;
+    Late.Twin = Hedge;
+    ++m_hedgedRequests;
+    start(*Hedge);
+  }
+
   void completeEnded() {
     int Remaining = 0;
     while (CURLMsg *Message = curl_multi_info_read(m_multi, &Remaining)) {
@@ -107,21 +151,42 @@
   }
 
   void complete(Transfer &Ended, CURLcode Code) {
-    long Opened = 0;
-    curl_easy_getinfo(Ended.Easy, CURLINFO_NUM_CONNECTS, &Opened);
-    m_openedConnections += static_cast<uint64_t>(Opened);
-    curl_multi_remove_handle(m_multi, Ended.Easy);
     if (Ended.IsRefused && !Ended.Request.UseKeptConnection) {
       // The next kept connection is tried; with none left a new one is opened.
       Ended.IsRefused = false;
       ++m_refusedConnections;
+      curl_multi_remove_handle(m_multi, Ended.Easy);
       curl_multi_add_handle(m_multi, Ended.Easy);
       return;
     }
-    m_resentRequests += static_cast<uint64_t>(std::max(Ended.Sends - 1, 0));
     recordEvidence(Ended, Code);
+    Transfer *Twin = std::exchange(Ended.Twin, nullptr);
+    if (Twin && Code == CURLE_OK)
+      abandon(*Twin);
+    else if (Twin)
+      Twin->Twin = nullptr;
+    // A request whose twin goes on has not failed yet.
+    if (!Twin || Code == CURLE_OK)
+      Ended.OnDone(transferResult(Ended, Code));
+    remove(Ended);
+  }
+
+  /// Ends the twin of a request that was answered.
+  void abandon(Transfer &Unanswered) {
+    if (!Unanswered.IsHedge && Unanswered.Sends > 0 &&
+        Unanswered.hedgeAt() <= m_time.now())
+      m_kept.onSilent(Unanswered.peer(), Unanswered.silentSince());
+    remove(Unanswered);
+  }
+
+  void remove(Transfer &Ended) {
+    long Opened = 0;
+    curl_easy_getinfo(Ended.Easy, CURLINFO_NUM_CONNECTS, &Opened);
+    m_openedConnections += static_cast<uint64_t>(Opened);
+    m_resentRequests += static_cast<uint64_t>(std::max(Ended.Sends - 1, 0));
+    curl_multi_remove_handle(m_multi, Ended.Easy);
     m_active.erase(&Ended);
-    Ended.OnDone(transferResult(Ended, Code));
+    m_hedgeable.erase(&Ended);
     delete &Ended;
   }
 
@@ -141,9 +206,12 @@
   cds_wfcq_head m_queueHead{};
   cds_wfcq_tail m_queueTail{};
   std::set<Transfer *> m_active;
+  /// Active transfers that are sent a second time once they are overdue.
+  std::set<Transfer *> m_hedgeable;
   std::atomic<uint64_t> m_openedConnections{0};
   std::atomic<uint64_t> m_resentRequests{0};
   std::atomic<uint64_t> m_refusedConnections{0};
+  std::atomic<uint64_t> m_hedgedRequests{0};
   std::atomic<bool> m_isStopping{false};
   std::thread m_thread;
 };
@@ -192,6 +260,9 @@
 uint64_t HttpClient::resentRequests() const {
   return m_impl->total(&ClientThread::resent);
 }
+uint64_t HttpClient::hedgedRequests() const {
+  return m_impl->total(&ClientThread::hedged);
+}
 uint64_t HttpClient::refusedConnections() const {
   return m_impl->total(&ClientThread::refused);
 }
--- a/src/libutil/httpclient.h
+++ b/src/libutil/httpclient.h
@@ -24,6 +24,11 @@
   /// Part of Timeout for which the server may hold its response back, as in a
   /// long poll.
   milliseconds ServerWait{0};
+  /// If positive, and the request is idempotent: time without the next bytes of
+  /// a response, beyond ServerWait, after which the request is sent a second
+  /// time on a new connection. The first complete response is delivered. The
+  /// first request goes on, since the server may only be slow.
+  milliseconds HedgeAfter{0};
   /// True if the server may receive the request twice without harm. If a kept
   /// connection ends before the response, it is then sent again; any other
   /// request is sent at most once, and such an end gives OutcomeUnknown. GET
@@ -58,9 +63,9 @@
 };
 
 /// Sends HTTP requests from threads of its own. A request that times out
-/// without a byte of a response shows that its connection has gone silent;
-/// kept connections to that address that have not answered since are closed
-/// instead of used.
+/// without a byte of a response, or whose hedge is answered first, shows that
+/// its connection has gone silent; kept connections to that address that have
+/// not answered since are closed instead of used.
 class HttpClient {
 public:
   /// Called exactly once, on one of the client's threads. The error is
@@ -82,6 +87,9 @@
   /// Returns how often an idempotent request was sent again, because a kept
   /// connection ended before the response. Thread-safe.
   uint64_t resentRequests() const;
+  /// Returns how many requests were sent a second time by HedgeAfter.
+  /// Thread-safe.
+  uint64_t hedgedRequests() const;
   /// Returns how many kept connections were closed instead of used, because
   /// they had not answered since another one to the same address fell silent.
   /// Thread-safe.
--- a/src/libutil/httpclient_test.cpp
+++ b/src/libutil/httpclient_test.cpp
@@ -323,6 +323,105 @@
   }
 }
 
+// Guards against a read that waits for its whole time-out on a connection that
+// has gone silent.
+TEST_CASE("a late read is answered on a new connection") {
+  SilencedServer Server;
+  HttpClient Client({});
+  keepSilent(Client, Server, 4);
+  ClientRequest Request{
+      .Address = Server.address() + "/", .Timeout = 60s, .HedgeAfter = 50ms};
+  CHECK(sendAndWait(Client, Request).has_value());
+  CHECK(Client.hedgedRequests() == 1);
+  // The other connections are as old as the one that was silent.
+  Request.HedgeAfter = 0ms;
+  CHECK(sendAndWait(Client, Request).has_value());
+  CHECK(Server.unanswered() == 1);
+}
+
+// Guards against a slow server whose answers are thrown away.
+TEST_CASE("a read that is sent twice gets one answer from a slow server") {
+  RawServer *ServerPointer = nullptr;
+  RawServer Server([&](int Fd, int) {
+    while (!ServerPointer->readRequest(Fd).empty()) {
+      std::this_thread::sleep_for(200ms);
+      RawServer::write(Fd, OkResponse);
+    }
+  });
+  ServerPointer = &Server;
+  HttpClient Client({});
+  std::atomic<int> Answers{0};
+  for (int I = 0; I < 5; ++I) {
+    std::promise<bool> Answer;
+    Client.send(
+        {.Address = Server.address() + "/", .Timeout = 60s, .HedgeAfter = 50ms},
+        [&](const Result<HttpResponse> &Response) {
+          ++Answers;
+          Answer.set_value(Response.has_value());
+        });
+    CHECK(Answer.get_future().get());
+  }
+  CHECK(Answers == 5);
+  CHECK(Client.hedgedRequests() == 5);
+}
+
+TEST_CASE("a late read is answered although its hedge fails") {
+  RawServer *ServerPointer = nullptr;
+  RawServer Server([&](int Fd, int Number) {
+    if (Number > 1 || ServerPointer->readRequest(Fd).empty())
+      return;
+    std::this_thread::sleep_for(300ms);
+    RawServer::write(Fd, OkResponse);
+  });
+  ServerPointer = &Server;
+  HttpClient Client({});
+  CHECK(sendAndWait(Client, {.Address = Server.address() + "/",
+                             .Timeout = 60s,
+                             .HedgeAfter = 50ms})
+            .has_value());
+  CHECK(Client.hedgedRequests() == 1);
+}
+
+TEST_CASE("a late POST that is not idempotent is not sent again") {
+  SilencedServer Server;
+  HttpClient Client({});
+  keepSilent(Client, Server, 1);
+  Result<HttpResponse> Response =
+      sendAndWait(Client, {.Method = "POST",
+                           .Address = Server.address() + "/",
+                           .Body = "x=1",
+                           .Timeout = 300ms,
+                           .HedgeAfter = 50ms});
+  REQUIRE(Response.has_error());
+  CHECK(Response.error().Code == ResultCode::OutcomeUnknown);
+  CHECK(Client.hedgedRequests() == 0);
+  CHECK(Server.unanswered() == 1);
+}
+
+// Guards against a callback that is called twice, or never.
+TEST_CASE("a client that stops ends a request and its hedge once") {
+  SilencedServer Server;
+  std::atomic<int> Ends{0};
+  {
+    HttpClient Client({});
+    keepSilent(Client, Server, 1);
+    RawServer Mute([](int Fd, int) {
+      char Byte = 0;
+      while (recv(Fd, &Byte, 1, 0) > 0)
+        ;
+    });
+    Client.send(
+        {.Address = Mute.address() + "/", .Timeout = 60s, .HedgeAfter = 20ms},
+        [&](const Result<HttpResponse> &Response) {
+          CHECK(Response.has_error());
+          ++Ends;
+        });
+    while (Client.hedgedRequests() == 0)
+      std::this_thread::sleep_for(1ms);
+  }
+  CHECK(Ends == 1);
+}
+
 TEST_CASE("a connection without a response times out and is not reused") {
   RawServer *ServerPointer = nullptr;
   RawServer Server([&](int Fd, int Number) {
--- a/src/libutil/httptransfer.h
+++ b/src/libutil/httptransfer.h
@@ -39,8 +39,8 @@
   /// Connections on which libcurl began to send the request.
   int Sends = 0;
   KeptConnections *Kept = nullptr;
-  /// Connection on which the request was sent last, when, and when that
-  /// connection had last answered.
+  /// Connection on which the request was sent last, when (or when it was
+  /// started, before that), and when that connection had last answered.
   int LocalPort = 0;
   TimePoint SentAt{};
   std::optional<TimePoint> LastAnswer;
@@ -51,6 +51,11 @@
   /// True if the connection that libcurl chose is suspect. Nothing was sent on
   /// it, and libcurl has closed it.
   bool IsRefused = false;
+  /// The same request on another connection; null if there is none. Whichever
+  /// is answered first ends both.
+  Transfer *Twin = nullptr;
+  /// True for the second of two twins.
+  bool IsHedge = false;
 
   /// Returns false if the request must not be sent again. libcurl sends one
   /// again by itself if a kept connection ends before the first byte of the
@@ -73,6 +78,11 @@
   TimePoint silentSince() const {
     return hasResponse() ? LastReceived : SentAt + Request.ServerWait;
   }
+  bool mayHedge() const {
+    return isIdempotent() && Request.HedgeAfter.count() > 0;
+  }
+  /// Returns when the request is to be sent a second time.
+  TimePoint hedgeAt() const { return silentSince() + Request.HedgeAfter; }
   bool hasResponse() const { return !Response.Headers.empty(); }
   bool isIdempotent() const {
     return Request.IsIdempotent || Request.Method == "GET" ||
