--- a/src/libutil/httpclient.h
+++ b/src/libutil/httpclient.h
@@ -58,6 +58,11 @@
   /// Maximum number of connections per thread to one address; further requests
   /// wait for one of them. Zero means no limit.
   long MaxConnectionsPerAddress = 0;
+  /// Time after which a connection is closed whose peer does not acknowledge
+  /// sent bytes or keep-alive probes at the level of TCP. A peer that takes
+  /// long to respond acknowledges all the same. Zero means the time-out of the
+  /// request that opened the connection.
+  milliseconds AckTimeout{0};
   /// Connections that have been idle for longer are not reused.
   std::chrono::seconds MaxIdleTime{20};
 };
--- a/src/libutil/httpclient_test.cpp
+++ b/src/libutil/httpclient_test.cpp
@@ -382,6 +382,25 @@
   CHECK(Client.hedgedRequests() == 1);
 }
 
+// Guards against a commit that waits for its whole time-out, here an hour, for
+// a peer that does not even acknowledge bytes.
+TEST_CASE("a peer that takes no bytes is given up before the time-out") {
+  std::atomic<bool> IsOver{false};
+  RawServer Server([&](int, int) {
+    while (!IsOver)
+      std::this_thread::sleep_for(1ms);
+  });
+  HttpClient Client({.AckTimeout = 200ms});
+  Result<HttpResponse> Response =
+      sendAndWait(Client, {.Method = "POST",
+                           .Address = Server.address() + "/",
+                           .Body = std::string(32 * 1024 * 1024, 'x'),
+                           .Timeout = std::chrono::hours(1)});
+  IsOver = true;
+  REQUIRE(Response.has_error());
+  CHECK(Response.error().Code == ResultCode::OutcomeUnknown);
+}
+
 TEST_CASE("a late POST that is not idempotent is not sent again") {
   SilencedServer Server;
   HttpClient Client({});
--- a/src/libutil/httptransfer.cpp
+++ b/src/libutil/httptransfer.cpp
@@ -55,7 +55,10 @@
   auto *Current = static_cast<Transfer *>(UserData);
   if (!Current->maySend() || Current->Request.UseKeptConnection)
     return CURL_SOCKOPT_ERROR;
-  auto Timeout = static_cast<unsigned>(Current->Request.Timeout.count());
+  milliseconds Limit = Current->AckTimeout.count() > 0
+                           ? Current->AckTimeout
+                           : Current->Request.Timeout;
+  auto Timeout = static_cast<unsigned>(Limit.count());
   setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &Timeout, sizeof(Timeout));
   return CURL_SOCKOPT_OK;
 }
@@ -67,6 +70,9 @@
                  Current->Request.LocalPort != LocalPort;
   if (!Current->maySend() || IsOther)
     return CURL_PREREQFUNC_ABORT;
+  // libcurl sends the request again after a connection that has just ended.
+  if (Current->Sends > 0 && Current->wasGivenUp(now()))
+    Current->Kept->onSilent(Current->peer(), Current->silentSince());
   if (Current->Kept->isSuspect(Current->peer(), LocalPort)) {
     Current->IsRefused = true;
     return CURL_PREREQFUNC_ABORT;
@@ -122,6 +128,7 @@
 void prepareTransfer(Transfer &Current, const HttpClientOptions &Options) {
   Current.Easy = curl_easy_init();
   Current.MaxBody = Options.MaxBodyBytes;
+  Current.AckTimeout = Options.AckTimeout;
   Current.Url = "http://" + Current.Request.Address;
   CURL *Easy = Current.Easy;
   curl_easy_setopt(Easy, CURLOPT_PRIVATE, &Current);
@@ -132,6 +139,11 @@
   curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  if (Options.AckTimeout.count() > 0) {
+    // The shortest that TCP has, in seconds.
+    curl_easy_setopt(Easy, CURLOPT_TCP_KEEPIDLE, 1L);
+    curl_easy_setopt(Easy, CURLOPT_TCP_KEEPINTVL, 1L);
+  }
   curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, onBody);
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Current);
   curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, onHeader);
--- a/src/libutil/httptransfer.h
+++ b/src/libutil/httptransfer.h
@@ -33,6 +33,8 @@
   CURL *Easy = nullptr;
   curl_slist *HeaderLines = nullptr;
   size_t MaxBody = 0;
+  /// As in HttpClientOptions.
+  milliseconds AckTimeout{0};
   /// True if the response has a header that delimits its body.
   bool HasFraming = false;
   bool IsTooLarge = false;
@@ -67,11 +69,21 @@
   std::string peer() const {
     return Request.Address.substr(0, Request.Address.find('/'));
   }
-  /// Returns true if the transfer ended with \p Code and its connection had
-  /// received nothing for all the time that a response may take.
+  /// Returns true if the transfer ended with \p Code because its connection
+  /// was silent: nothing was received for all the time that a response may
+  /// take, or TCP gave it up.
   bool wasSilent(CURLcode Code, TimePoint Now) const {
-    return Code == CURLE_OPERATION_TIMEDOUT && Sends > 0 &&
-           Now - LastReceived >= Request.Timeout - Request.ServerWait;
+    if (Code == CURLE_OK || Sends == 0)
+      return false;
+    nanoseconds Silence = Now - LastReceived;
+    return Code == CURLE_OPERATION_TIMEDOUT
+               ? Silence >= Request.Timeout - Request.ServerWait
+               : wasGivenUp(Now);
+  }
+  /// Returns true if the connection that has just ended without a response was
+  /// closed by TCP, as far as the time tells.
+  bool wasGivenUp(TimePoint Now) const {
+    return AckTimeout.count() > 0 && Now - LastReceived >= AckTimeout;
   }
   /// Returns up to when the connection may have been sound: when the next bytes
   /// were due.
