--- a/src/libutil/httptransfer.h
+++ b/src/libutil/httptransfer.h
@@ -80,10 +80,11 @@
                ? Silence >= Request.Timeout - Request.ServerWait
                : wasGivenUp(Now);
   }
-  /// Returns true if the connection that has just ended without a response was
-  /// closed by TCP, as far as the time tells.
+  /// Returns true if TCP closed the connection that has just ended without a
+  /// whole response, as far as the time tells: bytes that were on their way may
+  /// have arrived for a while after the first one that was not acknowledged.
   bool wasGivenUp(TimePoint Now) const {
-    return AckTimeout.count() > 0 && Now - LastReceived >= AckTimeout;
+    return AckTimeout.count() > 0 && Now - LastReceived >= AckTimeout / 2;
   }
   /// Returns up to when the connection may have been sound: when the next bytes
   /// were due.
