Fail no job for a third crash that no owner saw

Cause: a crash that no owner saw was enough one crash earlier if the previous owner had crashed, since such an owner may have counted too few. The crash is counted from a stored suspicion, though, which shows that few are hidden, and the run may not have been started or have ended by itself. It takes four crashes now, as without proof.

--- a/src/libbasilchute/crashhistory.h
+++ b/src/libbasilchute/crashhistory.h
@@ -175,9 +175,11 @@
   /// confirmed or refuted: a deadly task starts a limited number of times.
   static bool mustWait(const CrashRecord &Record, int Unconfirmed);
   /// Counts a crash that a previous owner did not see, on the worker that the
-  /// record names. Returns true if the task is to be given up.
-  static bool countUnseen(CrashRecord &Record, bool MayHaveHidden,
-                          const std::string &Worker = {});
+  /// record names. Returns true if the task is to be given up. The run may not
+  /// have been started at all, or have ended by itself before, so that as many
+  /// crashes are needed as without proof. That the record names the worker
+  /// shows that few others are hidden.
+  static bool countUnseen(CrashRecord &Record, const std::string &Worker = {});
   /// Returns true if \p Worker crashed several times lately, so that its next
   /// crash shows little about a task.
   bool isUnsteady(const std::string &Worker, TimePoint Now) const;
--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -324,8 +324,8 @@
 void JobShard::Impl::countEarlierCrash(JobEntry &Entry, int Position,
                                        const std::string &Worker) {
   TaskName Unit = crashUnit(Entry, Position);
-  bool IsGivenUp = CrashHistory::countUnseen(
-      crashRecord(Entry, Position), Entry.MayHaveHiddenCrashes, Worker);
+  bool IsGivenUp =
+      CrashHistory::countUnseen(crashRecord(Entry, Position), Worker);
   m_suspects.insert(Unit);
   markDirty(Entry);
   ++m_counts.WorkerCrashes;
