Soak with connections that go silent and a configuration that changes

A probe asks the hosts about these routes: CONFIG if one that was confirmed two seconds before is answered with 404, or a dropped one with 200, by a host that is in touch. Each run ends with one more silence beside fourteen changes and nothing else.

--- a/testsuite/soak/judge_test.py
+++ b/testsuite/soak/judge_test.py
@@ -6,6 +6,7 @@
 import types
 import unittest
 
+from configs import CONFIG_APPLY_S, Configs
 from judge import Judge, Step, Submission
 
 JOB = "00000000000000aa"
@@ -185,6 +186,38 @@
         self.end(run, 1, "stopped")
         self.assertFalse(self.judge.check_settled(lasting))
 
+    def changed(self):
+        """Returns configurations that added and dropped /r3/, the time moved on
+        until that is due."""
+        self.published = []
+        out = Configs({"version": 1, "routes": [{"name": "q", "prefix": "/q/"}]},
+                      self.published.append, self.judge)
+        out.change(2)
+        return out
+
+    def test_a_route_that_is_not_served_in_time_is_a_violation(self):
+        configs = self.changed()
+        self.assertEqual([route["prefix"] for route in
+                          self.published[0]["routes"]],
+                         ["/q/", "/r3/", "/other0/", "/other1/"])
+        due = self.time + CONFIG_APPLY_S
+        configs.check("/r3/", "a", due, 404)
+        configs.check("/r3/", "a", due + 1, 200)
+        configs.check("/r3/", "a", due + 1, 503)
+        self.assertFalse(self.judge.violations)
+        configs.check("/r3/", "a", due + 0.01, 404)
+        self.assertEqual(self.broken(), ["CONFIG"])
+
+    def test_a_route_that_is_served_after_it_was_dropped_is_a_violation(self):
+        configs = self.changed()
+        while not configs.dropped:
+            configs.change(0)
+        due = self.time + CONFIG_APPLY_S
+        configs.check("/r3/", "a", due + 0.01, 404)
+        self.assertFalse(self.judge.violations)
+        configs.check("/r3/", "a", due + 0.01, 200)
+        self.assertEqual(self.broken(), ["CONFIG"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -86,6 +86,24 @@
     return out
 
 
+def make_silences(random, seconds, hosts, is_dense):
+    """Connections to the store that go silent for good, beside a configuration
+    that changes in series."""
+    out = []
+    at = 3.0
+    while at < seconds - 5:
+        out.append(Fault(at, 0, "config", "change", [],
+                         {"filler": random.choice([0, 0, 300, 1400])}))
+        at += random.uniform(0.3, 2.5)
+    at = 4.0
+    while at < seconds - 5:
+        out.append(Fault(at, 0, "kept", "silence",
+                         random.sample(range(hosts), random.choice([1, hosts])),
+                         {}))
+        at += random.uniform(3.5, 5 if is_dense else 12)
+    return out
+
+
 def make_plan(random, seconds, hosts, workers, is_dense):
     """Returns bursts of faults that overlap, with calm spans between some."""
     out = []
@@ -99,6 +117,7 @@
         at += random.choice(pauses)
     # A copy, so that the other faults and the clients of a seed stay the same.
     out += make_restarts(copy.copy(random), seconds, workers, is_dense)
+    out += make_silences(copy.copy(random), seconds, hosts, is_dense)
     return sorted(out, key=lambda fault: fault.at)
 
 
@@ -126,6 +145,12 @@
                                    for number in fault.targets))
         elif fault.group == "life":
             await self.worker_life(fault, *fault.targets)
+        elif fault.group == "config":
+            self.world.configs.change(fault.details["filler"])
+        elif fault.group == "kept":
+            self.judge.impairments.mark("store")
+            self.world.store.server.silence({self.world.hosts[number].name
+                                             for number in fault.targets})
         elif fault.kind == "down":
             await self.store_down(fault)
         else:
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import copy
 import ctypes
 import json
 import os
@@ -18,7 +19,8 @@
 import sys
 import tempfile
 
-from judge import Judge, Step, Submission
+from configs import Configs
+from judge import CONTACT_S, Judge, Step, Submission
 from plan import Player, make_plan
 from standins import MAX_HOLD_MS, Store, Worker, encode
 from wire import Client
@@ -34,6 +36,9 @@
 # Seeds from this one on play about twice as many faults.
 FIRST_DENSE_SEED = 1000
 PREFIX = "/short/"
+# Of the routes that came and went, so many of the newest are asked about.
+MAX_PROBED = 16
+CLOSING_CHANGES = 14
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None)
 
@@ -210,8 +215,7 @@
         was_accepted_at = submission.attempts[0][0]
         status, body = await client.call((host.ip, host.front), "GET",
                                          PREFIX + submission.job)
-        calm = all(self.judge.impairments.is_calm(name)
-                   for name in (host.name, "store"))
+        calm = self.is_calm(host)
         if status == 410 and calm and submission.cancel_sent is None and \
                 self.judge.now() > was_accepted_at + 8:
             self.judge.violation("LOST", submission.job,
@@ -222,6 +226,29 @@
         self.judge.shown(submission, state, host.name)
         return state
 
+    async def probe(self):
+        """Asks hosts about routes that come and go."""
+        client = Client()
+        configs = self.world.configs
+        # Apart, so that the clients of a seed stay the same.
+        random = copy.copy(self.random)
+        while not self.is_over:
+            await asyncio.sleep(random.uniform(0.05, 0.2))
+            if not configs.added:
+                continue
+            prefix = random.choice(list(configs.added)[-MAX_PROBED:])
+            host = random.choice(self.world.hosts)
+            sent, was_dropped = self.judge.now(), prefix in configs.dropped
+            calm = self.is_calm(host)
+            status, _ = await client.call((host.ip, host.front), "GET", prefix)
+            if calm and was_dropped == (prefix in configs.dropped):
+                configs.check(prefix, host.name, sent, status)
+        client.close()
+
+    def is_calm(self, host):
+        return all(self.judge.impairments.is_calm(name)
+                   for name in (host.name, "store"))
+
     async def cancel(self, client, submission):
         submission.cancel_sent = self.judge.now()
         for _ in range(10):
@@ -251,6 +278,10 @@
         self.hosts = []
         self.workers = []
         self.store = None
+        self.configs = None
+
+    def publish(self, config):
+        self.store.apply([(("op", "", "config"), encode(config))], [])
 
     def pids(self):
         return {host.name: host.pid for host in self.hosts}
@@ -259,7 +290,8 @@
         self.store = Store(self.pids, randoms.Random(self.random.random()),
                            self.judge.log)
         await self.store.server.start()
-        self.store.apply([(("op", "", "config"), encode(self.config()))], [])
+        self.configs = Configs(self.config(), self.publish, self.judge)
+        self.publish(self.config())
         for number in range(self.worker_count):
             name = f"i-{self.random.getrandbits(32):08x}"
             worker = Worker(name, self.store, self.judge, self.pids,
@@ -311,6 +343,18 @@
         self.journal.close()
 
 
+async def silence_at_the_end(world):
+    """All connections to the store go silent at once, and nothing else happens
+    while the configuration changes."""
+    await asyncio.sleep(CONTACT_S)
+    world.judge.log("all connections to the store go silent")
+    world.judge.impairments.mark("store")
+    world.store.server.silence(set(world.pids()))
+    for _ in range(CLOSING_CHANGES):
+        world.configs.change(0)
+        await asyncio.sleep(0.5)
+
+
 async def settle(world, traffic):
     """Waits for what was accepted; reports what is missing at the limit."""
     judge = world.judge
@@ -357,9 +401,11 @@
     traffic = Traffic(world, randoms.Random(world.random.random()))
     clients = [asyncio.ensure_future(traffic.client())
                for _ in range(world.client_count)]
+    clients.append(asyncio.ensure_future(traffic.probe()))
     player = Player(world, randoms.Random(world.random.random()))
     judge.log("the plan begins")
     await player.play(plan)
+    await silence_at_the_end(world)
     traffic.is_over = True
     await asyncio.gather(*clients)
     judge.log("the faults are over")
--- a/testsuite/soak/soak_test.py
+++ b/testsuite/soak/soak_test.py
@@ -15,7 +15,7 @@
 from soak import parse
 from judge import Judge, Step, Submission
 from standins import Store, Worker
-from wire import Client, peer_of, read_message
+from wire import Client, Server, peer_of, read_message
 
 TASK = "00000000000000aa.0.0.0"
 
@@ -105,6 +105,32 @@
             kinds = {fault.kind for fault in plan if fault.group == "life"}
             self.assertLessEqual({"restart", "move"}, kinds)
 
+    def test_connections_go_silent_beside_configurations_in_each_plan(self):
+        for is_dense in (False, True):
+            plan = make_plan(random.Random(1), 45, 4, 7, is_dense)
+            self.assertLessEqual({"config", "kept"},
+                                 {fault.group for fault in plan})
+
+    def test_a_silenced_connection_is_not_answered_and_a_new_one_is(self):
+        async def check():
+            async def handle(call):
+                await asyncio.sleep(0.1)
+                return 200, "{}"
+
+            server = Server(handle, lambda: {}, random.Random(1), print)
+            await server.start()
+            address = "127.0.0.1", server.port
+            client = Client()
+            call = asyncio.ensure_future(client.call(address, "GET", "/", limit=1))
+            await asyncio.sleep(0.05)
+            server.silence({None})
+            self.assertEqual((await call)[0], 0)
+            self.assertEqual((await client.call(address, "GET", "/"))[0], 200)
+            client.close()
+            server.stop()
+
+        asyncio.run(check())
+
     def test_a_restart_ends_connections_between_two_polls(self):
         async def check():
             bed = Workers()
--- a/testsuite/soak/wire.py
+++ b/testsuite/soak/wire.py
@@ -212,6 +212,13 @@
                     rule.applies(connection.host):
                 end(connection.writer, self.random)
 
+    def silence(self, hosts):
+        """Lets the present connections of these hosts go silent for good, also
+        those with a call in flight; new ones work."""
+        for connection in self.connections:
+            if connection.host in hosts:
+                connection.is_silent = True
+
     def spawn(self, work):
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
@@ -268,6 +275,8 @@
         return self.answer(connection, *result)
 
     def answer(self, connection, status, body):
+        if connection.is_silent:
+            return True
         data = body.encode() if isinstance(body, str) else body
         connection.writer.write(self.head(status, data) + data)
         connection.is_busy = False
