Send long polls again at once when another connection has fallen silent

By reading: an idle host follows the owners and the assignments of shards with feeds that wait 5 s and 10 s. Evidence holds for requests in flight as well now: one whose connection is as old as a silent one is sent again at once.

- Such an early hedge is no evidence itself, since its response was not due; neither does TCP's end of a long poll date the silence into the future.

'a long poll that is sent again early is no evidence' guards the sound connections.

--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -114,10 +114,11 @@
     TimePoint Next = Now + MaxPollWait;
     std::vector<Transfer *> Overdue;
     for (Transfer *Waiting : m_hedgeable) {
-      if (Waiting->hedgeAt() <= Now)
+      TimePoint At = Waiting->hedgeAt();
+      if (At <= Now)
         Overdue.push_back(Waiting);
       else
-        Next = std::min(Next, Waiting->hedgeAt());
+        Next = std::min(Next, At);
     }
     for (Transfer *Late : Overdue) {
       m_hedgeable.erase(Late);
@@ -159,6 +160,7 @@
       curl_multi_add_handle(m_multi, Ended.Easy);
       return;
     }
+    addToCounts(Ended);
     recordEvidence(Ended, Code);
     Transfer *Twin = std::exchange(Ended.Twin, nullptr);
     if (Twin && Code == CURLE_OK)
@@ -173,17 +175,22 @@
 
   /// Ends the twin of a request that was answered.
   void abandon(Transfer &Unanswered) {
-    if (!Unanswered.IsHedge && Unanswered.Sends > 0 &&
-        Unanswered.hedgeAt() <= m_time.now())
-      m_kept.onSilent(Unanswered.peer(), Unanswered.silentSince());
+    TimePoint Now = m_time.now();
+    if (!Unanswered.IsHedge && Unanswered.isOverdue(Now))
+      m_kept.onSilent(Unanswered.peer(), Unanswered.silentSince(Now));
+    addToCounts(Unanswered);
     remove(Unanswered);
   }
 
-  void remove(Transfer &Ended) {
+  // Before the callback, whose receiver may read the counters.
+  void addToCounts(const Transfer &Ended) {
     long Opened = 0;
     curl_easy_getinfo(Ended.Easy, CURLINFO_NUM_CONNECTS, &Opened);
     m_openedConnections += static_cast<uint64_t>(Opened);
     m_resentRequests += static_cast<uint64_t>(std::max(Ended.Sends - 1, 0));
+  }
+
+  void remove(Transfer &Ended) {
     curl_multi_remove_handle(m_multi, Ended.Easy);
     m_active.erase(&Ended);
     m_hedgeable.erase(&Ended);
@@ -195,7 +202,7 @@
     if (Code == CURLE_OK)
       m_kept.onAnswered(Ended.peer(), Ended.LocalPort, Now);
     else if (Ended.wasSilent(Code, Now))
-      m_kept.onSilent(Ended.peer(), Ended.silentSince());
+      m_kept.onSilent(Ended.peer(), Ended.silentSince(Now));
   }
 
   HttpClientOptions m_options;
--- a/src/libutil/httpclient.h
+++ b/src/libutil/httpclient.h
@@ -26,8 +26,9 @@
   milliseconds ServerWait{0};
   /// If positive, and the request is idempotent: time without the next bytes of
   /// a response, beyond ServerWait, after which the request is sent a second
-  /// time on a new connection. The first complete response is delivered. The
-  /// first request goes on, since the server may only be slow.
+  /// time on a new connection; at once if its connection is as old as one that
+  /// has gone silent. The first complete response is delivered. The first
+  /// request goes on, since the server may only be slow.
   milliseconds HedgeAfter{0};
   /// True if the server may receive the request twice without harm. If a kept
   /// connection ends before the response, it is then sent again; any other
--- a/src/libutil/httpclient_test.cpp
+++ b/src/libutil/httpclient_test.cpp
@@ -339,6 +339,54 @@
   CHECK(Server.unanswered() == 1);
 }
 
+// Guards against a long poll, here of an hour, on a connection as old as one
+// that is known to be silent.
+TEST_CASE("a long poll is sent again once another connection is silent") {
+  SilencedServer Server;
+  HttpClient Client({});
+  keepSilent(Client, Server, 2);
+  std::promise<bool> PollEnd;
+  Client.send({.Address = Server.address() + "/poll",
+               .Timeout = std::chrono::hours(2),
+               .ServerWait = std::chrono::hours(1),
+               .HedgeAfter = 50ms},
+              [&](const Result<HttpResponse> &Response) {
+                PollEnd.set_value(Response.has_value());
+              });
+  while (Server.unanswered() == 0)
+    std::this_thread::sleep_for(1ms);
+  CHECK(sendAndWait(Client, {.Address = Server.address() + "/",
+                             .Timeout = 60s,
+                             .HedgeAfter = 50ms})
+            .has_value());
+  CHECK(PollEnd.get_future().get());
+}
+
+// Guards against sound connections that are closed because a long poll was sent
+// again before its response was due.
+TEST_CASE("a long poll that is sent again early is no evidence") {
+  SilencedServer Server;
+  HttpClient Client({});
+  keepSilent(Client, Server, 2);
+  ClientRequest Request{.Address = Server.address() + "/",
+                        .Timeout = std::chrono::hours(2),
+                        .ServerWait = std::chrono::hours(1),
+                        .HedgeAfter = 50ms};
+  std::promise<bool> PollEnd;
+  Client.send(Request, [&](const Result<HttpResponse> &Response) {
+    PollEnd.set_value(Response.has_value());
+  });
+  while (Server.unanswered() == 0)
+    std::this_thread::sleep_for(1ms);
+  Request.ServerWait = 0ms;
+  CHECK(sendAndWait(Client, Request).has_value());
+  CHECK(PollEnd.get_future().get());
+  uint64_t Opened = Client.openedConnections();
+  for (int I = 0; I < 3; ++I)
+    CHECK(sendAndWait(Client, Request).has_value());
+  CHECK(Client.openedConnections() == Opened);
+}
+
 // Guards against a slow server whose answers are thrown away.
 TEST_CASE("a read that is sent twice gets one answer from a slow server") {
   RawServer *ServerPointer = nullptr;
--- a/src/libutil/httptransfer.cpp
+++ b/src/libutil/httptransfer.cpp
@@ -71,16 +71,17 @@
   if (!Current->maySend() || IsOther)
     return CURL_PREREQFUNC_ABORT;
   // libcurl sends the request again after a connection that has just ended.
-  if (Current->Sends > 0 && Current->wasGivenUp(now()))
-    Current->Kept->onSilent(Current->peer(), Current->silentSince());
+  TimePoint Now = now();
+  if (Current->Sends > 0 && Current->wasGivenUp(Now))
+    Current->Kept->onSilent(Current->peer(), Current->silentSince(Now));
   if (Current->Kept->isSuspect(Current->peer(), LocalPort)) {
     Current->IsRefused = true;
     return CURL_PREREQFUNC_ABORT;
   }
   ++Current->Sends;
   Current->LocalPort = LocalPort;
-  Current->SentAt = now();
-  Current->LastReceived = Current->SentAt;
+  Current->SentAt = Now;
+  Current->LastReceived = Now;
   Current->LastAnswer = Current->Kept->lastAnswer(Current->peer(), LocalPort);
   // libcurl would take another kept connection to send the request again, which
   // may be reset too, and close it when it is stopped.
--- a/src/libutil/httptransfer.h
+++ b/src/libutil/httptransfer.h
@@ -5,6 +5,7 @@
 #include "libutil/httpclient.h"
 #include "libutil/keptconnections.h"
 
+#include <algorithm>
 #include <atomic>
 #include <curl/curl.h>
 #include <optional>
@@ -86,16 +87,30 @@
   bool wasGivenUp(TimePoint Now) const {
     return AckTimeout.count() > 0 && Now - LastReceived >= AckTimeout / 2;
   }
-  /// Returns up to when the connection may have been sound: when the next bytes
-  /// were due.
-  TimePoint silentSince() const {
+  /// Returns when the next bytes of the response were due.
+  TimePoint dueAt() const {
     return hasResponse() ? LastReceived : SentAt + Request.ServerWait;
   }
+  /// Returns up to when a connection that was silent may have been sound.
+  TimePoint silentSince(TimePoint Now) const {
+    return std::min(dueAt(), Now - AckTimeout / 2);
+  }
+  bool isOverdue(TimePoint Now) const {
+    return Sends > 0 && dueAt() + Request.HedgeAfter <= Now;
+  }
   bool mayHedge() const {
     return isIdempotent() && Request.HedgeAfter.count() > 0;
   }
-  /// Returns when the request is to be sent a second time.
-  TimePoint hedgeAt() const { return silentSince() + Request.HedgeAfter; }
+  /// Returns when the request is to be sent a second time: at once if another
+  /// connection has fallen silent since this one was last proven.
+  TimePoint hedgeAt() const {
+    bool IsSuspect = Sends > 0 && Kept->hasFallenSilent(peer(), provenAt());
+    return IsSuspect ? SentAt : dueAt() + Request.HedgeAfter;
+  }
+  /// Returns when the connection was last known to be sound.
+  TimePoint provenAt() const {
+    return hasResponse() ? LastReceived : LastAnswer.value_or(SentAt);
+  }
   bool hasResponse() const { return !Response.Headers.empty(); }
   bool isIdempotent() const {
     return Request.IsIdempotent || Request.Method == "GET" ||
--- a/src/libutil/keptconnections.cpp
+++ b/src/libutil/keptconnections.cpp
@@ -19,11 +19,15 @@
 }
 
 bool KeptConnections::isSuspect(const std::string &Peer, int LocalPort) const {
+  std::optional<TimePoint> Answered = lastAnswer(Peer, LocalPort);
+  return Answered && hasFallenSilent(Peer, *Answered);
+}
+
+bool KeptConnections::hasFallenSilent(const std::string &Peer,
+                                      TimePoint ProvenAt) const {
   std::lock_guard<std::mutex> Lock(m_mutex);
   auto Silent = m_silentSince.find(Peer);
-  auto Answered = m_lastAnswers.find({Peer, LocalPort});
-  return Silent != m_silentSince.end() && Answered != m_lastAnswers.end() &&
-         Answered->second <= Silent->second;
+  return Silent != m_silentSince.end() && ProvenAt <= Silent->second;
 }
 
 std::optional<TimePoint> KeptConnections::lastAnswer(const std::string &Peer,
--- a/src/libutil/keptconnections.h
+++ b/src/libutil/keptconnections.h
@@ -29,6 +29,9 @@
   /// Returns true if the connection must not be used: it has not answered since
   /// another one to \p Peer fell silent.
   bool isSuspect(const std::string &Peer, int LocalPort) const;
+  /// Returns true if a connection to \p Peer has fallen silent since \p
+  /// ProvenAt.
+  bool hasFallenSilent(const std::string &Peer, TimePoint ProvenAt) const;
   /// Returns when the connection last answered; std::nullopt if it is new.
   std::optional<TimePoint> lastAnswer(const std::string &Peer,
                                       int LocalPort) const;
