--- a/src/libbasilchute/jobshard_astray.cpp
+++ b/src/libbasilchute/jobshard_astray.cpp
@@ -148,7 +148,7 @@
   Slot.LeaseEnd = std::max(Slot.LeaseEnd, Slot.AstrayLeaseEnd);
 }
 
-void JobShard::Impl::checkStartClock(WorkerSlot &Slot,
+void JobShard::Impl::checkStartClock(WorkerSlot &Slot, const RunKey &Key,
                                      const StartReply &Answer) const {
   bool TakesLease = Answer.Outcome == StartOutcome::Started ||
                     Answer.Outcome == StartOutcome::StaleRun ||
@@ -156,6 +156,12 @@
   if (!TakesLease || Answer.Clock + MaxClockStepBack >= Slot.AliveClock)
     return;
   TimePoint Now = m_time.now();
+  log("other_process_answered",
+      fmt::format("job={} step={} index={} run={} worker={} clock_ms={} "
+                  "expected_ms={}",
+                  Key.first.Job, Key.first.Step, Key.first.Index, Key.second,
+                  Slot.Entry.Id, Answer.Clock.count(),
+                  Slot.clockAt(Now).count()));
   Slot.AstrayLeaseEnd = Now + maxLocalDuration(m_options.MaxWorkerLease);
   Slot.LeaseEnd = std::max(Slot.LeaseEnd, Slot.AstrayLeaseEnd);
   Slot.NextPollAt = Now;
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -308,7 +308,8 @@
   /// sent for a former process.
   void updateAstrayLeases(WorkerSlot &Slot) const;
   /// Does so if another process has answered a start order.
-  void checkStartClock(WorkerSlot &Slot, const StartReply &Answer) const;
+  void checkStartClock(WorkerSlot &Slot, const RunKey &Key,
+                       const StartReply &Answer) const;
   void releaseRun(WorkerSlot &Slot, const RunKey &Key, std::string_view Why);
   void removeUnlistedWorkers();
 
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -128,7 +128,7 @@
   // the order's sender knew nothing.
   bool IsOfThisProcess = Slot.Incarnation == Incarnation;
   if (IsOfThisProcess && Answer.has_value())
-    checkStartClock(Slot, Answer.value());
+    checkStartClock(Slot, Key, Answer.value());
   bool IsOutcomeUnknown =
       !Answer.has_value() && Answer.error().Code != ResultCode::Unavailable;
   if (IsOutcomeUnknown)
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -317,7 +317,9 @@
 
 void JobShard::Impl::releaseRun(WorkerSlot &Slot, const RunKey &Key,
                                 std::string_view Why) {
-  bool NeverBegan = Slot.Runs.at(Key).mayBeOnItsWay();
+  const ReservedRun &Run = Slot.Runs.at(Key);
+  bool NeverBegan = Run.mayBeOnItsWay();
+  auto SinceConfirmed = (m_time.now() - Run.ConfirmedAt) / milliseconds(1);
   Slot.Runs.erase(Key);
   JobEntry *Entry = find(Key.first.Job);
   int Position = Entry ? Entry->positionOf(Key.first) : -1;
@@ -329,9 +331,11 @@
                       Task.Worker == Slot.Entry.Id;
   if (!IsCurrentRun)
     return;
-  log("run_gone", fmt::format("job={} step={} index={} run={} worker={} why={}",
-                              Key.first.Job, Key.first.Step, Key.first.Index,
-                              Key.second, Slot.Entry.Id, Why));
+  log("run_gone",
+      fmt::format("job={} step={} index={} run={} worker={} why={} "
+                  "confirmed_ms={}",
+                  Key.first.Job, Key.first.Step, Key.first.Index, Key.second,
+                  Slot.Entry.Id, Why, NeverBegan ? -1 : SinceConfirmed));
   setWaiting(*Entry, Position, milliseconds(0));
   Task.LastRunNeverBegan = NeverBegan;
 }
