Send orders to workers only on connections that lead to their process

Cause: an order named no process. WorkerClient::start, stop and pace went out on any connection, also a new one, to whichever process was at the address, since Expected-Instance names the id only; the end of the lease in a start is a time on the clock of the process that had answered last. The next process, whose clock begins anew, took such an order with a lease of max_hold_ms. The owner that had sent it wrote the run off with the former process, or allowed for the long lease; the next owner knew of neither and started the task again.

Change: each order names the process that it is for (Incarnation), and reaches that process or none. If another process answers the probe, nothing is sent, and the owner starts nothing there until a poll is answered. HttpClient takes a list of local ports, and tries the next kept connection when one does not fit. The time for a probe is no part of the round trip by which the window of start orders is sized; the probe's own round trip counts for its minimum. The bed models both.

--- a/src/include/basilchute/taskworker.h
+++ b/src/include/basilchute/taskworker.h
@@ -58,10 +58,18 @@
 /// Returns the lower-case name of \p Outcome.
 std::string_view runOutcomeName(RunOutcome Outcome);
 
-/// Order to start one run of a task. All times are on the worker's clock.
+/// Order to start one run of a task. All times are on the clock of the process
+/// that the order is for.
+///
+/// Orders hold for one process of a worker, which is named by the start of its
+/// incarnation: the next one under the same id has a clock of its own, and no
+/// runs. An order reaches that process or none. If no process is named, the
+/// order reaches whichever is there.
 struct StartOrder {
   TaskName Task;
   int Run = 0;
+  /// Process that the order is for; zero for any.
+  milliseconds Incarnation{0};
   std::string Payload;
   /// End of the run's lease: the worker does not start the run after this time
   /// and kills it at this time unless the lease has been extended.
@@ -79,6 +87,8 @@
 struct StopOrder {
   TaskName Task;
   int Run = 0;
+  /// As in StartOrder.
+  milliseconds Incarnation{0};
   uint64_t Epoch = 0;
 };
 
@@ -86,6 +96,8 @@
 struct PaceOrder {
   TaskName Task;
   int Run = 0;
+  /// As in StartOrder.
+  milliseconds Incarnation{0};
   int Percent = 100;
   uint64_t Epoch = 0;
 };
@@ -163,7 +175,7 @@
   NoRoom,
   /// The worker is unhealthy; the order had no effect.
   Unhealthy,
-  /// Another incarnation of the worker answered.
+  /// Another incarnation of the worker is at its address.
   WrongIncarnation,
   /// The worker could not interpret the order.
   Invalid,
@@ -175,12 +187,16 @@
 struct StartReply {
   StartOutcome Outcome = StartOutcome::Started;
   milliseconds Clock{0};
+  /// Time for which the order waited for a call that showed which process is at
+  /// the other end of its connection.
+  nanoseconds Waited{0};
 };
 
 /// Sends orders to workers. Calls return immediately; the callback runs later
 /// on the caller's event loop, exactly once. An order that is not answered may
 /// still be carried out, even seconds later: its result is OutcomeUnknown, or
-/// Unavailable if no byte of it was sent.
+/// Unavailable if no byte of it was sent. WrongIncarnation means too that no
+/// byte was sent, or that the receiver has refused the call.
 class TaskWorkers {
 public:
   using StartDone = std::function<void(Result<StartReply>)>;
--- a/src/libbasilchute/jobshard_astray.cpp
+++ b/src/libbasilchute/jobshard_astray.cpp
@@ -66,10 +66,12 @@
     Slot.AstrayOrdersUntil =
         std::max(Slot.AstrayOrdersUntil, Sent + MaxOrderDelay);
     if (!Slot.Runs.count(Key) && canSendOrders())
-      m_workers.stop(
-          Slot.Entry,
-          {.Task = Key.first, .Run = Key.second, .Epoch = m_options.Epoch},
-          [](const Status &) {});
+      m_workers.stop(Slot.Entry,
+                     {.Task = Key.first,
+                      .Run = Key.second,
+                      .Incarnation = Slot.Incarnation,
+                      .Epoch = m_options.Epoch},
+                     [](const Status &) {});
   }
 }
 
@@ -102,14 +104,17 @@
                     (Now - Run.ObservedSince) / milliseconds(1)));
     Run.IsStopWanted = true;
     Run.StopSentAt = Now;
-    m_workers.stop(
-        Slot.Entry,
-        {.Task = Key.first, .Run = Key.second, .Epoch = m_options.Epoch},
-        [Weak = weak_from_this(), Id = Slot.Entry.Id,
-         Incarnation = Slot.Incarnation, Stopped = Key](const Status &Answer) {
-          if (auto Self = Weak.lock())
-            Self->onAstrayStop(Id, Incarnation, Stopped, Answer);
-        });
+    m_workers.stop(Slot.Entry,
+                   {.Task = Key.first,
+                    .Run = Key.second,
+                    .Incarnation = Slot.Incarnation,
+                    .Epoch = m_options.Epoch},
+                   [Weak = weak_from_this(), Id = Slot.Entry.Id,
+                    Incarnation = Slot.Incarnation,
+                    Stopped = Key](const Status &Answer) {
+                     if (auto Self = Weak.lock())
+                       Self->onAstrayStop(Id, Incarnation, Stopped, Answer);
+                   });
   }
 }
 
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -498,7 +498,7 @@
   static bool canTakeStart(const WorkerSlot &Slot) {
     return Slot.IsFenced && Slot.IsListed && Slot.IsStored &&
            !Slot.Entry.IsDraining && Slot.MissedPolls == 0 &&
-           Slot.isEntryCurrent();
+           !Slot.IsProcessGone && Slot.isEntryCurrent();
   }
   /// A start order on its way.
   struct SentStart {
--- a/src/libbasilchute/jobshard_interference.cpp
+++ b/src/libbasilchute/jobshard_interference.cpp
@@ -90,6 +90,7 @@
       Slot.Entry,
       {.Task = Key.first,
        .Run = Key.second,
+       .Incarnation = Slot.Incarnation,
        .Percent = Percent,
        .Epoch = m_options.Epoch},
       [Weak = weak_from_this(), Id = Slot.Entry.Id, Key](const Status &Answer) {
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -86,6 +86,7 @@
   m_startWindow.onSent();
   StartOrder Order{.Task = Key.first,
                    .Run = Key.second,
+                   .Incarnation = Slot.Incarnation,
                    .Payload = Entry.Spec.Payload,
                    .LeaseUntil = Reservation.StartDeadline,
                    .Epoch = m_options.Epoch,
@@ -112,7 +113,10 @@
                              Result<StartReply> Answer) {
   const auto &[Worker, Incarnation, Key, Sent] = Order;
   if (Answer.has_value()) {
-    nanoseconds RoundTrip = m_time.now() - Sent;
+    nanoseconds Waited = Answer.value().Waited;
+    if (Waited.count() > 0)
+      m_startWindow.onProbed(Waited, m_time.now());
+    nanoseconds RoundTrip = m_time.now() - Sent - Waited;
     m_startWindow.onAnswered(RoundTrip, m_time.now());
     ++m_counts.StartsAnswered;
     m_counts.TotalStartRoundTrip += RoundTrip;
@@ -170,6 +174,9 @@
           Answer.has_value() ? static_cast<int>(Answer.value().Outcome) : -1));
   bool IsFenced =
       Answer.has_value() && Answer.value().Outcome == StartOutcome::StaleEpoch;
+  if (IsOfThisProcess && Answer.has_value() &&
+      Answer.value().Outcome == StartOutcome::WrongIncarnation)
+    Slot.IsProcessGone = true;
   if (Answer.has_value() && Answer.value().Outcome == StartOutcome::NoApproval)
     m_approvals.removeTicket({.Job = Key.first.Job,
                               .Occurrence = Key.first.Occurrence,
@@ -198,10 +205,12 @@
   if (It->second.Phase == RunPhase::Running)
     It->second.Phase = RunPhase::Stopping;
   It->second.StopSentAt = m_time.now();
-  m_workers.stop(
-      Slot.Entry,
-      {.Task = Key.first, .Run = Key.second, .Epoch = m_options.Epoch},
-      [](const Status &) {});
+  m_workers.stop(Slot.Entry,
+                 {.Task = Key.first,
+                  .Run = Key.second,
+                  .Incarnation = Slot.Incarnation,
+                  .Epoch = m_options.Epoch},
+                 [](const Status &) {});
 }
 
 // Neither the order nor its answer is certain to arrive, so a run that is seen
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -157,11 +157,12 @@
   }
   PollReply &Reply = Answer.value();
   TimePoint Now = m_time.now();
-  if (Slot.Incarnation.count() != 0 && Reply.Incarnation != Slot.Incarnation) {
+  bool IsNext =
+      Slot.Incarnation.count() != 0 && Reply.Incarnation != Slot.Incarnation;
+  if (IsNext) {
     std::set<RunKey> Astray = runsForNext(Slot, Sent);
     loseIncarnation(Slot, "worker_reborn", Now - Reply.Clock, Astray);
     setAstray(Slot, Astray);
-    stopUnansweredStarts(Slot);
   }
   if (Slot.Incarnation != Reply.Incarnation || Slot.MissedPolls > 0)
     resolveExposures(Slot, Reply.Incarnation);
@@ -169,12 +170,15 @@
     resolveCrash(Worker, Dropped->second.Incarnation != Reply.Incarnation,
                  "worker_answers");
   Slot.setIncarnation(Reply.Incarnation);
+  if (IsNext)
+    stopUnansweredStarts(Slot);
   if (!Slot.isEntryCurrent())
     refreshFleet();
   Slot.setAlive(Reply.Clock, Now);
   Slot.setClock(Reply.Clock, Now);
   Slot.LastAnswer = Now;
   Slot.MissedPolls = 0;
+  Slot.IsProcessGone = false;
   bool IsFirstPoll = !Slot.IsFenced;
   Slot.IsFenced = true;
   // Nobody else can extend the leases any more.
--- a/src/libbasilchute/orderwindow.h
+++ b/src/libbasilchute/orderwindow.h
@@ -40,6 +40,11 @@
   /// Counts an answer that arrived at \p Now, \p RoundTrip after its order was
   /// sent.
   void onAnswered(nanoseconds RoundTrip, TimePoint Now);
+  /// Records that a call before the order was answered \p RoundTrip after its
+  /// sending, or a little more. Its time is comparable to that of an order.
+  void onProbed(nanoseconds RoundTrip, TimePoint Now) {
+    recordRoundTrip(RoundTrip, Now);
+  }
   /// Counts an order that will not be answered. The limit stays, because a
   /// missing answer is due to the worker, not to this host.
   void onUnanswered() { --m_inFlight; }
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -132,6 +132,9 @@
   /// Runs of this incarnation that were given up since their leases were over.
   /// Another incarnation shows that the worker crashed under them.
   std::vector<ExposedRun> LostRuns;
+  /// An order has found another process at the worker's address. Nothing is
+  /// started until a poll is answered.
+  bool IsProcessGone = false;
   /// Consecutive polls without an answer.
   int MissedPolls = 0;
   /// Start of the worker's incarnation.
--- a/src/libutil/http.cpp
+++ b/src/libutil/http.cpp
@@ -61,6 +61,11 @@
 
 } // namespace
 
+bool closesConnection(const HttpResponse &Response) {
+  const std::string *Value = findHeader(Response.Headers, "connection");
+  return Value && equalsNoCase(*Value, "close");
+}
+
 void stripHopByHop(std::vector<HttpHeader> &Headers) {
   std::vector<std::string> Options = connectionOptions(Headers);
   std::erase_if(Headers, [&](const HttpHeader &Header) {
--- a/src/libutil/http.h
+++ b/src/libutil/http.h
@@ -40,6 +40,8 @@
 /// Returns the value of the first header named \p Name, ignoring case, or null.
 const std::string *findHeader(const std::vector<HttpHeader> &Headers,
                               std::string_view Name);
+/// Returns true if \p Response announces that its connection closes.
+bool closesConnection(const HttpResponse &Response);
 /// Removes the headers that apply to a single connection: the standard
 /// hop-by-hop headers, those listed in Connection, and the two that delimit the
 /// body (Content-Length and Transfer-Encoding).
--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -152,8 +152,9 @@
   }
 
   void complete(Transfer &Ended, CURLcode Code) {
-    if (Ended.IsRefused && !Ended.Request.UseKeptConnection) {
-      // The next kept connection is tried; with none left a new one is opened.
+    if (Ended.IsRefused) {
+      // The next kept connection is tried; with none left a new one is opened,
+      // if the request may use one.
       Ended.IsRefused = false;
       ++m_refusedConnections;
       curl_multi_remove_handle(m_multi, Ended.Easy);
--- a/src/libutil/httpclient.h
+++ b/src/libutil/httpclient.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -42,9 +43,10 @@
   /// before, so that it reaches the very process that has answered there. If
   /// there is none, the result is Unavailable. Excludes UseNewConnection.
   bool UseKeptConnection = false;
-  /// With UseKeptConnection: the local port of the connection that must be
-  /// used; zero for any.
-  int LocalPort = 0;
+  /// With UseKeptConnection: the local ports of the connections that may be
+  /// used; empty for any. Other kept connections to the address are closed if
+  /// they are found before one of these.
+  std::vector<int> LocalPorts;
 };
 
 /// Settings of an HttpClient.
--- a/src/libutil/httptransfer.cpp
+++ b/src/libutil/httptransfer.cpp
@@ -66,10 +66,12 @@
 // Called before each time that libcurl sends the request.
 int onConnected(void *UserData, char *, char *, int, int LocalPort) {
   auto *Current = static_cast<Transfer *>(UserData);
-  bool IsOther = Current->Request.LocalPort != 0 &&
-                 Current->Request.LocalPort != LocalPort;
-  if (!Current->maySend() || IsOther)
+  if (!Current->maySend())
     return CURL_PREREQFUNC_ABORT;
+  if (!Current->mayUse(LocalPort)) {
+    Current->IsRefused = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   // libcurl sends the request again after a connection that has just ended.
   TimePoint Now = now();
   if (Current->Sends > 0 && Current->wasGivenUp(Now))
--- a/src/libutil/httptransfer.h
+++ b/src/libutil/httptransfer.h
@@ -51,8 +51,8 @@
   /// none.
   TimePoint LastReceived{};
 
-  /// True if the connection that libcurl chose is suspect. Nothing was sent on
-  /// it, and libcurl has closed it.
+  /// True if the connection that libcurl chose is suspect, or another one than
+  /// the request may use. Nothing was sent on it, and libcurl has closed it.
   bool IsRefused = false;
   /// The same request on another connection; null if there is none. Whichever
   /// is answered first ends both.
@@ -66,6 +66,13 @@
   bool maySend() const {
     return isIdempotent() || Sends == 0 || sentBytes() == 0;
   }
+  /// Returns true if the request may be sent on the connection from
+  /// \p Port.
+  bool mayUse(int Port) const {
+    const std::vector<int> &Allowed = Request.LocalPorts;
+    return Allowed.empty() ||
+           std::find(Allowed.begin(), Allowed.end(), Port) != Allowed.end();
+  }
   /// Returns HOST:PORT of the server.
   std::string peer() const {
     return Request.Address.substr(0, Request.Address.find('/'));
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -120,15 +120,81 @@
     return;
   }
   ModelWorker *Model = m_bed.workerById(Worker.Id);
-  if (m_bed.Store.chance(Model->DelayedStartPercent)) {
+  bool IsForAny = Order.Incarnation.count() == 0;
+  if ((IsForAny || Model->startTime() == Order.Incarnation) &&
+      m_bed.Store.chance(Model->DelayedStartPercent)) {
     delayStart(*Model, Order, Done);
     return;
   }
-  send([this, Model, Order, Done, Address = Model->Entry.Address] {
-    if (Model->Entry.Address == Address)
-      executeStart(*Model, Order, Done);
+  auto Arrived = [this, Model, Order, Done](nanoseconds Waited) {
+    executeStart(*Model, Order, [Done, Waited](Result<StartReply> Reply) {
+      if (Reply.has_value())
+        Reply.value().Waited = Waited;
+      Done(std::move(Reply));
+    });
+  };
+  auto Failed = [Done](const Error &Why) {
+    if (Why.Code == ResultCode::WrongIncarnation)
+      Done(StartReply{.Outcome = StartOutcome::WrongIncarnation});
     else
-      reply(OrderTimeout, [Done] { Done(noResponse()); });
+      Done(Why);
+  };
+  sendToProcess(*Model, {.Incarnation = Order.Incarnation,
+                         .Arrived = std::move(Arrived),
+                         .Failed = std::move(Failed)});
+}
+
+// As on connections: a probe goes first where none has been answered by the
+// process, and what is on its way when the process ends is lost.
+void HostTaskWorkers::sendToProcess(ModelWorker &Model, ProcessOrder Order) {
+  auto Known = m_orderConnections.find(Model.Entry.Id);
+  bool IsKnown =
+      Known != m_orderConnections.end() && Known->second == Order.Incarnation;
+  if (IsKnown || Order.Incarnation.count() == 0)
+    return sendOnConnection(Model, Order, nanoseconds(0));
+  std::vector<ProcessOrder> &Waiting = m_probes[Model.Entry.Id];
+  Order.Since = m_bed.now();
+  Waiting.push_back(std::move(Order));
+  if (Waiting.size() > 1)
+    return;
+  send([this, &Model, Address = Model.Entry.Address] {
+    bool IsAnswered = !Model.IsDown && Model.Entry.Address == Address;
+    reply(IsAnswered ? m_bed.options().NetworkDelay : OrderTimeout,
+          [this, &Model, IsAnswered, Answered = Model.startTime()] {
+            endProbe(Model,
+                     IsAnswered ? std::optional(Answered) : std::nullopt);
+          });
+  });
+}
+
+void HostTaskWorkers::endProbe(ModelWorker &Model,
+                               std::optional<milliseconds> Answered) {
+  std::vector<ProcessOrder> Waiting =
+      std::move(m_probes.extract(Model.Entry.Id).mapped());
+  if (Answered)
+    m_orderConnections[Model.Entry.Id] = *Answered;
+  for (const ProcessOrder &Order : Waiting) {
+    if (!Answered)
+      Order.Failed(makeError(ResultCode::Unavailable, "no answer to a probe"));
+    else if (*Answered != Order.Incarnation)
+      Order.Failed(
+          makeError(ResultCode::WrongIncarnation, "another process is there"));
+    else
+      sendOnConnection(Model, Order, m_bed.now() - Order.Since);
+  }
+}
+
+void HostTaskWorkers::sendOnConnection(ModelWorker &Model,
+                                       const ProcessOrder &Order,
+                                       nanoseconds Waited) {
+  send([this, &Model, Order, Waited, Address = Model.Entry.Address] {
+    bool IsReached = Model.IsDown || Order.Incarnation.count() == 0 ||
+                     Model.startTime() == Order.Incarnation;
+    if (IsReached && Model.Entry.Address == Address)
+      return Order.Arrived(Waited);
+    m_orderConnections.erase(Model.Entry.Id);
+    reply(IsReached ? OrderTimeout : m_bed.options().NetworkDelay,
+          [Order] { Order.Failed(noResponse()); });
   });
 }
 
@@ -185,11 +251,13 @@
     reply(OrderTimeout, [Done] { Done(noResponse()); });
     return;
   }
-  send([this, Model, Order, Done, Address = Model->Entry.Address] {
-    bool IsGone = Model->IsDown || Model->Entry.Address != Address;
-    Status Out = IsGone ? Status(noResponse()) : Model->stop(Order);
+  auto Arrived = [this, Model, Order, Done](nanoseconds) {
+    Status Out = Model->IsDown ? Status(noResponse()) : Model->stop(Order);
     reply(m_bed.options().NetworkDelay, [Done, Out] { Done(Out); });
-  });
+  };
+  sendToProcess(*Model, {.Incarnation = Order.Incarnation,
+                         .Arrived = std::move(Arrived),
+                         .Failed = [Done](const Error &Why) { Done(Why); }});
 }
 
 void HostTaskWorkers::pace(const WorkerEntry &Worker, PaceOrder Order,
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -111,6 +111,21 @@
   void send(std::function<void()> Action);
   /// Runs \p Action on the host's processor after \p Delay.
   void reply(milliseconds Delay, std::function<void()> Action);
+  /// An order for one process of a worker, or for any if none is named.
+  struct ProcessOrder {
+    milliseconds Incarnation{0};
+    TimePoint Since{};
+    /// Called at the worker with the time for which the order waited for a
+    /// probe.
+    std::function<void(nanoseconds)> Arrived;
+    /// Called at the host.
+    std::function<void(const Error &)> Failed;
+  };
+  void sendToProcess(ModelWorker &Model, ProcessOrder Order);
+  /// \p Answered is the process that has answered the probe, if any did.
+  void endProbe(ModelWorker &Model, std::optional<milliseconds> Answered);
+  void sendOnConnection(ModelWorker &Model, const ProcessOrder &Order,
+                        nanoseconds Waited);
   /// Holds a start order up.
   void delayStart(ModelWorker &Model, const StartOrder &Order,
                   const StartDone &Done);
@@ -141,6 +156,11 @@
   int m_maxStartsInFlight = 0;
   /// Process at the other end of the connection for polls, by worker.
   std::map<std::string, TimePoint> m_pollConnections;
+  /// Start of the process at the other end of the connections for orders, by
+  /// worker.
+  std::map<std::string, milliseconds> m_orderConnections;
+  /// Orders that wait for the end of a probe, by worker.
+  std::map<std::string, std::vector<ProcessOrder>> m_probes;
 };
 
 /// Access of one host to the approval service, which approves every second
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -496,10 +496,8 @@
   std::erase_if(m_ended, [&](const Completion &Ended) {
     return Ended.Number <= Order.AcknowledgedCompletions;
   });
-  PollReply Out{.Clock = clock(),
-                .Incarnation = milliseconds(m_incarnation.time_since_epoch() /
-                                            milliseconds(1)),
-                .Completions = m_ended};
+  PollReply Out{
+      .Clock = clock(), .Incarnation = startTime(), .Completions = m_ended};
   if (Out.Completions.size() >= MaxListedCompletions) {
     Out.Completions.resize(MaxListedCompletions);
     Out.HasMoreCompletions = true;
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -215,6 +215,11 @@
   bool hasRuns() const { return !m_runs.empty(); }
   /// Start time of the current incarnation, which identifies it.
   TimePoint incarnation() const { return m_incarnation; }
+  /// The same as in answers to polls.
+  milliseconds startTime() const {
+    return std::chrono::duration_cast<milliseconds>(
+        m_incarnation.time_since_epoch());
+  }
   /// Ends all runs as failed.
   void failRuns();
   /// Ends all runs, drops all state and starts a new incarnation.
