Report a request as sent although its transfer was begun again

An idempotent request that was sent on a kept connection and refused on the next one was reported as Unavailable, which means that no byte was sent: adding the libcurl handle again resets the count of sent bytes. Stops and paces were then sent twice, which is harmless; a start is never sent a second time. The bytes are summed over all attempts now.

'an idempotent request that was sent on its one allowed connection is not reported as never sent' failed before (201 in place of 300) and passes.

--- a/src/libutil/httpclient.cpp
+++ b/src/libutil/httpclient.cpp
@@ -156,6 +156,7 @@
       // The next kept connection is tried; with none left a new one is opened,
       // if the request may use one.
       Ended.IsRefused = false;
+      Ended.EarlierBytes = Ended.sentBytes();
       ++m_refusedConnections;
       curl_multi_remove_handle(m_multi, Ended.Easy);
       curl_multi_add_handle(m_multi, Ended.Easy);
--- a/src/libutil/httpclient_test.cpp
+++ b/src/libutil/httpclient_test.cpp
@@ -527,3 +527,48 @@
     }
   CHECK(Client.openedConnections() == Addresses);
 }
+
+// Review. Unavailable means that no byte was sent.
+TEST_CASE("an idempotent request that was sent on its one allowed connection "
+          "is not reported as never sent") {
+  for (size_t Allowed : {0, 1}) {
+    constexpr size_t Connections = 2;
+    RawServer *ServerPointer = nullptr;
+    std::atomic<size_t> Reads{0};
+    std::atomic<int> Posts{0};
+    RawServer Server([&](int Fd, int) {
+      while (true) {
+        std::string Request = ServerPointer->readRequest(Fd);
+        if (Request.starts_with("POST"))
+          ++Posts;
+        if (!Request.starts_with("GET"))
+          return;
+        ++Reads;
+        awaitCount(Reads, Connections);
+        RawServer::write(Fd, OkResponse);
+      }
+    });
+    ServerPointer = &Server;
+    HttpClient Client({});
+    std::vector<std::promise<int>> Ports(Connections);
+    for (std::promise<int> &Port : Ports)
+      Client.send({.Address = Server.address() + "/"},
+                  [&Port](const Result<HttpResponse> &Response) {
+                    Port.set_value(Response.value().LocalPort);
+                  });
+    std::vector<int> Known;
+    for (std::promise<int> &Port : Ports)
+      Known.push_back(Port.get_future().get());
+    Result<HttpResponse> Response =
+        sendAndWait(Client, {.Method = "POST",
+                             .Address = Server.address() + "/",
+                             .Body = "x=1",
+                             .IsIdempotent = true,
+                             .UseKeptConnection = true,
+                             .LocalPorts = {Known[Allowed]}});
+    REQUIRE(Response.has_error());
+    CAPTURE(Response.error().Message);
+    CHECK(Posts == 1);
+    CHECK(Response.error().Code == ResultCode::OutcomeUnknown);
+  }
+}
--- a/src/libutil/httptransfer.h
+++ b/src/libutil/httptransfer.h
@@ -54,6 +54,8 @@
   /// True if the connection that libcurl chose is suspect, or another one than
   /// the request may use. Nothing was sent on it, and libcurl has closed it.
   bool IsRefused = false;
+  /// Bytes that were sent before the transfer was begun again.
+  long EarlierBytes = 0;
   /// The same request on another connection; null if there is none. Whichever
   /// is answered first ends both.
   Transfer *Twin = nullptr;
@@ -128,7 +130,7 @@
   long sentBytes() const {
     long Bytes = 0;
     curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &Bytes);
-    return Bytes;
+    return EarlierBytes + Bytes;
   }
 
   ~Transfer() {
