Name the process in polls too, and take no announced end for a habit

Cause: what a connection tells of its process was kept by worker and by the last answer, without the process and the time.

--- a/src/include/basilchute/taskworker.h
+++ b/src/include/basilchute/taskworker.h
@@ -115,6 +115,9 @@
   }
 
   uint64_t Epoch = 0;
+  /// Process that leases and acknowledgements are for; zero for the one that
+  /// has answered last.
+  milliseconds Incarnation{0};
   /// New end of the leases; none leaves the leases unchanged.
   std::optional<milliseconds> LeaseUntil;
   /// Acknowledges the completions up to this number, which the worker may then
@@ -188,8 +191,10 @@
   StartOutcome Outcome = StartOutcome::Started;
   milliseconds Clock{0};
   /// Time for which the order waited for a call that showed which process is at
-  /// the other end of its connection.
+  /// the other end of its connection, and the round trip of that call; zero if
+  /// there was none.
   nanoseconds Waited{0};
+  nanoseconds ProbeRoundTrip{0};
 };
 
 /// Sends orders to workers. Calls return immediately; the callback runs later
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -113,10 +113,10 @@
                              Result<StartReply> Answer) {
   const auto &[Worker, Incarnation, Key, Sent] = Order;
   if (Answer.has_value()) {
-    nanoseconds Waited = Answer.value().Waited;
-    if (Waited.count() > 0)
-      m_startWindow.onProbed(Waited, m_time.now());
-    nanoseconds RoundTrip = m_time.now() - Sent - Waited;
+    const StartReply &Reply = Answer.value();
+    if (Reply.ProbeRoundTrip.count() > 0)
+      m_startWindow.onProbed(Reply.ProbeRoundTrip, m_time.now());
+    nanoseconds RoundTrip = m_time.now() - Sent - Reply.Waited;
     m_startWindow.onAnswered(RoundTrip, m_time.now());
     ++m_counts.StartsAnswered;
     m_counts.TotalStartRoundTrip += RoundTrip;
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -120,7 +120,9 @@
 
 void JobShard::Impl::poll(WorkerSlot &Slot) {
   TimePoint Now = m_time.now();
-  PollOrder Order{.Epoch = m_options.Epoch, .Wait = pollWaitFor(Slot)};
+  PollOrder Order{.Epoch = m_options.Epoch,
+                  .Incarnation = Slot.Incarnation,
+                  .Wait = pollWaitFor(Slot)};
   // After an unanswered poll the worker may be a new incarnation that numbers
   // its completions from 1 again, so none of them may be acknowledged.
   if (Slot.MissedPolls == 0)
--- a/src/libbasilchute/orderwindow.h
+++ b/src/libbasilchute/orderwindow.h
@@ -40,8 +40,8 @@
   /// Counts an answer that arrived at \p Now, \p RoundTrip after its order was
   /// sent.
   void onAnswered(nanoseconds RoundTrip, TimePoint Now);
-  /// Records that a call before the order was answered \p RoundTrip after its
-  /// sending, or a little more. Its time is comparable to that of an order.
+  /// Records the round trip of another call to a worker, which takes about as
+  /// long as that of an order.
   void onProbed(nanoseconds RoundTrip, TimePoint Now) {
     recordRoundTrip(RoundTrip, Now);
   }
--- a/src/libutil/processclient.cpp
+++ b/src/libutil/processclient.cpp
@@ -13,6 +13,8 @@
 /// Peers that were not called for this long are forgotten; HttpClient closes
 /// connections that are idle for longer by default.
 constexpr milliseconds ForgetAfter{20000};
+/// A peer that has ended so many connections in a row keeps none.
+constexpr int EndsOfClosingPeer = 2;
 
 } // namespace
 
@@ -30,7 +32,7 @@
   void send(ProcessRequest Request, Callback OnDone) {
     forgetIdlePeers();
     std::string Address = Request.Request.Address;
-    Key Id{Request.Peer, Address.substr(0, Address.find('/'))};
+    Key Id = Address.substr(0, Address.find('/'));
     TimePoint Now = m_time.now();
     TimePoint Deadline = Now + Request.Request.Timeout;
     Peer &Target = m_peers[Id];
@@ -45,8 +47,8 @@
   uint64_t probes() const { return m_probes; }
 
 private:
-  /// Name and address of a peer.
-  using Key = std::pair<std::string, std::string>;
+  /// HOST:PORT of a peer.
+  using Key = std::string;
 
   struct Pending {
     ProcessRequest Call;
@@ -55,7 +57,7 @@
     /// The connections that were known had ended before the request was sent.
     bool WasPutBack = false;
     TimePoint Since{};
-    nanoseconds Waited{0};
+    ProbeTimes Probe;
   };
 
   struct Peer {
@@ -68,6 +70,10 @@
     /// Number of times that the connections were given up.
     int Generation = 0;
     bool IsProbing = false;
+    TimePoint ProbedAt{};
+    /// Number of connections in a row that the process has ended, announced or
+    /// not, before a request could be sent on them.
+    int EndedConnections = 0;
     std::deque<Pending> Waiting;
     TimePoint UsedAt{};
 
@@ -122,14 +128,13 @@
         Waiting.begin(), Waiting.end(),
         [&](const Pending &Request) { return !IsEnded(Request); });
     for (auto It = First; It != Waiting.end(); ++It)
-      m_loop.post([OnDone = std::move(It->OnDone), Why] {
-        OnDone(Why, nanoseconds(0));
-      });
+      m_loop.post([OnDone = std::move(It->OnDone), Why] { OnDone(Why, {}); });
     Waiting.erase(First, Waiting.end());
   }
 
   void probe(const Key &Id, Peer &Target) {
     Target.IsProbing = true;
+    Target.ProbedAt = m_time.now();
     ++m_probes;
     ClientRequest Request = Target.Waiting.front().Call.Probe;
     Request.UseNewConnection = true;
@@ -141,6 +146,9 @@
   void onProbed(const Key &Id, const Result<HttpResponse> &Answer) {
     Peer &Target = m_peers[Id];
     Target.IsProbing = false;
+    // A port that was given up may be that of another connection now.
+    if (Answer.has_value())
+      std::erase(Target.Ports, Answer.value().LocalPort);
     Result<milliseconds> Process =
         Answer.has_value()
             ? m_options.Identify(Answer.value())
@@ -148,23 +156,36 @@
                   makeError(ResultCode::Unavailable, Answer.error().Message));
     if (!Process.has_value())
       return onProbeFailed(Id, Process.error());
-    if (Process.value() != Target.Process)
+    if (Process.value() != Target.Process) {
       Target.giveUpConnections();
+      Target.EndedConnections = 0;
+    }
     Target.Process = Process.value();
+    // A request that came later may be for a process that is newer still.
     endWaiting(Id,
                makeError(ResultCode::WrongIncarnation,
                          "another process answers at the address"),
                [&](const Pending &Request) {
-                 return Request.Call.Process != Process.value();
+                 return Request.Call.Process != Target.Process &&
+                        Request.Since <= Target.ProbedAt;
                });
-    for (Pending &Request : Target.Waiting)
-      Request.Waited = m_time.now() - Request.Since;
+    recordProbe(Target);
     if (closesConnection(Answer.value()))
-      return sendUnkept(Target);
-    Target.Ports.push_back(Answer.value().LocalPort);
+      ++Target.EndedConnections;
+    else
+      Target.Ports.push_back(Answer.value().LocalPort);
+    if (Target.EndedConnections >= EndsOfClosingPeer)
+      sendUnkept(Target);
     dispatch(Id);
   }
 
+  void recordProbe(Peer &Target) {
+    TimePoint Now = m_time.now();
+    for (Pending &Request : Target.Waiting)
+      Request.Probe = {.Waited = Now - Request.Since,
+                       .RoundTrip = Now - Target.ProbedAt};
+  }
+
   // Requests for the process to which connections are known go on waiting for
   // these.
   void onProbeFailed(const Key &Id, const Error &Why) {
@@ -174,22 +195,38 @@
     });
   }
 
+  // The next request finds out whether the peer keeps connections again.
   void sendUnkept(Peer &Target) {
+    Target.EndedConnections = EndsOfClosingPeer - 1;
     std::deque<Pending> Waiting = std::move(Target.Waiting);
     Target.Waiting.clear();
     for (Pending &Request : Waiting) {
-      Request.Call.Request.UseNewConnection = true;
-      sendOnLoop(std::move(Request.Call.Request),
-                 [OnDone = std::move(Request.OnDone), Waited = Request.Waited](
-                     Impl &, const auto &Answer) { OnDone(Answer, Waited); });
+      if (Request.Call.Process != Target.Process) {
+        Target.Waiting.push_back(std::move(Request));
+        continue;
+      }
+      ClientRequest Call = inTime(Request);
+      Call.UseNewConnection = true;
+      sendOnLoop(std::move(Call),
+                 [OnDone = std::move(Request.OnDone), Probe = Request.Probe](
+                     Impl &, const auto &Answer) { OnDone(Answer, Probe); });
     }
   }
 
+  /// Returns the request with the time that is left for it.
+  ClientRequest inTime(const Pending &Request) const {
+    ClientRequest Out = Request.Call.Request;
+    Out.Timeout = std::max(
+        milliseconds(1),
+        std::chrono::ceil<milliseconds>(Request.Deadline - m_time.now()));
+    return Out;
+  }
+
   void sendFirst(const Key &Id, Peer &Target) {
     auto First = std::make_shared<Pending>(std::move(Target.Waiting.front()));
     Target.Waiting.pop_front();
     ++Target.Busy;
-    ClientRequest Request = First->Call.Request;
+    ClientRequest Request = inTime(*First);
     Request.UseKeptConnection = true;
     Request.LocalPorts = Target.Ports;
     sendOnLoop(std::move(Request), [Id, First, Generation = Target.Generation](
@@ -213,11 +250,15 @@
     }
     bool WasNotSent =
         !Answer.has_value() && Answer.error().Code == ResultCode::Unavailable;
+    if (Answer.has_value())
+      Target.EndedConnections = 0;
+    else if (WasNotSent)
+      ++Target.EndedConnections;
     if (WasNotSent && !Request.WasPutBack) {
       Request.WasPutBack = true;
       Target.Waiting.push_front(std::move(Request));
     } else {
-      Request.OnDone(Answer, Request.Waited);
+      Request.OnDone(Answer, Request.Probe);
     }
     dispatch(Id);
   }
--- a/src/libutil/processclient.h
+++ b/src/libutil/processclient.h
@@ -13,10 +13,8 @@
 BASILCHUTE_NAMESPACE_BEGIN
 
 /// A request for one process of a peer that may be started again at its
-/// address, under its name.
+/// address.
 struct ProcessRequest {
-  /// Name of the peer; with the address in \c Request it identifies the peer.
-  std::string Peer;
   /// Start of the process since the Unix epoch.
   milliseconds Process{0};
   /// Harmless request, whose response tells which process sent it.
@@ -24,6 +22,13 @@
   ClientRequest Request;
 };
 
+/// Times of the last probe that a request waited for; zero if it did not.
+struct ProbeTimes {
+  /// Time for which the request waited, which may be a part of the round trip.
+  nanoseconds Waited{0};
+  nanoseconds RoundTrip{0};
+};
+
 /// Settings of a ProcessClient.
 struct ProcessClientOptions {
   /// Maximum number of connections to a peer. Requests wait for one of them.
@@ -38,20 +43,21 @@
 /// answered on it identifies the receiver of all later requests.
 ///
 /// A peer that closes each connection after its response gets requests on new
-/// ones, right after a probe.
+/// ones, right after a probe. Two connections must have ended so, since a
+/// process announces the end of its connections before it ends too.
 ///
 /// Used on the event loop only, where the callbacks run too. Requests in
 /// progress outlive this object, and end with the HTTP client; the loop must
 /// outlive both.
 class ProcessClient {
 public:
-  /// Called exactly once, with the response and the time for which the request
-  /// waited for a probe. Errors are those of HttpClient, in which Unavailable
-  /// means that nothing was sent, that of ProcessClientOptions::Identify, or
-  /// WrongIncarnation if another process answers at the address; nothing was
-  /// sent in the latter two cases.
+  /// Called exactly once. A request is not sent, and no response awaited, after
+  /// its time-out, which includes waiting. Errors are those of HttpClient, in
+  /// which Unavailable means that nothing was sent, that of
+  /// ProcessClientOptions::Identify, or WrongIncarnation if another process
+  /// answers at the address; nothing was sent in the latter two cases.
   using Callback =
-      std::function<void(const Result<HttpResponse> &, nanoseconds Waited)>;
+      std::function<void(const Result<HttpResponse> &, const ProbeTimes &)>;
 
   /// \p Http must send nothing else to these peers.
   ProcessClient(ProcessClientOptions Options, HttpClient &Http,
