Take a late answer to a start order for no answer to the next one

Orders that wait for a probe made late answers likelier.

onStart() ignores an answer to an order that was sent at another time than the one that the reservation stands for. 'A late refusal of a start does not end the next start of the same member of a gang' failed before (a.0.0.0 run 1 starts on w0 while running on w1, in 9 of 60 plays) and passes; the bed can answer late and refuse a number of starts for it. basilchute_tests: 532 of 532.

--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -137,8 +137,9 @@
       !Answer.has_value() && Answer.error().Code != ResultCode::Unavailable;
   if (IsOutcomeUnknown)
     addUnansweredStart(Slot, Key, Sent);
+  // A member of a gang may have been ordered again under its number since.
   auto RunIt = Slot.Runs.find(Key);
-  if (RunIt == Slot.Runs.end())
+  if (RunIt == Slot.Runs.end() || RunIt->second.ObservedSince != Sent)
     return;
   ReservedRun &Reservation = RunIt->second;
   TimePoint Now = m_time.now();
--- a/src/libjobhost/astraystart_test.cpp
+++ b/src/libjobhost/astraystart_test.cpp
@@ -143,3 +143,38 @@
       checkNoViolations(Test.Bed);
     }
 }
+
+// Guards against a member that runs twice. The late answer to the first order
+// for a member is taken for that to the second one, which has the same number
+// and may be for the same worker. Before the orders waited for probes, an order
+// ended after 0.5 s, which is the time that a start is valid.
+TEST_CASE("A late refusal of a start does not end the next start of the same "
+          "member of a gang") {
+  int Violations = 0;
+  for (milliseconds Delay : {600ms, 800ms, 950ms})
+    for (milliseconds Offset = 0ms; Offset < 1000ms; Offset += 50ms) {
+      CAPTURE(Delay.count());
+      CAPTURE(Offset.count());
+      JobTestBed Bed({.Hosts = 1, .Workers = 2});
+      Bed.run(2s);
+      REQUIRE(Bed.submit(0, longJob("b", 1, 8000)).has_value());
+      Bed.run(3s + Offset);
+      int Loaded = workerOf(Bed, taskOf("b"));
+      REQUIRE(Loaded >= 0);
+      Bed.host(0).AnswersLateStarts = true;
+      Bed.host(0).StartReplyDelay = Delay;
+      Bed.worker(1 - Loaded).RefusedStarts = 1;
+      Job Gang = chainJob("a", 1, 2, 3s);
+      Gang.Steps[0].Gang = true;
+      REQUIRE(Bed.submit(0, Gang).has_value());
+      // The second start has arrived; another worker becomes free.
+      bool IsThere = Bed.runUntil(
+          [&] { return Bed.worker(1 - Loaded).runs(taskOf("a", 0)); }, 2s);
+      REQUIRE(IsThere);
+      CHECK(Bed.cancel(0, "b").has_value());
+      Bed.run(4s);
+      if (!Bed.Oracle.violations().empty() && Violations++ == 0)
+        checkNoViolations(Bed);
+    }
+  CHECK(Violations == 0);
+}
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -130,6 +130,7 @@
     executeStart(*Model, Order, [Done, Waited](Result<StartReply> Reply) {
       if (Reply.has_value())
         Reply.value().Waited = Waited;
+      Reply.value().ProbeRoundTrip = Waited;
       Done(std::move(Reply));
     });
   };
@@ -233,7 +234,7 @@
   m_expiredStarts +=
       Out.has_value() && Out.value().Outcome == StartOutcome::TooLate;
   milliseconds Late = m_bed.host(m_host).StartReplyDelay;
-  if (Late >= OrderTimeout)
+  if (Late >= OrderTimeout && !m_bed.host(m_host).AnswersLateStarts)
     reply(OrderTimeout, [Done] { Done(noResponse()); });
   else
     reply(m_bed.options().NetworkDelay + Late, [Done, Out] { Done(Out); });
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -191,6 +191,10 @@
   /// Time by which the answers to start orders that were carried out are late;
   /// they are lost if it is the timeout of orders or more.
   milliseconds StartReplyDelay{0};
+  /// Start orders are answered after StartReplyDelay even if that is longer
+  /// than the time-out of a call: an order may wait for a probe of its
+  /// connection for as long, and is then sent with the whole time-out.
+  bool AnswersLateStarts = false;
   /// The process is about to end, as planned.
   bool IsStopping = false;
   /// When the worker list that the process has was read.
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -383,6 +383,11 @@
     return Out;
   }
   m_epoch = Order.Epoch;
+  if (RefusedStarts > 0) {
+    --RefusedStarts;
+    Out.Outcome = StartOutcome::Unhealthy;
+    return Out;
+  }
   auto It = m_runs.find(Order.Task);
   if (It != m_runs.end() && It->second.Run == Order.Run)
     return Out;
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -170,6 +170,8 @@
   bool DelayedStartsOutliveRestart = false;
   /// While set, stop orders are lost.
   bool LosesStops = false;
+  /// Number of start orders that are refused as by an unhealthy worker.
+  int RefusedStarts = 0;
   /// Longest lease that the worker grants, if it is set.
   std::optional<milliseconds> MaxLease;
   /// Percentage of runs that fail.
