--- a/src/libbasilchute/unplacedsteps_test.cpp
+++ b/src/libbasilchute/unplacedsteps_test.cpp
@@ -59,3 +59,16 @@
   CHECK_FALSE(Steps.isRoundOver());
   CHECK_FALSE(Steps.any());
 }
+
+// Guards against a step with a limit per worker that is never tried again while
+// each round ends at the limit of the other kind.
+TEST_CASE("A step with a limit per worker is tried in each round that ends "
+          "early") {
+  UnplacedSteps Steps;
+  for (int Round = 0; Round < 3; ++Round) {
+    CHECK(tryAll(Steps, 3).size() == 3);
+    for (size_t Count = 0; Count < UnplacedSteps::MaxPerRound; ++Count)
+      Steps.addPlain();
+    CHECK(Steps.isRoundOver());
+  }
+}
