Count the crash of a failure domain against no task

Cause: crashes that come together, of workers in one failure domain, were counted one by one. Each was weak evidence against each young task on it; two made a suspect, three kept a long-running suspect from being released. A worker outside the domain that crashed at the same time was taken for a part of it, so that a deadly task there had weak evidence only.

Change: workers that crash within a moment are one event if they are three quarters of their failure domain, or so many that unrelated crashes would be all in one domain less often than once in 1000. Such an event counts against no task, except one of a job that had just started on most of these workers, and leaves the evidence of a crash elsewhere as it is. A run that was not seen to last may yet have been deadly: after two such events its task is given up one crash earlier, so that the bound on starts of deadly tasks holds. Fleets that name one domain or none are judged as before. worker_crashed says domain_crash=.

A new owner still counts such crashes one by one.

--- a/src/libbasilchute/crashhistory.cpp
+++ b/src/libbasilchute/crashhistory.cpp
@@ -1,6 +1,7 @@
 #include "libbasilchute/crashhistory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -34,6 +35,8 @@
 /// By so many fewer a task is given up that may have crashed workers without
 /// being counted.
 constexpr int HiddenCrashes = 1;
+/// Crashes of failure domains that may have hidden one of the task.
+constexpr int MinDomainCrashes = 2;
 /// Crashes of one worker are no proof against a task.
 constexpr int MinCrashedWorkers = 2;
 /// Two crashes count as simultaneous if the times at which they can have
@@ -49,6 +52,9 @@
 /// as the cause.
 constexpr size_t HerdPart = 6;
 constexpr size_t MinHerd = 3;
+/// Crashes in one failure domain are its own if the chance is lower that
+/// unrelated ones are all there.
+constexpr double MaxDomainChance = 0.001;
 /// The trials on workers that answer may be expected to crash one of this many
 /// workers. A worker that crashed in a trial is away for some seconds, so that
 /// more trials are allowed in all.
@@ -79,6 +85,34 @@
 /// must have crashed them.
 bool isMost(size_t Part, size_t Count) { return Part * 4 >= Count * 3; }
 
+/// Returns the failure domains that went down when \p Crashed and \p Others
+/// crashed. The first crash is found while few of the others are: so many in
+/// one domain are enough as are there by chance less often than
+/// MaxDomainChance.
+std::set<std::string>
+downDomains(const SilentWorker &Crashed,
+            const std::vector<const SilentWorker *> &Others,
+            const FleetSize &Fleet) {
+  std::map<std::string, std::set<std::string>> Down;
+  Down[Crashed.Domain].insert(Crashed.Id);
+  for (const SilentWorker *Other : Others)
+    Down[Other->Domain].insert(Other->Id);
+  std::set<std::string> Out;
+  for (const auto &[Domain, Workers] : Down) {
+    auto Size = Fleet.Domains.find(Domain);
+    bool CanTell = !Domain.empty() && Size != Fleet.Domains.end() &&
+                   Size->second < Fleet.Workers && Workers.size() >= MinHerd;
+    if (!CanTell)
+      continue;
+    double Share =
+        static_cast<double>(Size->second) / static_cast<double>(Fleet.Workers);
+    double Chance = std::pow(Share, static_cast<double>(Workers.size()) - 1);
+    if (isMost(Workers.size(), Size->second) || Chance <= MaxDomainChance)
+      Out.insert(Domain);
+  }
+  return Out;
+}
+
 /// Returns the jobs that can have crashed \p Crashed if \p Others crashed at
 /// the same time: those with unseen runs on most of the workers. None if so few
 /// crashed that they can have crashed independently.
@@ -136,18 +170,26 @@
 
 std::map<TaskName, CrashEvidence>
 CrashHistory::judge(const SilentWorker &Crashed,
-                    const std::vector<SilentWorker> &Silent, size_t Workers,
-                    TimePoint Now) {
+                    const std::vector<SilentWorker> &Silent,
+                    const FleetSize &Fleet, TimePoint Now) {
   std::erase_if(m_recent, [&](const auto &Recent) {
     return Recent.first + RecentCrash < Now;
   });
   std::vector<const SilentWorker *> Others = crashedWith(Crashed, Silent);
+  std::set<std::string> Down = downDomains(Crashed, Others, Fleet);
+  bool IsOfDomain = Down.count(Crashed.Domain) > 0;
+  // The crash of another domain does not explain that of this worker.
+  std::vector<const SilentWorker *> Unexplained = Others;
+  if (!IsOfDomain)
+    std::erase_if(Unexplained, [&](const SilentWorker *Other) {
+      return Down.count(Other->Domain) > 0;
+    });
   std::optional<std::set<std::string>> Common =
-      commonJobs(Crashed, Others, Workers);
-  bool HasOtherCause = Common || std::any_of(Others.begin(), Others.end(),
-                                             [](const auto *Other) {
-                                               return !Other->hasUnseenRuns();
-                                             });
+      commonJobs(Crashed, Unexplained, Fleet.Workers);
+  bool HasOtherCause =
+      Common || !Down.empty() ||
+      std::any_of(Others.begin(), Others.end(),
+                  [](const auto *Other) { return !Other->hasUnseenRuns(); });
   std::map<TaskName, CrashEvidence> Out;
   for (const ExposedRun &Run : Crashed.Runs) {
     auto Trial = m_trials.find(Run.Task);
@@ -157,13 +199,16 @@
         Crashed.Runs.begin(), Crashed.Runs.end(), [&](const ExposedRun &Other) {
           return Other.Task != Run.Task && Other.isYoung();
         });
+    bool IsCommon = Common && Common->count(Run.Task.Job) && Run.isUnseen();
     CrashEvidence Evidence = CrashEvidence::None;
-    if (IsTrial)
+    if (IsOfDomain)
+      Evidence = IsCommon ? CrashEvidence::Strong : CrashEvidence::None;
+    else if (IsTrial)
       Evidence = IsOnly && !HasOtherCause ? CrashEvidence::Proof
                                           : CrashEvidence::Strong;
     else if (Run.isUnseen())
-      Evidence = !Common || Common->count(Run.Task.Job) ? CrashEvidence::Strong
-                                                        : CrashEvidence::Weak;
+      Evidence =
+          !Common || IsCommon ? CrashEvidence::Strong : CrashEvidence::Weak;
     else if (Run.isYoung())
       Evidence = CrashEvidence::Weak;
     if (Evidence == CrashEvidence::None)
@@ -198,6 +243,13 @@
   return Out;
 }
 
+bool CrashHistory::isDomainCrash(const SilentWorker &Crashed,
+                                 const std::vector<SilentWorker> &Silent,
+                                 const FleetSize &Fleet) const {
+  return downDomains(Crashed, crashedWith(Crashed, Silent), Fleet)
+      .count(Crashed.Domain);
+}
+
 bool CrashHistory::count(CrashRecord &Record, const CountedCrash &Crash) {
   double Weight =
       1.0 / static_cast<double>(std::max<size_t>(Crash.Suspects, 1));
@@ -207,7 +259,9 @@
   Record.Worker.clear();
   Record.Incarnation = milliseconds(0);
   const ExposedRun &Run = Crash.Run;
-  int Hidden = Crash.MayHaveHidden ? HiddenCrashes : 0;
+  int Hidden = Crash.MayHaveHidden || Record.DomainCrashes >= MinDomainCrashes
+                   ? HiddenCrashes
+                   : 0;
   // A run in a trial, or among many crashes, can have lasted although no answer
   // came in the meantime. Most tasks with one crash are innocent, and not to be
   // tried for long.
@@ -265,9 +319,10 @@
 }
 
 bool CrashHistory::needsProof(const CrashRecord &Record, bool MayHaveHidden) {
+  bool HasHidden = (MayHaveHidden && !Record.HasTrace) ||
+                   Record.DomainCrashes >= MinDomainCrashes;
   return countedCrashes(Record) + 1 >=
-         ProvenCrashes -
-             (MayHaveHidden && !Record.HasTrace ? HiddenCrashes : 0);
+         ProvenCrashes - (HasHidden ? HiddenCrashes : 0);
 }
 
 bool CrashHistory::mayRelease(const CrashRecord &Record) {
--- a/src/libbasilchute/crashhistory.h
+++ b/src/libbasilchute/crashhistory.h
@@ -36,6 +36,9 @@
   /// crashes. Not stored.
   std::set<std::string> CrashedWorkers;
   int RepeatedCrashes = 0;
+  /// Crashes of failure domains while no answer had shown that its run on them
+  /// lasted, so that the task may have crashed workers as well. Not stored.
+  int DomainCrashes = 0;
   /// A previous owner has stored a crash under the task, or a worker that may
   /// crash under it, so that few crashes are hidden. Not stored.
   bool HasTrace = false;
@@ -90,6 +93,8 @@
 /// A worker that fell silent, or crashed.
 struct SilentWorker {
   std::string Id;
+  /// Failure domain; empty if it is not known.
+  std::string Domain = {};
   /// Last answer, and the first call after it that had none.
   TimePoint AliveAt{};
   TimePoint SilentAt{};
@@ -98,6 +103,12 @@
   bool hasUnseenRuns() const;
 };
 
+/// Number of workers, in all and by failure domain.
+struct FleetSize {
+  size_t Workers = 0;
+  std::map<std::string, size_t> Domains = {};
+};
+
 /// A crash of a worker, as it counts for one task.
 struct CountedCrash {
   ExposedRun Run;
@@ -156,16 +167,21 @@
 /// worker: a crash then proves that the task is the cause, unless other workers
 /// crashed as well, or the worker crashed under the task before. A trial that
 /// lasts, or ends by itself, clears the suspicion, but the crashes stay
-/// counted.
+/// counted. The crash of a whole failure domain counts against no task, except
+/// one of a job that had just started on most of its workers.
 class CrashHistory {
 public:
   /// Judges the runs on \p Crashed, a worker of which another incarnation was
   /// found at \p Now. \p Silent are the other workers that do not answer,
-  /// \p Workers is the number of all workers. Tasks without evidence are left
-  /// out.
+  /// \p Fleet is the number of workers. Tasks without evidence are left out.
   std::map<TaskName, CrashEvidence>
   judge(const SilentWorker &Crashed, const std::vector<SilentWorker> &Silent,
-        size_t Workers, TimePoint Now);
+        const FleetSize &Fleet, TimePoint Now);
+  /// Returns true if \p Crashed went down together with its failure domain:
+  /// one event with a cause of its own, that says nothing about a task.
+  bool isDomainCrash(const SilentWorker &Crashed,
+                     const std::vector<SilentWorker> &Silent,
+                     const FleetSize &Fleet) const;
   /// Counts a crash in the task's record. Returns true if the task is to be
   /// given up.
   static bool count(CrashRecord &Record, const CountedCrash &Crash);
--- a/src/libbasilchute/crashhistory_test.cpp
+++ b/src/libbasilchute/crashhistory_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 const TimePoint Start{1h};
-constexpr size_t Workers = 24;
+const FleetSize Workers{.Workers = 24};
 
 TaskName task(const std::string &Job, int Index = 0) {
   return {.Job = Job, .Index = Index};
@@ -451,3 +451,66 @@
   CHECK_FALSE(History.isUnsteady("w1", Start + 9s));
   CHECK_FALSE(History.isUnsteady("w0", Start + 60s));
 }
+
+// Guards against tasks that become suspects since the failure domain that they
+// are in goes down again and again, and against a deadly one beside it that
+// does not.
+TEST_CASE("The crash of a failure domain is evidence against no task on it") {
+  const FleetSize Fleet{.Workers = 24, .Domains = {{"a", 8}, {"b", 16}}};
+  auto Of = [](SilentWorker Worker, const std::string &Domain) {
+    Worker.Domain = Domain;
+    return Worker;
+  };
+  for (int Number = 0; Number < 8; ++Number) {
+    CAPTURE(Number);
+    CrashHistory History;
+    History.begin(task("tried"), {"w0"}, 1, Start);
+    History.setStarted(task("tried"));
+    std::vector<SilentWorker> Silent;
+    for (int Other = 1; Other <= Number; ++Other)
+      Silent.push_back(Of(silent(fmt::format("w{}", Other), 0ms), "a"));
+    SilentWorker Crashed =
+        Of(silent("w0", 0ms, {unseen("new"), unseen("tried"), seen("old", 1s)}),
+           "a");
+    SilentWorker Outside = Of(silent("w9", 0ms, {unseen("deadly")}), "b");
+    bool IsMost = Number >= 5;
+    CHECK(History.isDomainCrash(Crashed, Silent, Fleet) == IsMost);
+    CHECK(History.judge(Crashed, Silent, Fleet, Start + 3s).empty() == IsMost);
+    CHECK_FALSE(History.isDomainCrash(Outside, Silent, Fleet));
+    if (IsMost)
+      CHECK(History.judge(Outside, Silent, Fleet, Start + 3s)[task("deadly")] ==
+            CrashEvidence::Strong);
+  }
+}
+
+// Guards against a fleet that names one failure domain or none, in which
+// several deadly tasks that crash their workers together are never found.
+TEST_CASE("Crashes of most workers are no crash of the only failure domain") {
+  for (const char *Domain : {"", "a"}) {
+    CrashHistory History;
+    std::vector<SilentWorker> Silent;
+    for (int Other = 1; Other < 24; ++Other) {
+      Silent.push_back(silent(fmt::format("w{}", Other), 0ms));
+      Silent.back().Domain = Domain;
+    }
+    SilentWorker Crashed = silent("w0", 0ms, {unseen("a")});
+    Crashed.Domain = Domain;
+    CHECK_FALSE(History.isDomainCrash(
+        Crashed, Silent, {.Workers = 24, .Domains = {{Domain, 24}}}));
+  }
+}
+
+// Guards against a deadly task that starts three times more than others, since
+// each crash of its failure domain hides one of it.
+TEST_CASE("A task that two crashes of failure domains may hide is given up one "
+          "crash earlier") {
+  for (int DomainCrashes : {0, 1, 2, 3}) {
+    CrashRecord Record{.DomainCrashes = DomainCrashes};
+    CountedCrash Proof{
+        .Run = unseen("a"), .Evidence = CrashEvidence::Proof, .WasTrial = true};
+    int Crashes = 1;
+    while (!CrashHistory::count(Record, Proof))
+      ++Crashes;
+    CHECK(Crashes == (DomainCrashes < 2 ? 3 : 2));
+  }
+}
--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -13,6 +13,13 @@
 /// anew; answers may overtake each other by less than this.
 constexpr milliseconds MaxClockStepBack{1000};
 
+FleetSize fleetSize(const std::map<std::string, WorkerSlot> &Slots) {
+  FleetSize Out{.Workers = Slots.size()};
+  for (const auto &[Id, Slot] : Slots)
+    ++Out.Domains[Slot.Entry.FailureDomain];
+  return Out;
+}
+
 } // namespace
 
 TaskName JobShard::Impl::crashUnit(const JobEntry &Entry, int Position) {
@@ -38,6 +45,7 @@
 
 SilentWorker JobShard::Impl::silentWorker(const WorkerSlot &Slot) {
   SilentWorker Out{.Id = Slot.Entry.Id,
+                   .Domain = Slot.Entry.FailureDomain,
                    .AliveAt = Slot.AliveAt,
                    .SilentAt = Slot.SilentAt == TimePoint{} ? m_time.now()
                                                             : Slot.SilentAt,
@@ -82,8 +90,13 @@
   if (!Slot.IsFenced && Slot.Runs.empty())
     return GivenUp;
   SilentWorker Crashed = silentWorker(Slot);
-  std::map<TaskName, CrashEvidence> Judged = m_crashes.judge(
-      Crashed, otherSilentWorkers(Slot), m_slots.size(), m_time.now());
+  std::vector<SilentWorker> Silent = otherSilentWorkers(Slot);
+  FleetSize Fleet = fleetSize(m_slots);
+  bool IsOfDomain = m_crashes.isDomainCrash(Crashed, Silent, Fleet);
+  std::map<TaskName, CrashEvidence> Judged =
+      m_crashes.judge(Crashed, Silent, Fleet, m_time.now());
+  if (IsOfDomain)
+    passOverCrash(Crashed, Judged);
   if (Doubt == CrashDoubt::MayBeCutOff) {
     std::erase_if(Judged, [](const auto &Task) {
       return Task.second < CrashEvidence::Strong;
@@ -93,7 +106,7 @@
   }
   if (!Crashed.Runs.empty()) {
     ++m_counts.WorkerCrashes;
-    logCrash(Crashed, Why, Judged, !Slot.LostRuns.empty());
+    logCrash(Crashed, Why, Judged, !Slot.LostRuns.empty(), IsOfDomain);
   }
   for (const auto &[Unit, Evidence] : Judged) {
     auto [Entry, Position] = findRunning(Unit);
@@ -160,7 +173,7 @@
 
 void JobShard::Impl::logCrash(const SilentWorker &Crashed, std::string_view Why,
                               const std::map<TaskName, CrashEvidence> &Judged,
-                              bool IsLeaseOver) const {
+                              bool IsLeaseOver, bool IsOfDomain) const {
   std::string Tasks;
   size_t Named = 0;
   for (CrashEvidence Evidence :
@@ -175,11 +188,11 @@
     }
   log("worker_crashed",
       fmt::format("worker={} shard={} why={} runs={} suspects={} tasks={} "
-                  "silent_ms={} lease_over={}",
+                  "silent_ms={} lease_over={} domain_crash={}",
                   Crashed.Id, m_options.Shard, Why, Crashed.Runs.size(),
                   Judged.size(), Tasks.empty() ? "-" : Tasks,
                   (m_time.now() - Crashed.SilentAt) / milliseconds(1),
-                  IsLeaseOver));
+                  IsLeaseOver, IsOfDomain));
 }
 
 // An owner that is killed before the worker is back leaves this to the next.
@@ -224,6 +237,30 @@
   markDirty(Entry);
 }
 
+// The crash of a failure domain counts against no task. The worker of a trial
+// is named until the trial ends.
+void JobShard::Impl::passOverCrash(
+    const SilentWorker &Crashed,
+    const std::map<TaskName, CrashEvidence> &Judged) {
+  std::set<TaskName> Unseen;
+  for (const ExposedRun &Run : Crashed.Runs) {
+    auto [Entry, Position] = findRunning(Run.Task);
+    bool MayBeCause = Entry && Run.isUnseen() && !Judged.count(Run.Task) &&
+                      Unseen.insert(Run.Task).second;
+    if (MayBeCause)
+      ++crashRecord(*Entry, Position).DomainCrashes;
+  }
+  for (const TaskName &Task : m_exposed[Crashed.Id]) {
+    auto [Entry, Position] = findRunning(Task);
+    bool IsNamed = Entry &&
+                   Entry->Tasks[static_cast<size_t>(Position)].Crash.Worker ==
+                       Crashed.Id &&
+                   !m_crashes.trialOf(crashUnit(*Entry, Position));
+    if (IsNamed)
+      clearExposure(*Entry, Position);
+  }
+}
+
 // Runs that this owner knows were judged when it lost the incarnation.
 void JobShard::Impl::resolveExposures(WorkerSlot &Slot,
                                       milliseconds Incarnation) {
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -340,12 +340,14 @@
   int unconfirmedCrashes(const TaskName &Unit) const;
   void logCrash(const SilentWorker &Crashed, std::string_view Why,
                 const std::map<TaskName, CrashEvidence> &Judged,
-                bool IsLeaseOver) const;
+                bool IsLeaseOver, bool IsOfDomain) const;
   /// Stores which tasks have just started on a worker that fell silent.
   void storeExposures(WorkerSlot &Slot);
   void setExposure(JobEntry &Entry, int Position, const std::string &Worker,
                    milliseconds Incarnation);
   void clearExposure(JobEntry &Entry, int Position);
+  void passOverCrash(const SilentWorker &Crashed,
+                     const std::map<TaskName, CrashEvidence> &Judged);
   /// Compares the incarnation of a worker with what is stored.
   void resolveExposures(WorkerSlot &Slot, milliseconds Incarnation);
   /// Returns the tasks, or gangs, for which a crash was counted: a gang may
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -300,6 +300,9 @@
                   .Address = fmt::format("worker-{}:80", workers()),
                   .Capacity = m_options.WorkerCapacity},
       Oracle, [this] { return now(); });
+  if (m_options.FailureDomains > 0)
+    Out->Entry.FailureDomain =
+        fmt::format("zone-{}", workers() % m_options.FailureDomains);
   Out->FailPercent = m_options.FailPercent;
   Out->NeedsTicket = m_options.ApprovalValidity.count() > 0;
   Out->Approved = workers() % 2 == 0;
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -38,6 +38,8 @@
 struct JobTestBedOptions {
   int Hosts = 3;
   int Workers = 6;
+  /// Failure domains that the workers are in by turns; zero if they name none.
+  int FailureDomains = 0;
   /// Minimum number of shards; there are more if there are many workers.
   int MinShards = 1;
   /// Weight of each host, and number of workers that a host of weight 1 can
