Keep the row of a job that comes back before its transfer is answered

Cause: the answer to the transfer of a job to another shard can be later than the row with which the other shard's owner sends the job back. The owner still knew the job then and dropped the row as known; with the answer it forgot the job. The feed delivers a row once.

Change: while a transfer is pending, a row newer than the known one is kept and read when the job is forgotten.

--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -183,7 +183,9 @@
     cancelJob(Id);
     return;
   }
-  if (m_jobs.count(Id) || wasTransferred(Id, Row.Version))
+  if (const JobEntry *Known = find(Id))
+    return keepReturned(*Known, Row);
+  if (wasTransferred(Id, Row.Version))
     return;
   Result<Job> Spec = decodeJob(Row.Value);
   if (!Spec.has_value()) {
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -139,6 +139,7 @@
   void onTransferred(const std::map<std::string, int> &Moves,
                      Result<uint64_t> Answer);
   void forgetJob(const std::string &Id, uint64_t Version);
+  void keepReturned(const JobEntry &Entry, const StoredRow &Row);
   bool wasTransferred(const std::string &Id, uint64_t Version);
 
   // Delegation of waiting long-running tasks to other shards.
@@ -604,6 +605,8 @@
   /// Jobs that were transferred to another shard, with the version of the
   /// transfer.
   std::map<std::string, uint64_t> m_transferredJobs;
+  /// Rows of jobs that came back while the answer to their transfer is missing.
+  std::map<std::string, StoredRow> m_returnedJobs;
   /// Parts of other shards' jobs that this shard runs, by job id.
   std::map<std::string, JobPart> m_parts;
   /// Rows that add tasks which are not taken yet, and the keys of all that were
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -296,6 +296,16 @@
   m_refusedRows.erase(Id);
   m_transferredJobs[Id] = Version;
   m_jobs.erase(Id);
+  auto Returned = m_returnedJobs.extract(Id);
+  if (Returned)
+    onJobRow(Returned.mapped());
+}
+
+// The other shard may send a job back before the answer to the transfer is
+// here. Until then the row can't be told from that of a job which never left.
+void JobShard::Impl::keepReturned(const JobEntry &Entry, const StoredRow &Row) {
+  if (Entry.IsTransferring && Row.Version > Entry.JobVersion)
+    m_returnedJobs[Entry.Spec.Id] = Row;
 }
 
 // Adds a job that had started in another shard and was transferred here. Its
