Say why=trial when trials hold all workers that a long-running task fits on

Suspects themselves have why=suspect, as documented.

Cause: waitReason() did not look at the workers, and those that are kept for the trial of another task count as fitting.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -532,7 +532,10 @@
   /// Reports once for each wait that a task is overdue.
   void logOverdueTask(const std::vector<PlacementCandidate> &Candidates,
                       JobEntry &Entry, int Position);
-  std::string waitReason(const JobEntry &Entry, int Position) const;
+  bool waitsForTrials(const std::vector<PlacementCandidate> &Candidates,
+                      const JobEntry &Entry, int Position) const;
+  std::string waitReason(const std::vector<PlacementCandidate> &Candidates,
+                         const JobEntry &Entry, int Position) const;
   std::string waitFields(const std::vector<PlacementCandidate> &Candidates,
                          const JobEntry &Entry, int Position) const;
   /// Returns true if the worker is of the task's service and has its label.
--- a/src/libbasilchute/jobshard_waits.cpp
+++ b/src/libbasilchute/jobshard_waits.cpp
@@ -19,10 +19,27 @@
 
 } // namespace
 
+// Returns true if workers could take the task, and all of them are kept for
+// trials.
+bool JobShard::Impl::waitsForTrials(
+    const std::vector<PlacementCandidate> &Candidates, const JobEntry &Entry,
+    int Position) const {
+  bool IsOnTrial = false;
+  for (const PlacementCandidate &Candidate : Candidates) {
+    if (!isAllowed(Candidate, Entry, Position))
+      continue;
+    if (!m_crashes.isTrialWorker(Candidate.Slot->Entry.Id))
+      return false;
+    IsOnTrial = true;
+  }
+  return IsOnTrial;
+}
+
 // Returns what keeps the task from being placed, or "room" if that depends on
 // the workers alone.
-std::string JobShard::Impl::waitReason(const JobEntry &Entry,
-                                       int Position) const {
+std::string
+JobShard::Impl::waitReason(const std::vector<PlacementCandidate> &Candidates,
+                           const JobEntry &Entry, int Position) const {
   const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
   if (mayHavePreviousRun(Entry, Position))
     return "previous_run";
@@ -32,6 +49,8 @@
     return "run_not_ended";
   if (Task.EarliestStart > m_time.now())
     return "delay";
+  if (waitsForTrials(Candidates, Entry, Position))
+    return "trial";
   return queueOf(Entry) ? "room" : "no_queue";
 }
 
@@ -101,7 +120,7 @@
                   (m_time.now() - Task.WaitingSince) / milliseconds(1),
                   inCores(Demand.Millicores),
                   static_cast<double>(Demand.MemoryMib) / 1024,
-                  waitReason(Entry, Position),
+                  waitReason(Candidates, Entry, Position),
                   waitFields(Candidates, Entry, Position)));
 }
 
@@ -155,7 +174,7 @@
           (m_time.now() - LongestSince) / milliseconds(1),
           inCores(LongestEntry->stepOf(LongestPosition).Demand.Millicores),
           inCores(MostMillicores), Target ? Target->Shard : -1,
-          waitReason(*LongestEntry, LongestPosition),
+          waitReason(Candidates, *LongestEntry, LongestPosition),
           waitFields(Candidates, *LongestEntry, LongestPosition)));
 }
 
--- a/src/libjobhost/crashingtask_test.cpp
+++ b/src/libjobhost/crashingtask_test.cpp
@@ -427,3 +427,31 @@
   CHECK(reachesState(Bed, "innocent", JobState::Completed, InnocentTime));
   checkNoViolations(Bed);
 }
+
+// Guards against a log line that says there is no room while trials hold it.
+TEST_CASE("A long-running task that waits for workers on trial says so") {
+  constexpr int Tasks = 3;
+  JobTestBed Bed(
+      {.Workers = Tasks, .Trace = std::getenv("BASILCHUTE_TRACE") != nullptr});
+  int TrialLines = 0;
+  Bed.OnLogLine = [&](std::string_view Event, std::string_view Fields) {
+    auto Has = [&](std::string_view Field) {
+      return Fields.find(Field) != std::string_view::npos;
+    };
+    if (Event != "long_task_waits")
+      return;
+    TrialLines += Has(" why=trial ") ? 1 : 0;
+    if (Has(" why=room ") && !Has(" fitting=0 "))
+      FAIL_CHECK(Fields);
+  };
+  Bed.run(3s);
+  CHECK(Bed.submit(0, longRunningJob("lasting", Tasks, 6000)).has_value());
+  Bed.run(1s);
+  for (int Number = 0; Number < Tasks; ++Number) {
+    std::string Id = fmt::format("deadly-{}", Number);
+    Bed.Oracle.setDeadly({.Job = Id}, 2500ms);
+    CHECK(Bed.submit(0, chainJob(Id, 1, 1, 9s)).has_value());
+  }
+  Bed.run(40s);
+  CHECK(TrialLines > 0);
+}
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -461,6 +461,8 @@
 void JobTestBed::trace(int Host, std::string_view Event,
                        std::string_view Fields) {
   ++LogLines[std::string(Event)];
+  if (OnLogLine)
+    OnLogLine(Event, Fields);
   if (m_options.Trace)
     fmt::print("{:9.3f} host-{} {} {}\n",
                std::chrono::duration<double>(now().time_since_epoch()).count(),
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -303,6 +303,8 @@
   int ApprovalCalls = 0;
   /// Number of log lines of all hosts, by event.
   std::map<std::string, int> LogLines;
+  /// Called with the event and the fields of each log line, if set.
+  std::function<void(std::string_view, std::string_view)> OnLogLine;
   /// Changes each entry of the worker list that hosts read, if set.
   std::function<void(WorkerEntry &)> AlterEntry;
   /// While set, the approval service rejects all calls.
