Soak workers that start again under their ids and are cut off

No worker that had started again was cut off soon after, clocks of all first processes began at zero, no call reached a later process than the one it was sent to, and no task outlasted a lease.

One to five free workers crash; their connections end, or only the idle ones do and calls in flight fall silent. Calls made while they are down are read by the next process. The host that called these workers last, in the last second, is killed; then some of the workers are cut off, also on open connections, for 3 to 8 s. The first processes begin with a clock of 1,000 s. Tasks of 8 to 12 s come from a client of their own, at most 24 unfinished ones. max_hold is 10 s for odd seeds. Such tasks have their time on top of the 20 s at the end; the limit of all others stays. Existing tests take deadlines from the worker's clock, which does not begin at zero now.

--- a/testsuite/soak/judge.py
+++ b/testsuite/soak/judge.py
@@ -6,6 +6,8 @@
 CANCEL_S = 3.0
 CONTACT_S = 3.0
 REJECTIONS = (400, 404, 429, 503)
+# Tasks that take longer than this are long.
+LONG_S = 2.0
 
 
 class Step:
@@ -53,6 +55,11 @@
     def long_running(self):
         return any(step.long_running for step in self.steps)
 
+    @property
+    def long_work_s(self):
+        return max((step.work_s for step in self.steps if step.work_s > LONG_S),
+                   default=0)
+
     def tasks(self):
         return [f"{self.job}.0.{number}.{index}"
                 for number, step in enumerate(self.steps)
--- a/testsuite/soak/judge_test.py
+++ b/testsuite/soak/judge_test.py
@@ -186,6 +186,12 @@
         self.end(run, 1, "stopped")
         self.assertFalse(self.judge.check_settled(lasting))
 
+    def test_the_work_of_long_tasks_is_waited_for(self):
+        self.assertEqual(self.submit(Step(1, 500, 1.5)).long_work_s, 0)
+        self.assertEqual(self.submit(Step(1, 500, 1.0, long_running=True))
+                         .long_work_s, 0)
+        self.assertEqual(self.submit(Step(1, 500, 8.0)).long_work_s, 8.0)
+
     def changed(self):
         """Returns configurations that added and dropped /r3/, the time moved on
         until that is due."""
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -16,6 +16,8 @@
           ("host", HOST_KINDS, 2), ("life", LIFE_KINDS, 2))
 STOP_AFTER_DRAIN_S = 2.0
 GRACE_S = 6.0
+# The owner of a shard has called workers in this time.
+OWNER_S = 1.0
 
 
 class Fault:
@@ -86,6 +88,27 @@
     return out
 
 
+def make_rebirths(random, seconds, workers, is_dense):
+    """Workers that start again at once under their ids, the owner of their shard
+    that is killed then, and some of them that are cut off a moment later."""
+    out = []
+    # The first one meets hosts that nothing else has disturbed yet.
+    at = 2.0
+    while at < seconds - 5:
+        count = random.choice([1, 2, 3, 4, 5])
+        details = {"count": count,
+                   "cut_count": random.choice([1, count, count]),
+                   "down": random.choice([0.1, 0.3, 0.6]),
+                   "is_noticed": random.random() < 0.3,
+                   "kill_after": round(random.uniform(0.05, 1.0), 2),
+                   "cut_after": round(random.uniform(0, 0.6), 2)}
+        out.append(Fault(at, random.uniform(3, 8), "reborn", "cut",
+                         random.sample(range(workers), workers), details))
+        # The next owner is at work by then.
+        at += random.uniform(7, 9 if is_dense else 12)
+    return out
+
+
 def make_silences(random, seconds, hosts, is_dense):
     """Connections to the store that go silent for good, beside a configuration
     that changes in series."""
@@ -118,6 +141,7 @@
     # A copy, so that the other faults and the clients of a seed stay the same.
     out += make_restarts(copy.copy(random), seconds, workers, is_dense)
     out += make_silences(copy.copy(random), seconds, hosts, is_dense)
+    out += make_rebirths(copy.copy(random), seconds, workers, is_dense)
     return sorted(out, key=lambda fault: fault.at)
 
 
@@ -145,6 +169,8 @@
                                    for number in fault.targets))
         elif fault.group == "life":
             await self.worker_life(fault, *fault.targets)
+        elif fault.group == "reborn":
+            await self.reborn(fault)
         elif fault.group == "config":
             self.world.configs.change(fault.details["filler"])
         elif fault.group == "kept":
@@ -232,6 +258,46 @@
         self.judge.impairments.mark(host.name)
         host.is_busy = False
 
+    async def reborn(self, fault):
+        """Of the targets, the first that are free take part."""
+        details = fault.details
+        free = [worker for worker in (self.world.workers[number]
+                                      for number in fault.targets)
+                if not worker.is_busy and not worker.is_spared()]
+        chosen = free[:details["count"]]
+        for worker in chosen:
+            worker.is_busy = True
+            self.judge.impairments.mark(worker.name, fault.duration + 3)
+        await asyncio.gather(*(worker.start_again(details["down"],
+                                                  details["is_noticed"])
+                               for worker in chosen))
+        await asyncio.sleep(details["kill_after"])
+        owner = self.owner(chosen)
+        if owner is not None:
+            asyncio.ensure_future(self.host(
+                Fault(0, fault.duration, "host", "kill", [owner], {}), owner))
+        await asyncio.sleep(details["cut_after"])
+        for worker in chosen[:details["cut_count"]]:
+            worker.cut_off()
+        await asyncio.sleep(fault.duration)
+        for worker in chosen:
+            worker.mend()
+            self.judge.impairments.mark(worker.name)
+            worker.is_busy = False
+
+    def owner(self, workers):
+        """Returns the number of the host that called these workers last, or
+        else any worker, or None."""
+        since = self.judge.now() - OWNER_S
+        for some in (workers, self.world.workers):
+            orders = [(at, host) for worker in some
+                      for host, at in worker.ordered.items()
+                      if host is not None and at >= since]
+            if orders:
+                names = [host.name for host in self.world.hosts]
+                return names.index(max(orders)[1])
+        return None
+
     async def worker_life(self, fault, number, other=None):
         worker = self.world.workers[number]
         if worker.is_busy:
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -22,7 +22,7 @@
 from configs import Configs
 from judge import CONTACT_S, Judge, Step, Submission
 from plan import Player, make_plan
-from standins import MAX_HOLD_MS, Store, Worker, encode
+from standins import Store, Worker, encode
 from wire import Client
 
 HOSTS = 4
@@ -30,8 +30,12 @@
 CLIENTS = 6
 # Each host has an address of its own, 127.0.NUMBER.1.
 MAX_HOSTS = 254
+# More of them would fill the workers after a long outage.
+MAX_LONG_TASKS = 24
 START_GAP_S = 0.15
 MAX_ATTEMPTS = 3
+# For even and odd seeds. The longer one lasts beyond the leases that owners give.
+MAX_HOLDS_MS = (6000, 10000)
 SETTLE_S = 20.0
 # Seeds from this one on play about twice as many faults.
 FIRST_DENSE_SEED = 1000
@@ -50,7 +54,7 @@
 class Host:
     """A process of basilchute-host."""
 
-    def __init__(self, program, folder, number, store_port, judge):
+    def __init__(self, program, folder, number, store_port, judge, max_hold_ms):
         self.name = f"edge-a-{number + 1}"
         self.program = program
         self.judge = judge
@@ -72,7 +76,7 @@
 address = "127.0.0.1:{store_port}"
 spans_parts = true
 [jobs]
-max_lease_ms = {MAX_HOLD_MS}
+max_lease_ms = {max_hold_ms}
 [stop]
 grace_ms = 6000
 """)
@@ -145,21 +149,22 @@
         self.number += 1
         job = f"{random.getrandbits(64):016x}"
         spec = f"spec-{self.number}-{random.getrandbits(32):08x}"
+        submission = Submission(job, spec, self.new_steps(random))
+        self.judge.submissions[job] = submission
+        return submission
+
+    def new_steps(self, random):
         cpu = random.choice([500, 1000, 2000])
         if self.lasting < 16 and random.random() < 0.12:
             self.lasting += 1
-            steps = [Step(random.randint(1, 3), 500, 1.0, long_running=True)]
-        else:
-            fails = random.choices([0, 1, 2, MAX_ATTEMPTS], [20, 3, 1, 1])[0]
-            steps = [Step(random.randint(1, 4), cpu,
-                          random.uniform(0.05, 1.5), fails=fails,
-                          checkpointing=random.random() < 0.3)]
-            if random.random() < 0.3:
-                steps.append(Step(random.randint(1, 2), cpu,
-                                  random.uniform(0.05, 0.8), after=[0]))
-        submission = Submission(job, spec, steps)
-        self.judge.submissions[job] = submission
-        return submission
+            return [Step(random.randint(1, 3), 500, 1.0, long_running=True)]
+        fails = random.choices([0, 1, 2, MAX_ATTEMPTS], [20, 3, 1, 1])[0]
+        steps = [Step(random.randint(1, 4), cpu, random.uniform(0.05, 1.5),
+                      fails=fails, checkpointing=random.random() < 0.3)]
+        if random.random() < 0.3:
+            steps.append(Step(random.randint(1, 2), cpu,
+                              random.uniform(0.05, 0.8), after=[0]))
+        return steps
 
     async def client(self):
         client = Client()
@@ -264,12 +269,27 @@
             await asyncio.sleep(self.random.uniform(0.1, 0.8))
 
 
+class LongTraffic(Traffic):
+    """Clients whose tasks last longer than any lease."""
+
+    def new_steps(self, random):
+        return [Step(random.randint(1, 4), 200, random.uniform(8, 12))]
+
+    async def submit(self, client, submission):
+        left = sum(1 for each in self.judge.submissions.values()
+                   if each.long_work_s and each.is_accepted
+                   for task in each.tasks() if not self.judge.is_done(task))
+        if left < MAX_LONG_TASKS:
+            await super().submit(client, submission)
+
+
 class World:
     def __init__(self, program, seed, folder, hosts, workers, clients):
         self.host_count = hosts
         self.worker_count = workers
         self.client_count = clients
         self.random = randoms.Random(seed)
+        self.max_hold_ms = MAX_HOLDS_MS[seed % 2]
         self.folder = folder
         self.program = program
         self.journal = open(os.path.join(folder, "soak.log"), "w",
@@ -295,13 +315,14 @@
         for number in range(self.worker_count):
             name = f"i-{self.random.getrandbits(32):08x}"
             worker = Worker(name, self.store, self.judge, self.pids,
-                            self.random)
+                            self.random, self.max_hold_ms)
             worker.is_busy = False
             self.workers.append(worker)
             await worker.start()
         for number in range(self.host_count):
             host = Host(self.program, self.folder, number,
-                        self.store.server.port, self.judge)
+                        self.store.server.port, self.judge,
+                        self.max_hold_ms)
             self.hosts.append(host)
             host.start()
             # The stand-ins do not bear many new hosts at once.
@@ -370,11 +391,14 @@
             if missing:
                 left.append((submission, missing))
         owed = [submission for submission, _ in left]
-        if judge.now() > end:
-            for submission, missing in left:
-                rule = "UNASKED" if submission.cancel_sent else "LOST"
+        for submission, missing in left:
+            is_cancelled = submission.cancel_sent is not None
+            # A long task is at work at the limit, and has its time.
+            work_s = 0 if is_cancelled else submission.long_work_s
+            if judge.now() > end + work_s:
+                rule = "UNASKED" if is_cancelled else "LOST"
                 judge.violation(rule, submission.job, missing)
-            return
+                owed.remove(submission)
         await asyncio.sleep(0.5)
 
 
@@ -402,11 +426,14 @@
     clients = [asyncio.ensure_future(traffic.client())
                for _ in range(world.client_count)]
     clients.append(asyncio.ensure_future(traffic.probe()))
+    # A copy, so that the other clients and the faults of a seed stay the same.
+    long = LongTraffic(world, randoms.Random(copy.copy(traffic.random).random()))
+    clients.append(asyncio.ensure_future(long.client()))
     player = Player(world, randoms.Random(world.random.random()))
     judge.log("the plan begins")
     await player.play(plan)
     await silence_at_the_end(world)
-    traffic.is_over = True
+    traffic.is_over = long.is_over = True
     await asyncio.gather(*clients)
     judge.log("the faults are over")
     world.check_hosts()
--- a/testsuite/soak/soak_test.py
+++ b/testsuite/soak/soak_test.py
@@ -8,10 +8,12 @@
 import random
 import socket
 import time
+import types
 import unittest
 from contextlib import redirect_stderr
+from unittest import mock
 
-from plan import make_plan
+from plan import Player, make_plan
 from soak import parse
 from judge import Judge, Step, Submission
 from standins import Store, Worker
@@ -38,12 +40,12 @@
         self.address = ("127.0.0.1", self.first.server.port)
         self.reader, self.writer = await asyncio.open_connection(*self.address)
 
-    async def call(self, path, **fields):
+    async def call(self, path, limit=3.0, **fields):
         """Calls on a new connection."""
         client = Client()
         body = json.dumps(fields | {"fencing_token": 1}).encode()
         status, data = await client.call(self.address, "POST",
-                                         "/basilchute/" + path, body)
+                                         "/basilchute/" + path, body, limit)
         client.close()
         return status, json.loads(data or "{}")
 
@@ -57,11 +59,19 @@
         _, _, data = await read_message(self.reader)
         return json.loads(data)
 
+    async def start_task(self, run=1, lease_ms=5000, limit=3.0):
+        """Orders a run; the lease ends on the clock of the present process."""
+        return await self.call("run-start", limit, task=TASK, run=run,
+                               spec="spec",
+                               deadline_ms=self.first.clock() + lease_ms)
+
     async def run_task(self, run=1):
-        await self.call("run-start", task=TASK, run=run, spec="spec",
-                        deadline_ms=5000)
+        await self.start_task(run)
         await asyncio.sleep(0.2)
 
+    def broken(self):
+        return [rule for rule, _ in self.judge.violations]
+
     def stop(self):
         self.writer.close()
         self.first.crash()
@@ -111,6 +121,150 @@
             self.assertLessEqual({"config", "kept"},
                                  {fault.group for fault in plan})
 
+    def test_workers_start_again_and_are_cut_off_in_each_plan(self):
+        for is_dense in (False, True):
+            plan = make_plan(random.Random(1), 45, 4, 7, is_dense)
+            found = [fault for fault in plan if fault.group == "reborn"]
+            self.assertGreaterEqual(len(found), 3)
+            for fault in found:
+                self.assertGreaterEqual(fault.duration, 3)
+            with mock.patch("plan.make_rebirths", return_value=[]):
+                others = make_plan(random.Random(1), 45, 4, 7, is_dense)
+            self.assertEqual([fault.text() for fault in others],
+                             [fault.text() for fault in plan
+                              if fault.group != "reborn"])
+
+    def test_the_host_with_the_last_call_is_the_owner(self):
+        bed = Workers()
+        world = types.SimpleNamespace(
+            judge=bed.judge, workers=[bed.first, bed.other],
+            hosts=[types.SimpleNamespace(name=name) for name in "abc"])
+        player = Player(world, random.Random(1))
+        bed.judge.now = lambda: 100.0
+        self.assertIsNone(player.owner([bed.first]))
+        bed.other.ordered = {"c": 99.5}
+        self.assertEqual(player.owner([bed.first]), 2)
+        bed.first.ordered = {"a": 99.1, "b": 99.3, None: 99.9}
+        self.assertEqual(player.owner([bed.first]), 1)
+        bed.judge.now = lambda: 101.0
+        self.assertIsNone(player.owner([bed.first]))
+
+    def test_the_clock_of_a_first_process_is_far_ahead(self):
+        async def check():
+            bed = Workers()
+            await bed.start()
+            former = await bed.poll(0)
+            self.assertGreater(former["clock_ms"], 900000)
+            self.assertLess(former["born"], time.time() * 1000 - 900000)
+            await bed.first.start_again(0)
+            _, answer = await bed.call("hold", last_seen=0)
+            self.assertLess(answer["clock_ms"], 1000)
+            self.assertGreater(answer["born"], time.time() * 1000 - 1000)
+            bed.stop()
+
+        asyncio.run(check())
+
+    def test_a_start_that_is_rejected_as_old_extends_the_lease(self):
+        async def check():
+            bed = Workers()
+            await bed.start()
+            await bed.start_task(lease_ms=1000)
+            await asyncio.sleep(0.2)
+            status, answer = await bed.start_task(lease_ms=2 * bed.first.max_hold_ms)
+            self.assertEqual((status, answer["reason"]), (409, "old"))
+            left = bed.first.lease_ms - bed.first.clock()
+            self.assertLessEqual(left, bed.first.max_hold_ms)
+            self.assertGreater(left, bed.first.max_hold_ms - 500)
+            bed.stop()
+
+        asyncio.run(check())
+
+    def test_a_call_made_while_a_worker_is_down_reaches_its_next_process(self):
+        async def check():
+            bed = Workers()
+            bed.judge.step_of(TASK).work_s = 10
+            await bed.start()
+            await bed.start_task()
+            again = asyncio.ensure_future(bed.first.start_again(0.4))
+            await asyncio.sleep(0.05)
+            self.assertEqual(await bed.reader.read(), b"")
+            self.assertEqual(bed.judge.runs[TASK][0].how, "crashed")
+            # The caller has given up before the next process reads the call.
+            status, _ = await bed.start_task(run=2, limit=0.1)
+            self.assertEqual((status, len(bed.first.runs)), (0, 0))
+            await again
+            await asyncio.sleep(0.1)
+            self.assertEqual(list(bed.first.runs), [(TASK, 2)])
+            # The end of the lease was meant on the former clock.
+            left = bed.first.lease_ms - bed.first.clock()
+            self.assertLessEqual(left, bed.first.max_hold_ms)
+            self.assertGreater(left, bed.first.max_hold_ms - 500)
+            self.assertEqual(bed.broken(), [])
+            bed.stop()
+
+        asyncio.run(check())
+
+    def test_a_call_to_a_machine_that_crashes_ends_at_the_next_call(self):
+        async def check():
+            bed = Workers()
+            await bed.start()
+            idle, writer = await asyncio.open_connection(*bed.address)
+            poll = asyncio.ensure_future(bed.poll(0, wait_ms=100))
+            await asyncio.sleep(0.05)
+            again = asyncio.ensure_future(bed.first.start_again(0.2, False))
+            self.assertEqual(await idle.read(), b"")
+            writer.close()
+            await asyncio.sleep(0.4)
+            await again
+            self.assertFalse(poll.done())
+            poll.cancel()
+            await asyncio.sleep(0)
+            with self.assertRaises((ConnectionError,
+                                    asyncio.IncompleteReadError)):
+                await bed.poll(0)
+            self.assertEqual((await bed.call("hold"))[0], 200)
+            bed.stop()
+
+        asyncio.run(check())
+
+    def test_a_worker_that_is_cut_off_works_on_and_answers_nothing(self):
+        async def check():
+            bed = Workers()
+            bed.judge.step_of(TASK).work_s = 10
+            await bed.start()
+            await bed.start_task(lease_ms=800)
+            poll = asyncio.ensure_future(bed.poll(0, wait_ms=100))
+            await asyncio.sleep(0.05)
+            bed.first.cut_off()
+            self.assertEqual(await bed.call("hold", limit=0.2), (0, {}))
+            self.assertFalse(poll.done())
+            bed.first.mend()
+            self.assertEqual((await bed.call("hold"))[0], 200)
+            self.assertFalse(poll.done())
+            bed.address = ("127.0.0.1", bed.other.server.port)
+            await bed.start_task(run=2)
+            self.assertEqual(bed.broken(), ["TWICE"])
+            poll.cancel()
+            bed.stop()
+
+        asyncio.run(check())
+
+    def test_a_run_on_a_worker_that_is_cut_off_ends_with_its_lease(self):
+        async def check():
+            bed = Workers()
+            bed.judge.step_of(TASK).work_s = 10
+            await bed.start()
+            await bed.start_task(lease_ms=300)
+            bed.first.cut_off()
+            await asyncio.sleep(0.5)
+            self.assertEqual(bed.judge.runs[TASK][0].how, "lapsed")
+            bed.address = ("127.0.0.1", bed.other.server.port)
+            await bed.start_task(run=2)
+            self.assertEqual(bed.broken(), [])
+            bed.stop()
+
+        asyncio.run(check())
+
     def test_a_silenced_connection_is_not_answered_and_a_new_one_is(self):
         async def check():
             async def handle(call):
@@ -178,8 +332,7 @@
             await bed.call("hold", last_seen=3)
             rules = [rule for rule, _ in bed.judge.violations]
             self.assertEqual(rules, ["UNREAD"])
-            await bed.call("run-start", task=TASK, run=2, spec="spec",
-                           deadline_ms=5000)
+            await bed.start_task(run=2)
             rules = [rule for rule, _ in bed.judge.violations]
             self.assertEqual(rules, ["UNREAD", "TWICE"])
             bed.stop()
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -8,11 +8,12 @@
 
 from wire import Server
 
-MAX_HOLD_MS = 6000
 HEARTBEAT_S = 1.0
 MAX_LISTED_ENDS = 500
 # A poll waits for up to 2 s.
 IDLE_LIMIT_S = 2.5
+# The clocks of processes that began long ago are far ahead.
+FIRST_AGE_S = 1000.0
 
 
 class Store:
@@ -130,8 +131,9 @@
 
     CAPACITY = 8000
 
-    def __init__(self, name, store, judge, hosts, random):
+    def __init__(self, name, store, judge, hosts, random, max_hold_ms=6000):
         self.name = name
+        self.max_hold_ms = max_hold_ms
         self.store = store
         self.judge = judge
         self.hosts = hosts
@@ -145,23 +147,25 @@
         self.is_cut = False
         self.life = 0
         self.task = None
+        self.ordered = {}  # host -> when its last call was taken
 
     async def start(self):
         port = self.random.choice([0, self.server.port]) if self.server else 0
         self.server = self.new_server()
         await self.server.start(port)
-        self.begin()
+        self.begin(0 if self.life else FIRST_AGE_S)
 
     def new_server(self):
         server = Server(self.serve, self.hosts, self.random, self.judge.log)
         server.rules = self.rules
         return server
 
-    def begin(self):
+    def begin(self, age=0.0):
         """Begins a new life, which knows nothing of an earlier one."""
         self.life += 1
-        self.born = max(int(time.time() * 1000), getattr(self, "born", 0) + 1)
-        self.born_at = time.monotonic()
+        self.born = max(int((time.time() - age) * 1000),
+                        getattr(self, "born", 0) + 1)
+        self.born_at = time.monotonic() - age
         self.token = 0
         self.lease_ms = 0
         self.has_lapsed = True
@@ -214,6 +218,29 @@
 
         await self.server.between_calls(act, IDLE_LIMIT_S)
 
+    async def start_again(self, down, is_noticed=True):
+        """Crashes, and begins a new life at the same address after `down`
+        seconds. Connections that come meanwhile wait for that life."""
+        self.end_life()
+        self.server.may_accept.clear()
+        if is_noticed:
+            self.server.end_connections()
+        else:
+            self.server.lose_connections()
+        await asyncio.sleep(down)
+        self.begin()
+        self.server.may_accept.set()
+
+    def cut_off(self):
+        """No host and not the store is reached; what runs goes on."""
+        self.is_cut = True
+        self.server.cut()
+        self.judge.log(f"worker {self.name}: cut off")
+
+    def mend(self):
+        self.is_cut = False
+        self.server.mend()
+
     async def move(self, other):
         """As restart(), at a new address. Returns the server at the former one,
         where the other worker answers now, or the new one if it is spared."""
@@ -321,6 +348,7 @@
         if body.get("fencing_token", 0) < self.token:
             return self.answer(409, "fence")
         self.token = body.get("fencing_token", 0)
+        self.ordered[call.host] = self.judge.now()
         self.check_lease()
         if call.path == "/basilchute/run-start":
             return self.start_task(body, call)
@@ -331,7 +359,11 @@
         return self.answer(200 if call.path == "/basilchute/pace" else 400)
 
     def extend(self, body):
-        until = min(body.get("deadline_ms", 0), self.clock() + MAX_HOLD_MS)
+        wanted, most = body.get("deadline_ms", 0), self.clock() + self.max_hold_ms
+        if wanted > most:
+            self.judge.log(f"worker {self.name}: lease of {wanted} shortened to "
+                           f"{most}, born {self.born}")
+        until = min(wanted, most)
         self.lease_ms = max(self.lease_ms, until)
         self.has_lapsed = self.has_lapsed and self.lease_ms <= self.clock()
 
--- a/testsuite/soak/wire.py
+++ b/testsuite/soak/wire.py
@@ -161,6 +161,7 @@
         self.calls = 0
         self.is_busy = False
         self.is_silent = False
+        self.is_lost = False
 
 
 class Server:
@@ -178,6 +179,9 @@
         self.listener = None
         self.tasks = set()
         self.when_idle = None
+        self.is_cut = False
+        self.may_accept = asyncio.Event()
+        self.may_accept.set()
 
     async def start(self, port=0):
         """Listens on the port if it is free, otherwise on another."""
@@ -205,8 +209,30 @@
         for task in list(self.tasks):
             task.cancel()
 
+    def lose_connections(self):
+        """Loses calls in flight as a machine does that crashes: their callers
+        learn of it from the next call. The other connections end."""
+        for connection in list(self.connections):
+            if connection.is_busy:
+                connection.is_lost = connection.is_silent = True
+            else:
+                connection.writer.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+    def cut(self):
+        """Nothing is read or answered any more until mend(); the connections
+        that are open stay silent for good."""
+        self.is_cut = True
+        self.silence({each.host for each in self.connections})
+
+    def mend(self):
+        self.is_cut = False
+
     def end_kept(self, rule):
         """Ends connections that wait for their next call."""
+        if self.is_cut:
+            return
         for connection in list(self.connections):
             if connection.calls and not connection.is_busy and \
                     rule.applies(connection.host):
@@ -232,6 +258,9 @@
             return
         connection = Connection(reader, writer, peer_of(peer, writer.get_extra_info(
             "sockname"), self.hosts))
+        # The kernel accepts also while the process is down, so that the next
+        # one reads calls that were meant for its predecessor.
+        await self.may_accept.wait()
         self.connections.add(connection)
         try:
             while await self.exchange(connection):
@@ -249,6 +278,11 @@
         first, headers, body = await read_message(connection.reader)
         if connection.writer.is_closing():
             return False
+        if connection.is_lost and not self.is_cut:
+            await self.may_accept.wait()
+            reset(connection.writer)
+            return False
+        connection.is_silent |= self.is_cut
         if connection.is_silent:
             return True
         method, target, _ = first.split(" ", 2)
@@ -271,7 +305,7 @@
                 return await self.spoil(rule, connection, call)
         result = await self.handle(call)
         if result is None:
-            return False
+            return connection.is_lost
         return self.answer(connection, *result)
 
     def answer(self, connection, status, body):
@@ -324,7 +358,7 @@
             return False
         result = await self.handle(call)
         if result is None:
-            return False
+            return connection.is_lost
         if kind == "mute":
             connection.is_silent = True
             return True
