--- a/src/libbasilchute/jobshard_transfer_test.cpp
+++ b/src/libbasilchute/jobshard_transfer_test.cpp
@@ -57,7 +57,7 @@
   std::function<void()> m_feed;
 };
 
-/// One worker without runs, which begins each start.
+/// A worker without runs, which begins each start.
 class IdleWorker : public TaskWorkers {
 public:
   void start(const WorkerEntry &, StartOrder Order, StartDone) override {
