Start nothing in failure domains that the operator evacuates

Cause: no owner acted on an evacuation. Change: JobHost marks the workers of evacuated domains and passes the marks to its shards; WorkerEntry::takesTasks() decides where starts may go, also right before a stored start is sent. Load, shard choice, transfer and delegation leave these workers out; jobs that fit only there wait and are not failed. A process that did not run for 1 s starts nothing until the store has answered a request for evacuations sent after the pause, 2 s at most. The test bed has evacuations, and its oracle reports starts later than 5 s after the row. The unit tests as a whole had not run at this commit.

--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -107,6 +107,9 @@
   /// Returns the long-running tasks that find no room in any of the other
   /// shards, as their owners report them.
   std::function<RestartDemand()> RestartsElsewhere;
+  /// Returns whether runs may be started now. Polls and all other orders go on
+  /// while it returns false.
+  std::function<bool()> MayStart;
   /// Returns the number of shards.
   std::function<int()> ShardCount;
   /// Logs one decision: the event's name and its key=value fields.
--- a/src/include/basilchute/taskworker.h
+++ b/src/include/basilchute/taskworker.h
@@ -25,6 +25,9 @@
   std::vector<std::string> Labels;
   /// The worker is about to leave and takes no new work.
   bool IsDraining = false;
+  /// The operator evacuates the worker's failure domain: nothing is started
+  /// here, and what runs goes on. Set by the host, not by the platform's list.
+  bool IsEvacuated = false;
   /// Start time of this incarnation of the worker, since the Unix epoch.
   milliseconds Incarnation{0};
 
@@ -32,6 +35,8 @@
   bool hasLabel(const std::string &Label) const {
     return std::find(Labels.begin(), Labels.end(), Label) != Labels.end();
   }
+  /// Returns true if tasks may be started on the worker.
+  bool takesTasks() const { return !IsDraining && !IsEvacuated; }
   /// Returns false if the worker's capacity has shrunk to nothing. Such a
   /// worker keeps its runs and takes no others, not even tasks that reserve no
   /// processor time.
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -405,6 +405,8 @@
               const PendingTrial &Pending);
   void startTrial(std::vector<PlacementCandidate> &Candidates, JobEntry &Entry,
                   int Position, const PendingTrial &Pending);
+  /// Returns true if a worker of the pending trial is evacuated.
+  bool isEvacuated(const PendingTrial &Pending) const;
   void endTrial(const TaskName &Unit, std::string_view How);
   void endTrialsOf(const std::string &Job);
   void clearTrialExposures(JobEntry &Entry, int Position);
@@ -496,11 +498,12 @@
   void start(WorkerSlot &Slot, JobEntry &Entry, int Position);
   /// Sends the start orders of tasks whose worker is stored.
   void sendStoredStarts();
+  bool mayStart() const { return !m_options.MayStart || m_options.MayStart(); }
   void sendStart(WorkerSlot &Slot, JobEntry &Entry, int Position,
                  const RunKey &Key);
   static bool canTakeStart(const WorkerSlot &Slot) {
     return Slot.IsFenced && Slot.IsListed && Slot.IsStored &&
-           !Slot.Entry.IsDraining && Slot.MissedPolls == 0 &&
+           Slot.Entry.takesTasks() && Slot.MissedPolls == 0 &&
            !Slot.IsProcessGone && Slot.isEntryCurrent();
   }
   /// A start order on its way.
@@ -529,6 +532,10 @@
   std::string placementFields();
   void logLongTaskWaits(const std::vector<PlacementCandidate> &Candidates,
                         int64_t MostMillicores);
+  /// Reports tasks that would fit only on evacuated workers.
+  void logEvacuationWaits() const;
+  bool needsEvacuated(const JobEntry &Entry, int Position) const;
+  std::vector<const WorkerEntry *> listedEntries() const;
   /// Reports once for each wait that a task is overdue.
   void logOverdueTask(const std::vector<PlacementCandidate> &Candidates,
                       JobEntry &Entry, int Position);
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -50,9 +50,11 @@
     sendStart(Slot, Entry, Position, Key);
 }
 
-// A run whose worker was lost or drains meanwhile is dropped: the task is
-// placed, and that stored, again.
+// A run whose worker was lost, drains or is evacuated meanwhile is dropped: the
+// task is placed, and that stored, again.
 void JobShard::Impl::sendStoredStarts() {
+  if (!mayStart())
+    return;
   while (!m_storedStarts.empty() && m_startWindow.isOpen()) {
     auto [Worker, Key] = m_storedStarts.front();
     m_storedStarts.pop_front();
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -75,7 +75,7 @@
 void JobShard::Impl::place() {
   TimePoint Now = m_time.now();
   if ((m_waiting.empty() && !hasLeavingRuns()) || Now < m_nextRound ||
-      !canSendOrders() || !leaseToGive())
+      !canSendOrders() || !leaseToGive() || !mayStart())
     return;
   m_nextRound = Now + MinRoundInterval;
   uint64_t StartsBefore = m_counts.Starts;
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -195,6 +195,7 @@
                   MostEventualMillicores / 1000, RunsOverTarget,
                   fillWaitReasons(Candidates), placementFields()));
   logLongTaskWaits(Candidates, Largest.Millicores);
+  logEvacuationWaits();
 }
 
 // Reports how the rounds since the last log line ended, and the mean round-trip
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -21,6 +21,16 @@
 /// Maximum number of jobs for which a better shard is searched at a time.
 constexpr size_t MaxTransferCandidates = 24;
 
+/// Returns true if the task was placed on an evacuated worker. The capacity of
+/// these is not part of a shard's load, so neither is what runs there.
+bool isOnEvacuated(const std::map<std::string, WorkerSlot> &Slots,
+                   const TaskState &Task) {
+  if (Task.Phase != TaskPhase::Placed)
+    return false;
+  auto Slot = Slots.find(Task.Worker);
+  return Slot != Slots.end() && Slot->second.Entry.IsEvacuated;
+}
+
 /// Returns the rank of a long-running job by the first of its waiting tasks.
 std::tuple<int, int, int, int, double>
 longRunningTransferRank(const JobEntry &Entry, const std::set<int> &Positions) {
@@ -71,7 +81,7 @@
   ShardLoad Out;
   addFillLoad(Out);
   for (const auto &[Id, Slot] : m_slots) {
-    if (!Slot.IsListed || Slot.Entry.IsDraining || Slot.MissedPolls > 0)
+    if (!Slot.IsListed || !Slot.Entry.takesTasks() || Slot.MissedPolls > 0)
       continue;
     Out.CapacityMillicores += Slot.Entry.Capacity.Millicores;
     Resources Room = Slot.eventualFreeCapacity();
@@ -89,7 +99,8 @@
     }
     for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
          ++Position)
-      if (Entry.Tasks[static_cast<size_t>(Position)].Phase != TaskPhase::Done)
+      if (Entry.Tasks[static_cast<size_t>(Position)].Phase != TaskPhase::Done &&
+          !isOnEvacuated(m_slots, Entry.Tasks[static_cast<size_t>(Position)]))
         Out.LongRunningMillicores += Entry.stepOf(Position).Demand.Millicores;
   }
   return Out;
@@ -136,14 +147,15 @@
 }
 
 // Returns true if every step of the job fits on some worker of this shard, and
-// every gang on all of them.
+// every gang on all of them. Evacuated workers do not count: a job that fits
+// nowhere else here moves to a shard that can run it.
 bool JobShard::Impl::hasWorkersFor(const JobEntry &Entry) const {
   const JobQueue *Queue = queueOf(Entry);
   const std::vector<JobStep> &Steps = Entry.Spec.Steps;
   if (Queue && hasGang(Entry.Spec)) {
     std::vector<WorkerEntry> Listed;
     for (const auto &[Id, Slot] : m_slots)
-      if (Slot.IsListed)
+      if (Slot.IsListed && !Slot.Entry.IsEvacuated)
         Listed.push_back(Slot.Entry);
     if (firstUnfitGang(Entry.Spec, Queue->Service, Listed))
       return false;
@@ -151,7 +163,7 @@
   return std::all_of(Steps.begin(), Steps.end(), [&](const JobStep &Step) {
     return std::any_of(m_slots.begin(), m_slots.end(), [&](const auto &Slot) {
       const WorkerEntry &Worker = Slot.second.Entry;
-      return Slot.second.IsListed &&
+      return Slot.second.IsListed && !Worker.IsEvacuated &&
              (!Queue || Worker.Service == Queue->Service) &&
              (Step.RequiredLabel.empty() ||
               Worker.hasLabel(Step.RequiredLabel)) &&
--- a/src/libbasilchute/jobshard_trial.cpp
+++ b/src/libbasilchute/jobshard_trial.cpp
@@ -251,7 +251,7 @@
       continue;
     }
     const PendingTrial Pending = m_pendingTrials.at(Unit);
-    if (m_time.now() > Trial.Since + MaxTrialDelay) {
+    if (m_time.now() > Trial.Since + MaxTrialDelay || isEvacuated(Pending)) {
       clearTrialExposures(*Entry, Position);
       endTrial(Unit, "not_started");
       continue;
@@ -261,6 +261,15 @@
   }
 }
 
+bool JobShard::Impl::isEvacuated(const PendingTrial &Pending) const {
+  return std::any_of(Pending.Places.begin(), Pending.Places.end(),
+                     [&](const TrialPlace &Place) {
+                       auto Slot = m_slots.find(Place.Worker);
+                       return Slot != m_slots.end() &&
+                              Slot->second.Entry.IsEvacuated;
+                     });
+}
+
 std::vector<PlacementCandidate *>
 JobShard::Impl::readyPlaces(std::vector<PlacementCandidate> &Candidates,
                             JobEntry &Entry, const PendingTrial &Pending) {
--- a/src/libbasilchute/jobshard_waits.cpp
+++ b/src/libbasilchute/jobshard_waits.cpp
@@ -1,3 +1,4 @@
+#include "libbasilchute/evacuation.h"
 #include "libbasilchute/jobshard_impl.h"
 
 #include <algorithm>
@@ -12,6 +13,9 @@
 constexpr milliseconds OverdueAfter{5000};
 /// Bounds the number of these lines in a second.
 constexpr size_t MaxOverdueLines = 20;
+/// Bounds the number of waiting steps that are compared with the workers each
+/// second while a failure domain is evacuated.
+constexpr size_t MaxStepsChecked = 200;
 
 double inCores(int64_t Millicores) {
   return static_cast<double>(Millicores) / 1000;
@@ -51,7 +55,64 @@
     return "delay";
   if (waitsForTrials(Candidates, Entry, Position))
     return "trial";
-  return queueOf(Entry) ? "room" : "no_queue";
+  if (!queueOf(Entry))
+    return "no_queue";
+  return needsEvacuated(Entry, Position) ? "evacuated" : "room";
+}
+
+std::vector<const WorkerEntry *> JobShard::Impl::listedEntries() const {
+  std::vector<const WorkerEntry *> Out;
+  for (const auto &[Id, Slot] : m_slots)
+    if (Slot.IsListed)
+      Out.push_back(&Slot.Entry);
+  return Out;
+}
+
+bool JobShard::Impl::needsEvacuated(const JobEntry &Entry, int Position) const {
+  return fitsOnlyEvacuated(Entry.stepOf(Position), queueOf(Entry)->Service,
+                           listedEntries());
+}
+
+// The first waiting task of each job stands for all.
+void JobShard::Impl::logEvacuationWaits() const {
+  std::vector<const WorkerEntry *> Workers = listedEntries();
+  auto Evacuated = std::count_if(
+      Workers.begin(), Workers.end(),
+      [](const WorkerEntry *Worker) { return Worker->IsEvacuated; });
+  if (Evacuated == 0)
+    return;
+  size_t Checked = 0;
+  size_t Jobs = 0;
+  size_t Tasks = 0;
+  const JobEntry *First = nullptr;
+  int FirstPosition = 0;
+  for (const auto &[Id, Positions] : m_waiting) {
+    const JobEntry &Entry = m_jobs.at(Id);
+    const JobQueue *Queue = queueOf(Entry);
+    if (!Queue || Positions.empty() || ++Checked > MaxStepsChecked)
+      continue;
+    int Position = *Positions.begin();
+    if (!fitsOnlyEvacuated(Entry.stepOf(Position), Queue->Service, Workers))
+      continue;
+    ++Jobs;
+    Tasks += Positions.size();
+    if (First)
+      continue;
+    First = &Entry;
+    FirstPosition = Position;
+  }
+  if (!First)
+    return;
+  TaskName Task = First->nameOf(FirstPosition);
+  const TaskState &State = First->Tasks[static_cast<size_t>(FirstPosition)];
+  log("evacuation_waits",
+      fmt::format("shard={} evacuated_workers={} jobs={} tasks={} job={} "
+                  "step={} index={} waited_ms={} jobs_checked={} "
+                  "message=\"only evacuated workers can hold the tasks\"",
+                  m_options.Shard, Evacuated, Jobs, Tasks, Task.Job, Task.Step,
+                  Task.Index,
+                  (m_time.now() - State.WaitingSince) / milliseconds(1),
+                  std::min(Checked, MaxStepsChecked)));
 }
 
 bool JobShard::Impl::isOfKind(const WorkerSlot &Slot, const JobEntry &Entry,
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -1,5 +1,6 @@
 #include "libjobhost/jobhost.h"
 
+#include "libbasilchute/evacuation.h"
 #include "libbasilchute/gangfit.h"
 #include "libbasilchute/handover.h"
 #include "libbasilchute/jobrows.h"
@@ -21,6 +22,14 @@
 constexpr milliseconds FormerWorkerRetention{10000};
 /// Time after which an owner's report includes the work sent to that owner.
 constexpr milliseconds ReportLag{1000};
+/// A process that was not running for longer may have missed an evacuation.
+/// Together with the feed's delay it must stay well below the 5 s in which an
+/// evacuation takes effect.
+constexpr milliseconds MaxTickGap{1000};
+/// Time for which nothing is started after a pause while the store does not
+/// tell of evacuations; then the last known state holds. A long-running task
+/// must run again within 3 s.
+constexpr milliseconds MaxStartHold{2000};
 
 } // namespace
 
@@ -106,6 +115,7 @@
     return restartsElsewhere(Shard);
   };
   Options.ShardCount = [this] { return m_cluster.shards(); };
+  Options.MayStart = [this] { return mayStart(); };
   Options.Log = m_options.Log;
   auto Acquired = std::make_unique<JobShard>(std::move(Options), m_store,
                                              m_workers, m_approvals, m_time);
@@ -131,6 +141,7 @@
 
 void JobHost::groupWorkers() {
   m_workersByShard.clear();
+  m_evacuatedWorkers = markEvacuated(m_fleet, m_evacuated);
   for (const WorkerEntry &Worker : m_fleet) {
     int Shard = m_cluster.shardOf(Worker.Id);
     if (Shard >= 0)
@@ -145,7 +156,8 @@
                                       m_cluster.largestWorkers());
 }
 
-bool JobHost::canRun(int Shard, const Job &Value) const {
+bool JobHost::canHold(int Shard, const Job &Value,
+                      const WorkerTest &IsUsable) const {
   auto Queue = m_queues->find(Value.Queue);
   auto Workers = m_workersByShard.find(Shard);
   if (Queue == m_queues->end() || Workers == m_workersByShard.end())
@@ -155,7 +167,7 @@
         return std::any_of(Workers->second.begin(), Workers->second.end(),
                            [&](const WorkerEntry &Worker) {
                              return Worker.Service == Queue->second.Service &&
-                                    !Worker.IsDraining &&
+                                    IsUsable(Worker) &&
                                     (Step.RequiredLabel.empty() ||
                                      Worker.hasLabel(Step.RequiredLabel)) &&
                                     Worker.canHold(Step);
@@ -163,6 +175,10 @@
       });
 }
 
+bool JobHost::canRun(int Shard, const Job &Value) const {
+  return canHold(Shard, Value, &WorkerEntry::takesTasks);
+}
+
 bool JobHost::hasData(int Shard, const Job &Value) const {
   auto Workers = m_workersByShard.find(Shard);
   return std::all_of(
@@ -261,7 +277,7 @@
     return false;
   std::vector<WorkerEntry> Usable = Workers->second;
   std::erase_if(Usable,
-                [](const WorkerEntry &Worker) { return Worker.IsDraining; });
+                [](const WorkerEntry &Worker) { return !Worker.takesTasks(); });
   return !firstUnfitGang(Value, Queue->second.Service, Usable);
 }
 
@@ -281,6 +297,16 @@
   std::vector<ShardCandidate> All;
   for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
     All.push_back({.Shard = Shard});
+  // A job that fits only on evacuated workers waits where these are: one that
+  // repeats is never transferred.
+  std::vector<ShardCandidate> Holding = All;
+  std::erase_if(Holding, [&](const ShardCandidate &Candidate) {
+    return !canHold(Candidate.Shard, Value, [](const WorkerEntry &Worker) {
+      return !Worker.IsDraining;
+    });
+  });
+  if (!m_evacuated.empty() && !Holding.empty())
+    All = Holding;
   if (!hasGang(Value) || Queue == m_queues->end())
     return All;
   const std::string &Service = Queue->second.Service;
@@ -347,7 +373,7 @@
   const std::vector<WorkerEntry> &Workers = m_workersByShard[Target];
   auto Usable = static_cast<size_t>(std::count_if(
       Workers.begin(), Workers.end(), [&](const WorkerEntry &Worker) {
-        return Worker.Service == Service && !Worker.IsDraining;
+        return Worker.Service == Service && Worker.takesTasks();
       }));
   auto Chosen =
       std::find_if(Others.begin(), Others.end(), [Target](const auto &Other) {
@@ -395,6 +421,7 @@
 }
 
 void JobHost::tick() {
+  holdStartsAfterPause();
   m_cluster.tick();
   for (const auto &[Shard, Owner] : m_ownedShards) {
     Owner->tick();
@@ -411,6 +438,42 @@
   groupWorkers();
 }
 
+void JobHost::setEvacuated(std::set<std::string> Domains) {
+  std::set<std::string> Old = std::exchange(m_evacuated, std::move(Domains));
+  groupWorkers();
+  if (m_options.Log)
+    m_options.Log("evacuation_changed",
+                  evacuationFields(Old, m_evacuated, m_fleet));
+}
+
+void JobHost::setEvacuatedTime(TimePoint AsOf) {
+  if (AsOf >= m_wokeAt)
+    m_startsHeldUntil = TimePoint{};
+}
+
+// Answers that arrive after a pause may lead to starts before the first tick.
+bool JobHost::mayStart() const {
+  if (!m_options.RefreshEvacuated)
+    return true;
+  TimePoint Now = m_time.now();
+  bool IsWaking = m_lastTick != TimePoint{} && Now > m_lastTick + MaxTickGap;
+  return !IsWaking && Now >= m_startsHeldUntil;
+}
+
+void JobHost::holdStartsAfterPause() {
+  TimePoint Now = m_time.now();
+  TimePoint Last = std::exchange(m_lastTick, Now);
+  bool WasPaused = Last != TimePoint{} && Now > Last + MaxTickGap;
+  if (!WasPaused || !m_options.RefreshEvacuated)
+    return;
+  m_wokeAt = Now;
+  m_startsHeldUntil = Now + MaxStartHold;
+  if (m_options.Log)
+    m_options.Log("starts_held",
+                  fmt::format("paused_ms={}", (Now - Last) / milliseconds(1)));
+  m_options.RefreshEvacuated();
+}
+
 void JobHost::updateFormerWorkers(const std::vector<WorkerEntry> &OldFleet,
                                   bool IsFollowed) {
   TimePoint Now = m_time.now();
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -35,6 +36,10 @@
   /// Requests the current list of workers. The receiver calls setFleet() if the
   /// list has changed, and then setFleetTime().
   std::function<void()> RefreshFleet;
+  /// Requests the failure domains that are evacuated now. The receiver calls
+  /// setEvacuated() if they have changed, and then setEvacuatedTime(). If not
+  /// set, starts are not held back after a pause of the process.
+  std::function<void()> RefreshEvacuated;
   /// Returns the time since the Unix epoch.
   std::function<milliseconds()> WallTime;
   /// Receives one line for each decision: event and key=value fields.
@@ -60,6 +65,10 @@
   void setFleetTime(TimePoint AsOf) {
     m_fleetTime = std::max(m_fleetTime, AsOf);
   }
+  /// Replaces the set of failure domains on whose workers nothing is started.
+  void setEvacuated(std::set<std::string> Domains);
+  /// Records that these domains were complete at the time \p AsOf.
+  void setEvacuatedTime(TimePoint AsOf);
   /// Replaces the configuration of the queues.
   void setQueues(std::shared_ptr<const JobQueues> Queues);
   /// Hands over all shards that this host owns.
@@ -74,6 +83,10 @@
   /// shards. Returns nothing while the state of any shard is unknown, since it
   /// has no live owner that has loaded it.
   std::optional<int> pending(const std::string &Queue) const;
+  /// Returns the number of failure domains that are evacuated, and of listed
+  /// workers in them.
+  size_t evacuatedDomains() const { return m_evacuated.size(); }
+  size_t evacuatedWorkers() const { return m_evacuatedWorkers; }
   /// Returns the sums of the counters of all shards that this host owns now.
   JobShardCounts counts() const;
   /// Returns the current number of shards.
@@ -114,6 +127,10 @@
   /// lately it can take.
   size_t tasksToSend(const ShardCandidate &Target,
                      const ShardDemand &Demand) const;
+  using WorkerTest = std::function<bool(const WorkerEntry &)>;
+  /// Returns true if those of the shard's workers that \p IsUsable selects can
+  /// hold a task of each step of \p Value.
+  bool canHold(int Shard, const Job &Value, const WorkerTest &IsUsable) const;
   bool canRun(int Shard, const Job &Value) const;
   bool hasData(int Shard, const Job &Value) const;
   /// Returns \p Service's workers by shard, those without a shard as shard -1:
@@ -133,6 +150,10 @@
   std::vector<ShardCandidate> gangCandidates(const Job &Value);
   /// Returns the shard for the new job \p Value.
   int chooseShardFor(const Job &Value);
+  /// Returns false after a pause of the process until it knows the evacuations
+  /// that were requested meanwhile, or the wait for them is over.
+  bool mayStart() const;
+  void holdStartsAfterPause();
   /// Returns the shard to which the job \p Value that waits on \p Shard should
   /// be transferred, or -1 if the job should stay.
   int chooseTransferFor(int Shard, const Job &Value);
@@ -151,6 +172,14 @@
   /// Number of shards that this process has taken over so far.
   uint64_t m_takeovers = 0;
   std::vector<WorkerEntry> m_fleet;
+  /// Failure domains that are evacuated, and number of listed workers there.
+  std::set<std::string> m_evacuated;
+  size_t m_evacuatedWorkers = 0;
+  TimePoint m_lastTick{};
+  /// When the process last went on after a pause, and until when nothing is
+  /// started because of it.
+  TimePoint m_wokeAt{};
+  TimePoint m_startsHeldUntil{};
   TimePoint m_fleetTime{};
   /// A worker that was removed from the list.
   struct FormerWorker {
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -372,6 +372,9 @@
   if (m_options.FailureDomains > 0)
     Out->Entry.FailureDomain =
         fmt::format("zone-{}", workers() % m_options.FailureDomains);
+  Out->OnStart = [this, Worker = Out.get()](const TaskName &Task) {
+    onStart(Worker->Entry, Task);
+  };
   Out->FailPercent = m_options.FailPercent;
   Out->NeedsTicket = m_options.ApprovalValidity.count() > 0;
   Out->Approved = workers() % 2 == 0;
@@ -442,6 +445,9 @@
                   updateFleet(host(Index), Fleet, now());
                 });
               },
+          .RefreshEvacuated = m_options.HasEvacuations
+                                  ? [this, Index] { readEvacuated(Index); }
+                                  : std::function<void()>(),
           .WallTime =
               [this] {
                 return std::chrono::duration_cast<milliseconds>(
@@ -453,6 +459,10 @@
               }},
       *Target.Store, *Target.Workers, Target.Approvals.get(), m_clock);
   trace(Index, "booted", "");
+  Target.SentEvacuations = m_evacuationChanges;
+  Target.KnownEvacuations = m_evacuationChanges;
+  if (!m_evacuatedSince.empty())
+    Target.Process->setEvacuated(evacuated());
   Target.Process->setQueues(m_queues);
   Target.Process->start();
   publishWorkers();
@@ -559,6 +569,8 @@
   for (TestJobHost &Target : m_hosts)
     if (Target.Process && !Target.IsPaused)
       Target.Process->tick();
+  for (int Index = 0; Index < hosts(); ++Index)
+    updateEvacuated(Index);
   checkRestarts();
   checkStops();
   countDownByTasks();
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -40,6 +40,10 @@
   int Workers = 6;
   /// Failure domains that the workers are in by turns; zero if they name none.
   int FailureDomains = 0;
+  /// Whether hosts hear of evacuations, and how much later than by a read of
+  /// the store.
+  bool HasEvacuations = false;
+  milliseconds EvacuationDelay{0};
   /// Minimum number of shards; there are more if there are many workers.
   int MinShards = 1;
   /// Weight of each host, and number of workers that a host of weight 1 can
@@ -206,6 +210,10 @@
   /// A list did not reach the process, which may have missed changes of
   /// workers.
   bool HasMissedFleet = false;
+  /// Number of the last change of the evacuations that was sent to the process,
+  /// and of the last that it has.
+  uint64_t SentEvacuations = 0;
+  uint64_t KnownEvacuations = 0;
   /// Callbacks that arrived while the host was paused.
   std::vector<std::function<void()>> Backlog;
 };
@@ -282,7 +290,16 @@
   /// crashed them.
   int maxDownByTasks() const { return m_maxDownByTasks; }
   bool isWorkerListed(int Worker) const { return !m_unlisted.count(Worker); }
-  /// Returns true if the worker is listed, up and not draining.
+  /// Time after which nothing starts any more in a failure domain that is
+  /// evacuated. The oracle reports later starts.
+  static constexpr milliseconds EvacuationTime{5000};
+  /// Has the store confirm the operator's row that evacuates \p Domain, or the
+  /// removal of that row.
+  void evacuate(const std::string &Domain);
+  void endEvacuation(const std::string &Domain);
+  /// Returns the number of starts on workers of \p Domain so far.
+  int startsIn(const std::string &Domain) const;
+  /// Returns true if the worker is listed, up, not draining and not evacuated.
   bool isWorkerUsable(int Worker);
   /// Ends the run of \p Task as failed, on whichever worker it is. Returns
   /// false if it does not run.
@@ -325,6 +342,11 @@
                    TimePoint AsOf);
   std::unique_ptr<ModelWorker> newWorker();
   void tickAll();
+  std::set<std::string> evacuated() const;
+  /// Sends a change of the evacuations to the host if it has none newer.
+  void updateEvacuated(int Host);
+  void readEvacuated(int Host);
+  void onStart(const WorkerEntry &Worker, const TaskName &Task);
   bool isCalm();
   void checkRestarts();
   void checkStops();
@@ -344,6 +366,10 @@
   std::unordered_map<std::string, ModelWorker *> m_workersById;
   std::set<int> m_unlisted;
   int m_maxDownByTasks = 0;
+  /// When the store has confirmed the evacuation of each failure domain.
+  std::map<std::string, TimePoint> m_evacuatedSince;
+  uint64_t m_evacuationChanges = 0;
+  std::map<std::string, int> m_startsByDomain;
   /// When a host was last killed.
   TimePoint m_lastKill{};
   /// Ports of host processes that ended; their last calls may still be in
--- a/src/testing/jobtestbed_fleet.cpp
+++ b/src/testing/jobtestbed_fleet.cpp
@@ -139,7 +139,8 @@
 bool JobTestBed::isWorkerUsable(int Index) {
   const ModelWorker &Worker = worker(Index);
   return !m_unlisted.count(Index) && !Worker.IsDown && !Worker.Hangs &&
-         !Worker.Entry.IsDraining;
+         !Worker.Entry.IsDraining &&
+         !m_evacuatedSince.count(Worker.Entry.FailureDomain);
 }
 
 bool JobTestBed::failTask(const TaskName &Task) {
--- a/src/testing/modelworker.cpp
+++ b/src/testing/modelworker.cpp
@@ -420,6 +420,8 @@
   Run.Fails = static_cast<int>(Hash % 100) < FailPercent;
   m_runs[Order.Task] = Run;
   m_oracle.onStart(Entry.Id, Order.Task, Order.Run, m_now());
+  if (OnStart)
+    OnStart(Order.Task);
   checkCapacity();
   if (const DeadlyTask *Deadly = m_oracle.deadly(Order.Task))
     scheduleCrash(Order.Task, Order.Run, Deadly->CrashAfter);
--- a/src/testing/modelworker.h
+++ b/src/testing/modelworker.h
@@ -182,6 +182,8 @@
   bool Approved = true;
   /// While set, runs make no progress.
   bool Hangs = false;
+  /// Called at each start of a run, if set.
+  std::function<void(const TaskName &)> OnStart;
   /// Changes each answer to a poll, if set.
   std::function<void(PollReply &)> AlterAnswer;
   /// Runs a function after a delay. If it is not set, deadly tasks do not crash
