Limit what callers' input takes in a process

Cause: input was limited only per connection. What followed a refusal, and responses that were not read, were buffered without a limit; announced bodies were allocated at once.

Change: InputBudget accounts for the input, requests in progress and unwritten responses of all servers of a process and closes connections at the limits host.memory_mb and host.file_descriptors (both 0, no limit, by default). After a refusal input is discarded up to 64 KiB or 2 s. The next pipelined request is handled once the last response is written. The operator's limits of head and body hold from the next request on.

--- a/src/basilchute-entry/entrydaemon.cpp
+++ b/src/basilchute-entry/entrydaemon.cpp
@@ -227,7 +227,8 @@
                      Values.integer("caller.max_body_bytes"))},
       .MaxConnections =
           static_cast<size_t>(Values.integer("caller.max_connections")),
-      .ReceiveTimeout = Values.duration("caller.receive_timeout_ms")};
+      .ReceiveTimeout = Values.duration("caller.receive_timeout_ms"),
+      .Budget = m_base.Input};
   m_callerServer = std::make_unique<HttpServer>(
       std::move(Options), [this](HttpRequest Request, Responder Answer) {
         m_callerApi->handle(std::move(Request), std::move(Answer));
--- a/src/libdaemon/daemonbase.cpp
+++ b/src/libdaemon/daemonbase.cpp
@@ -101,6 +101,7 @@
 
 Status DaemonBase::listenStatus(HttpServerOptions Options) {
   Options.Listen = Values.text("status.listen");
+  Options.Budget = Input;
   Options.OnRefusal = [](int Status, const std::string &Reason) {
     bool TooLarge = Status == 413 || Status == 431;
     return connectError(makeError(
@@ -150,7 +151,7 @@
   if (Path == "/readyz")
     return IsReady ? SendText(200, "ready\n") : SendText(503, "not ready\n");
   if (Path == "/metrics")
-    return SendText(200, MetricRegistry.text());
+    return SendText(200, MetricRegistry.text() + Input->metricsText());
   SendText(404, fmt::format("path \"{}\" does not exist\n", Path));
 }
 
--- a/src/libdaemon/daemonbase.h
+++ b/src/libdaemon/daemonbase.h
@@ -48,6 +48,9 @@
   PeerTransport Peers;
   ConfigFeed Config;
   ConnectRouter OperatorCalls;
+  /// Shared by all servers of the process; without limits.
+  std::shared_ptr<InputBudget> Input =
+      std::make_shared<InputBudget>(InputBudgetOptions{});
   std::unique_ptr<HttpServer> StatusServer;
   std::string PeerAddress;
   std::string StatusAddress;
--- a/src/libutil/httpserver.h
+++ b/src/libutil/httpserver.h
@@ -4,6 +4,7 @@
 
 #include "basilchute/clock.h"
 #include "basilchute/result.h"
+#include "libutil/inputbudget.h"
 #include "libutil/requestreader.h"
 
 #include <functional>
@@ -45,6 +46,9 @@
   milliseconds ReceiveTimeout{20000};
   /// Maximum time that a connection may be idle between requests.
   milliseconds IdleTimeout{60000};
+  /// Accounts for the input of this server, and of others of the process that
+  /// share it. If null, the server has one of its own without limits.
+  std::shared_ptr<InputBudget> Budget;
   /// Builds the response to a request that was rejected while being read. If
   /// empty, the response is the reason as plain text.
   std::function<HttpResponse(int Status, const std::string &Reason)> OnRefusal;
@@ -64,6 +68,9 @@
   /// Starts to listen and returns the bound HOST:PORT. Fails with
   /// InvalidArgument or BindFailed and names the address in the message.
   Result<std::string> start();
+  /// Changes the maximum sizes of a head and of a body, in bytes, from the next
+  /// request of each connection on.
+  void setLimits(size_t MaxHeadBytes, size_t MaxBodyBytes);
   /// From now on, every response closes its connection.
   void drain();
   /// Returns the number of requests that were read and have no response yet.
--- a/src/libutil/httpserver_test.cpp
+++ b/src/libutil/httpserver_test.cpp
@@ -6,6 +6,7 @@
 #include "libutil/eventloop.h"
 #include "testing/rawsocket.h"
 
+#include <atomic>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <mutex>
@@ -207,3 +208,147 @@
   RawClient Second(Echo.Address);
   CHECK(Second.receive().empty());
 }
+
+// Guards against buffering what follows a refusal, and against a reset before
+// the refusal was written.
+TEST_CASE("input after a refusal is discarded and the connection is closed") {
+  auto Budget = std::make_shared<InputBudget>(InputBudgetOptions{});
+  EchoServer Echo({.Limits = {.MaxBodyBytes = 1000}, .Budget = Budget});
+  RawClient Client(Echo.Address);
+  Client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n" +
+              std::string(40000, 'x'));
+  CHECK(Client.receive().starts_with("HTTP/1.1 413 "));
+  while (Echo.Server.connections() > 0)
+    std::this_thread::sleep_for(10ms);
+  InputCounts Counts = Budget->counts();
+  CHECK(Counts.Refused[413] == 1);
+  CHECK(Counts.Closed[size_t(CloseReason::Refused)] == 1);
+  CHECK(Counts.HeldBytes == 0);
+  CHECK(Counts.MostHeldBytes < 20000);
+}
+
+// Guards against a buffer of the announced size for a body that never comes.
+TEST_CASE("an announced body takes memory only as it arrives") {
+  auto Budget = std::make_shared<InputBudget>(InputBudgetOptions{});
+  EchoServer Echo({.Budget = Budget});
+  RawClient Client(Echo.Address);
+  Client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 8000000\r\n\r\nx");
+  while (Budget->counts().HeldBytes == 0)
+    std::this_thread::yield();
+  std::this_thread::sleep_for(50ms);
+  CHECK(Budget->counts().HeldBytes < 20000);
+}
+
+// Guards against a pipeline that is buffered while a request is in progress.
+TEST_CASE("input that is far ahead of a response is not kept") {
+  auto Budget = std::make_shared<InputBudget>(InputBudgetOptions{});
+  std::mutex Lock;
+  std::vector<Responder> Held;
+  HttpServer Server({.Listen = "127.0.0.1:0", .Threads = 1, .Budget = Budget},
+                    [&](const HttpRequest &, Responder Reply) {
+                      std::lock_guard Guard(Lock);
+                      Held.push_back(std::move(Reply));
+                    });
+  RawClient Client(Server.start().value());
+  Client.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  while (Server.pendingRequests() == 0)
+    std::this_thread::yield();
+  Client.send(std::string(40000, 'x'));
+  // The input is kept up to the size of a head, and then dropped.
+  while (Budget->counts().MostHeldBytes < 16384 ||
+         Budget->counts().HeldBytes > 8192)
+    std::this_thread::yield();
+  {
+    std::lock_guard Guard(Lock);
+    Held[0].send({.Body = "first"});
+  }
+  std::string Received = Client.receive();
+  CHECK(Received.ends_with("first"));
+  CHECK(countOf(Received, "Connection: close") == 1);
+  while (Server.connections() > 0)
+    std::this_thread::sleep_for(10ms);
+  CHECK(Budget->counts().Closed[size_t(CloseReason::ReadAhead)] == 1);
+}
+
+// Guards against responses that accumulate because nobody reads them.
+TEST_CASE("the next request is handled once the last response is written") {
+  constexpr size_t Size = 16 * 1024 * 1024;
+  std::atomic<int> Calls{0};
+  HttpServer Server({.Listen = "127.0.0.1:0", .Threads = 1},
+                    [&](const HttpRequest &, Responder Reply) {
+                      ++Calls;
+                      Reply.send({.Body = std::string(Size, 'x')});
+                    });
+  RawClient Client(Server.start().value());
+  Client.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+              "GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  while (Calls == 0)
+    std::this_thread::yield();
+  std::this_thread::sleep_for(100ms);
+  CHECK(Calls == 1);
+  CHECK(Client.receive().size() > 2 * Size);
+  CHECK(Calls == 2);
+}
+
+TEST_CASE("new limits hold from the next request on") {
+  auto Budget = std::make_shared<InputBudget>(InputBudgetOptions{});
+  EchoServer Echo({.Budget = Budget});
+  RawClient Client(Echo.Address);
+  Client.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab");
+  while (Budget->counts().HeldBytes == 0)
+    std::this_thread::yield();
+  Echo.Server.setLimits(1024, 3);
+  Client.send(
+      "cdePOST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabcd");
+  std::string Received = Client.receive();
+  INFO(Received);
+  CHECK(countOf(Received, "/1|abcde") == 1);
+  CHECK(countOf(Received, "HTTP/1.1 413 ") == 1);
+}
+
+// Two servers share the budget, as in a host.
+TEST_CASE("at the limit of connections the longest wait makes room") {
+  auto Budget =
+      std::make_shared<InputBudget>(InputBudgetOptions{.MaxConnections = 2});
+  EchoServer Callers({.Budget = Budget});
+  EchoServer Status({.Budget = Budget});
+  RawClient First(Callers.Address);
+  while (Budget->counts().OpenConnections < 1)
+    std::this_thread::yield();
+  RawClient Second(Callers.Address);
+  while (Budget->counts().OpenConnections < 2)
+    std::this_thread::yield();
+  RawClient Third(Status.Address);
+  Third.send("GET /3 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  CHECK(Third.receive().ends_with("/3|"));
+  CHECK(First.receive().empty());
+  Second.send("GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  CHECK(Second.receive().ends_with("/2|"));
+}
+
+// Guards against closing idle connections when only requests in progress exceed
+// the budget.
+TEST_CASE("an idle connection holds nothing") {
+  auto Budget = std::make_shared<InputBudget>(InputBudgetOptions{});
+  EchoServer Echo({.Budget = Budget});
+  RawClient Client(Echo.Address);
+  Client.send("GET /i HTTP/1.1\r\nHost: x\r\n\r\n");
+  Client.receive([](const std::string &Bytes) { return Bytes.ends_with("|"); });
+  while (Budget->counts().HeldBytes > 0)
+    std::this_thread::yield();
+  CHECK(Budget->counts().OpenConnections == 1);
+}
+
+TEST_CASE("at the limit of memory the largest unfinished request is closed") {
+  auto Budget =
+      std::make_shared<InputBudget>(InputBudgetOptions{.MaxBytes = 300000});
+  EchoServer Echo({.Budget = Budget});
+  RawClient Large(Echo.Address);
+  Large.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n" +
+             std::string(500000, 'x'));
+  CHECK(Large.receive().empty());
+  RawClient Small(Echo.Address);
+  Small.send("GET /s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  CHECK(Small.receive().ends_with("/s|"));
+  CHECK(Budget->counts().Closed[size_t(CloseReason::Memory)] == 1);
+}
--- a/src/libutil/requestreader.cpp
+++ b/src/libutil/requestreader.cpp
@@ -101,6 +101,7 @@
     if (!IsValid)
       return Progress::Rejected;
   }
+  m_headBytes = Head.size() + m_request.Headers.capacity() * sizeof(HttpHeader);
   if (!checkHost() || !parseFraming())
     return Progress::Rejected;
   if (m_stage == Stage::FixedLengthBody && m_remainingBytes == 0)
@@ -206,7 +207,6 @@
   if (m_remainingBytes > m_limits.MaxBodyBytes)
     return reject(413, fmt::format("the body is longer than {} bytes",
                                    m_limits.MaxBodyBytes));
-  m_request.Body.reserve(m_remainingBytes);
   return true;
 }
 
@@ -300,6 +300,7 @@
   m_line.clear();
   m_remainingBytes = 0;
   m_trailerBytes = 0;
+  m_headBytes = 0;
   m_isContinueExpected = false;
   return Request;
 }
--- a/src/libutil/requestreader.h
+++ b/src/libutil/requestreader.h
@@ -15,6 +15,12 @@
   size_t MaxBodyBytes = 8 * 1024 * 1024;
 };
 
+/// Returns the bytes that \p Text has allocated; short strings have none.
+inline size_t allocatedBytes(const std::string &Text) {
+  static const size_t InPlace = std::string().capacity();
+  return Text.capacity() > InPlace ? Text.capacity() : 0;
+}
+
 /// Parses a byte stream into requests, one at a time. Rejects every request
 /// whose framing another implementation could interpret differently, which
 /// would allow request smuggling. After Rejected the connection must be closed.
@@ -36,6 +42,14 @@
     return m_stage != Stage::Head || !m_line.empty();
   }
 
+  /// Changes the limits; only allowed between two requests.
+  void setLimits(RequestLimits Limits) { m_limits = Limits; }
+  /// Returns the memory in bytes that the request that is partly read takes.
+  size_t bufferedBytes() const {
+    return allocatedBytes(m_line) + m_headBytes +
+           allocatedBytes(m_request.Body);
+  }
+
   /// HTTP status and reason of the rejection, valid after Rejected.
   int errorStatus() const { return m_errorStatus; }
   const std::string &errorReason() const { return m_errorReason; }
@@ -74,6 +88,8 @@
   /// Bytes still to be read of the body or of the current chunk.
   size_t m_remainingBytes = 0;
   size_t m_trailerBytes = 0;
+  /// Memory of the request's method, target and headers.
+  size_t m_headBytes = 0;
   bool m_isHttp10 = false;
   bool m_isContinueExpected = false;
   bool m_isLineMalformed = false;
