Limit how many connections a server accepts ahead

Cause: Pistache's listener accepts on a thread of its own without a limit.

Change: HttpListener accepts in its place, for the same Pistache transports. At 16 connections more than the limit it waits until one has ended.

--- a/src/libutil/httpconnection.h
+++ b/src/libutil/httpconnection.h
@@ -24,6 +24,8 @@
   SystemClock Clock;
   std::atomic<size_t> MaxHeadBytes{0};
   std::atomic<size_t> MaxBodyBytes{0};
+  /// Number of accepted connections whose descriptors are open.
+  std::atomic<size_t> AcceptedConnections{0};
   std::atomic<bool> IsDraining{false};
   std::atomic<size_t> InFlight{0};
   std::atomic<int64_t> LastRequestNanos{0};
--- a/src/libutil/httpserver.cpp
+++ b/src/libutil/httpserver.cpp
@@ -2,12 +2,13 @@
 
 #include "libutil/address.h"
 #include "libutil/httpconnection.h"
+#include "libutil/httplistener.h"
 #include "libutil/httpresponder.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <fmt/format.h>
 #include <mutex>
-#include <pistache/listener.h>
 #include <pistache/tcp.h>
 #include <pistache/transport.h>
 #include <set>
@@ -19,6 +20,7 @@
 
 constexpr const char *ConnectionDataKey = "basilchute";
 constexpr milliseconds SweepInterval{500};
+constexpr size_t AcceptedAhead = 16;
 
 /// Callbacks of Pistache: input, and connections opened and closed.
 class TransportHandler : public Pistache::Tcp::Handler {
@@ -58,6 +60,7 @@
 
   void
   onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
+    --m_server->AcceptedConnections;
     auto Closed = connectionOf(Peer);
     if (!Closed)
       return;
@@ -109,26 +112,22 @@
         parseAddress(m_state->Options.Listen);
     if (!ListenAddress.has_value())
       return ListenAddress.error();
-    try {
-      Pistache::Address Address(ListenAddress.value().Host,
-                                Pistache::Port(ListenAddress.value().Port));
-      m_listener = std::make_unique<Pistache::Tcp::Listener>(Address);
-      m_listener->init(static_cast<size_t>(m_state->Options.Threads),
-                       Pistache::Flags<Pistache::Tcp::Options>(
-                           Pistache::Tcp::Options::ReuseAddr) |
-                           Pistache::Tcp::Options::NoDelay,
-                       "http");
-      m_listener->setHandler(std::make_shared<TransportHandler>(m_state));
-      m_listener->bind();
-      m_listener->runThreaded();
-    } catch (const std::exception &Failure) {
+    m_listener = std::make_unique<HttpListener>(
+        HttpListenerOptions{.Address = ListenAddress.value(),
+                            .Threads = m_state->Options.Threads,
+                            .MaxOpen = maxOpen(),
+                            .Open = &m_state->AcceptedConnections},
+        std::make_shared<TransportHandler>(m_state));
+    Result<uint16_t> Port = m_listener->start();
+    if (!Port.has_value()) {
+      m_listener.reset();
       return makeError(ResultCode::BindFailed,
                        fmt::format("address \"{}\": {}",
-                                   m_state->Options.Listen, Failure.what()));
+                                   m_state->Options.Listen,
+                                   Port.error().Message));
     }
     m_sweeper = std::thread([this] { sweepLoop(); });
-    return fmt::format("{}:{}", ListenAddress.value().Host,
-                       static_cast<uint16_t>(m_listener->getPort()));
+    return fmt::format("{}:{}", ListenAddress.value().Host, Port.value());
   }
 
   void setLimits(size_t MaxHeadBytes, size_t MaxBodyBytes) {
@@ -158,7 +157,6 @@
     }
     m_stopSignal.notify_all();
     m_sweeper.join();
-    m_listener->shutdown();
     m_listener.reset();
     // A late response must not dispatch the request after it.
     std::lock_guard Guard(m_state->Lock);
@@ -168,6 +166,15 @@
   }
 
 private:
+  /// Leaves room for connections that are accepted before one is closed for
+  /// them.
+  size_t maxOpen() const {
+    size_t Limit = m_state->Options.MaxConnections;
+    if (size_t Shared = m_state->Options.Budget->maxConnections(); Shared > 0)
+      Limit = std::min(Limit, Shared);
+    return Limit + AcceptedAhead;
+  }
+
   void sweepLoop() {
     std::unique_lock Guard(m_stopLock);
     while (!m_stopSignal.wait_for(Guard, SweepInterval,
@@ -187,7 +194,7 @@
   }
 
   std::shared_ptr<HttpServerState> m_state;
-  std::unique_ptr<Pistache::Tcp::Listener> m_listener;
+  std::unique_ptr<HttpListener> m_listener;
   std::thread m_sweeper;
   std::mutex m_stopLock;
   std::condition_variable m_stopSignal;
--- a/src/libutil/inputbudget.h
+++ b/src/libutil/inputbudget.h
@@ -98,6 +98,7 @@
 
   explicit InputBudget(InputBudgetOptions Options);
 
+  size_t maxConnections() const { return m_options.MaxConnections; }
   /// Sets the times after which a connection in the middle of a request, or
   /// between two requests, is among the first that are closed.
   void setTimeouts(nanoseconds MidRequest, nanoseconds Idle);
