--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -5,6 +5,7 @@
 #include "basilchute/approval.h"
 #include "basilchute/job.h"
 #include "basilchute/leasetimes.h"
+#include "basilchute/placementoptions.h"
 #include "basilchute/rowstore.h"
 #include "basilchute/shardchoice.h"
 #include "basilchute/taskworker.h"
@@ -70,6 +71,7 @@
   /// record that names all runs that are left, for example because this host
   /// has owned the shard under this epoch before.
   uint64_t HandoverVersion = 0;
+  PlacementOptions Placement;
   /// Returns whether this host may still send orders; called before each order.
   std::function<bool()> CanSendOrders;
   /// Returns whether no other host can own the shard. Called before the first
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -71,6 +71,7 @@
   if (!IsReacquired)
     Options.HandoverVersion = ReleaseVersion != 0 ? ReleaseVersion : Epoch;
   Options.MaxWorkerLease = m_options.MaxWorkerLease;
+  Options.Placement = m_options.Placement;
   LeaseTimes &Leases = Options.Leases;
   Leases.Sole = std::min(m_options.MaxWorkerLease, Leases.Sole);
   Leases.OnEvidence = std::min(m_options.MaxWorkerLease, Leases.OnEvidence);
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -30,6 +30,7 @@
   bool CanSpanPartitions = true;
   /// Longest lease that a worker grants.
   milliseconds MaxWorkerLease{6000};
+  PlacementOptions Placement;
   /// Runs a function on the host's event loop after a delay.
   std::function<void(milliseconds, std::function<void()>)> RunAfter;
   /// Requests the current list of workers. The receiver calls setFleet() if the
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -69,6 +69,7 @@
   milliseconds CapacityAllowance{0};
   /// Longest lease of a worker, as the hosts know it.
   milliseconds MaxWorkerLease{6000};
+  PlacementOptions Placement;
   CrashStyle Crashes = CrashStyle::Silent;
   /// Whether a commit may span several partitions.
   bool CanSpanPartitions = true;
