--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -80,6 +80,7 @@
   if (!IsReacquired)
     Options.HandoverVersion = ReleaseVersion != 0 ? ReleaseVersion : Epoch;
   Options.MaxWorkerLease = m_options.MaxWorkerLease;
+  Options.Placement = m_options.Placement;
   LeaseTimes &Leases = Options.Leases;
   Leases.Sole = std::min(m_options.MaxWorkerLease, Leases.Sole);
   Leases.OnEvidence = std::min(m_options.MaxWorkerLease, Leases.OnEvidence);
@@ -567,6 +568,16 @@
     Out.CrashTrialsSurvived += Counts.CrashTrialsSurvived;
     Out.CrashJobsGivenUp += Counts.CrashJobsGivenUp;
     Out.PaceOrders += Counts.PaceOrders;
+    Out.ReservationsMade += Counts.ReservationsMade;
+    Out.ReservationsMoved += Counts.ReservationsMoved;
+    Out.ReservationsMet += Counts.ReservationsMet;
+    Out.ReservationsMissed += Counts.ReservationsMissed;
+    Out.TasksBackfilled += Counts.TasksBackfilled;
+    Out.KeptWorkers += Counts.KeptWorkers;
+    Out.KeptMillicores += Counts.KeptMillicores;
+    Out.RunsPredicted += Counts.RunsPredicted;
+    Out.RunsOverLateBound += Counts.RunsOverLateBound;
+    Out.TotalPredictionError += Counts.TotalPredictionError;
     Out.TakeoverSilentWorkers += Counts.TakeoverSilentWorkers;
     Out.TasksHeldBack += Counts.TasksHeldBack;
   }
