--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -157,6 +157,11 @@
   /// Returns the last report on \p Shard by its owner. Returns null if the
   /// shard has no live owner, or if the owner has not loaded the shard yet.
   const ShardReport *report(int Shard) const;
+  /// Returns a number that grows with each report() on \p Shard that its owner
+  /// writes, zero if there is none.
+  uint64_t reportNumber(int Shard) const;
+  /// Returns the number of live hosts.
+  size_t liveHosts() const;
   /// Returns the number of shards that this host owns.
   int owned() const;
   /// Returns true if this host owns no shard and is not about to get one, has
--- a/src/include/basilchute/job.h
+++ b/src/include/basilchute/job.h
@@ -128,6 +128,8 @@
   /// Time for which an approval is valid; zero if the queue's steps need no
   /// approval.
   milliseconds ApprovalValidity{0};
+  /// Part of the resources that the queue is due, relative to other queues.
+  double Weight = 1;
 
   bool needsApproval() const { return ApprovalValidity.count() > 0; }
 };
--- a/src/include/basilchute/jobfrontend.h
+++ b/src/include/basilchute/jobfrontend.h
@@ -20,6 +20,13 @@
   /// Fails if a job would be stored and not start on the fleet as it is known.
   /// If not set, every job is stored.
   std::function<Status(const Job &)> CheckRoom;
+  /// Fails if a job is refused for the load; called after CheckRoom. Unless an
+  /// earlier call has stored the job, the refusal is stored, so that no such
+  /// call takes effect later. If not set, no job is refused so.
+  std::function<Status(const Job &)> Admit;
+  /// Returns a version that the store had reached. A submission replaces a
+  /// refusal only if that was stored before the submission began.
+  std::function<uint64_t()> KnownVersion;
   /// True if a transaction of the store may span several partitions. If false,
   /// all jobs go to the first shard.
   bool CanSpanPartitions = true;
@@ -42,11 +49,11 @@
 class JobFrontend {
 public:
   /// Success means that the job is stored. Unavailable, Overloaded and the
-  /// errors of JobFrontendOptions::CheckRoom mean that this call has not stored
-  /// the job and never will, and that no earlier call on any host had stored
-  /// it. NotFound means that the job was cancelled
-  /// before it could be stored, and never will be. OutcomeUnknown means that
-  /// none of these could be established before the deadline.
+  /// errors of JobFrontendOptions::CheckRoom and Admit mean that this call has
+  /// not stored the job and never will, and that no earlier call on any host
+  /// had stored it. NotFound means that the job was cancelled before it could
+  /// be stored, and never will be. OutcomeUnknown means that none of these
+  /// could be established before the deadline.
   using SubmitDone = std::function<void(Status)>;
   /// Fails with NotFound or Unavailable.
   using StateDone = std::function<void(Result<JobState>)>;
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -109,6 +109,9 @@
   std::function<RestartDemand()> RestartsElsewhere;
   /// Returns the number of shards.
   std::function<int()> ShardCount;
+  /// Whether queues whose short tasks wait are ordered by their shares of the
+  /// resources.
+  bool OrdersByShares = false;
   /// Logs one decision: the event's name and its key=value fields.
   std::function<void(std::string_view, std::string_view)> Log;
 };
@@ -205,6 +208,10 @@
   size_t listedWorkers() const;
   /// Returns the load that the shard's owner reports for the choice of shards.
   ShardLoad currentLoad();
+  /// Returns the same with what the admission of new jobs depends on.
+  ShardLoad reportedLoad();
+  /// Returns the weighted dominant share of each queue that has finite runs.
+  std::map<std::string, double> queueShares();
   /// Returns true once all rows are read.
   bool isLoaded() const;
   uint64_t epoch() const;
--- a/src/include/basilchute/result.h
+++ b/src/include/basilchute/result.h
@@ -9,6 +9,7 @@
 
 #include <boost/outcome/basic_result.hpp>
 #include <boost/outcome/policy/all_narrow.hpp>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -69,6 +70,8 @@
 struct Error {
   ResultCode Code = ResultCode::Internal;
   std::string Message;
+  /// Time after which the caller should try again; zero if it is not known.
+  std::chrono::seconds RetryAfter{0};
 };
 
 /// Either a value or an Error. Accessing the one that is not present is
@@ -82,7 +85,7 @@
 
 /// Creates an Error, which converts to a failed Result of any type.
 inline Error makeError(ResultCode Code, std::string Message) {
-  return Error{.Code = Code, .Message = std::move(Message)};
+  return Error{.Code = Code, .Message = std::move(Message), .RetryAfter = {}};
 }
 
 /// Creates a successful Status.
--- a/src/include/basilchute/shardchoice.h
+++ b/src/include/basilchute/shardchoice.h
@@ -51,6 +51,35 @@
   /// Millicores that fill tasks could use now without interference with serving
   /// tasks, by image, for all known images.
   std::map<std::string, int64_t> FillCapacity;
+  /// True if the owner reports the following fields.
+  bool HasAdmissionLoad = false;
+  /// Room that long-running tasks leave on each usable worker that is not kept
+  /// for finite work, in tenths of a core rounded down; workers without room
+  /// are left out. Classes as of RoomyWorkers would count one task of 6.4 cores
+  /// too few on most workers.
+  std::vector<uint32_t> OpenRooms;
+  /// Memory that long-running tasks leave on these workers.
+  int64_t OpenMemoryMib = 0;
+  /// Millicores of long-running tasks without a run.
+  int64_t WaitingLongRunningMillicores = 0;
+  /// Millicores of long-running tasks that arrive per second, a moving mean.
+  double LongRunningArrivals = 0;
+  /// Demand of finite tasks that reserve processors.
+  int64_t FiniteDemandMillicores = 0;
+  /// Waiting work of tasks that reserve processors and end, by priority of
+  /// their queue, in millicores times seconds. Jobs that will have no value are
+  /// left out.
+  std::map<int, double> WaitingWorkByPriority;
+  /// Such work that the shard finishes per second while some waits, in
+  /// millicores: a moving mean; zero if it is not known.
+  double FinishedWorkPerSecond = 0;
+  /// Remaining work of fill jobs that will have value, and the work of fill
+  /// tasks that the shard finishes per second.
+  double RemainingFillWork = 0;
+  double FinishedFillWorkPerSecond = 0;
+
+  /// Returns the sum over all priorities of WaitingWorkByPriority.
+  double waitingFiniteWork() const;
 };
 
 /// A shard that has workers for every step of a job.
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -172,6 +172,14 @@
     return HasReport ? &It->second : nullptr;
   }
 
+  uint64_t reportNumber(int Shard) const {
+    if (!report(Shard))
+      return 0;
+    return m_hosts->rowVersion(m_shards[static_cast<size_t>(Shard)].Owner);
+  }
+
+  size_t liveHosts() const { return m_hosts->liveHosts().size(); }
+
   int owned() const {
     return static_cast<int>(std::count_if(
         m_shards.begin(), m_shards.end(),
@@ -661,6 +669,10 @@
 const ShardReport *HostCluster::report(int Shard) const {
   return m_impl->report(Shard);
 }
+uint64_t HostCluster::reportNumber(int Shard) const {
+  return m_impl->reportNumber(Shard);
+}
+size_t HostCluster::liveHosts() const { return m_impl->liveHosts(); }
 int HostCluster::owned() const { return m_impl->owned(); }
 bool HostCluster::isIdle() const { return m_impl->isIdle(); }
 
--- a/src/libbasilchute/jobfrontend.cpp
+++ b/src/libbasilchute/jobfrontend.cpp
@@ -1,5 +1,6 @@
 #include "basilchute/jobfrontend.h"
 
+#include "libbasilchute/jobrefusal.h"
 #include "libbasilchute/jobrows.h"
 
 #include <algorithm>
@@ -10,95 +11,25 @@
 
 namespace {
 
-constexpr size_t MaxPayloadBytes = 4000;
-constexpr int MaxTasks = 100000;
-/// Maximum size of a job's row, and the part of it that is left for what a job
-/// is given after it was checked: its id, its queue and times.
-constexpr size_t MaxJobBytes = 65536;
-constexpr size_t JobBytesForNames = 800;
 constexpr milliseconds FirstRetryDelay{40};
 constexpr milliseconds MaxRetryDelay{320};
 /// Time for the read that precedes a refusal, if the deadline leaves less.
 constexpr milliseconds MinConfirmTime{50};
+/// Time after which a host knows a version that is newer than a refusal.
+constexpr std::chrono::seconds JustRefusedDelay{2};
 /// Maximum number of final states that are cached to answer queries without the
 /// store.
 constexpr size_t MaxCachedStates = 20000;
 
-Error invalidArgument(std::string Text) {
-  return makeError(ResultCode::InvalidArgument, std::move(Text));
-}
-
-Status checkStep(const JobStep &Step, int Index) {
-  if (Step.Count < 1 || Step.Count > MaxTasks)
-    return invalidArgument(
-        fmt::format("steps[{}]: the count must be positive and at most {}",
-                    Index, MaxTasks));
-  const Resources &Demand = Step.Demand;
-  bool HasNegative = Demand.Millicores < 0 || Demand.MemoryMib < 0 ||
-                     Demand.Accelerators < 0 || Step.MaxPerWorker < 0 ||
-                     Step.MaxUnavailable < 0 ||
-                     Step.EstimatedRunTime.count() < 0 ||
-                     Step.TailTarget.count() < 0;
-  if (HasNegative)
-    return invalidArgument(
-        fmt::format("steps[{}]: a demand, limit, estimate or tail "
-                    "target is negative",
-                    Index));
-  for (int Earlier : Step.Predecessors)
-    if (Earlier < 0 || Earlier >= Index)
-      return invalidArgument(fmt::format(
-          "steps[{}]: depends on step {}, which is not an earlier step", Index,
-          Earlier));
-  return okStatus();
-}
-
-// A job that is handed in has no id yet.
-Status checkJobSize(const Job &Value) {
-  size_t Bytes = encodeJob(Value).size();
-  size_t Limit =
-      Value.Id.empty() ? MaxJobBytes - JobBytesForNames : MaxJobBytes;
-  if (Bytes <= Limit)
-    return okStatus();
-  return makeError(ResultCode::TooLarge,
-                   fmt::format("the job's steps have {} bytes as stored; the "
-                               "maximum is {}",
-                               Bytes, Limit));
-}
-
 } // namespace
 
-Status checkJob(const Job &Value) {
-  if (Value.Payload.size() > MaxPayloadBytes)
-    return makeError(ResultCode::TooLarge,
-                     fmt::format("the payload has {} bytes; the maximum is {}",
-                                 Value.Payload.size(), MaxPayloadBytes));
-  if (Value.Steps.empty())
-    return invalidArgument("the job has no steps");
-  if (Value.Repetitions < 0 || Value.Interval.count() < 0)
-    return invalidArgument("the repetitions or the interval is negative");
-  // The product below then fits into 64 bits.
-  if (Value.Repetitions > MaxTasks || Value.Steps.size() > MaxTasks)
-    return invalidArgument(
-        fmt::format("the job has more than {} repetitions or steps", MaxTasks));
-  int64_t Tasks = 0;
-  for (size_t Index = 0; Index < Value.Steps.size(); ++Index) {
-    Status Checked = checkStep(Value.Steps[Index], static_cast<int>(Index));
-    if (!Checked.has_value())
-      return Checked;
-    Tasks += Value.Steps[Index].Count;
-  }
-  Tasks *= Value.occurrences();
-  if (Tasks > MaxTasks)
-    return invalidArgument(fmt::format(
-        "the job has {} tasks; the maximum is {}", Tasks, MaxTasks));
-  return checkJobSize(Value);
-}
-
 class JobFrontend::Impl
     : public std::enable_shared_from_this<JobFrontend::Impl> {
 public:
   Impl(JobFrontendOptions Options, RowStore &Store, const Clock &Time)
-      : m_options(std::move(Options)), m_store(Store), m_time(Time) {}
+      : m_options(std::move(Options)), m_store(Store), m_time(Time),
+        m_refusals(std::make_shared<JobRefusals>(
+            JobRefusalOptions{.RunAfter = m_options.RunAfter}, Store, Time)) {}
 
   /// A submission in progress.
   struct Submission {
@@ -109,6 +40,15 @@
     /// True if an earlier attempt may have taken effect, or may still do so.
     bool IsOutcomeUnknown = false;
     milliseconds RetryDelay = FirstRetryDelay;
+
+    /// A version that the store had reached before.
+    uint64_t BeganAfter = 0;
+
+    /// Answers the caller unless it was answered before.
+    void finish(const Status &Outcome) {
+      if (Done)
+        std::exchange(Done, nullptr)(Outcome);
+    }
   };
 
   /// A cancellation in progress.
@@ -142,6 +82,13 @@
       if (!HasRoom.has_value())
         return confirm(Pending, HasRoom.error());
     }
+    if (m_options.Admit) {
+      if (m_options.KnownVersion)
+        Pending->BeganAfter = m_options.KnownVersion();
+      Status Admitted = m_options.Admit(Value);
+      if (!Admitted.has_value())
+        return refuse(Pending, Admitted.error());
+    }
     int Shard = chooseShard(Value);
     RowAddress Address = jobAddress(Shard, Value.Id);
     Job Stored = Value;
@@ -163,9 +110,27 @@
     tryCommit(Pending);
   }
 
+  void refuse(const std::shared_ptr<Submission> &Pending,
+              const Error &Refusal) {
+    // Without an index there is no row that all submissions of a job share.
+    if (!m_options.CanSpanPartitions)
+      return confirm(Pending, Refusal);
+    m_refusals->refuse(
+        Pending->Id, Pending->Deadline,
+        [Pending, Refusal](const Result<RefusalOutcome> &Outcome) {
+          if (!Outcome.has_value())
+            return Pending->finish(Outcome.error());
+          if (Outcome.value() == RefusalOutcome::Stored)
+            return Pending->finish(okStatus());
+          Pending->finish(Outcome.value() == RefusalOutcome::Barred
+                              ? Status(jobNotFound(Pending->Id))
+                              : Status(Refusal));
+        });
+  }
+
   // All conditions require a row to be absent, so a conflict means that an
   // earlier attempt, by this or another host, has succeeded, or that the job
-  // was cancelled before.
+  // was cancelled or refused before.
   void tryCommit(const std::shared_ptr<Submission> &Pending) {
     m_store.commit(Pending->Commit, [Weak = weak_from_this(),
                                      Pending](const Result<uint64_t> &Answer) {
@@ -173,7 +138,7 @@
       if (!Self)
         return;
       if (Answer.has_value())
-        return Pending->Done(okStatus());
+        return Pending->finish(okStatus());
       if (Answer.error().Code == ResultCode::Conflict)
         return Self->confirm(Pending, Answer.error());
       Pending->IsOutcomeUnknown |=
@@ -187,9 +152,9 @@
         return;
       }
       if (Pending->IsOutcomeUnknown)
-        Pending->Done(makeError(ResultCode::OutcomeUnknown,
-                                "the store did not report before the "
-                                "deadline whether the job was stored"));
+        Pending->finish(makeError(ResultCode::OutcomeUnknown,
+                                  "the store did not report before the "
+                                  "deadline whether the job was stored"));
       else
         Self->confirm(Pending, Answer.error());
     });
@@ -215,6 +180,8 @@
       return Rows.front().Address == jobAddress(0, Id)
                  ? okStatus()
                  : Status(jobNotFound(Id));
+    if (isRefusedJobIndex(Rows.front().Value))
+      return Refusal;
     Result<int> Shard = decodeJobIndex(Rows.front().Value);
     bool IsBarred = Shard.has_value() && Shard.value() == BarredShard;
     return IsBarred ? Status(jobNotFound(Id)) : okStatus();
@@ -224,10 +191,6 @@
   // earlier attempt of the caller may have reached another host.
   void confirm(const std::shared_ptr<Submission> &Pending,
                const Error &Refusal) {
-    auto Finish = [Pending](const Status &Outcome) {
-      if (Pending->Done)
-        std::exchange(Pending->Done, nullptr)(Outcome);
-    };
     Error Unknown = makeError(ResultCode::OutcomeUnknown,
                               "the store does not tell whether the job was "
                               "stored: " +
@@ -235,19 +198,40 @@
     m_options.RunAfter(std::max(std::chrono::ceil<milliseconds>(
                                     Pending->Deadline - m_time.now()),
                                 MinConfirmTime),
-                       [Finish, Unknown] { Finish(Unknown); });
+                       [Pending, Unknown] { Pending->finish(Unknown); });
     m_store.read(evidenceOf(Pending->Id), [Weak = weak_from_this(), Pending,
-                                           Finish, Unknown, Refusal](
+                                           Unknown, Refusal](
                                               const Result<RowPage> &Answer) {
       auto Self = Weak.lock();
-      if (!Self)
+      if (!Self || !Pending->Done)
         return;
       if (!Answer.has_value())
-        return Finish(Unknown);
-      Finish(Self->storedStatus(Pending->Id, Answer.value().Rows, Refusal));
+        return Pending->finish(Unknown);
+      const std::vector<StoredRow> &Rows = Answer.value().Rows;
+      bool WasRefused = Refusal.Code == ResultCode::Conflict && !Rows.empty() &&
+                        isRefusedJobIndex(Rows.front().Value);
+      if (WasRefused)
+        return Self->replaceRefusal(Pending, Rows.front().Version);
+      Pending->finish(Self->storedStatus(Pending->Id, Rows, Refusal));
     });
   }
 
+  // Whoever was told of a refusal that was stored later relies on it. An
+  // attempt of this call that may still take effect has the condition of an
+  // older version of the row.
+  void replaceRefusal(const std::shared_ptr<Submission> &Pending,
+                      uint64_t Version) {
+    if (Version > Pending->BeganAfter)
+      return Pending->finish(Error{.Code = ResultCode::Overloaded,
+                                   .Message = "the job was just refused",
+                                   .RetryAfter = JustRefusedDelay});
+    RowAddress Index = jobIndexAddress(Pending->Id);
+    for (RowCondition &Condition : Pending->Commit.Conditions)
+      if (Condition.Address == Index)
+        Condition.Version = Version;
+    tryCommit(Pending);
+  }
+
   void state(const std::string &Id, TimePoint Deadline, StateDone Done) {
     auto Cached = m_finalStates.find(Id);
     if (Cached != m_finalStates.end()) {
@@ -268,6 +252,8 @@
   struct JobLocation {
     int Shard = 0;
     uint64_t Version = 0;
+    /// No shard holds the job, but it may be submitted again.
+    bool WasRefused = false;
   };
   using LocationDone = std::function<void(Result<JobLocation>)>;
 
@@ -306,19 +292,20 @@
       Done(JobLocation{});
       return;
     }
-    readUntil(
-        oneRow(jobIndexAddress(Id)), Deadline, FirstRetryDelay,
-        [Id, Done](Result<RowPage> Answer) {
-          if (!Answer.has_value())
-            return Done(Answer.error());
-          if (Answer.value().Rows.empty())
-            return Done(jobNotFound(Id));
-          const StoredRow &Row = Answer.value().Rows.front();
-          Result<int> Shard = decodeJobIndex(Row.Value);
-          if (!Shard.has_value())
-            return Done(Shard.error());
-          Done(JobLocation{.Shard = Shard.value(), .Version = Row.Version});
-        });
+    readUntil(oneRow(jobIndexAddress(Id)), Deadline, FirstRetryDelay,
+              [Id, Done](Result<RowPage> Answer) {
+                if (!Answer.has_value())
+                  return Done(Answer.error());
+                if (Answer.value().Rows.empty())
+                  return Done(jobNotFound(Id));
+                const StoredRow &Row = Answer.value().Rows.front();
+                Result<int> Shard = decodeJobIndex(Row.Value);
+                if (!Shard.has_value())
+                  return Done(Shard.error());
+                Done(JobLocation{.Shard = Shard.value(),
+                                 .Version = Row.Version,
+                                 .WasRefused = isRefusedJobIndex(Row.Value)});
+              });
   }
 
   void readState(const std::string &Id, TimePoint Deadline,
@@ -403,9 +390,11 @@
                return;
              if (!Location.has_value() &&
                  Location.error().Code == ResultCode::NotFound)
-               return Self->barJob(Request);
+               return Self->barJob(Request, 0);
              if (!Location.has_value())
                return Request->fail(Location.error());
+             if (Location.value().WasRefused)
+               return Self->barJob(Request, Location.value().Version);
              if (Location.value().Shard == BarredShard)
                return Request->Done(jobNotFound(Request->Id));
              Self->readCancellation(Request, Location.value());
@@ -444,17 +433,18 @@
   void onNoRows(const std::shared_ptr<Cancellation> &Request,
                 const JobLocation &Location) {
     if (Location.Version == 0)
-      return barJob(Request);
+      return barJob(Request, 0);
     retryCancel(Request, "the job is being transferred to another shard");
   }
 
   // A submission of the job may be on its way, and must not be stored after the
-  // caller was told that the job does not exist.
-  void barJob(const std::shared_ptr<Cancellation> &Request) {
+  // caller was told that the job does not exist. \p Version is that of the
+  // index row of a refused job, or zero.
+  void barJob(const std::shared_ptr<Cancellation> &Request, uint64_t Version) {
     RowCommit Commit;
     if (m_options.CanSpanPartitions) {
       RowAddress Index = jobIndexAddress(Request->Id);
-      Commit.Conditions = {{.Address = Index}};
+      Commit.Conditions = {{.Address = Index, .Version = Version}};
       Commit.Changes = {
           {.Address = Index, .Value = encodeJobIndex(BarredShard)}};
     } else {
@@ -518,6 +508,7 @@
   JobFrontendOptions m_options;
   RowStore &m_store;
   const Clock &m_time;
+  std::shared_ptr<JobRefusals> m_refusals;
   std::unordered_map<std::string, JobState> m_finalStates;
 };
 
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -284,6 +284,46 @@
   return Out;
 }
 
+namespace {
+
+void encodeAdmissionLoad(const ShardLoad &Load, v1::StoredShardCount &To) {
+  To.set_has_admission_load(Load.HasAdmissionLoad);
+  for (uint32_t Room : Load.OpenRooms)
+    To.add_open_rooms(Room);
+  To.set_open_memory_mib(Load.OpenMemoryMib);
+  To.set_waiting_lasting_millicores(Load.WaitingLongRunningMillicores);
+  To.set_lasting_arrivals(Load.LongRunningArrivals);
+  To.set_finite_demand_millicores(Load.FiniteDemandMillicores);
+  for (const auto &[Priority, Work] : Load.WaitingWorkByPriority) {
+    v1::StoredWaitingWork &Stored = *To.add_waiting_work();
+    Stored.set_priority(Priority);
+    Stored.set_work(Work);
+  }
+  To.set_finished_work_per_second(Load.FinishedWorkPerSecond);
+  To.set_remaining_fill_work(Load.RemainingFillWork);
+  To.set_finished_fill_work_per_second(Load.FinishedFillWorkPerSecond);
+}
+
+void decodeAdmissionLoad(const v1::StoredShardCount &From, ShardLoad &Load) {
+  Load.HasAdmissionLoad = From.has_admission_load();
+  Load.OpenRooms = {From.open_rooms().begin(), From.open_rooms().end()};
+  Load.OpenMemoryMib = std::max<int64_t>(From.open_memory_mib(), 0);
+  Load.WaitingLongRunningMillicores =
+      boundedMillicores(From.waiting_lasting_millicores());
+  Load.LongRunningArrivals = positiveOrZero(From.lasting_arrivals());
+  Load.FiniteDemandMillicores =
+      boundedMillicores(From.finite_demand_millicores());
+  for (const v1::StoredWaitingWork &Waiting : From.waiting_work())
+    Load.WaitingWorkByPriority[Waiting.priority()] =
+        positiveOrZero(Waiting.work());
+  Load.FinishedWorkPerSecond = positiveOrZero(From.finished_work_per_second());
+  Load.RemainingFillWork = positiveOrZero(From.remaining_fill_work());
+  Load.FinishedFillWorkPerSecond =
+      positiveOrZero(From.finished_fill_work_per_second());
+}
+
+} // namespace
+
 std::string encodeHost(const HostRecord &Value) {
   v1::StoredHost Out;
   Out.set_weight(Value.Weight);
@@ -311,6 +351,7 @@
     To.set_smallest_restart_memory_mib(Restarts.Smallest.MemoryMib);
     To.set_backlog(Report.Load.RemainingWork);
     To.set_fill_waiting_millicores(Report.Load.WaitingFillMillicores);
+    encodeAdmissionLoad(Report.Load, To);
     for (const auto &[Image, Room] : Report.Load.FillCapacity) {
       v1::StoredFillRoom &StoredRoom = *To.add_fill_room();
       StoredRoom.set_image(Image);
@@ -360,6 +401,7 @@
         .RemainingWork = positiveOrZero(Shard.backlog()),
         .WaitingFillMillicores =
             boundedMillicores(Shard.fill_waiting_millicores())};
+    decodeAdmissionLoad(Shard, Report.Load);
     for (const v1::StoredFillRoom &Room : Shard.fill_room())
       Report.Load.FillCapacity[Room.image()] =
           boundedMillicores(Room.millicores());
@@ -426,6 +468,20 @@
   return From.shard();
 }
 
+std::string encodeRefusedJobIndex() {
+  v1::StoredJobIndex Out;
+  Out.set_format(RowFormat);
+  Out.set_shard(BarredShard);
+  Out.set_refused(true);
+  return Out.SerializeAsString();
+}
+
+bool isRefusedJobIndex(const std::string &Bytes) {
+  v1::StoredJobIndex From;
+  return From.ParseFromString(Bytes) && From.shard() == BarredShard &&
+         From.refused();
+}
+
 std::string encodeShardOwner(const std::string &Host) {
   v1::StoredShardOwner Out;
   Out.set_format(RowFormat);
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -165,6 +165,10 @@
 /// stored and never will be.
 Result<int> decodeJobIndex(const std::string &Bytes);
 inline constexpr int BarredShard = -1;
+/// Index row of a job that was refused and may be submitted again. It names
+/// BarredShard.
+std::string encodeRefusedJobIndex();
+bool isRefusedJobIndex(const std::string &Bytes);
 std::string encodeShardOwner(const std::string &Host);
 Result<std::string> decodeShardOwner(const std::string &Bytes);
 
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -240,6 +240,8 @@
   }
   auto Mean = m_meanWork.try_emplace(Spec.Queue, Entry.TotalWork).first;
   Mean->second += (Entry.TotalWork - Mean->second) * MeanWorkGain;
+  if (m_isLoaded && Spec.Steps.front().LongRunning)
+    m_rates.addLongRunning(demandOf(Spec).Amount);
   if (Stored) {
     Entry.restore(*Stored, RunNumberGap,
                   m_options.WallTime ? m_options.WallTime() : milliseconds(0));
@@ -439,6 +441,10 @@
   return m_impl->pendingJobs();
 }
 ShardLoad JobShard::currentLoad() { return m_impl->load(); }
+std::map<std::string, double> JobShard::queueShares() {
+  return m_impl->heldShares().shares();
+}
+ShardLoad JobShard::reportedLoad() { return m_impl->reportedLoad(); }
 bool JobShard::isLoaded() const { return m_impl->isLoaded(); }
 size_t JobShard::listedWorkers() const { return m_impl->listedWorkers(); }
 uint64_t JobShard::epoch() const { return m_impl->epoch(); }
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -33,13 +33,15 @@
 #include "libbasilchute/orderwindow.h"
 #include "libbasilchute/placementround.h"
 #include "libbasilchute/previousruns.h"
+#include "libbasilchute/queueorder.h"
+#include "libbasilchute/queueshares.h"
 #include "libbasilchute/unplacedsteps.h"
 #include "libbasilchute/usedworkers.h"
 #include "libbasilchute/workerslot.h"
+#include "libbasilchute/workrates.h"
 
 #include <deque>
 #include <set>
-#include <tuple>
 #include <unordered_map>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -70,6 +72,8 @@
   std::map<std::string, int> pendingJobs() const;
   size_t listedWorkers() const;
   ShardLoad load();
+  ShardLoad reportedLoad();
+  QueueShares heldShares();
   bool isLoaded() const { return m_isLoaded; }
   uint64_t epoch() const { return m_options.Epoch; }
   bool isTakeoverComplete() const;
@@ -77,12 +81,6 @@
   const JobShardCounts &counts();
 
 private:
-  /// Sort key of waiting jobs, lowest first: kind of tasks (restarts of
-  /// long-running tasks, long-running and waited long, short, long-running,
-  /// fill), lateness, priority, started jobs before others, and last the
-  /// time since which a restart has waited, the negative worth per unit of
-  /// remaining work for started jobs, or the age for others.
-  using Rank = std::tuple<int, int, int, int, double>;
   using Slots = std::map<std::string, WorkerSlot>;
 
   // Reading and committing rows.
@@ -420,7 +418,7 @@
   /// some hundred milliseconds, and the negative demand. Then job and position.
   using Restart = std::tuple<int64_t, int64_t, std::string, int>;
   std::vector<Restart> waitingRestarts();
-  std::vector<std::pair<Rank, std::string>> rankedJobs();
+  std::vector<RankedJob> rankedJobs();
   /// Places as many of the waiting tasks of one job as possible that are no
   /// restarts.
   void placeJob(PlacementRound &Current, JobEntry &Entry);
@@ -520,13 +518,12 @@
   void setWaiting(JobEntry &Entry, int Position, milliseconds Delay);
   void queueReady(JobEntry &Entry);
   void removeWaiting(const JobEntry &Entry, int Position);
-  Rank rankOf(const JobEntry &Entry) const;
+  QueueRank rankOf(const JobEntry &Entry) const;
   bool hasWaitedLong(const JobEntry &Entry) const;
   bool hasWaitedLongHere(const JobEntry &Entry) const;
   int latenessOf(const JobEntry &Entry) const;
   void relocateStalledRuns();
   void logState();
-  std::string placementFields();
   void logLongTaskWaits(const std::vector<PlacementCandidate> &Candidates,
                         int64_t MostMillicores);
   /// Reports once for each wait that a task is overdue.
@@ -595,6 +592,7 @@
   bool m_isReadingPeerModels = false;
   /// Moving mean of the work of a job in millicore-seconds, by queue.
   std::map<std::string, double> m_meanWork;
+  WorkRates m_rates;
   /// Positions of the tasks that are ready to start, by job.
   std::map<std::string, std::set<int>> m_waiting;
   /// Jobs whose progress has changed since the last commit.
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -119,8 +119,8 @@
 }
 
 void JobShard::Impl::placeOthers(PlacementRound &Current) {
-  for (const auto &[JobRank, Id] : rankedJobs()) {
-    placeJob(Current, *find(Id));
+  for (const RankedJob &Next : rankedJobs()) {
+    placeJob(Current, *find(Next.Id));
     if (m_unplacedSteps.isRoundOver() || !m_startWindow.isOpen())
       return;
   }
@@ -149,9 +149,8 @@
 }
 
 // Returns the jobs that may be started, in the order of their placement.
-std::vector<std::pair<JobShard::Impl::Rank, std::string>>
-JobShard::Impl::rankedJobs() {
-  std::vector<std::pair<Rank, std::string>> Out;
+std::vector<RankedJob> JobShard::Impl::rankedJobs() {
+  std::vector<RankedJob> Out;
   for (const auto &[Id, Positions] : m_waiting) {
     JobEntry &Entry = *find(Id);
     bool HasOthers = canStart(Entry) &&
@@ -161,10 +160,30 @@
                                           !isSuspect(Entry, Position) &&
                                           !mayHavePreviousRun(Entry, Position);
                                  });
-    if (HasOthers)
-      Out.emplace_back(rankOf(Entry), Id);
+    if (!HasOthers)
+      continue;
+    Out.push_back({.Rank = rankOf(Entry), .Id = Id, .Queue = Entry.Spec.Queue});
+    for (int Position : Positions)
+      Out.back().Demand += Entry.stepOf(Position).reservation();
   }
   std::sort(Out.begin(), Out.end());
+  if (m_options.OrdersByShares && QueueShares::areNeeded(Out))
+    heldShares().order(Out);
+  return Out;
+}
+
+// Returns what the finite runs of each queue hold.
+QueueShares JobShard::Impl::heldShares() {
+  Resources Capacity;
+  for (const auto &[Worker, Slot] : m_slots)
+    if (Slot.isUsable())
+      Capacity += Slot.Entry.Capacity;
+  QueueShares Out(Capacity, m_queues);
+  for (const auto &[Worker, Slot] : m_slots)
+    for (const auto &[Key, Run] : Slot.Runs)
+      if (const JobEntry *Entry =
+              Run.LongRunning ? nullptr : find(Key.first.Job))
+        Out.add(Entry->Spec.Queue, Run.Reserved);
   return Out;
 }
 
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -1,3 +1,4 @@
+#include "libbasilchute/jobestimate.h"
 #include "libbasilchute/jobshard_impl.h"
 
 #include <algorithm>
@@ -400,6 +401,7 @@
   if (Report.Outcome == RunOutcome::Done && !Step.LongRunning) {
     removeWaiting(Entry, Position);
     Entry.markStarted();
+    m_rates.addFinished(taskWork(Step), Step.IsFill);
     if (Step.Gang)
       finishGang(Entry, Position);
     else
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -1,6 +1,5 @@
 #include "libbasilchute/jobshard_impl.h"
-
-#include "basilchute/limits.h"
+#include "libbasilchute/roundfields.h"
 
 #include <algorithm>
 #include <array>
@@ -10,15 +9,7 @@
 
 namespace {
 
-/// Ratio of the run time of a step's longest task to the estimate of one task.
-constexpr double LongestTaskFactor = 1.5;
-constexpr milliseconds MinChain{200};
-/// A job that ends after this many times its objective has no value left.
-constexpr int NoValueFactor = 3;
 constexpr milliseconds StateLogInterval{1000};
-/// Part of a job's worth that is the same for all jobs of a queue, whatever
-/// their size.
-constexpr double SizeIndependentWorth = 0.3;
 
 } // namespace
 
@@ -31,23 +22,13 @@
     m_waiting.erase(It);
 }
 
-// Returns 0 if the job can still meet its objective, 1 if it will end late but
-// still has value, and 2 if it will have no value.
 int JobShard::Impl::latenessOf(const JobEntry &Entry) const {
   const JobQueue *Queue = queueOf(Entry);
   if (!Queue || Entry.Spec.Repetitions > 0)
     return 0;
-  auto Chain = std::chrono::duration_cast<milliseconds>(
-      std::max(Entry.criticalPath(), MinChain) * LongestTaskFactor);
-  auto Objective = std::min(
-      std::chrono::duration_cast<milliseconds>(Chain * Queue->SlackFactor) +
-          Queue->TargetDuration,
-      MaxDuration);
-  auto AgeAtEnd =
-      m_time.now() - Entry.ArrivedAt + Entry.remainingCriticalPath();
-  if (AgeAtEnd < Objective)
-    return 0;
-  return AgeAtEnd < NoValueFactor * Objective ? 1 : 2;
+  return basilchute::latenessOf(m_time.now() - Entry.ArrivedAt +
+                                    Entry.remainingCriticalPath(),
+                                objectiveOf(Entry.criticalPath(), *Queue));
 }
 
 bool JobShard::Impl::hasWaitedLong(const JobEntry &Entry) const {
@@ -61,33 +42,21 @@
       });
 }
 
-JobShard::Impl::Rank JobShard::Impl::rankOf(const JobEntry &Entry) const {
+QueueRank JobShard::Impl::rankOf(const JobEntry &Entry) const {
   const JobQueue *Queue = queueOf(Entry);
   const JobStep &FirstStep = Entry.Spec.Steps.front();
-  int Priority = Queue ? Queue->Priority : 0;
-  // A short task yields more per core than a long-running one and releases the
-  // core soon. A long-running task that has waited long goes first, so that it
-  // does not starve. Tasks of begun jobs cannot move to another shard.
-  if (FirstStep.LongRunning)
-    return {hasWaitedLong(Entry) ? -1 : 1, Entry.hasStarted() ? 0 : 1, Priority,
-            0, 0};
-  int KindRank = FirstStep.IsFill ? 2 : 0;
-  // Under overload not all jobs can end in time. Started jobs are finished
-  // first, then the youngest, which are the most likely to end in time. This
-  // choice does not favour any size of job, and no work is spent on jobs that
-  // would end too late.
-  if (!Entry.hasStarted())
-    return {
-        KindRank, latenessOf(Entry), Priority, 1,
-        std::chrono::duration<double>(m_time.now() - Entry.ArrivedAt).count()};
-  // Worth per unit of remaining work: almost finished jobs come first.
-  auto MeanIt = m_meanWork.find(Entry.Spec.Queue);
-  double MeanWork =
-      MeanIt == m_meanWork.end() ? Entry.TotalWork : MeanIt->second;
-  double Worth = SizeIndependentWorth * MeanWork +
-                 (1 - SizeIndependentWorth) * Entry.TotalWork;
-  double WorkLeft = std::max(Entry.remainingWork(), 1.0);
-  return {KindRank, latenessOf(Entry), Priority, 0, -Worth / WorkLeft};
+  auto Mean = m_meanWork.find(Entry.Spec.Queue);
+  return queueRank(
+      {.IsLongRunning = FirstStep.LongRunning,
+       .IsFill = FirstStep.IsFill,
+       .HasWaitedLong = FirstStep.LongRunning && hasWaitedLong(Entry),
+       .HasStarted = Entry.hasStarted(),
+       .Lateness = FirstStep.LongRunning ? 0 : latenessOf(Entry),
+       .Priority = Queue ? Queue->Priority : 0,
+       .Age = m_time.now() - Entry.ArrivedAt,
+       .MeanWork = Mean == m_meanWork.end() ? Entry.TotalWork : Mean->second,
+       .TotalWork = Entry.TotalWork,
+       .RemainingWork = Entry.remainingWork()});
 }
 
 void JobShard::Impl::queueReady(JobEntry &Entry) {
@@ -182,42 +151,22 @@
     MostEventualMillicores = std::max(MostEventualMillicores, Eventual);
   }
   log("shard_state",
-      fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
-                  "free_gib={} most_gib={} waiting_short={} waiting_long={} "
-                  "waiting_fill={} held_back={} fill_cores={} long_cores={} "
-                  "most_eventual_cores={} over_target={} {} {}",
-                  m_options.Shard, m_slots.size(), Candidates.size(),
-                  Free.Millicores / 1000, Largest.Millicores / 1000,
-                  Free.MemoryMib / 1024, Largest.MemoryMib / 1024,
-                  WaitingTasks[0], WaitingTasks[1], WaitingTasks[2],
-                  isTakeoverComplete() ? 0 : countHeldBackTasks(),
-                  FillMillicores / 1000, LongRunningMillicores / 1000,
-                  MostEventualMillicores / 1000, RunsOverTarget,
-                  fillWaitReasons(Candidates), placementFields()));
+      fmt::format(
+          "shard={} workers={} usable={} free_cores={} most_cores={} "
+          "free_gib={} most_gib={} waiting_short={} waiting_long={} "
+          "waiting_fill={} held_back={} fill_cores={} long_cores={} "
+          "most_eventual_cores={} over_target={} {} {}",
+          m_options.Shard, m_slots.size(), Candidates.size(),
+          Free.Millicores / 1000, Largest.Millicores / 1000,
+          Free.MemoryMib / 1024, Largest.MemoryMib / 1024, WaitingTasks[0],
+          WaitingTasks[1], WaitingTasks[2],
+          isTakeoverComplete() ? 0 : countHeldBackTasks(),
+          FillMillicores / 1000, LongRunningMillicores / 1000,
+          MostEventualMillicores / 1000, RunsOverTarget,
+          fillWaitReasons(Candidates),
+          roundFields(counts(), m_loggedCounts, m_startWindow.limit())));
+  m_loggedCounts = counts();
   logLongTaskWaits(Candidates, Largest.Millicores);
 }
 
-// Reports how the rounds since the last log line ended, and the mean round-trip
-// time of a start order. Slow start orders and rounds that end at the limit of
-// starts mean that the owner, not the workers, is the bottleneck.
-std::string JobShard::Impl::placementFields() {
-  const JobShardCounts &Current = counts();
-  const JobShardCounts &Before = m_loggedCounts;
-  uint64_t Answered = Current.StartsAnswered - Before.StartsAnswered;
-  auto MeanStartTime = std::chrono::duration_cast<milliseconds>(
-      (Current.TotalStartRoundTrip - Before.TotalStartRoundTrip) /
-      static_cast<int64_t>(std::max<uint64_t>(Answered, 1)));
-  std::string Fields = fmt::format(
-      "rounds_whole={} rounds_start_limit={} rounds_step_limit={} starts={} "
-      "starts_under_way={} starts_limit={} start_ms={} paces={}",
-      Current.RoundsCompleted - Before.RoundsCompleted,
-      Current.RoundsAtStartLimit - Before.RoundsAtStartLimit,
-      Current.RoundsAtStepLimit - Before.RoundsAtStepLimit,
-      Current.Starts - Before.Starts, Current.StartsInFlight,
-      m_startWindow.limit(), MeanStartTime.count(),
-      Current.PaceOrders - Before.PaceOrders);
-  m_loggedCounts = Current;
-  return Fields;
-}
-
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -1,3 +1,4 @@
+#include "libbasilchute/admissionload.h"
 #include "libbasilchute/gangfit.h"
 #include "libbasilchute/jobshard_impl.h"
 
@@ -22,8 +23,8 @@
 constexpr size_t MaxTransferCandidates = 24;
 
 /// Returns the rank of a long-running job by the first of its waiting tasks.
-std::tuple<int, int, int, int, double>
-longRunningTransferRank(const JobEntry &Entry, const std::set<int> &Positions) {
+QueueRank longRunningTransferRank(const JobEntry &Entry,
+                                  const std::set<int> &Positions) {
   std::pair<bool, TimePoint> First = Entry.delegationRank(*Positions.begin());
   for (int Position : Positions)
     First = std::min(First, Entry.delegationRank(Position));
@@ -71,7 +72,7 @@
   ShardLoad Out;
   addFillLoad(Out);
   for (const auto &[Id, Slot] : m_slots) {
-    if (!Slot.IsListed || Slot.Entry.IsDraining || Slot.MissedPolls > 0)
+    if (!Slot.isUsable())
       continue;
     Out.CapacityMillicores += Slot.Entry.Capacity.Millicores;
     Resources Room = Slot.eventualFreeCapacity();
@@ -80,18 +81,40 @@
     addRoomyWorker(Out, Room);
   }
   Out.WaitingRestarts = overdueRestarts();
+  for (const auto &[Id, Entry] : m_jobs)
+    if (!isFinal(Entry.State))
+      addRemainingWork(Out, Entry);
+  return Out;
+}
+
+// Returns the load with what the admission of new jobs depends on.
+ShardLoad JobShard::Impl::reportedLoad() {
+  ShardLoad Out = load();
+  Out.HasAdmissionLoad = true;
+  // All usable workers count as open: none is kept for finite work yet.
+  for (const auto &[Id, Slot] : m_slots)
+    if (Slot.isUsable())
+      addOpenWorker(Out, Slot.eventualFreeCapacity(), Slot.freeCapacity());
+  for (const auto &[Id, Positions] : m_waiting) {
+    const JobEntry &Entry = m_jobs.at(Id);
+    const JobQueue *Queue = queueOf(Entry);
+    bool HasValue = latenessOf(Entry) < 2;
+    for (int Position : Positions)
+      addWaitingTask(Out, Entry.stepOf(Position), Queue ? Queue->Priority : 0,
+                     HasValue);
+  }
+  bool HasFillWork = false;
   for (const auto &[Id, Entry] : m_jobs) {
-    if (isFinal(Entry.State))
+    if (isFinal(Entry.State) || !Entry.Spec.Steps.front().IsFill)
       continue;
-    if (!Entry.Spec.Steps.front().LongRunning) {
-      Out.RemainingWork += Entry.remainingWork();
-      continue;
-    }
-    for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
-         ++Position)
-      if (Entry.Tasks[static_cast<size_t>(Position)].Phase != TaskPhase::Done)
-        Out.LongRunningMillicores += Entry.stepOf(Position).Demand.Millicores;
+    HasFillWork = true;
+    if (latenessOf(Entry) < 2)
+      Out.RemainingFillWork += Entry.remainingWork();
   }
+  m_rates.update(m_time.now(), Out.waitingFiniteWork() > 0, HasFillWork);
+  Out.FinishedWorkPerSecond = m_rates.finishedPerSecond();
+  Out.FinishedFillWorkPerSecond = m_rates.finishedFillPerSecond();
+  Out.LongRunningArrivals = m_rates.longRunningArrivals();
   return Out;
 }
 
@@ -173,7 +196,7 @@
 // long-running jobs first, because no capacity will become free for them here;
 // then the jobs that would be started last in this shard.
 std::vector<std::string> JobShard::Impl::transferable() const {
-  std::vector<std::pair<Rank, std::string>> Ranked;
+  std::vector<std::pair<QueueRank, std::string>> Ranked;
   for (const auto &[Id, Positions] : m_waiting) {
     const JobEntry &Entry = m_jobs.at(Id);
     if (!canTransfer(Entry))
--- a/src/libbasilchute/shardchoice.cpp
+++ b/src/libbasilchute/shardchoice.cpp
@@ -122,6 +122,13 @@
 
 } // namespace
 
+double ShardLoad::waitingFiniteWork() const {
+  double Out = 0;
+  for (const auto &[Priority, Work] : WaitingWorkByPriority)
+    Out += Work;
+  return Out;
+}
+
 void RestartDemand::add(const Resources &Demand) {
   add(RestartDemand{.Millicores = Demand.Millicores, .Smallest = Demand});
 }
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -188,6 +188,11 @@
   /// Returns the worker's millicores, at least 1 because callers divide by
   /// them.
   double millicores() const;
+  /// Returns true if the capacity counts as usable: the worker is listed, takes
+  /// new tasks and answers.
+  bool isUsable() const {
+    return IsListed && !Entry.IsDraining && MissedPolls == 0;
+  }
   /// Capacity that no run reserves.
   Resources freeCapacity() const;
   /// Capacity that no long-running run reserves: it is free or becomes free
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds FormerWorkerRetention{10000};
 /// Time after which an owner's report includes the work sent to that owner.
 constexpr milliseconds ReportLag{1000};
+/// Log lines a second about refused jobs.
+constexpr int MaxRefusalLines = 10;
+constexpr milliseconds AdmissionLogInterval{1000};
 
 } // namespace
 
@@ -28,12 +31,15 @@
                  ApprovalService *Approvals, const Clock &Time)
     : m_options(std::move(Options)), m_store(Store), m_workers(Workers),
       m_approvals(Approvals), m_time(Time),
+      m_refusalLines(MaxRefusalLines, std::chrono::seconds(1)),
       m_queues(std::make_shared<JobQueues>()),
       m_cluster(clusterOptions(), Store, Time),
       m_frontend(
           {.ChooseShard =
                [this](const Job &Value) { return chooseShardFor(Value); },
            .CheckRoom = [this](const Job &Value) { return checkGangs(Value); },
+           .Admit = [this](const Job &Value) { return admit(Value); },
+           .KnownVersion = [this] { return knownVersion(); },
            .CanSpanPartitions = m_options.CanSpanPartitions,
            .RunAfter = m_options.RunAfter,
            .WallTime = m_options.WallTime,
@@ -106,6 +112,7 @@
     return restartsElsewhere(Shard);
   };
   Options.ShardCount = [this] { return m_cluster.shards(); };
+  Options.OrdersByShares = m_options.OrdersByShares;
   Options.Log = m_options.Log;
   auto Acquired = std::make_unique<JobShard>(std::move(Options), m_store,
                                              m_workers, m_approvals, m_time);
@@ -394,8 +401,81 @@
                   Room - std::min(Room, SentTasks));
 }
 
+void JobHost::updateAdmission() {
+  for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
+    if (const ShardReport *Report = m_cluster.report(Shard))
+      m_admission.setReport(Shard, Report->Epoch, m_cluster.reportNumber(Shard),
+                            Report->Load, m_time.now());
+}
+
+Status JobHost::admit(const Job &Value) {
+  auto Queue = m_queues->find(Value.Queue);
+  if (!m_options.RefusesJobs || Queue == m_queues->end())
+    return okStatus();
+  updateAdmission();
+  std::vector<int> Shards;
+  for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
+    if (canRun(Shard, Value))
+      Shards.push_back(Shard);
+  AdmissionDemand Demand = admissionDemandOf(Value, Queue->second);
+  TimePoint Now = m_time.now();
+  std::optional<Refusal> Refused =
+      m_admission.check(Demand, Shards, m_cluster.liveHosts(), Now);
+  if (!Refused) {
+    m_admission.recordAccepted(Demand, Now);
+    return okStatus();
+  }
+  m_admission.recordRefused(Demand, *Refused);
+  if (m_options.Log && m_refusalLines.take(Now))
+    m_options.Log("job_refused",
+                  fmt::format("job={} queue={} reason={} retry_after_s={} {}{}",
+                              Value.Id, Value.Queue, Refused->Reason,
+                              Refused->RetryAfter.count(), Refused->Fields,
+                              m_refusalLines.leftOutField()));
+  return Error{.Code = ResultCode::Overloaded,
+               .Message = fmt::format("no room for the job at present ({})",
+                                      Refused->Reason),
+               .RetryAfter = Refused->RetryAfter};
+}
+
+std::map<std::pair<int, std::string>, double> JobHost::queueShares() const {
+  std::map<std::pair<int, std::string>, double> Out;
+  for (const auto &[Shard, Owner] : m_ownedShards)
+    for (const auto &[Queue, Share] : Owner->queueShares())
+      Out[{Shard, Queue}] = Share;
+  return Out;
+}
+
+void JobHost::logAdmission() {
+  if (m_time.now() < m_nextAdmissionLog || m_ownedShards.empty() ||
+      !m_options.Log)
+    return;
+  m_nextAdmissionLog = m_time.now() + AdmissionLogInterval;
+  std::string Shares;
+  for (const auto &[Key, Share] : queueShares())
+    Shares += fmt::format(" share_{}_{}={:.3f}", Key.first, Key.second, Share);
+  uint64_t Refused = 0;
+  for (const auto &[Key, Count] : m_admission.refusals())
+    Refused += Count;
+  m_options.Log("admission_state",
+                fmt::format("finite_room_cores={} refused={}{}",
+                            m_admission.roomForFiniteWork() / 1000, Refused,
+                            Shares));
+}
+
+uint64_t JobHost::knownVersion() const {
+  uint64_t Out = 0;
+  for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
+    Out = std::max(Out, m_cluster.reportNumber(Shard));
+  return Out;
+}
+
 void JobHost::tick() {
   m_cluster.tick();
+  if (m_options.RefusesJobs) {
+    updateAdmission();
+    logAdmission();
+  }
   for (const auto &[Shard, Owner] : m_ownedShards) {
     Owner->tick();
     if (Owner->hasLostOwnership())
@@ -447,21 +527,24 @@
                     .Workers = static_cast<uint32_t>(Owner->listedWorkers()),
                     .TakesAddedTasks = true,
                     .PendingJobs = Owner->pendingJobs(),
-                    .Load = Owner->currentLoad()};
+                    .Load = m_options.RefusesJobs ? Owner->reportedLoad()
+                                                  : Owner->currentLoad()};
   return Out;
 }
 
 std::optional<int> JobHost::pending(const std::string &Queue) const {
-  std::map<int, ShardReport> Own = reports();
   int Out = 0;
   for (int Shard = 0; Shard < m_cluster.shards(); ++Shard) {
-    auto OwnReport = Own.find(Shard);
-    const ShardReport *Report =
-        OwnReport == Own.end() ? m_cluster.report(Shard) : &OwnReport->second;
-    if (!Report)
+    std::map<std::string, int> Counts;
+    auto Owned = m_ownedShards.find(Shard);
+    if (Owned != m_ownedShards.end() && Owned->second->isLoaded() &&
+        !Owned->second->hasLostOwnership())
+      Counts = Owned->second->pendingJobs();
+    else if (const ShardReport *Report = m_cluster.report(Shard))
+      Counts = Report->PendingJobs;
+    else
       return std::nullopt;
-    auto Count = Report->PendingJobs.find(Queue);
-    Out += Count == Report->PendingJobs.end() ? 0 : Count->second;
+    Out += Counts[Queue];
   }
   return Out;
 }
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -3,9 +3,11 @@
 /// shards.
 #pragma once
 
+#include "basilchute/admission.h"
 #include "basilchute/hostcluster.h"
 #include "basilchute/jobfrontend.h"
 #include "basilchute/jobshard.h"
+#include "libbasilchute/linelimit.h"
 
 #include <algorithm>
 #include <deque>
@@ -30,6 +32,12 @@
   bool CanSpanPartitions = true;
   /// Longest lease that a worker grants.
   milliseconds MaxWorkerLease{6000};
+  /// Whether new jobs are refused for which there is no room; must be the same
+  /// on all hosts.
+  bool RefusesJobs = false;
+  /// Whether queues whose short tasks wait are ordered by their shares of the
+  /// resources.
+  bool OrdersByShares = false;
   /// Runs a function on the host's event loop after a delay.
   std::function<void(milliseconds, std::function<void()>)> RunAfter;
   /// Requests the current list of workers. The receiver calls setFleet() if the
@@ -74,6 +82,11 @@
   /// shards. Returns nothing while the state of any shard is unknown, since it
   /// has no live owner that has loaded it.
   std::optional<int> pending(const std::string &Queue) const;
+  /// Returns the numbers of jobs that this host has refused, and the room for
+  /// finite work by the last reports.
+  const Admission &admission() const { return m_admission; }
+  /// Returns the shares of the queues in the owned shards.
+  std::map<std::pair<int, std::string>, double> queueShares() const;
   /// Returns the sums of the counters of all shards that this host owns now.
   JobShardCounts counts() const;
   /// Returns the current number of shards.
@@ -123,6 +136,15 @@
   largestWorkers(const std::string &Service) const;
   /// Fails if the gangs of \p Value fit on the fleet, but not within a shard.
   Status checkGangs(const Job &Value) const;
+  /// Fails with Overloaded if the job is refused for the load of the shards.
+  Status admit(const Job &Value);
+  /// Returns a version that the store had reached when a shard's owner wrote
+  /// its last report.
+  uint64_t knownVersion() const;
+  /// Logs the room for finite work and the shares of the queues.
+  void logAdmission();
+  /// Passes the reports on all shards to m_admission.
+  void updateAdmission();
   /// Returns true if the usable workers of \p Shard hold each gang of \p Value
   /// when they are idle.
   bool holdsGangs(int Shard, const Job &Value) const;
@@ -168,6 +190,9 @@
   /// All workers by shard.
   std::map<int, std::vector<WorkerEntry>> m_workersByShard;
   std::deque<SentWork> m_sentWork;
+  Admission m_admission;
+  LineLimit m_refusalLines;
+  TimePoint m_nextAdmissionLog{};
   std::shared_ptr<const JobQueues> m_queues;
   HostCluster m_cluster;
   JobFrontend m_frontend;
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -433,6 +433,8 @@
                          .MinShards = m_options.MinShards},
           .CanSpanPartitions = m_options.CanSpanPartitions,
           .MaxWorkerLease = m_options.MaxWorkerLease,
+          .RefusesJobs = m_options.RefusesJobs,
+          .OrdersByShares = m_options.OrdersByShares,
           .RunAfter = Deliver,
           .RefreshFleet =
               [this, Deliver, Index] {
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -72,6 +72,9 @@
   CrashStyle Crashes = CrashStyle::Silent;
   /// Whether a commit may span several partitions.
   bool CanSpanPartitions = true;
+  /// See JobHostOptions.
+  bool RefusesJobs = false;
+  bool OrdersByShares = false;
   uint64_t Seed = 1;
   /// Prints every event of the hosts with its time and host.
   bool Trace = false;
