--- a/src/libbasilchute/placementplan.cpp
+++ b/src/libbasilchute/placementplan.cpp
@@ -62,11 +62,13 @@
 
 void PlacementPlan::markKept(
     std::vector<PlacementCandidate> &Candidates) const {
-  for (PlacementCandidate &Candidate : Candidates) {
-    auto Kept = m_kept.find(Candidate.Slot->Entry.Service);
-    Candidate.IsKeptForFinite =
-        Kept != m_kept.end() && Kept->second.isKept(Candidate.Slot->Entry.Id);
-  }
+  for (PlacementCandidate &Candidate : Candidates)
+    Candidate.IsKeptForFinite = isKept(Candidate.Slot->Entry);
+}
+
+bool PlacementPlan::isKept(const WorkerEntry &Worker) const {
+  auto Kept = m_kept.find(Worker.Service);
+  return Kept != m_kept.end() && Kept->second.isKept(Worker.Id);
 }
 
 std::vector<UnplacedTask>
--- a/src/libbasilchute/placementplan.h
+++ b/src/libbasilchute/placementplan.h
@@ -61,6 +61,8 @@
   void update(const std::map<std::string, WorkerSlot> &Workers, TimePoint Now);
   /// Marks the candidates that are kept.
   void markKept(std::vector<PlacementCandidate> &Candidates) const;
+  /// Returns true if the worker is kept for finite tasks.
+  bool isKept(const WorkerEntry &Worker) const;
   /// Begins the reservations of a round. Returns the tasks that may get one, in
   /// order: those that found no room in the previous round.
   std::vector<UnplacedTask>
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -437,6 +437,8 @@
           .CanSpanPartitions = m_options.CanSpanPartitions,
           .MaxWorkerLease = m_options.MaxWorkerLease,
           .Placement = m_options.Placement,
+          .RefusesJobs = m_options.RefusesJobs,
+          .OrdersByShares = m_options.OrdersByShares,
           .RunAfter = Deliver,
           .RefreshFleet =
               [this, Deliver, Index] {
