Pace fill runs by weight where processor time is short

Cause: planPaces() uses the weight of a fill run only if the run interferes with a serving task. Where the processors are the limit, all paces are lowered by the same factor, so that runs of jobs too late to have value take as much as others.

Change: with PacingOptions::AvailableShare, runs of less weight are slowed in steps of 20% if the runs together ask for more than 1.25 times the share. The run with the most weight is not slowed. Without the option nothing changes.

Conclusion: the owner can direct what is left to the jobs that lose value.

--- a/src/include/basilchute/pacing.h
+++ b/src/include/basilchute/pacing.h
@@ -5,6 +5,7 @@
 
 #include "basilchute/interference.h"
 
+#include <optional>
 #include <vector>
 
 BASILCHUTE_NAMESPACE_BEGIN
@@ -28,6 +29,14 @@
   /// processor time from the serving tasks, even if no pair of kinds
   /// interferes.
   double MaxTotalShare = 1.0;
+  /// Part of the worker that fill tasks can use together according to
+  /// measurements. If they ask for more, those with less weight are slowed, so
+  /// that the others get more of it. Without a value weights have no effect on
+  /// the division of processor time.
+  std::optional<double> AvailableShare;
+  /// Paces by weight are multiples of this many percent, so that few changes
+  /// are ordered.
+  int WeightedPaceStep = 20;
   /// Smaller changes of pace do not justify an order to the worker.
   int MinPaceChange = 10;
 };
--- a/src/libbasilchute/interference_test.cpp
+++ b/src/libbasilchute/interference_test.cpp
@@ -380,3 +380,24 @@
   CHECK(Headroom < 1.5);
   CHECK(headroomWithFill(Loads, Harmless, 0.005, Model) > 100);
 }
+
+// Guards against jobs that end late because runs of jobs that are too late to
+// have value, or have time left, get the same part of a full worker.
+TEST_CASE("Runs of less weight are slowed where processor time is short") {
+  InterferenceModel Model;
+  std::vector<FillLoad> Fills{{.FullShare = 0.2},
+                              {.FullShare = 0.2, .Weight = 0.6},
+                              {.FullShare = 0.2, .Weight = 0.05}};
+  std::vector<int> Paces = planPaces({}, Fills, Model, {.AvailableShare = 0.2});
+  CHECK(Paces[0] == 100);
+  CHECK(Paces[1] == 60);
+  CHECK(Paces[2] == 5);
+  // Nothing is gained by slow runs if there is enough for all.
+  for (int Pace : planPaces({}, Fills, Model, {.AvailableShare = 0.5}))
+    CHECK(Pace == 100);
+  // Runs of equal weight are left to the worker, which divides fairly.
+  for (FillLoad &Fill : Fills)
+    Fill.Weight = 0.05;
+  for (int Pace : planPaces({}, Fills, Model, {.AvailableShare = 0.1}))
+    CHECK(Pace == 100);
+}
--- a/src/libbasilchute/pacing.cpp
+++ b/src/libbasilchute/pacing.cpp
@@ -1,6 +1,7 @@
 #include "basilchute/pacing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <limits>
 #include <numeric>
@@ -13,6 +14,12 @@
 /// Headroom of a serving task whose tail equals its target.
 constexpr double HeadroomAtTarget = 1.0;
 
+/// Fill tasks may ask for this much more than is available, so that a worker
+/// whose estimate is too low is used whole, and shows it.
+constexpr double AvailableMargin = 1.25;
+/// Least pace by weight, so that every run makes some progress.
+constexpr int MinWeightedPace = 5;
+
 /// Returns the fall of \p Load's headroom caused by \p Fill at full pace.
 double fullEffect(const ServingLoad &Load, const FillLoad &Fill,
                   const InterferenceModel &Model) {
@@ -77,6 +84,58 @@
     Pace = static_cast<int>(Pace * Factor);
 }
 
+double shareAt(const FillLoad &Fill, int Pace) {
+  return Fill.FullShare * Pace / FullPace;
+}
+
+/// Returns the share per full share and weight up to which each task may use
+/// the worker so that the tasks together use \p Available of it. Infinite if
+/// they use less.
+double levelFor(double Available, const std::vector<FillLoad> &Fills,
+                const std::vector<int> &Paces) {
+  std::vector<size_t> Order(Fills.size());
+  std::iota(Order.begin(), Order.end(), 0);
+  double Weighted = 0;
+  for (const FillLoad &Fill : Fills)
+    Weighted += Fill.FullShare * Fill.Weight;
+  // The tasks that reach their own limit at the lowest level come first.
+  std::sort(Order.begin(), Order.end(), [&](size_t A, size_t B) {
+    return Paces[A] * Fills[B].Weight < Paces[B] * Fills[A].Weight;
+  });
+  for (size_t Fill : Order) {
+    const FillLoad &Load = Fills[Fill];
+    double Limit = Paces[Fill] / (FullPace * Load.Weight);
+    if (Weighted > 0 && Limit * Weighted >= Available)
+      return std::max(Available, 0.0) / Weighted;
+    Available -= shareAt(Load, Paces[Fill]);
+    Weighted -= Load.FullShare * Load.Weight;
+  }
+  return std::numeric_limits<double>::infinity();
+}
+
+/// Lowers the paces of tasks with less weight if the tasks together ask for
+/// more than is available. The task with the most weight is not slowed, since
+/// the worker divides what is left itself.
+void divideByWeight(const PacingOptions &Options,
+                    const std::vector<FillLoad> &Fills,
+                    std::vector<int> &Paces) {
+  double Available = *Options.AvailableShare * AvailableMargin;
+  double Level = levelFor(Available, Fills, Paces);
+  if (std::isinf(Level))
+    return;
+  double MaxWeight = 0;
+  for (const FillLoad &Fill : Fills)
+    MaxWeight = std::max(MaxWeight, Fill.Weight);
+  Level = std::max(Level, 1 / MaxWeight);
+  for (size_t Fill = 0; Fill < Fills.size(); ++Fill) {
+    double Steps = std::round(Level * Fills[Fill].Weight * FullPace /
+                              Options.WeightedPaceStep);
+    int Pace = std::max(MinWeightedPace,
+                        static_cast<int>(Steps) * Options.WeightedPaceStep);
+    Paces[Fill] = std::min(Paces[Fill], Pace);
+  }
+}
+
 } // namespace
 
 std::vector<int> planPaces(const std::vector<ServingLoad> &Serving,
@@ -86,6 +145,8 @@
   std::vector<int> Paces(Fills.size(), FullPace);
   for (const ServingLoad &Load : Serving)
     slowFor(Load, Fills, Model, Options, Paces);
+  if (Options.AvailableShare)
+    divideByWeight(Options, Fills, Paces);
   if (!Serving.empty())
     limitTotalShare(Options.MaxTotalShare, Fills, Paces);
   // A tail above its target falls slowly while the backlog is worked off; no
