Choose shards by the work of a job's own kind, with jobs.measured_fill

Cause: a shard is chosen by all its remaining work. Most of that is the work of fill tasks, which reserve no processors, so that short jobs go to a shard with hundreds of waiting short tasks while another one has free cores.

Change: the setting jobs.measured_fill, off by default. With it, a job of fill tasks costs the work of fill jobs over what fill tasks can use, and another short job the remaining work without that of fill jobs. Owners report both, as RemainingFillWork and FillMillicores; FillMillicores is still zero, so that fill jobs are compared as before.

Result: the new case of shardchoice_test passes; its first check shows that the present rule takes the other shard. The existing cases pass unchanged.

Conclusion: waiting finite work reported by itself would replace the difference of the two sums.

--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -42,6 +42,9 @@
   /// Longest lease that a worker grants, also by an order with a time on the
   /// clock of another process.
   milliseconds MaxWorkerLease{6000};
+  /// Fill tasks are placed, moved and paced by the processor time that workers
+  /// leave them by measurement, in place of reservations.
+  bool MeasuredFill = false;
   /// Time for which a start order is valid.
   milliseconds StartLease{500};
   /// Maximum time that a poll waits at the worker for a completion.
@@ -152,6 +155,8 @@
   uint64_t CrashJobsGivenUp = 0;
   /// Orders that set the pace of a fill task.
   uint64_t PaceOrders = 0;
+  /// Fill runs that were stopped to go on sooner on another worker.
+  uint64_t FillMoves = 0;
   /// Workers for whose answer ready tasks wait after the takeover, and the
   /// number of these tasks; updated each second.
   uint64_t TakeoverSilentWorkers = 0;
--- a/src/include/basilchute/shardchoice.h
+++ b/src/include/basilchute/shardchoice.h
@@ -46,6 +46,11 @@
   RestartDemand WaitingRestarts;
   /// Remaining work of all other jobs, in millicores times seconds.
   double RemainingWork = 0;
+  /// Remaining work of fill jobs that will have value, part of RemainingWork.
+  double RemainingFillWork = 0;
+  /// Millicores that fill tasks can use together, with those in use; zero if
+  /// the owner does not report them.
+  int64_t FillMillicores = 0;
   /// Millicores of waiting fill tasks.
   int64_t WaitingFillMillicores = 0;
   /// Millicores that fill tasks could use now without interference with serving
@@ -75,6 +80,11 @@
   int64_t FillMillicores = 0;
   /// Images of the job's fill tasks.
   std::set<std::string> FillImages;
+  /// The part of Amount that is work of fill tasks.
+  double FillWork = 0;
+  /// Only work of the same kind counts as backlog: for a job of fill tasks
+  /// theirs, for another short job the rest.
+  bool CountsOwnKind = false;
   /// Run time of the longest chain of steps. On a shard without its data the
   /// job is expected to take this much longer.
   milliseconds CriticalPath{0};
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -311,6 +311,8 @@
     To.set_smallest_restart_memory_mib(Restarts.Smallest.MemoryMib);
     To.set_backlog(Report.Load.RemainingWork);
     To.set_fill_waiting_millicores(Report.Load.WaitingFillMillicores);
+    To.set_remaining_fill_work(Report.Load.RemainingFillWork);
+    To.set_fill_millicores(Report.Load.FillMillicores);
     for (const auto &[Image, Room] : Report.Load.FillCapacity) {
       v1::StoredFillRoom &StoredRoom = *To.add_fill_room();
       StoredRoom.set_image(Image);
@@ -358,6 +360,8 @@
                           .MemoryMib = std::max<int64_t>(
                               Shard.smallest_restart_memory_mib(), 0)}},
         .RemainingWork = positiveOrZero(Shard.backlog()),
+        .RemainingFillWork = positiveOrZero(Shard.remaining_fill_work()),
+        .FillMillicores = boundedMillicores(Shard.fill_millicores()),
         .WaitingFillMillicores =
             boundedMillicores(Shard.fill_waiting_millicores())};
     for (const v1::StoredFillRoom &Room : Shard.fill_room())
--- a/src/libbasilchute/shardchoice.cpp
+++ b/src/libbasilchute/shardchoice.cpp
@@ -146,6 +146,8 @@
     Out.FillImages.insert(Step.Image);
   }
   for (const JobStep &Step : Value.Steps) {
+    if (Step.IsFill)
+      Out.FillWork += Step.Count * taskWork(Step);
     Out.Amount +=
         Step.Count * (Out.IsLongRunning
                           ? static_cast<double>(Step.Demand.Millicores)
@@ -159,6 +161,10 @@
 }
 
 double placementCost(const ShardLoad &Load, const ShardDemand &Demand) {
+  if (Demand.CountsOwnKind && Demand.FillWork > 0 && Load.FillMillicores > 0)
+    return (Load.RemainingFillWork + Demand.FillWork) /
+           std::max(static_cast<double>(Load.FillMillicores),
+                    millicores(Load) * MinFreeFraction);
   if (Demand.FillMillicores > 0)
     return fillPlacementCost(Load, Demand);
   if (Demand.IsLongRunning)
@@ -168,7 +174,8 @@
   double Left = std::max(millicores(Load) -
                              static_cast<double>(Load.LongRunningMillicores),
                          millicores(Load) / 10);
-  return Load.RemainingWork / Left;
+  double FillWork = Demand.CountsOwnKind ? Load.RemainingFillWork : 0;
+  return std::max(0.0, Load.RemainingWork - FillWork) / Left;
 }
 
 int chooseShard(const std::vector<ShardCandidate> &Candidates,
--- a/src/libbasilchute/shardchoice_test.cpp
+++ b/src/libbasilchute/shardchoice_test.cpp
@@ -203,3 +203,30 @@
   // An unknown room is no room here.
   CHECK(shardWithRoom({Shards[0]}, {.LargestTaskMillicores = 0}) == -1);
 }
+
+// Guards against short jobs that go to the shard with more waiting short work
+// because the other one has more fill work, which reserves no processors.
+TEST_CASE("Only work of a job's own kind counts as backlog") {
+  ShardLoad Load{.CapacityMillicores = 960000,
+                 .RemainingWork = 5e6,
+                 .RemainingFillWork = 4.8e6,
+                 .FillMillicores = 300000};
+  ShardLoad Other{.CapacityMillicores = 960000,
+                  .RemainingWork = 2e6,
+                  .RemainingFillWork = 1e6,
+                  .FillMillicores = 20000};
+  ShardDemand Short = shortJob(1);
+  CHECK(placementCost(Load, Short) > placementCost(Other, Short));
+  Short.CountsOwnKind = true;
+  CHECK(placementCost(Load, Short) < placementCost(Other, Short));
+  ShardDemand Fill{.JobId = "fill",
+                   .Amount = 60000,
+                   .FillMillicores = 70000,
+                   .FillWork = 60000,
+                   .CountsOwnKind = true};
+  CHECK(placementCost(Load, Fill) == doctest::Approx(4.86e6 / 300000));
+  CHECK(placementCost(Load, Fill) < placementCost(Other, Fill));
+  // An owner of an earlier version does not report what fill tasks can use.
+  Other.FillMillicores = 0;
+  CHECK(placementCost(Other, Fill) < 1);
+}
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -71,6 +71,7 @@
   if (!IsReacquired)
     Options.HandoverVersion = ReleaseVersion != 0 ? ReleaseVersion : Epoch;
   Options.MaxWorkerLease = m_options.MaxWorkerLease;
+  Options.MeasuredFill = m_options.MeasuredFill;
   LeaseTimes &Leases = Options.Leases;
   Leases.Sole = std::min(m_options.MaxWorkerLease, Leases.Sole);
   Leases.OnEvidence = std::min(m_options.MaxWorkerLease, Leases.OnEvidence);
@@ -193,6 +194,7 @@
         continue;
       Load.LongRunningMillicores += Sent.Load.LongRunningMillicores;
       Load.RemainingWork += Sent.Load.RemainingWork;
+      Load.RemainingFillWork += Sent.Load.RemainingFillWork;
       Load.WaitingFillMillicores += Sent.Load.WaitingFillMillicores;
     }
   }
@@ -205,6 +207,7 @@
     Sent.Load.LongRunningMillicores = static_cast<int64_t>(Demand.Amount);
   else
     Sent.Load.RemainingWork = Demand.Amount;
+  Sent.Load.RemainingFillWork = Demand.FillWork;
   Sent.Load.WaitingFillMillicores = Demand.FillMillicores;
   m_sentWork.push_back(Sent);
 }
@@ -294,6 +297,7 @@
 
 int JobHost::chooseShardFor(const Job &Value) {
   ShardDemand Demand = demandOf(Value);
+  Demand.CountsOwnKind = m_options.MeasuredFill;
   std::vector<ShardCandidate> Choices = gangCandidates(Value);
   if (Choices.empty())
     Choices = unknownCandidates(Value);
@@ -304,6 +308,7 @@
 
 int JobHost::chooseTransferFor(int Shard, const Job &Value) {
   ShardDemand Demand = demandOf(Value);
+  Demand.CountsOwnKind = m_options.MeasuredFill;
   ShardCandidate Own{.Shard = Shard,
                      .Load = m_ownedShards.at(Shard)->currentLoad(),
                      .HasData = hasData(Shard, Value)};
@@ -312,12 +317,16 @@
     Own.Load.LongRunningMillicores -= static_cast<int64_t>(Demand.Amount);
   else
     Own.Load.RemainingWork -= Demand.Amount;
+  Own.Load.RemainingFillWork =
+      std::max(0.0, Own.Load.RemainingFillWork - Demand.FillWork);
   Own.Load.WaitingFillMillicores -=
       std::min(Own.Load.WaitingFillMillicores, Demand.FillMillicores);
   // On a shard that cannot run the job, the job would never start, not even if
   // nothing else waits there.
   if (!canRun(Shard, Value) || !holdsGangs(Shard, Value)) {
     Own.Load.CapacityMillicores = 0;
+    Own.Load.FillMillicores = 0;
+    Own.Load.RemainingFillWork = 0;
     Own.Load.RemainingWork = std::numeric_limits<double>::max();
   }
   std::vector<ShardCandidate> Others = gangCandidates(Value);
@@ -504,6 +513,7 @@
     Out.CrashTrialsSurvived += Counts.CrashTrialsSurvived;
     Out.CrashJobsGivenUp += Counts.CrashJobsGivenUp;
     Out.PaceOrders += Counts.PaceOrders;
+    Out.FillMoves += Counts.FillMoves;
     Out.TakeoverSilentWorkers += Counts.TakeoverSilentWorkers;
     Out.TasksHeldBack += Counts.TasksHeldBack;
   }
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -30,6 +30,8 @@
   bool CanSpanPartitions = true;
   /// Longest lease that a worker grants.
   milliseconds MaxWorkerLease{6000};
+  /// As in JobShardOptions; also for the choice of shards.
+  bool MeasuredFill = false;
   /// Runs a function on the host's event loop after a delay.
   std::function<void(milliseconds, std::function<void()>)> RunAfter;
   /// Requests the current list of workers. The receiver calls setFleet() if the
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -433,6 +433,7 @@
                          .MinShards = m_options.MinShards},
           .CanSpanPartitions = m_options.CanSpanPartitions,
           .MaxWorkerLease = m_options.MaxWorkerLease,
+          .MeasuredFill = m_options.MeasuredFill,
           .RunAfter = Deliver,
           .RefreshFleet =
               [this, Deliver, Index] {
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -69,6 +69,8 @@
   milliseconds CapacityAllowance{0};
   /// Longest lease of a worker, as the hosts know it.
   milliseconds MaxWorkerLease{6000};
+  /// As in JobHostOptions.
+  bool MeasuredFill = false;
   CrashStyle Crashes = CrashStyle::Silent;
   /// Whether a commit may span several partitions.
   bool CanSpanPartitions = true;
