Place, move and pace fill tasks by measurement, with jobs.measured_fill

Cause: fill jobs start within 0.04 s but half of them end after 5 to 8 s. Fill tasks are placed by reservations, and runs that starve at full pace stay.

Change: with jobs.measured_fill, owners feed the reports of fill runs to ProcessorLeft and use FillPlacement, runsToMove() and paces by weight. Workers with fill runs are polled at least twice a second.

Result: measuredfill_test passes: both starved runs move, and stay without the setting; where all workers starve them, tasks move at most twice. 99 test cases of the touched modules, of capacity_test and of badrows_test pass.

--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -47,6 +47,8 @@
   std::optional<std::string> Place;
   /// Number of runs that were stopped because they lagged.
   int SlowStops = 0;
+  /// Number of fill runs that were stopped to go on on another worker.
+  int FillMoves = 0;
   /// Crashes of workers under the task. For a member of a gang only the worker
   /// and incarnation are its own.
   CrashRecord Crash;
@@ -121,6 +123,8 @@
   std::vector<int> Classes;
   /// By step: load group of its tasks.
   std::vector<int> Groups;
+  /// Weight of the job's fill tasks in the division of processor time.
+  double FillWeight = 1;
   /// Work of the whole job in millicores times seconds, by the submitter's
   /// estimates.
   double TotalWork = 0;
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -24,8 +24,10 @@
                      TaskWorkers &Workers, ApprovalService *Approvals,
                      const Clock &Time)
     : m_options(std::move(Options)), m_store(Store), m_workers(Workers),
-      m_time(Time), m_approvals({}, Approvals, Time),
-      m_takeoverTime(Time.now()),
+      m_time(Time), m_fillPlacement{.IsMeasured = m_options.MeasuredFill},
+      m_models(std::make_shared<ModelExchange>(modelOptions(), Store, Time,
+                                               m_interference)),
+      m_approvals({}, Approvals, Time), m_takeoverTime(Time.now()),
       m_previousLeases(m_options.Leases,
                        m_options.PreviousSoleUntil.value_or(m_takeoverTime),
                        m_options.PreviousWorkers),
@@ -36,6 +38,15 @@
                         return m_usedWorkers->isStored(Worker);
                       }) {}
 
+ModelExchangeOptions JobShard::Impl::modelOptions() {
+  return {.Shard = m_options.Shard,
+          .Epoch = m_options.Epoch,
+          .ShardCount = m_options.ShardCount,
+          .CanSendOrders = [this] { return canSendOrders(); },
+          .HasLostOwnership = [this] { return m_hasLostOwnership; },
+          .Log = m_options.Log};
+}
+
 void JobShard::Impl::log(std::string_view Event,
                          std::string_view Fields) const {
   if (m_options.Log)
@@ -56,7 +67,7 @@
 }
 
 void JobShard::Impl::readRows() {
-  restoreModel();
+  m_models->restore();
   readHandover();
 }
 
@@ -232,7 +243,7 @@
   if (m_options.WallTime)
     Entry.WallOffset = m_options.WallTime() - m_time.now().time_since_epoch();
   for (const JobStep &Step : Spec.Steps) {
-    Entry.Kinds.push_back(kindOf(Step.Image));
+    Entry.Kinds.push_back(m_models->kindOf(Step.Image));
     if (Step.IsFill)
       m_fillKinds.insert(Entry.Kinds.back());
     Entry.Classes.push_back(classOf(Spec.Queue, Step.Image));
@@ -278,11 +289,6 @@
   queueReady(Entry);
 }
 
-TaskKind JobShard::Impl::kindOf(const std::string &Image) {
-  auto Next = static_cast<TaskKind>(m_kinds.size());
-  return m_kinds.try_emplace(Image, Next).first->second;
-}
-
 TaskClass JobShard::Impl::classOf(const std::string &Queue,
                                   const std::string &Image) {
   auto Next = static_cast<TaskClass>(m_classes.size());
@@ -384,8 +390,8 @@
   sendStoredStarts();
   place();
   logTakeover();
-  saveModel();
-  readPeerModels();
+  m_models->save();
+  m_models->readPeers();
   logState();
 }
 
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -16,7 +16,7 @@
 /// - jobshard_interference.cpp: interference and the pace of fill tasks;
 /// - jobshard_keep.cpp: room that is kept for tasks that fit nowhere yet, and
 ///   long-running runs that move off draining workers;
-/// - jobshard_relocate.cpp: stalled fill runs that move to another worker;
+/// - jobshard_relocate.cpp: fill runs that move to another worker;
 /// - jobshard_transfer.cpp: transfer of waiting jobs to another shard;
 /// - jobshard_delegate.cpp: tasks that another shard runs for this one;
 /// - jobshard_addedtasks.cpp: tasks that other shards delegate to this one, or
@@ -30,6 +30,7 @@
 #include "libbasilchute/handover.h"
 #include "libbasilchute/jobentry.h"
 #include "libbasilchute/leaseevidence.h"
+#include "libbasilchute/modelexchange.h"
 #include "libbasilchute/orderwindow.h"
 #include "libbasilchute/placementround.h"
 #include "libbasilchute/previousruns.h"
@@ -44,11 +45,6 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
-/// A fill task is not placed on a worker whose headroom would be lower than
-/// MinFillHeadroom, or whose expected load is MaxFillLoad or more of its
-/// processors.
-constexpr double MinFillHeadroom = 1.15;
-constexpr double MaxFillLoad = 1.1;
 /// A long-running task that has waited longer is placed before short tasks, and
 /// its job may be transferred at any age.
 constexpr milliseconds LongRunningMaxWait{1200};
@@ -93,7 +89,6 @@
   void onJobRow(const StoredRow &Row);
   void addJob(const Job &Spec, uint64_t Version, const JobProgress *Stored);
   void addStored(const Job &Spec, const StoredRow &Row);
-  TaskKind kindOf(const std::string &Image);
   TaskClass classOf(const std::string &Queue, const std::string &Image);
   void cancelJob(const std::string &Id);
   void endJob(JobEntry &Entry, JobState State, std::string_view Why);
@@ -124,8 +119,6 @@
   void refreshRowVersions(std::vector<std::string> Jobs);
   void loseOwnership(std::string_view Why);
 
-  int64_t fillCapacity(const std::vector<PlacementCandidate> &Candidates,
-                       TaskKind Kind) const;
   void addFillLoad(ShardLoad &Load);
 
   // Transfer of jobs to other shards.
@@ -464,12 +457,15 @@
   bool canEverFit(const JobEntry &Entry, int Position) const;
   int countOnWorker(const WorkerSlot &Slot, const JobEntry &Entry,
                     int Position) const;
-  bool admitsFillTask(const PlacementCandidate &Candidate, const JobStep &Step,
-                      double Headroom) const;
-  double cost(const PlacementCandidate &Candidate, const JobEntry &Entry,
-              int Position, double Headroom) const;
-  double headroomWith(const PlacementCandidate &Candidate,
+  FillTask fillTask(const JobEntry &Entry, int Position) const;
+  FillPlace fillPlace(const PlacementCandidate &Candidate,
                       const JobEntry &Entry, int Position) const;
+  /// True for other tasks.
+  bool admitsFillTask(const JobEntry &Entry, int Position,
+                      const FillPlace &Place) const;
+  /// \p Place is that of a fill task.
+  double cost(const PlacementCandidate &Candidate, const JobEntry &Entry,
+              int Position, const FillPlace &Place) const;
   double colocatableFraction(const PlacementCandidate &Candidate,
                              const JobEntry &Entry, int Position) const;
   static double otherKindsFraction(const PlacementCandidate &Candidate,
@@ -524,7 +520,14 @@
   bool hasWaitedLong(const JobEntry &Entry) const;
   bool hasWaitedLongHere(const JobEntry &Entry) const;
   int latenessOf(const JobEntry &Entry) const;
+  /// Returns the age that the job will have at its end if its tasks run without
+  /// delay from now on, as a multiple of its objective; zero if it has none.
+  double endOverTarget(const JobEntry &Entry) const;
   void relocateStalledRuns();
+  void moveFillRuns();
+  /// Moves the run if \p Run would end clearly earlier on another worker.
+  bool moveFillRun(std::vector<PlacementCandidate> &Candidates,
+                   WorkerSlot &Slot, const RunKey &Key, const FillMoveRun &Run);
   void logState();
   std::string placementFields();
   void logLongTaskWaits(const std::vector<PlacementCandidate> &Candidates,
@@ -543,19 +546,15 @@
                 int Position) const;
   std::string
   fillWaitReasons(const std::vector<PlacementCandidate> &Candidates) const;
-  static bool isFull(const PlacementCandidate &Candidate);
   void observeInterference(WorkerSlot &Slot);
+  void observeFillRuns(WorkerSlot &Slot);
   static bool hasComparableSpeed(const ReservedRun &Run);
   void stopLaggingRuns(WorkerSlot &Slot);
   void recordRunTime(const ReservedRun &Run, TaskState &Task);
   RunProgress progressOf(const ReservedRun &Run) const;
   std::vector<milliseconds> siblingRunTimes(const JobEntry &Entry,
                                             int Position) const;
-  void restoreModel();
-  void saveModel();
-  void readPeerModels();
-  void onPeerModels(const Result<RowPage> &Answer);
-  std::vector<PairSlope> decodePairs(const StoredRow &Row);
+  ModelExchangeOptions modelOptions();
   /// Returns the weight of the progress of a job's fill tasks.
   double fillWeightOf(const std::string &Job);
   void updatePaces(WorkerSlot &Slot);
@@ -579,20 +578,13 @@
   /// All queues that were ever configured, since jobs outlive their queue.
   JobQueues m_queues;
   InterferenceModel m_interference;
+  FillPlacementOptions m_fillPlacement;
+  std::shared_ptr<ModelExchange> m_models;
   ApprovalCache m_approvals;
   LagDetector m_lagDetector;
   std::map<std::pair<std::string, std::string>, TaskClass> m_classes;
-  std::map<std::string, TaskKind> m_kinds;
   std::set<TaskKind> m_fillKinds;
   LoadGroup m_nextGroup = 0;
-  /// True if the interference model has changed since it was last stored.
-  bool m_hasUnsavedModel = false;
-  TimePoint m_nextModelSave{};
-  /// Version from which the model rows of other shards are read; zero before
-  /// the first read.
-  uint64_t m_peerModelsVersion = 0;
-  TimePoint m_nextPeerModelRead{};
-  bool m_isReadingPeerModels = false;
   /// Moving mean of the work of a job in millicore-seconds, by queue.
   std::map<std::string, double> m_meanWork;
   /// Positions of the tasks that are ready to start, by job.
@@ -637,6 +629,7 @@
   TimePoint m_nextRound{};
   UnplacedSteps m_unplacedSteps;
   TimePoint m_nextRelocate{};
+  FillMoveBudget m_fillMoves;
   TimePoint m_nextTransfer{};
   TimePoint m_nextStateLog{};
   /// When long-running tasks that wait were last counted.
--- a/src/libbasilchute/jobshard_orders.cpp
+++ b/src/libbasilchute/jobshard_orders.cpp
@@ -30,7 +30,8 @@
       .TailTarget = Step.TailTarget,
       .Kind = Entry.Kinds[static_cast<size_t>(Key.first.Step)],
       .Class = Entry.Classes[static_cast<size_t>(Key.first.Step)],
-      .Group = Entry.Groups[static_cast<size_t>(Key.first.Step)]};
+      .Group = Entry.Groups[static_cast<size_t>(Key.first.Step)],
+      .FillWeight = Entry.FillWeight};
   Slot.Runs.emplace(Key, Reservation);
   if (Entry.storesPlace(Position)) {
     Entry.place(Position, Slot.Entry.Id);
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -25,10 +25,6 @@
 /// Cost of a rack on which the task runs slower, in units of a worker's load
 /// like all costs and gains below.
 constexpr double RemoteRackCost = 1.0;
-/// Cost per unit by which the headroom with the fill task is below
-/// LowHeadroom.
-constexpr double LowHeadroomCost = 2.0;
-constexpr double LowHeadroom = 1.6;
 /// Headroom is predicted for this time from now.
 constexpr milliseconds HeadroomLookahead{800};
 /// Fill tasks leave one part in this many of a worker's memory free.
@@ -196,6 +192,8 @@
     m_unplacedSteps.addPlain();
     return;
   }
+  if (m_options.MeasuredFill)
+    Entry.FillWeight = fillUrgency(endOverTarget(Entry));
   for (int Position : Positions) {
     if (isFinal(Entry.State) || !m_startWindow.isOpen())
       break;
@@ -307,10 +305,6 @@
       continue;
     std::vector<ServingLoad> Serving =
         Slot.servingLoads(m_interference, Now, HeadroomLookahead);
-    for (const auto &[Kind, Share] : Slot.plannedFillShares())
-      for (ServingLoad &ServingTask : Serving)
-        ServingTask.Headroom -=
-            m_interference.slope(ServingTask.Kind, Kind) * Share;
     Resources Free = Slot.freeCapacity();
     Candidates.push_back(
         {.Slot = &Slot,
@@ -318,6 +312,10 @@
          .Load = Slot.load(),
          .Later = {.Free = Free, .Eventual = Slot.eventualFreeCapacity()},
          .Serving = std::move(Serving)});
+    if (m_options.MeasuredFill)
+      Candidates.back().Fill = Slot.fillRoom(Now);
+    for (const auto &[Kind, Share] : Slot.plannedFillShares())
+      Candidates.back().addFillShare(Kind, Share, m_interference);
   }
   return Candidates;
 }
@@ -350,10 +348,10 @@
         Step.MaxPerWorker > 0 && ChosenHere >= Step.MaxPerWorker;
     if (IsAtMaxPerWorker || !isAllowed(Candidate, Entry, Position))
       continue;
-    double Headroom = headroomWith(Candidate, Entry, Position);
-    if (!admitsFillTask(Candidate, Step, Headroom))
+    FillPlace Place = fillPlace(Candidate, Entry, Position);
+    if (!admitsFillTask(Entry, Position, Place))
       continue;
-    double Cost = cost(Candidate, Entry, Position, Headroom);
+    double Cost = cost(Candidate, Entry, Position, Place);
     if (Step.RackSensitive && !GangWorkers.empty() &&
         !sharesRack(*Candidate.Slot, *GangWorkers.front()))
       Cost += RemoteRackCost;
@@ -377,9 +375,8 @@
 void JobShard::Impl::reserveFor(PlacementCandidate &Candidate,
                                 const JobEntry &Entry, int Position) {
   const JobStep &Step = Entry.stepOf(Position);
-  auto Capacity =
-      static_cast<double>(Candidate.Slot->Entry.Capacity.Millicores);
-  double Share = static_cast<double>(Step.Demand.Millicores) / Capacity;
+  double Share =
+      static_cast<double>(Step.Demand.Millicores) / Candidate.millicores();
   Candidate.Room -= Step.reservation();
   Candidate.Later.Free -= Step.reservation();
   if (Step.LongRunning)
@@ -388,11 +385,13 @@
   TaskKind Kind = Entry.Kinds[static_cast<size_t>(Entry.nameOf(Position).Step)];
   if (Step.TailTarget.count() > 0)
     Candidate.Serving.push_back({.Kind = Kind, .Headroom = InitialHeadroom});
-  if (!Step.IsFill)
+  if (!Step.IsFill) {
+    Candidate.Fill.take(Candidate.millicores() *
+                        (Step.LongRunning ? Share / 2 : Share));
     return;
-  for (ServingLoad &ServingTask : Candidate.Serving)
-    ServingTask.Headroom -=
-        m_interference.slope(ServingTask.Kind, Kind) * Share;
+  }
+  Candidate.Fill.add(fillTask(Entry, Position));
+  Candidate.addFillShare(Kind, Share, m_interference);
 }
 
 bool JobShard::Impl::isAllowed(const PlacementCandidate &Candidate,
@@ -424,7 +423,7 @@
   for (const PlacementCandidate &Candidate : Candidates)
     if (canRunIfApproved(Candidate, Entry, Position))
       Fitting.push_back({cost(Candidate, Entry, Position,
-                              headroomWith(Candidate, Entry, Position)),
+                              fillPlace(Candidate, Entry, Position)),
                          {.Worker = Candidate.Slot->Entry.Id,
                           .Incarnation = Candidate.Slot->Incarnation}});
   std::sort(Fitting.begin(), Fitting.end(),
@@ -481,32 +480,35 @@
                      });
 }
 
-double JobShard::Impl::headroomWith(const PlacementCandidate &Candidate,
+FillTask JobShard::Impl::fillTask(const JobEntry &Entry, int Position) const {
+  return {.Millicores =
+              static_cast<double>(Entry.stepOf(Position).Demand.Millicores),
+          .Weight = Entry.FillWeight};
+}
+
+FillPlace JobShard::Impl::fillPlace(const PlacementCandidate &Candidate,
                                     const JobEntry &Entry, int Position) const {
   const JobStep &Step = Entry.stepOf(Position);
   if (!Step.IsFill)
-    return std::numeric_limits<double>::max();
-  double Share = static_cast<double>(Step.Demand.Millicores) /
-                 static_cast<double>(Candidate.Slot->Entry.Capacity.Millicores);
+    return {};
+  double Share =
+      static_cast<double>(Step.Demand.Millicores) / Candidate.millicores();
   TaskKind Kind = Entry.Kinds[static_cast<size_t>(Entry.nameOf(Position).Step)];
-  return headroomWithFill(Candidate.Serving, Kind, Share, m_interference);
-}
-
-bool JobShard::Impl::isFull(const PlacementCandidate &Candidate) {
-  return Candidate.Load >= MaxFillLoad;
+  return {.Load = Candidate.Load,
+          .Headroom =
+              headroomWithFill(Candidate.Serving, Kind, Share, m_interference),
+          .Room = Candidate.Fill};
 }
 
-bool JobShard::Impl::admitsFillTask(const PlacementCandidate &Candidate,
-                                    const JobStep &Step,
-                                    double Headroom) const {
-  if (!Step.IsFill || m_isLightlyLoaded)
-    return true;
-  return !isFull(Candidate) && Headroom > MinFillHeadroom;
+bool JobShard::Impl::admitsFillTask(const JobEntry &Entry, int Position,
+                                    const FillPlace &Place) const {
+  return !Entry.stepOf(Position).IsFill || m_isLightlyLoaded ||
+         admitsFill(fillTask(Entry, Position), Place, m_fillPlacement);
 }
 
 double JobShard::Impl::cost(const PlacementCandidate &Candidate,
                             const JobEntry &Entry, int Position,
-                            double Headroom) const {
+                            const FillPlace &Place) const {
   const JobStep &Step = Entry.stepOf(Position);
   const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
   double Cost = Candidate.Load;
@@ -518,7 +520,7 @@
            PackingGain * Candidate.Load;
   }
   if (Step.IsFill)
-    Cost += LowHeadroomCost * std::max(0.0, LowHeadroom - Headroom);
+    Cost = fillPlaceCost(fillTask(Entry, Position), Place, m_fillPlacement);
   if (!Step.DataRack.empty() && !Candidate.Slot->hasLabel(Step.DataRack))
     Cost += RemoteRackCost;
   if (Task.Worker == Candidate.Slot->Entry.Id && Task.LastRun > 0)
--- a/src/libbasilchute/jobshard_poll.cpp
+++ b/src/libbasilchute/jobshard_poll.cpp
@@ -77,7 +77,7 @@
           Wait, std::max(Run.StartDeadline - WorkerClock + milliseconds(20),
                          milliseconds(100)));
   }
-  if (HasFill && HasServing)
+  if (HasFill && (HasServing || m_options.MeasuredFill))
     Wait = std::min(Wait, m_options.MaxPollWaitMixed);
   if (m_crashes.isTrialWorker(Slot.Entry.Id))
     Wait = std::min(Wait, TrialPollWait);
@@ -206,6 +206,7 @@
   stopAstrayRuns(Slot);
   stopLaggingRuns(Slot);
   observeInterference(Slot);
+  observeFillRuns(Slot);
   updatePaces(Slot);
   Slot.NextPollAt = IsFirstPoll || awaitsPollAfterStop(Slot)
                         ? Now
@@ -493,11 +494,13 @@
   if (Position < 0)
     return;
   onSuspectSeen(*Entry, Position);
-  if (Run.Checkpoint.empty())
-    return;
   TaskState &Task = Entry->Tasks[static_cast<size_t>(Position)];
-  if (Task.LastRun == Run.Run)
+  bool HasNewCheckpoint = !Run.Checkpoint.empty() && Task.LastRun == Run.Run &&
+                          Task.Checkpoint != Run.Checkpoint;
+  if (HasNewCheckpoint)
     Task.Checkpoint = Run.Checkpoint;
+  if (Reservation.FullPaceMillicores > 0)
+    Reservation.Meter.onReport(Run.Usage, Run.Percent, HasNewCheckpoint, Now);
 }
 
 // Takes over a run that this owner has no record of: the previous owner started
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds MinChain{200};
 /// A job that ends after this many times its objective has no value left.
 constexpr int NoValueFactor = 3;
+/// Least objective of a job, so that its lateness is finite.
+constexpr std::chrono::duration<double> MinObjective{1e-9};
 constexpr milliseconds StateLogInterval{1000};
 /// Part of a job's worth that is the same for all jobs of a queue, whatever
 /// their size.
@@ -31,9 +33,7 @@
     m_waiting.erase(It);
 }
 
-// Returns 0 if the job can still meet its objective, 1 if it will end late but
-// still has value, and 2 if it will have no value.
-int JobShard::Impl::latenessOf(const JobEntry &Entry) const {
+double JobShard::Impl::endOverTarget(const JobEntry &Entry) const {
   const JobQueue *Queue = queueOf(Entry);
   if (!Queue || Entry.Spec.Repetitions > 0)
     return 0;
@@ -45,9 +45,17 @@
       MaxDuration);
   auto AgeAtEnd =
       m_time.now() - Entry.ArrivedAt + Entry.remainingCriticalPath();
-  if (AgeAtEnd < Objective)
+  return std::chrono::duration<double>(AgeAtEnd) /
+         std::max(std::chrono::duration<double>(Objective), MinObjective);
+}
+
+// Returns 0 if the job can still meet its objective, 1 if it will end late but
+// still has value, and 2 if it will have no value.
+int JobShard::Impl::latenessOf(const JobEntry &Entry) const {
+  double End = endOverTarget(Entry);
+  if (End < 1)
     return 0;
-  return AgeAtEnd < NoValueFactor * Objective ? 1 : 2;
+  return End < NoValueFactor ? 1 : 2;
 }
 
 bool JobShard::Impl::hasWaitedLong(const JobEntry &Entry) const {
@@ -138,10 +146,10 @@
     for (const PlacementCandidate &Candidate : Candidates) {
       if (!isAllowed(Candidate, Entry, Position))
         ++NoRoom;
-      else if (isFull(Candidate))
+      else if (FillPlace Place = fillPlace(Candidate, Entry, Position);
+               isFullFor(fillTask(Entry, Position), Place, m_fillPlacement))
         ++Full;
-      else if (!admitsFillTask(Candidate, Entry.stepOf(Position),
-                               headroomWith(Candidate, Entry, Position)))
+      else if (!admitsFillTask(Entry, Position, Place))
         ++Interfering;
     }
     break;
@@ -157,8 +165,10 @@
   Resources Free;
   Resources Largest;
   std::vector<PlacementCandidate> Candidates = placementCandidates();
+  double FillLeft = 0;
   for (const PlacementCandidate &Candidate : Candidates) {
     Free += Candidate.Room;
+    FillLeft += Candidate.Fill.left();
     Largest.Millicores =
         std::max(Largest.Millicores, Candidate.Room.Millicores);
     Largest.MemoryMib = std::max(Largest.MemoryMib, Candidate.Room.MemoryMib);
@@ -182,18 +192,21 @@
     MostEventualMillicores = std::max(MostEventualMillicores, Eventual);
   }
   log("shard_state",
-      fmt::format("shard={} workers={} usable={} free_cores={} most_cores={} "
-                  "free_gib={} most_gib={} waiting_short={} waiting_long={} "
-                  "waiting_fill={} held_back={} fill_cores={} long_cores={} "
-                  "most_eventual_cores={} over_target={} {} {}",
-                  m_options.Shard, m_slots.size(), Candidates.size(),
-                  Free.Millicores / 1000, Largest.Millicores / 1000,
-                  Free.MemoryMib / 1024, Largest.MemoryMib / 1024,
-                  WaitingTasks[0], WaitingTasks[1], WaitingTasks[2],
-                  isTakeoverComplete() ? 0 : countHeldBackTasks(),
-                  FillMillicores / 1000, LongRunningMillicores / 1000,
-                  MostEventualMillicores / 1000, RunsOverTarget,
-                  fillWaitReasons(Candidates), placementFields()));
+      fmt::format(
+          "shard={} workers={} usable={} free_cores={} most_cores={} "
+          "free_gib={} most_gib={} waiting_short={} waiting_long={} "
+          "waiting_fill={} held_back={} fill_cores={} fill_left_cores={:.0f} "
+          "fill_moves={} long_cores={} "
+          "most_eventual_cores={} over_target={} {} {}",
+          m_options.Shard, m_slots.size(), Candidates.size(),
+          Free.Millicores / 1000, Largest.Millicores / 1000,
+          Free.MemoryMib / 1024, Largest.MemoryMib / 1024, WaitingTasks[0],
+          WaitingTasks[1], WaitingTasks[2],
+          isTakeoverComplete() ? 0 : countHeldBackTasks(),
+          FillMillicores / 1000, m_options.MeasuredFill ? FillLeft / 1000 : 0,
+          m_counts.FillMoves, LongRunningMillicores / 1000,
+          MostEventualMillicores / 1000, RunsOverTarget,
+          fillWaitReasons(Candidates), placementFields()));
   logLongTaskWaits(Candidates, Largest.Millicores);
 }
 
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -34,26 +34,6 @@
 
 } // namespace
 
-// Returns the millicores that fill tasks of this kind could add on all workers
-// until the headroom of serving tasks falls to the minimum.
-int64_t
-JobShard::Impl::fillCapacity(const std::vector<PlacementCandidate> &Candidates,
-                             TaskKind Kind) const {
-  double Out = 0;
-  for (const PlacementCandidate &Candidate : Candidates) {
-    double Share = std::max(0.0, MaxFillLoad - Candidate.Load);
-    for (const ServingLoad &Load : Candidate.Serving) {
-      double Slope = m_interference.slope(Load.Kind, Kind);
-      if (Slope > 0)
-        Share = std::min(Share, std::max(0.0, Load.Headroom - MinFillHeadroom) /
-                                    Slope);
-    }
-    Out +=
-        Share * static_cast<double>(Candidate.Slot->Entry.Capacity.Millicores);
-  }
-  return static_cast<int64_t>(Out);
-}
-
 void JobShard::Impl::addFillLoad(ShardLoad &Load) {
   for (const auto &[Id, Positions] : m_waiting) {
     const JobEntry &Entry = m_jobs.at(Id);
@@ -62,9 +42,15 @@
         Load.WaitingFillMillicores += Entry.stepOf(Position).Demand.Millicores;
   }
   std::vector<PlacementCandidate> Candidates = placementCandidates();
-  for (const auto &[Image, Kind] : m_kinds)
+  double Left = 0;
+  for (const PlacementCandidate &Candidate : Candidates)
+    Left += Candidate.Fill.left();
+  if (m_options.MeasuredFill)
+    Load.FillMillicores = static_cast<int64_t>(Left);
+  for (const auto &[Image, Kind] : m_models->kinds())
     if (m_fillKinds.count(Kind))
-      Load.FillCapacity[Image] = fillCapacity(Candidates, Kind);
+      Load.FillCapacity[Image] =
+          fillCapacity(Candidates, Kind, m_interference, m_fillPlacement);
 }
 
 ShardLoad JobShard::Impl::load() {
@@ -85,6 +71,8 @@
       continue;
     if (!Entry.Spec.Steps.front().LongRunning) {
       Out.RemainingWork += Entry.remainingWork();
+      if (Entry.Spec.Steps.front().IsFill && latenessOf(Entry) < 2)
+        Out.RemainingFillWork += Entry.remainingWork();
       continue;
     }
     for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
--- a/src/libbasilchute/placementround.h
+++ b/src/libbasilchute/placementround.h
@@ -30,8 +30,26 @@
   /// Serving tasks on the worker, with the headroom that the fill tasks on the
   /// worker leave them.
   std::vector<ServingLoad> Serving;
+  /// Processor time for fill tasks.
+  FillRoom Fill;
+
+  double millicores() const {
+    return static_cast<double>(Slot->Entry.Capacity.Millicores);
+  }
+  /// Lowers the headroom by fill tasks that use \p Share of the worker.
+  void addFillShare(TaskKind Kind, double Share,
+                    const InterferenceModel &Model) {
+    for (ServingLoad &ServingTask : Serving)
+      ServingTask.Headroom -= Model.slope(ServingTask.Kind, Kind) * Share;
+  }
 };
 
+/// Returns the millicores that fill tasks of \p Kind could add on all workers
+/// until the headroom of serving tasks falls to the minimum.
+int64_t fillCapacity(const std::vector<PlacementCandidate> &Candidates,
+                     TaskKind Kind, const InterferenceModel &Model,
+                     const FillPlacementOptions &Options);
+
 /// Service, required label and kind of tasks that could not be placed in a
 /// round, and the demands of these tasks.
 using RejectionKey = std::tuple<std::string, std::string, TaskKind>;
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -132,6 +132,57 @@
   return static_cast<double>(std::max<int64_t>(Entry.Capacity.Millicores, 1));
 }
 
+double WorkerSlot::leftByReservations() const {
+  return millicores() * (1 - reservedLoad());
+}
+
+// A run that is stopping does not tell whether it gets what it asks for.
+void WorkerSlot::observeFillRuns(TimePoint Now) {
+  std::vector<FillReport> Reports;
+  for (const auto &[Key, Run] : Runs) {
+    if (Run.FullPaceMillicores == 0)
+      continue;
+    TimePoint Since = std::max(Run.ObservedSince, Run.PacedAt);
+    FillReport Report{.AllowedMillicores =
+                          Run.FullPaceMillicores * Run.Pace / 100,
+                      .UsedMillicores = Run.Usage};
+    if (Run.Phase == RunPhase::Running)
+      Report.Age = std::chrono::duration_cast<milliseconds>(Now - Since);
+    Reports.push_back(Report);
+  }
+  if (!Reports.empty())
+    Left.observe(Reports, leftByReservations(), Now);
+}
+
+FillRoom WorkerSlot::fillRoom(TimePoint Now) const {
+  FillRoom Out(Left.millicores(leftByReservations(), Now));
+  for (const auto &[Key, Run] : Runs)
+    if (Run.FullPaceMillicores > 0 && Run.Phase != RunPhase::Stopping)
+      Out.add({.Millicores = static_cast<double>(Run.FullPaceMillicores),
+               .Weight = Run.FillWeight});
+  return Out;
+}
+
+FillMoveRun WorkerSlot::fillMoveRun(const ReservedRun &Run,
+                                    double Estimate) const {
+  FillRoom Room(leftByReservations());
+  for (const auto &[Key, Other] : Runs)
+    if (&Other != &Run && Other.FullPaceMillicores > 0)
+      Room.add({.Millicores = static_cast<double>(Other.FullPaceMillicores),
+                .Weight = Other.FillWeight});
+  auto Millicores = static_cast<double>(Run.FullPaceMillicores);
+  FillTask Task{.Millicores = Millicores, .Weight = Run.FillWeight};
+  return {.Step = Run.Group,
+          .Millicores = Millicores,
+          .Weight = Run.FillWeight,
+          .Usage = Run.Meter.usage(),
+          .LaterUsage = Run.Meter.laterUsage(Room.shareFor(Task) * Millicores),
+          .RemainingWork = Run.Meter.remainingWork(Estimate),
+          .WorkSinceCheckpoint = Run.Meter.workSinceCheckpoint(),
+          .ObservedFor = Run.Meter.observedFor(),
+          .CanMove = Run.Phase == RunPhase::Running};
+}
+
 int64_t WorkerSlot::usedFillMillicores() const {
   int64_t Out = 0;
   for (const auto &[Key, Run] : Runs)
@@ -161,6 +212,7 @@
   AliveClock = milliseconds(0);
   SilentAt = TimePoint{};
   LostRuns.clear();
+  Left = ProcessorLeft();
 }
 
 std::vector<ServingLoad>
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -8,6 +8,9 @@
 #include "basilchute/pacing.h"
 #include "basilchute/taskworker.h"
 #include "libbasilchute/crashhistory.h"
+#include "libbasilchute/fillmoves.h"
+#include "libbasilchute/fillplacement.h"
+#include "libbasilchute/processorleft.h"
 
 #include <map>
 #include <optional>
@@ -73,6 +76,10 @@
   int Pace = 100;
   /// When that pace was ordered.
   TimePoint PacedAt{};
+  /// Weight of a fill run in the division of processor time.
+  double FillWeight = 1;
+  /// Work and progress of a fill run.
+  FillRunMeter Meter;
   /// The run is to end, also if no stop order could be sent yet or none was
   /// carried out.
   bool IsStopWanted = false;
@@ -166,6 +173,8 @@
   TimePoint AstrayLeaseEnd{};
   /// When the pace of any fill run was last changed.
   TimePoint PaceChangedAt{};
+  /// Estimate of what fill runs can use.
+  ProcessorLeft Left;
 
   /// Records which incarnation has answered.
   void setIncarnation(milliseconds Answered);
@@ -198,6 +207,14 @@
   double load() const;
   /// Part of the capacity that runs other than fill runs are expected to use.
   double reservedLoad() const;
+  /// Adds the last reports about all fill runs to the estimate of what they can
+  /// use.
+  void observeFillRuns(TimePoint Now);
+  /// Returns the estimate with what the fill runs ask for.
+  FillRoom fillRoom(TimePoint Now) const;
+  /// Returns the run as one that may be moved: only its task and job are not
+  /// known here. \p Estimate is the estimated work of the task.
+  FillMoveRun fillMoveRun(const ReservedRun &Run, double Estimate) const;
   /// Number of runs whose tail is above the target.
   size_t runsOverTarget() const;
   /// Millicores in use by fill runs, as last reported by the worker.
@@ -217,6 +234,8 @@
   void resetIncarnation();
 
 private:
+  /// Millicores that runs other than fill runs are not expected to use.
+  double leftByReservations() const;
   const Resources &reservedBy(const ReservedRun &Run) const {
     return Run.ReservesAll ? Entry.Capacity : Run.Reserved;
   }
