Limit what fill tasks are expected to use to a worker's capacity

Cause: on a worker that has shrunk to no processors, the reports of its fill runs raised the estimate over its capacity, and the runs kept their pace.

Change: WorkerSlot::fillRoom() is limited to the capacity.

The new case of workerslot_test guards the limit.

--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -154,8 +154,10 @@
     Left.observe(Reports, leftByReservations(), Now);
 }
 
+// On a worker that has shrunk, runs may have used more than it has now.
 FillRoom WorkerSlot::fillRoom(TimePoint Now) const {
-  FillRoom Out(Left.millicores(leftByReservations(), Now));
+  FillRoom Out(
+      std::min(Left.millicores(leftByReservations(), Now), millicores()));
   for (const auto &[Key, Run] : Runs)
     if (Run.FullPaceMillicores > 0 && Run.Phase != RunPhase::Stopping)
       Out.add({.Millicores = static_cast<double>(Run.FullPaceMillicores),
--- a/src/libbasilchute/workerslot_test.cpp
+++ b/src/libbasilchute/workerslot_test.cpp
@@ -51,3 +51,18 @@
     CHECK(Slot.load() == 1);
   }
 }
+
+// Guards against fill runs that go on at full pace on a worker without
+// processors, since they used more before it has shrunk.
+TEST_CASE("Fill tasks can use no more than the capacity that a worker has") {
+  TimePoint Now{std::chrono::hours(1)};
+  WorkerSlot Slot({.Id = "w", .Capacity = Full});
+  Slot.Runs.emplace(runOf(0), ReservedRun{.Phase = RunPhase::Running,
+                                          .FullPaceMillicores = 6000,
+                                          .Usage = 6000});
+  Slot.observeFillRuns(Now);
+  CHECK(Slot.fillRoom(Now).left() == doctest::Approx(8000));
+  Slot.Entry.Capacity.Millicores = 1000;
+  Slot.observeFillRuns(Now);
+  CHECK(Slot.fillRoom(Now).left() == doctest::Approx(1000));
+}
