Measure saturation against the most that a kind of fill task uses

Cause: a kind of fill task that never uses all that it asks for, as it waits for data, would make each worker that runs it look full: one run that uses 85% would close a worker with 15 idle cores to others.

Change: FillUsePeaks learns, over all workers of a shard, the most that runs of each kind use of what their pace allows, from 0.5 to 1, and forgets it with a time constant of 30 s. A run counts as short of processor time relative to that.

Conclusion: only runs of one image that differ among themselves are still taken for runs on a full worker.

--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -579,6 +579,7 @@
   JobQueues m_queues;
   InterferenceModel m_interference;
   FillPlacementOptions m_fillPlacement;
+  FillUsePeaks m_fillPeaks;
   std::shared_ptr<ModelExchange> m_models;
   ApprovalCache m_approvals;
   LagDetector m_lagDetector;
--- a/src/libbasilchute/jobshard_interference.cpp
+++ b/src/libbasilchute/jobshard_interference.cpp
@@ -42,7 +42,7 @@
   for (auto &[Key, Run] : Slot.Runs)
     if (Run.FullPaceMillicores > 0)
       Run.FillWeight = fillWeightOf(Key.first.Job);
-  Slot.observeFillRuns(m_time.now());
+  Slot.observeFillRuns(m_fillPeaks, m_time.now());
 }
 
 double JobShard::Impl::fillWeightOf(const std::string &Job) {
--- a/src/libbasilchute/processorleft.cpp
+++ b/src/libbasilchute/processorleft.cpp
@@ -7,6 +7,12 @@
 
 namespace {
 
+/// Time constant with which a peak is forgotten; several swings of the serving
+/// load, in each of which some worker has processors to spare.
+constexpr milliseconds PeakTime{30000};
+/// Least part that a kind is taken to use on a worker that is not full.
+constexpr double MinPeak = 0.5;
+
 /// Returns the part of a value that is left of it after \p Age if it decays
 /// with the time constant \p Constant.
 double decayAfter(nanoseconds Age, milliseconds Constant) {
@@ -16,6 +22,26 @@
 
 } // namespace
 
+void FillUsePeaks::observe(TaskKind Kind, const FillReport &Report,
+                           TimePoint Now) {
+  if (Report.Age < ProcessorLeftOptions{}.SettleTime ||
+      Report.AllowedMillicores <= 0)
+    return;
+  Peak &Known = m_peaks.try_emplace(Kind, Peak{.SeenAt = Now}).first->second;
+  double Part = static_cast<double>(Report.UsedMillicores) /
+                static_cast<double>(Report.AllowedMillicores);
+  if (Part >= partOf(Kind, Now))
+    Known = {.Part = std::min(Part, 1.0), .SeenAt = Now};
+}
+
+double FillUsePeaks::partOf(TaskKind Kind, TimePoint Now) const {
+  auto It = m_peaks.find(Kind);
+  if (It == m_peaks.end())
+    return 1;
+  return std::max(MinPeak, It->second.Part *
+                               decayAfter(Now - It->second.SeenAt, PeakTime));
+}
+
 double ProcessorLeft::difference(TimePoint Now) const {
   if (!m_measuredAt)
     return 0;
--- a/src/libbasilchute/processorleft.h
+++ b/src/libbasilchute/processorleft.h
@@ -6,9 +6,10 @@
 /// reservations do not tell how fast fill tasks run on a worker.
 #pragma once
 
-#include "basilchute/clock.h"
+#include "basilchute/interference.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -42,6 +43,27 @@
   milliseconds Age{0};
 };
 
+/// Learns how much of what their pace allows runs of each kind use at most,
+/// over all workers. A kind that always waits for data must not make every
+/// worker look full.
+///
+/// Not thread-safe.
+class FillUsePeaks {
+public:
+  /// Adds a report about a run of \p Kind; reports of runs that have just
+  /// started or changed their pace are ignored.
+  void observe(TaskKind Kind, const FillReport &Report, TimePoint Now);
+  /// Returns the part, from 0.5 to 1; 1 for an unknown kind.
+  double partOf(TaskKind Kind, TimePoint Now) const;
+
+private:
+  struct Peak {
+    double Part = 1;
+    TimePoint SeenAt{};
+  };
+  std::map<TaskKind, Peak> m_peaks;
+};
+
 /// The estimate for one worker. It is held as the difference to the estimate by
 /// reservations, so that the start or end of a task with a reservation counts
 /// at once.
--- a/src/libbasilchute/workerslot.cpp
+++ b/src/libbasilchute/workerslot.cpp
@@ -137,7 +137,7 @@
 }
 
 // A run that is stopping does not tell whether it gets what it asks for.
-void WorkerSlot::observeFillRuns(TimePoint Now) {
+void WorkerSlot::observeFillRuns(FillUsePeaks &Peaks, TimePoint Now) {
   std::vector<FillReport> Reports;
   for (const auto &[Key, Run] : Runs) {
     if (Run.FullPaceMillicores == 0)
@@ -148,6 +148,10 @@
                       .UsedMillicores = Run.Usage};
     if (Run.Phase == RunPhase::Running)
       Report.Age = std::chrono::duration_cast<milliseconds>(Now - Since);
+    Peaks.observe(Run.Kind, Report, Now);
+    Report.AllowedMillicores =
+        static_cast<int64_t>(static_cast<double>(Report.AllowedMillicores) *
+                             Peaks.partOf(Run.Kind, Now));
     Reports.push_back(Report);
   }
   if (!Reports.empty())
--- a/src/libbasilchute/workerslot.h
+++ b/src/libbasilchute/workerslot.h
@@ -208,8 +208,8 @@
   /// Part of the capacity that runs other than fill runs are expected to use.
   double reservedLoad() const;
   /// Adds the last reports about all fill runs to the estimate of what they can
-  /// use.
-  void observeFillRuns(TimePoint Now);
+  /// use, and to \p Peaks.
+  void observeFillRuns(FillUsePeaks &Peaks, TimePoint Now);
   /// Returns the estimate with what the fill runs ask for.
   FillRoom fillRoom(TimePoint Now) const;
   /// Returns the run as one that may be moved: only its task and job are not
--- a/src/libbasilchute/workerslot_test.cpp
+++ b/src/libbasilchute/workerslot_test.cpp
@@ -60,9 +60,10 @@
   Slot.Runs.emplace(runOf(0), ReservedRun{.Phase = RunPhase::Running,
                                           .FullPaceMillicores = 6000,
                                           .Usage = 6000});
-  Slot.observeFillRuns(Now);
+  FillUsePeaks Peaks;
+  Slot.observeFillRuns(Peaks, Now);
   CHECK(Slot.fillRoom(Now).left() == doctest::Approx(8000));
   Slot.Entry.Capacity.Millicores = 1000;
-  Slot.observeFillRuns(Now);
+  Slot.observeFillRuns(Peaks, Now);
   CHECK(Slot.fillRoom(Now).left() == doctest::Approx(1000));
 }
