--- a/src/include/basilchute/shardchoice.h
+++ b/src/include/basilchute/shardchoice.h
@@ -46,6 +46,11 @@
   RestartDemand WaitingRestarts;
   /// Remaining work of all other jobs, in millicores times seconds.
   double RemainingWork = 0;
+  /// Remaining work of fill jobs that will have value, part of RemainingWork.
+  double RemainingFillWork = 0;
+  /// Millicores that fill tasks can use together, with those in use; zero if
+  /// the owner does not report them.
+  int64_t FillMillicores = 0;
   /// Millicores of waiting fill tasks.
   int64_t WaitingFillMillicores = 0;
   /// Millicores that fill tasks could use now without interference with serving
@@ -73,9 +78,6 @@
   /// Such work that the shard finishes per second while some waits, in
   /// millicores: a moving mean; zero if it is not known.
   double FinishedWorkPerSecond = 0;
-  /// Remaining work of fill jobs that will have value, and the work of fill
-  /// tasks that the shard finishes per second.
-  double RemainingFillWork = 0;
   double FinishedFillWorkPerSecond = 0;
 
   /// Returns the sum over all priorities of WaitingWorkByPriority.
@@ -104,6 +106,11 @@
   int64_t FillMillicores = 0;
   /// Images of the job's fill tasks.
   std::set<std::string> FillImages;
+  /// The part of Amount that is work of fill tasks.
+  double FillWork = 0;
+  /// Only work of the same kind counts as backlog: for a job of fill tasks
+  /// theirs, for another short job the rest.
+  bool CountsOwnKind = false;
   /// Run time of the longest chain of steps. On a shard without its data the
   /// job is expected to take this much longer.
   milliseconds CriticalPath{0};
--- a/src/libbasilchute/fitchoice.cpp
+++ b/src/libbasilchute/fitchoice.cpp
@@ -9,10 +9,6 @@
 /// Cost of a rack on which the task runs slower, in units of a worker's load
 /// like all costs and gains below.
 constexpr double RemoteRackCost = 1.0;
-/// Cost per unit by which the headroom with the fill task is below
-/// LowHeadroom.
-constexpr double LowHeadroomCost = 2.0;
-constexpr double LowHeadroom = 1.6;
 /// Cost for a serving task of a worker where all serving tasks are of other
 /// kinds.
 constexpr double OtherKindsCost = 2.0;
@@ -75,7 +71,9 @@
                 const TaskFit &Task, const FitOptions &Options) {
   if (Step.TailTarget.count() > 0)
     return servingCost(Candidate, Step, Task, Options);
-  if (!Options.IsPlanned || Step.IsFill)
+  if (Step.IsFill)
+    return Task.FillCost;
+  if (!Options.IsPlanned)
     return Candidate.Load;
   // Finite tasks leave a long-running one room that it can use later.
   return leftoverPart(Step.LongRunning ? Candidate.Later.Eventual
@@ -93,8 +91,6 @@
 double placementCost(const PlacementCandidate &Candidate, const JobStep &Step,
                      const TaskFit &Task, const FitOptions &Options) {
   double Cost = baseCost(Candidate, Step, Task, Options);
-  if (Step.IsFill)
-    Cost += LowHeadroomCost * std::max(0.0, LowHeadroom - Task.Headroom);
   if (!Step.DataRack.empty() && !Candidate.Slot->hasLabel(Step.DataRack))
     Cost += RemoteRackCost;
   if (Task.HadPreviousRun)
--- a/src/libbasilchute/fitchoice.h
+++ b/src/libbasilchute/fitchoice.h
@@ -14,8 +14,9 @@
 /// What the choice considers of a task, beside its step.
 struct TaskFit {
   TaskKind Kind = 0;
-  /// Headroom that serving tasks on the worker would keep; for fill tasks.
-  double Headroom = 0;
+  /// Cost by the processor time and the headroom on the worker; for fill
+  /// tasks.
+  double FillCost = 0;
   /// Number of the step's tasks on the worker; for serving tasks.
   int HeldHere = 0;
   /// The worker had the task's previous run, which failed or was lost.
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -352,6 +352,7 @@
     To.set_backlog(Report.Load.RemainingWork);
     To.set_fill_waiting_millicores(Report.Load.WaitingFillMillicores);
     encodeAdmissionLoad(Report.Load, To);
+    To.set_fill_millicores(Report.Load.FillMillicores);
     for (const auto &[Image, Room] : Report.Load.FillCapacity) {
       v1::StoredFillRoom &StoredRoom = *To.add_fill_room();
       StoredRoom.set_image(Image);
@@ -399,6 +400,7 @@
                           .MemoryMib = std::max<int64_t>(
                               Shard.smallest_restart_memory_mib(), 0)}},
         .RemainingWork = positiveOrZero(Shard.backlog()),
+        .FillMillicores = boundedMillicores(Shard.fill_millicores()),
         .WaitingFillMillicores =
             boundedMillicores(Shard.fill_waiting_millicores())};
     decodeAdmissionLoad(Shard, Report.Load);
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -229,6 +229,8 @@
     m_unplacedSteps.addPlain();
     return;
   }
+  if (m_options.MeasuredFill)
+    Entry.FillWeight = fillUrgency(endOverTarget(Entry));
   for (int Position : Positions) {
     if (isFinal(Entry.State) || !m_startWindow.isOpen())
       break;
@@ -324,10 +326,6 @@
       continue;
     std::vector<ServingLoad> Serving =
         Slot.servingLoads(m_interference, Now, HeadroomLookahead);
-    for (const auto &[Kind, Share] : Slot.plannedFillShares())
-      for (ServingLoad &ServingTask : Serving)
-        ServingTask.Headroom -=
-            m_interference.slope(ServingTask.Kind, Kind) * Share;
     Resources Free = Slot.freeCapacity();
     Candidates.push_back(
         {.Slot = &Slot,
@@ -335,6 +333,10 @@
          .Load = Slot.load(),
          .Later = {.Free = Free, .Eventual = Slot.eventualFreeCapacity()},
          .Serving = std::move(Serving)});
+    if (m_options.MeasuredFill)
+      Candidates.back().Fill = Slot.fillRoom(Now);
+    for (const auto &[Kind, Share] : Slot.plannedFillShares())
+      Candidates.back().addFillShare(Kind, Share, m_interference);
   }
   return Candidates;
 }
@@ -369,10 +371,10 @@
         Step.MaxPerWorker > 0 && ChosenHere >= Step.MaxPerWorker;
     if (IsAtMaxPerWorker || !isAllowed(Candidate, Entry, Position))
       continue;
-    double Headroom = headroomWith(Candidate, Entry, Position);
-    if (!admitsFillTask(Candidate, Step, Headroom))
+    FillPlace Place = fillPlace(Candidate, Entry, Position);
+    if (!admitsFillTask(Entry, Position, Place))
       continue;
-    double Cost = cost(Candidate, Entry, Position, Headroom);
+    double Cost = cost(Candidate, Entry, Position, Place);
     if (Step.RackSensitive && !GangWorkers.empty() &&
         !sharesRack(*Candidate.Slot, *GangWorkers.front()))
       Cost += RemoteRackCost;
@@ -395,10 +397,13 @@
 // that are placed later in the round.
 void JobShard::Impl::reserveFor(PlacementCandidate &Candidate,
                                 const JobEntry &Entry, int Position) {
+  const JobStep &Step = Entry.stepOf(Position);
   TaskKind Kind = Entry.Kinds[static_cast<size_t>(Entry.nameOf(Position).Step)];
   TimePoint Now = m_time.now();
-  Candidate.take(Entry.stepOf(Position), Kind, m_interference,
+  Candidate.take(Step, Kind, m_interference,
                  Now + m_plan.lateTime(Entry, Position, Now));
+  if (Step.IsFill)
+    Candidate.Fill.add(fillTask(Entry, Position));
 }
 
 bool JobShard::Impl::isAllowed(const PlacementCandidate &Candidate,
@@ -430,7 +435,7 @@
   for (const PlacementCandidate &Candidate : Candidates)
     if (canRunIfApproved(Candidate, Entry, Position))
       Fitting.push_back({cost(Candidate, Entry, Position,
-                              headroomWith(Candidate, Entry, Position)),
+                              fillPlace(Candidate, Entry, Position)),
                          {.Worker = Candidate.Slot->Entry.Id,
                           .Incarnation = Candidate.Slot->Incarnation}});
   std::sort(Fitting.begin(), Fitting.end(),
@@ -489,39 +494,44 @@
                      });
 }
 
-double JobShard::Impl::headroomWith(const PlacementCandidate &Candidate,
+FillTask JobShard::Impl::fillTask(const JobEntry &Entry, int Position) const {
+  return {.Millicores =
+              static_cast<double>(Entry.stepOf(Position).Demand.Millicores),
+          .Weight = Entry.FillWeight};
+}
+
+FillPlace JobShard::Impl::fillPlace(const PlacementCandidate &Candidate,
                                     const JobEntry &Entry, int Position) const {
   const JobStep &Step = Entry.stepOf(Position);
   if (!Step.IsFill)
-    return std::numeric_limits<double>::max();
-  double Share = static_cast<double>(Step.Demand.Millicores) /
-                 static_cast<double>(Candidate.Slot->Entry.Capacity.Millicores);
+    return {};
+  double Share =
+      static_cast<double>(Step.Demand.Millicores) / Candidate.millicores();
   TaskKind Kind = Entry.Kinds[static_cast<size_t>(Entry.nameOf(Position).Step)];
-  return headroomWithFill(Candidate.Serving, Kind, Share, m_interference);
-}
-
-bool JobShard::Impl::isFull(const PlacementCandidate &Candidate) {
-  return Candidate.Load >= MaxFillLoad;
+  return {.Load = Candidate.Load,
+          .Headroom =
+              headroomWithFill(Candidate.Serving, Kind, Share, m_interference),
+          .Room = Candidate.Fill};
 }
 
-bool JobShard::Impl::admitsFillTask(const PlacementCandidate &Candidate,
-                                    const JobStep &Step,
-                                    double Headroom) const {
-  if (!Step.IsFill || m_isLightlyLoaded)
-    return true;
-  return !isFull(Candidate) && Headroom > MinFillHeadroom;
+bool JobShard::Impl::admitsFillTask(const JobEntry &Entry, int Position,
+                                    const FillPlace &Place) const {
+  return !Entry.stepOf(Position).IsFill || m_isLightlyLoaded ||
+         admitsFill(fillTask(Entry, Position), Place, m_fillPlacement);
 }
 
 double JobShard::Impl::cost(const PlacementCandidate &Candidate,
                             const JobEntry &Entry, int Position,
-                            double Headroom) const {
+                            const FillPlace &Place) const {
   const JobStep &Step = Entry.stepOf(Position);
   const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
   bool IsServing = Step.TailTarget.count() > 0;
   return placementCost(
       Candidate, Step,
       {.Kind = Entry.Kinds[static_cast<size_t>(Entry.nameOf(Position).Step)],
-       .Headroom = Headroom,
+       .FillCost = Step.IsFill ? fillPlaceCost(fillTask(Entry, Position), Place,
+                                               m_fillPlacement)
+                               : 0,
        .HeldHere =
            IsServing ? countOnWorker(*Candidate.Slot, Entry, Position) : 0,
        .HadPreviousRun =
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// Least objective of a job, so that its lateness is finite.
+constexpr std::chrono::duration<double> MinObjective{1e-9};
 constexpr milliseconds StateLogInterval{1000};
 
 } // namespace
@@ -22,6 +24,18 @@
     m_waiting.erase(It);
 }
 
+double JobShard::Impl::endOverTarget(const JobEntry &Entry) const {
+  const JobQueue *Queue = queueOf(Entry);
+  if (!Queue || Entry.Spec.Repetitions > 0)
+    return 0;
+  auto AgeAtEnd =
+      m_time.now() - Entry.ArrivedAt + Entry.remainingCriticalPath();
+  return std::chrono::duration<double>(AgeAtEnd) /
+         std::max(std::chrono::duration<double>(
+                      objectiveOf(Entry.criticalPath(), *Queue)),
+                  MinObjective);
+}
+
 int JobShard::Impl::latenessOf(const JobEntry &Entry) const {
   const JobQueue *Queue = queueOf(Entry);
   if (!Queue || Entry.Spec.Repetitions > 0)
@@ -110,10 +124,10 @@
     for (const PlacementCandidate &Candidate : Candidates) {
       if (!isAllowed(Candidate, Entry, Position))
         ++NoRoom;
-      else if (isFull(Candidate))
+      else if (FillPlace Place = fillPlace(Candidate, Entry, Position);
+               isFullFor(fillTask(Entry, Position), Place, m_fillPlacement))
         ++Full;
-      else if (!admitsFillTask(Candidate, Entry.stepOf(Position),
-                               headroomWith(Candidate, Entry, Position)))
+      else if (!admitsFillTask(Entry, Position, Place))
         ++Interfering;
     }
     break;
@@ -129,8 +143,10 @@
   Resources Free;
   Resources Largest;
   std::vector<PlacementCandidate> Candidates = placementCandidates();
+  double FillLeft = 0;
   for (const PlacementCandidate &Candidate : Candidates) {
     Free += Candidate.Room;
+    FillLeft += Candidate.Fill.left();
     Largest.Millicores =
         std::max(Largest.Millicores, Candidate.Room.Millicores);
     Largest.MemoryMib = std::max(Largest.MemoryMib, Candidate.Room.MemoryMib);
@@ -157,14 +173,16 @@
       fmt::format(
           "shard={} workers={} usable={} free_cores={} most_cores={} "
           "free_gib={} most_gib={} waiting_short={} waiting_long={} "
-          "waiting_fill={} held_back={} fill_cores={} long_cores={} "
+          "waiting_fill={} held_back={} fill_cores={} fill_left_cores={:.0f} "
+          "fill_moves={} long_cores={} "
           "most_eventual_cores={} over_target={} {} {}",
           m_options.Shard, m_slots.size(), Candidates.size(),
           Free.Millicores / 1000, Largest.Millicores / 1000,
           Free.MemoryMib / 1024, Largest.MemoryMib / 1024, WaitingTasks[0],
           WaitingTasks[1], WaitingTasks[2],
           isTakeoverComplete() ? 0 : countHeldBackTasks(),
-          FillMillicores / 1000, LongRunningMillicores / 1000,
+          FillMillicores / 1000, m_options.MeasuredFill ? FillLeft / 1000 : 0,
+          m_counts.FillMoves, LongRunningMillicores / 1000,
           MostEventualMillicores / 1000, RunsOverTarget,
           fillWaitReasons(Candidates),
           roundFields(counts(), m_loggedCounts, m_startWindow.limit())));
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -45,26 +45,6 @@
 
 } // namespace
 
-// Returns the millicores that fill tasks of this kind could add on all workers
-// until the headroom of serving tasks falls to the minimum.
-int64_t
-JobShard::Impl::fillCapacity(const std::vector<PlacementCandidate> &Candidates,
-                             TaskKind Kind) const {
-  double Out = 0;
-  for (const PlacementCandidate &Candidate : Candidates) {
-    double Share = std::max(0.0, MaxFillLoad - Candidate.Load);
-    for (const ServingLoad &Load : Candidate.Serving) {
-      double Slope = m_interference.slope(Load.Kind, Kind);
-      if (Slope > 0)
-        Share = std::min(Share, std::max(0.0, Load.Headroom - MinFillHeadroom) /
-                                    Slope);
-    }
-    Out +=
-        Share * static_cast<double>(Candidate.Slot->Entry.Capacity.Millicores);
-  }
-  return static_cast<int64_t>(Out);
-}
-
 void JobShard::Impl::addFillLoad(ShardLoad &Load) {
   for (const auto &[Id, Positions] : m_waiting) {
     const JobEntry &Entry = m_jobs.at(Id);
@@ -73,9 +53,15 @@
         Load.WaitingFillMillicores += Entry.stepOf(Position).Demand.Millicores;
   }
   std::vector<PlacementCandidate> Candidates = placementCandidates();
-  for (const auto &[Image, Kind] : m_kinds)
+  double Left = 0;
+  for (const PlacementCandidate &Candidate : Candidates)
+    Left += Candidate.Fill.left();
+  if (m_options.MeasuredFill)
+    Load.FillMillicores = static_cast<int64_t>(Left);
+  for (const auto &[Image, Kind] : m_models->kinds())
     if (m_fillKinds.count(Kind))
-      Load.FillCapacity[Image] = fillCapacity(Candidates, Kind);
+      Load.FillCapacity[Image] =
+          fillCapacity(Candidates, Kind, m_interference, m_fillPlacement);
 }
 
 ShardLoad JobShard::Impl::load() {
@@ -91,11 +77,15 @@
     addRoomyWorker(Out, Room);
   }
   Out.WaitingRestarts = overdueRestarts();
-  for (const auto &[Id, Entry] : m_jobs)
-    if (!isFinal(Entry.State))
-      addRemainingWork(Out, Entry, [this](const TaskState &Task) {
-        return !isOnEvacuated(m_slots, Task);
-      });
+  for (const auto &[Id, Entry] : m_jobs) {
+    if (isFinal(Entry.State))
+      continue;
+    addRemainingWork(Out, Entry, [this](const TaskState &Task) {
+      return !isOnEvacuated(m_slots, Task);
+    });
+    if (Entry.Spec.Steps.front().IsFill && latenessOf(Entry) < 2)
+      Out.RemainingFillWork += Entry.remainingWork();
+  }
   return Out;
 }
 
@@ -114,14 +104,11 @@
       addWaitingTask(Out, Entry.stepOf(Position), Queue ? Queue->Priority : 0,
                      HasValue);
   }
-  bool HasFillWork = false;
-  for (const auto &[Id, Entry] : m_jobs) {
-    if (isFinal(Entry.State) || !Entry.Spec.Steps.front().IsFill)
-      continue;
-    HasFillWork = true;
-    if (latenessOf(Entry) < 2)
-      Out.RemainingFillWork += Entry.remainingWork();
-  }
+  bool HasFillWork =
+      std::any_of(m_jobs.begin(), m_jobs.end(), [](const auto &Job) {
+        return !isFinal(Job.second.State) &&
+               Job.second.Spec.Steps.front().IsFill;
+      });
   m_rates.update(m_time.now(), Out.waitingFiniteWork() > 0, HasFillWork);
   Out.FinishedWorkPerSecond = m_rates.finishedPerSecond();
   Out.FinishedFillWorkPerSecond = m_rates.finishedFillPerSecond();
--- a/src/libbasilchute/placementround.cpp
+++ b/src/libbasilchute/placementround.cpp
@@ -25,10 +25,10 @@
   Load += Step.LongRunning ? Share / 2 : Share;
   if (Step.TailTarget.count() > 0)
     Serving.push_back({.Kind = Kind, .Headroom = InitialHeadroom});
-  if (!Step.IsFill)
-    return;
-  for (ServingLoad &ServingTask : Serving)
-    ServingTask.Headroom -= Model.slope(ServingTask.Kind, Kind) * Share;
+  if (Step.IsFill)
+    addFillShare(Kind, Share, Model);
+  else
+    Fill.take(millicores() * (Step.LongRunning ? Share / 2 : Share));
 }
 
 void PlacementCandidate::keep(const Resources &Demand) {
@@ -62,4 +62,18 @@
   }
 }
 
+int64_t fillCapacity(const std::vector<PlacementCandidate> &Candidates,
+                     TaskKind Kind, const InterferenceModel &Model,
+                     const FillPlacementOptions &Options) {
+  double Out = 0;
+  for (const PlacementCandidate &Candidate : Candidates) {
+    double Free = Options.IsMeasured
+                      ? Candidate.Fill.unused() / Candidate.millicores()
+                      : Options.MaxLoad - Candidate.Load;
+    Out += Candidate.millicores() *
+           fillShareWithin(Free, Candidate.Serving, Kind, Model, Options);
+  }
+  return static_cast<int64_t>(Out);
+}
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/placementround.h
+++ b/src/libbasilchute/placementround.h
@@ -35,6 +35,18 @@
   /// Serving tasks on the worker, with the headroom that the fill tasks on the
   /// worker leave them.
   std::vector<ServingLoad> Serving;
+  /// Processor time for fill tasks.
+  FillRoom Fill;
+
+  double millicores() const {
+    return static_cast<double>(Slot->Entry.Capacity.Millicores);
+  }
+  /// Lowers the headroom by fill tasks that use \p Share of the worker.
+  void addFillShare(TaskKind Kind, double Share,
+                    const InterferenceModel &Model) {
+    for (ServingLoad &ServingTask : Serving)
+      ServingTask.Headroom -= Model.slope(ServingTask.Kind, Kind) * Share;
+  }
 
   /// Accounts for a task that is placed here, for tasks that are placed later
   /// in the round. It surely has ended by \p LateEnd.
@@ -44,6 +56,12 @@
   void keep(const Resources &Demand);
 };
 
+/// Returns the millicores that fill tasks of \p Kind could add on all workers
+/// until the headroom of serving tasks falls to the minimum.
+int64_t fillCapacity(const std::vector<PlacementCandidate> &Candidates,
+                     TaskKind Kind, const InterferenceModel &Model,
+                     const FillPlacementOptions &Options);
+
 /// Keeps workers with the most room for \p Restarts from long-running tasks
 /// that never ran.
 void keepForRestarts(std::vector<PlacementCandidate> &Candidates,
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -40,6 +40,8 @@
   /// Whether queues whose short tasks wait are ordered by their shares of the
   /// resources.
   bool OrdersByShares = false;
+  /// As in JobShardOptions; also for the choice of shards.
+  bool MeasuredFill = false;
   /// Runs a function on the host's event loop after a delay.
   std::function<void(milliseconds, std::function<void()>)> RunAfter;
   /// Requests the current list of workers. The receiver calls setFleet() if the
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -439,6 +439,7 @@
           .Placement = m_options.Placement,
           .RefusesJobs = m_options.RefusesJobs,
           .OrdersByShares = m_options.OrdersByShares,
+          .MeasuredFill = m_options.MeasuredFill,
           .RunAfter = Deliver,
           .RefreshFleet =
               [this, Deliver, Index] {
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -74,6 +74,8 @@
   /// Longest lease of a worker, as the hosts know it.
   milliseconds MaxWorkerLease{6000};
   PlacementOptions Placement;
+  /// As in JobHostOptions.
+  bool MeasuredFill = false;
   CrashStyle Crashes = CrashStyle::Silent;
   /// Whether a commit may span several partitions.
   bool CanSpanPartitions = true;
