--- a/src/libbasilchute/processorleft_test.cpp
+++ b/src/libbasilchute/processorleft_test.cpp
@@ -105,21 +105,21 @@
 // than they ask for wherever they are.
 TEST_CASE("The most that runs of a kind use anywhere is learned") {
   FillUsePeaks Peaks;
-  auto report = [&](int64_t Used, TimePoint Now, milliseconds Age) {
+  auto AddReport = [&](int64_t Used, TimePoint Now, milliseconds Age) {
     Peaks.observe(
         1, {.AllowedMillicores = 1000, .UsedMillicores = Used, .Age = Age},
         Now);
   };
   CHECK(Peaks.partOf(1, Start) == doctest::Approx(1));
   for (int Second = 0; Second < 30; ++Second) {
-    report(800, Start + Second * 1s, 2s);
-    report(300, Start + Second * 1s, 2s);
+    AddReport(800, Start + Second * 1s, 2s);
+    AddReport(300, Start + Second * 1s, 2s);
   }
   CHECK(Peaks.partOf(1, Start + 29s) == doctest::Approx(0.8).epsilon(0.05));
   // A single run with processors to spare corrects it.
-  report(1000, Start + 30s, 100ms);
+  AddReport(1000, Start + 30s, 100ms);
   CHECK(Peaks.partOf(1, Start + 30s) < 0.9);
-  report(1000, Start + 30s, 2s);
+  AddReport(1000, Start + 30s, 2s);
   CHECK(Peaks.partOf(1, Start + 30s) == doctest::Approx(1));
   CHECK(Peaks.partOf(2, Start) == doctest::Approx(1));
 }
