Evacuate zones of workers in the fault soak

Cause: nothing outside the hosts' own tests showed whether an evacuation holds. Change: workers are in two zones; each plan evacuates one or both for 6 to 9 s (the other faults of a seed stay the same). The judge reports starts later than 5 s after the row as EVACUATED, if the store was calm for 3 s or if the host has asked for the operator's changes after the row, which shows that it has it.

--- a/testsuite/soak/judge.py
+++ b/testsuite/soak/judge.py
@@ -5,6 +5,9 @@
 
 CANCEL_S = 3.0
 CONTACT_S = 3.0
+# Nothing starts in a zone later than this after the store has confirmed its
+# evacuation (`bounds.evacuation_ms`).
+EVACUATION_S = 5.0
 REJECTIONS = (400, 404, 429, 503)
 # Tasks that take longer than this are long.
 LONG_S = 2.0
@@ -112,6 +115,7 @@
         self.by_end = {}  # (worker, born, number of the end) -> run
         self.violations = {}
         self.impairments = Impairments(self.now)
+        self.evacuations = {}  # zone -> when its evacuation was confirmed
         self.starts = 0
 
     def now(self):
@@ -213,6 +217,26 @@
             self.violation("LIMIT", run.worker, f"{used} of {capacity} "
                            f"millicores with {run.task} " + run.text())
 
+    def evacuated(self, zone):
+        self.evacuations[zone] = self.now()
+        self.log(f"zone {zone}: evacuated")
+
+    def taken_back(self, zone):
+        del self.evacuations[zone]
+        self.log(f"zone {zone}: taken back")
+
+    def check_evacuated(self, run, zone, call, is_known=False):
+        """A host that the store does not tell goes by what it knew; one that
+        was stopped asks the store first. A late call was sent earlier.
+        `is_known` tells that the host has shown to know of the evacuation."""
+        since = self.evacuations.get(zone)
+        if since is None or call.is_late or \
+                run.started_at <= since + EVACUATION_S or \
+                not (is_known or self.impairments.is_calm("store")):
+            return
+        self.violation("EVACUATED", run.task, f"{zone} since {since:.3f}: "
+                       + run.text())
+
     def end(self, run, number, how):
         run.ended_at = self.now()
         run.how = how
--- a/testsuite/soak/judge_test.py
+++ b/testsuite/soak/judge_test.py
@@ -7,7 +7,7 @@
 import unittest
 
 from configs import CONFIG_APPLY_S, Configs
-from judge import Judge, Step, Submission
+from judge import EVACUATION_S, Judge, Step, Submission
 
 JOB = "00000000000000aa"
 TASK = JOB + ".0.0.0"
@@ -41,6 +41,43 @@
     def broken(self):
         return sorted({rule for rule, _ in self.judge.violations})
 
+    def check_start_in_zone(self, after_s, zone="zone-a", late=False):
+        self.submit()
+        self.judge.evacuated("zone-a")
+        self.time += after_s - 0.1
+        run = self.start(late=late)
+        self.judge.check_evacuated(run, zone,
+                                   types.SimpleNamespace(is_late=late))
+
+    def test_start_in_an_evacuated_zone(self):
+        self.check_start_in_zone(EVACUATION_S - 0.01)
+        self.check_start_in_zone(EVACUATION_S + 1, zone="zone-b")
+        self.check_start_in_zone(EVACUATION_S + 1, late=True)
+        self.assertNotIn("EVACUATED", self.broken())
+        self.check_start_in_zone(EVACUATION_S + 0.01)
+        self.assertIn("EVACUATED", self.broken())
+
+    def test_start_in_a_zone_that_was_taken_back(self):
+        self.submit()
+        self.judge.evacuated("zone-a")
+        self.time += EVACUATION_S + 1
+        self.judge.taken_back("zone-a")
+        self.judge.check_evacuated(self.start(), "zone-a",
+                                   types.SimpleNamespace(is_late=False))
+        self.assertEqual(self.broken(), [])
+
+    def test_start_in_an_evacuated_zone_without_word_from_the_store(self):
+        self.submit()
+        self.judge.evacuated("zone-a")
+        self.time += EVACUATION_S + 1
+        self.judge.impairments.mark("store")
+        call = types.SimpleNamespace(is_late=False)
+        run = self.start()
+        self.judge.check_evacuated(run, "zone-a", call)
+        self.assertEqual(self.broken(), [])
+        self.judge.check_evacuated(run, "zone-a", call, is_known=True)
+        self.assertEqual(self.broken(), ["EVACUATED"])
+
     def test_two_runs_at_once(self):
         self.submit()
         first = self.start()
--- a/testsuite/soak/plan.py
+++ b/testsuite/soak/plan.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 
+from standins import ZONES
 from wire import Rule
 
 EXCHANGES = ("before", "undone", "done", "middle")
@@ -127,6 +128,20 @@
     return out
 
 
+def make_evacuations(random, seconds, is_dense):
+    """Zones of workers that the operator evacuates, mostly one at a time."""
+    out = []
+    at = 5.0
+    # An evacuation takes effect after 5 s, and is over before the end.
+    while at < seconds - 10:
+        duration = min(random.uniform(6, 9), seconds - 2 - at)
+        zones = random.sample(range(len(ZONES)),
+                              random.choice([1, 1, 1, len(ZONES)]))
+        out.append(Fault(at, duration, "evacuate", "zone", zones, {}))
+        at += duration + random.uniform(0, 1 if is_dense else 3)
+    return out
+
+
 def make_plan(random, seconds, hosts, workers, is_dense):
     """Returns bursts of faults that overlap, with calm spans between some."""
     out = []
@@ -142,6 +157,7 @@
     out += make_restarts(copy.copy(random), seconds, workers, is_dense)
     out += make_silences(copy.copy(random), seconds, hosts, is_dense)
     out += make_rebirths(copy.copy(random), seconds, workers, is_dense)
+    out += make_evacuations(copy.copy(random), seconds, is_dense)
     return sorted(out, key=lambda fault: fault.at)
 
 
@@ -171,6 +187,8 @@
             await self.worker_life(fault, *fault.targets)
         elif fault.group == "reborn":
             await self.reborn(fault)
+        elif fault.group == "evacuate":
+            await self.evacuate(fault)
         elif fault.group == "config":
             self.world.configs.change(fault.details["filler"])
         elif fault.group == "kept":
@@ -258,6 +276,16 @@
         self.judge.impairments.mark(host.name)
         host.is_busy = False
 
+    async def evacuate(self, fault):
+        zones = [ZONES[number] for number in fault.targets]
+        for zone in zones:
+            self.world.store.evacuate(zone)
+            self.judge.evacuated(zone)
+        await asyncio.sleep(fault.duration)
+        for zone in zones:
+            self.judge.taken_back(zone)
+            self.world.store.take_back(zone)
+
     async def reborn(self, fault):
         """Of the targets, the first that are free take part."""
         details = fault.details
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -22,7 +22,7 @@
 from configs import Configs
 from judge import CONTACT_S, Judge, Step, Submission
 from plan import Player, make_plan
-from standins import Store, Worker, encode
+from standins import ZONES, Store, Worker, encode
 from wire import Client
 
 HOSTS = 4
@@ -315,7 +315,8 @@
         for number in range(self.worker_count):
             name = f"i-{self.random.getrandbits(32):08x}"
             worker = Worker(name, self.store, self.judge, self.pids,
-                            self.random, self.max_hold_ms)
+                            self.random, self.max_hold_ms,
+                            ZONES[number % 3 % len(ZONES)])
             worker.is_busy = False
             self.workers.append(worker)
             await worker.start()
--- a/testsuite/soak/soak_test.py
+++ b/testsuite/soak/soak_test.py
@@ -13,7 +13,7 @@
 from contextlib import redirect_stderr
 from unittest import mock
 
-from plan import Player, make_plan
+from plan import Fault, Player, make_plan
 from soak import parse
 from judge import Judge, Step, Submission
 from standins import Store, Worker
@@ -134,6 +134,70 @@
                              [fault.text() for fault in plan
                               if fault.group != "reborn"])
 
+    def test_zones_are_evacuated_in_each_plan(self):
+        for is_dense in (False, True):
+            plan = make_plan(random.Random(1), 45, 4, 7, is_dense)
+            found = [fault for fault in plan if fault.group == "evacuate"]
+            self.assertGreaterEqual(len(found), 3)
+            for fault, following in zip(found, found[1:]):
+                self.assertGreater(fault.duration, 5)
+                self.assertLessEqual(fault.at + fault.duration, following.at)
+            with mock.patch("plan.make_evacuations", return_value=[]):
+                others = make_plan(random.Random(1), 45, 4, 7, is_dense)
+            self.assertEqual([fault.text() for fault in others],
+                             [fault.text() for fault in plan
+                              if fault.group != "evacuate"])
+
+    def test_an_evacuation_is_a_row_until_it_is_taken_back(self):
+        async def check():
+            bed = Workers()
+            player = Player(types.SimpleNamespace(store=bed.store,
+                                                  judge=bed.judge),
+                            random.Random(1))
+            task = asyncio.ensure_future(
+                player.evacuate(Fault(0, 0.05, "evacuate", "zone", [1], {})))
+            await asyncio.sleep(0)
+            address = ("op", "", "evacuate/zone-b")
+            self.assertIn(address, bed.store.rows)
+            self.assertEqual(list(bed.judge.evacuations), ["zone-b"])
+            await task
+            self.assertNotIn(address, bed.store.rows)
+            self.assertTrue(bed.store.changes("op", 0)[-1]["deleted"])
+            self.assertEqual(bed.judge.evacuations, {})
+
+        asyncio.run(check())
+
+    def test_a_host_knows_an_evacuation_once_it_asks_for_later_changes(self):
+        async def check():
+            store = Store(dict, random.Random(1), print)
+            store.evacuate("zone-a")
+            for after, is_known in ((store.version - 1, False),
+                                    (store.version, True)):
+                await store.serve(types.SimpleNamespace(
+                    path="/basilchute/rows-feed", host="a",
+                    query={"table": "op", "after": str(after),
+                           "wait_ms": "0"}))
+                self.assertEqual(store.is_evacuation_known("zone-a", "a"),
+                                 is_known)
+            self.assertFalse(store.is_evacuation_known("zone-a", "b"))
+            self.assertFalse(store.is_evacuation_known("zone-b", "a"))
+            store.take_back("zone-a")
+            self.assertFalse(store.is_evacuation_known("zone-a", "a"))
+
+        asyncio.run(check())
+
+    def test_a_start_in_an_evacuated_zone_is_noticed(self):
+        async def check():
+            bed = Workers()
+            await bed.start()
+            bed.judge.evacuated("zone-a")
+            bed.judge.evacuations["zone-a"] -= 6
+            await bed.start_task()
+            self.assertEqual(bed.broken(), ["EVACUATED"])
+            bed.stop()
+
+        asyncio.run(check())
+
     def test_the_host_with_the_last_call_is_the_owner(self):
         bed = Workers()
         world = types.SimpleNamespace(
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -8,6 +8,8 @@
 
 from wire import Server
 
+# Failure domains of the workers.
+ZONES = ("zone-a", "zone-b")
 HEARTBEAT_S = 1.0
 MAX_LISTED_ENDS = 500
 # A poll waits for up to 2 s.
@@ -26,6 +28,9 @@
         self.changed = {}  # table -> event of its next change
         self.server = Server(self.serve, hosts, random, log)
         self.is_down = 0
+        # Host -> version up to which it has the operator's changes: it asks for
+        # those after it.
+        self.known = {}
 
     async def serve(self, call):
         if call.path == "/basilchute/rows-tx":
@@ -34,6 +39,9 @@
         if call.path == "/basilchute/rows-get":
             return 200, json.dumps(self.get(call.query))
         if call.path == "/basilchute/rows-feed":
+            if call.query.get("table") == "op":
+                after = int(call.query.get("after", 0))
+                self.known[call.host] = max(after, self.known.get(call.host, 0))
             return await self.feed(call.query)
         return 404, "{}"
 
@@ -80,6 +88,16 @@
         self.wake({address[0] for address, _ in writes} |
                   {address[0] for address in removals})
 
+    def evacuate(self, zone):
+        self.apply([(("op", "", "evacuate/" + zone), encode({}))], [])
+
+    def is_evacuation_known(self, zone, host):
+        _, version = self.rows.get(("op", "", "evacuate/" + zone), ("", None))
+        return version is not None and self.known.get(host, 0) >= version
+
+    def take_back(self, zone):
+        self.apply([], [("op", "", "evacuate/" + zone)])
+
     def wake(self, tables=None):
         """Wakes the feeds of the tables, of all if none are given."""
         for table in list(self.changed) if tables is None else tables:
@@ -131,8 +149,10 @@
 
     CAPACITY = 8000
 
-    def __init__(self, name, store, judge, hosts, random, max_hold_ms=6000):
+    def __init__(self, name, store, judge, hosts, random, max_hold_ms=6000,
+                 zone=ZONES[0]):
         self.name = name
+        self.zone = zone
         self.max_hold_ms = max_hold_ms
         self.store = store
         self.judge = judge
@@ -272,7 +292,7 @@
 
     def entry(self):
         return {"service": "desk", "address": f"127.0.0.1:{self.server.port}",
-                "zone": "zone-a", "version": "v1", "slots": 8,
+                "zone": self.zone, "version": "v1", "slots": 8,
                 "state": "draining" if self.is_draining else "ready",
                 "cold_remaining_ms": 0, "labels": ["small", "r1-1"],
                 "capacity": {"cpu": self.CAPACITY, "mem_mb": 64000, "gpus": 0},
@@ -387,6 +407,9 @@
             (time.monotonic() + step.work_s, how)
         self.runs[key] = (run, step, due)
         self.judge.check_limit(run, self.used(), self.CAPACITY)
+        self.judge.check_evacuated(
+            run, self.zone, call,
+            self.store.is_evacuation_known(self.zone, call.host))
         return self.answer(200)
 
     def stop_task(self, body):
