Mend two tests of evacuations that did not guard what they claimed

Cause: with the marks switched off, the test of trials still passed, and so did the test of a shard's load with isOnEvacuated() switched off. Change: the first counts starts in the evacuated domains from the first crash on, the second submits jobs whose shard depends on the load. Measured: the 25 cases of the four files pass. Marks switched off: 21 fail, among them that of trials. Switched off one by one, each fails its own case: load(), hasWorkersFor(), holdsGangs(), unknownCandidates(), isOnEvacuated(). Without the early end of a pending trial in updateTrials() all cases pass; the trial then ends after 4.5 s. Conclusion: only that early end has no test.

--- a/src/libjobhost/evacuatedshard_test.cpp
+++ b/src/libjobhost/evacuatedshard_test.cpp
@@ -135,20 +135,25 @@
 }
 
 // Guards against the long-running tasks on evacuated workers in the load of a
-// shard, whose capacity is reported without these workers: no job goes there.
+// shard, whose capacity is reported without these workers: it counts as full.
 TEST_CASE_FIXTURE(TwoShards, "A shard with long-running tasks on evacuated "
-                             "workers still takes jobs that fit") {
+                             "workers still gets jobs that fit") {
   std::string Id = idForShard("begun", 1);
-  REQUIRE(Bed.submit(0, longJob(Id, 6, 3000)).has_value());
-  REQUIRE(allRunWithin(Bed, 6, 8s));
-  evacuate(1, 2);
+  REQUIRE(Bed.submit(0, longJob(Id, 3, 5000)).has_value());
+  REQUIRE(allRunWithin(Bed, 3, 8s));
   std::string Other = idForShard("other", 0);
   REQUIRE(Bed.submit(0, longJob(Other, 3, 8000)).has_value());
-  REQUIRE(allRunWithin(Bed, 9, 8s));
+  REQUIRE(allRunWithin(Bed, 6, 8s));
+  REQUIRE(shardOf(Bed, taskOf(Id)) == 1);
+  REQUIRE(shardOf(Bed, taskOf(Other)) == 0);
+  evacuate(1, 2);
   Bed.run(3s);
-  // The third worker of shard 1 is left, with a part of it free.
-  REQUIRE(Bed.submit(0, longJob("new", 1, 1000)).has_value());
-  CHECK(runsWithin(Bed, taskOf("new"), 2s));
+  for (int Number = 0; Number < 8; ++Number) {
+    std::string New = fmt::format("new-{}", Number);
+    REQUIRE(Bed.submit(0, longJob(New, 1, 250)).has_value());
+    CHECK(holdsJob(Bed, 1, New));
+    CHECK(runsWithin(Bed, taskOf(New), 2s));
+  }
   CHECK(Bed.startsIn(Zone) == 0);
   checkNoViolations(Bed);
 }
--- a/src/libjobhost/evacuationfaults_test.cpp
+++ b/src/libjobhost/evacuationfaults_test.cpp
@@ -182,24 +182,20 @@
   checkNoViolations(Bed);
 }
 
-// Guards against a trial of a task that waits for a worker which takes no tasks
-// any more.
-TEST_CASE("A trial that was about to begin in an evacuated domain begins "
-          "elsewhere") {
+// Guards against a trial that begins on an evacuated worker, and against a
+// suspect that waits for one.
+TEST_CASE("Trials begin outside of evacuated domains") {
   JobTestBed Bed(faultOptions());
   Bed.run(3s);
-  Job Value = longJob("deadly", 1);
   Bed.Oracle.setDeadly(taskOf("deadly"), 100ms);
-  std::string Started;
-  Bed.OnLogLine = [&](std::string_view Event, std::string_view) {
-    if (Event == "trial_begins")
-      Started = Event;
-  };
-  CHECK(Bed.submit(0, Value).has_value());
-  Bed.run(4s);
+  CHECK(Bed.submit(0, longJob("deadly", 1)).has_value());
+  REQUIRE(Bed.runUntil([&] { return Bed.Oracle.starts() == 1; }, 2s));
   for (const char *Domain : {"zone-0", "zone-1"})
     Bed.evacuate(Domain);
-  Bed.run(30s);
-  CHECK(!Started.empty());
+  Bed.run(100ms);
+  int StartsThere = Bed.startsIn("zone-0") + Bed.startsIn("zone-1");
+  Bed.run(20s);
+  CHECK(Bed.LogLines["trial_begins"] > 0);
+  CHECK(Bed.startsIn("zone-0") + Bed.startsIn("zone-1") == StartsThere);
   checkNoViolations(Bed);
 }
