--- a/src/libbasilchute/jobfrontend.cpp
+++ b/src/libbasilchute/jobfrontend.cpp
@@ -40,7 +40,6 @@
     /// True if an earlier attempt may have taken effect, or may still do so.
     bool IsOutcomeUnknown = false;
     milliseconds RetryDelay = FirstRetryDelay;
-
     /// A version that the store had reached before.
     uint64_t BeganAfter = 0;
 
