--- a/src/libutil/httpconnection.cpp
+++ b/src/libutil/httpconnection.cpp
@@ -118,7 +118,7 @@
     m_budget->remove(m_account);
 }
 
-void HttpConnection::sendResponse(const HttpResponse &Response, bool KeepAlive,
+void HttpConnection::sendResponse(HttpResponse Response, bool KeepAlive,
                                   bool IsHead) {
   Guard Held(m_lock);
   --m_server.InFlight;
--- a/src/libutil/httpconnection.h
+++ b/src/libutil/httpconnection.h
@@ -52,7 +52,7 @@
   void onClosed(CloseReason Reason);
   /// Sends the response to the request in progress. Called once per request, by
   /// its responder.
-  void sendResponse(const HttpResponse &Response, bool KeepAlive, bool IsHead);
+  void sendResponse(HttpResponse Response, bool KeepAlive, bool IsHead);
   /// Closes the connection if it has waited for its caller for longer than its
   /// time-out.
   void sweep(TimePoint Now);
--- a/src/libutil/httpresponder.h
+++ b/src/libutil/httpresponder.h
@@ -14,9 +14,9 @@
       : m_server(std::move(Server)), m_connection(std::move(Destination)),
         m_keepAlive(KeepAlive), m_isHead(IsHead) {}
 
-  void send(const HttpResponse &Response) {
+  void send(HttpResponse Response) {
     if (!m_isUsed.exchange(true))
-      m_connection->sendResponse(Response, m_keepAlive, m_isHead);
+      m_connection->sendResponse(std::move(Response), m_keepAlive, m_isHead);
   }
 
 private:
