Hand connections over under the server's lock

Cause: ThreadSanitizer reports that Pistache deletes a connection while the accepting thread ends its reference: the reference count is partly changed in libpistache, which is not instrumented.

Change: the reference ends under a lock that the handler takes for each connection.

--- a/src/libutil/httplistener.cpp
+++ b/src/libutil/httplistener.cpp
@@ -99,13 +99,16 @@
                      SOCK_CLOEXEC | SOCK_NONBLOCK);
   if (Fd < 0)
     return false;
-  ++*m_options.Open;
-  auto Peer = Pistache::Tcp::Peer::Create(
-      Fd, Pistache::Address::fromUnix(reinterpret_cast<sockaddr *>(&Address)));
   auto Transports = m_reactor.handlers(m_transports);
   auto Transport = std::static_pointer_cast<Pistache::Tcp::Transport>(
       Transports[static_cast<size_t>(Fd) % Transports.size()]);
-  Transport->handleNewPeer(Peer);
+  ++*m_options.Open;
+  // The handler takes this lock for each connection. That orders the end of
+  // this thread's reference before the deletion, also for ThreadSanitizer,
+  // which does not see the reference count inside Pistache.
+  std::lock_guard Guard(*m_options.Lock);
+  Transport->handleNewPeer(Pistache::Tcp::Peer::Create(
+      Fd, Pistache::Address::fromUnix(reinterpret_cast<sockaddr *>(&Address))));
   return true;
 }
 
--- a/src/libutil/httplistener.h
+++ b/src/libutil/httplistener.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <pistache/reactor.h>
 #include <pistache/tcp.h>
 #include <thread>
@@ -24,6 +25,9 @@
   /// Their number. The listener increases it; the handler must decrease it when
   /// a connection has ended.
   std::atomic<size_t> *Open = nullptr;
+  /// Held while a connection is handed over; the handler must take it once for
+  /// each connection.
+  std::mutex *Lock = nullptr;
 };
 
 /// A listening socket and the Pistache threads that serve its connections.
--- a/src/libutil/httpserver.cpp
+++ b/src/libutil/httpserver.cpp
@@ -116,7 +116,8 @@
         HttpListenerOptions{.Address = ListenAddress.value(),
                             .Threads = m_state->Options.Threads,
                             .MaxOpen = maxOpen(),
-                            .Open = &m_state->AcceptedConnections},
+                            .Open = &m_state->AcceptedConnections,
+                            .Lock = &m_state->Lock},
         std::make_shared<TransportHandler>(m_state));
     Result<uint16_t> Port = m_listener->start();
     if (!Port.has_value()) {
