Leave evacuated workers out of those kept for finite tasks

Cause: the parts were written side by side; kept workers tested IsDraining only. Change: PlacementPlan::update() asks takesTasks(). Conclusion: no room is kept in an evacuated failure domain.

--- a/src/libbasilchute/placementplan.cpp
+++ b/src/libbasilchute/placementplan.cpp
@@ -36,7 +36,7 @@
   m_nextKeptUpdate = Now + KeptUpdateInterval;
   std::map<std::string, std::vector<KeepableWorker>> Keepable;
   for (const auto &[Id, Slot] : Workers) {
-    bool IsUsable = Slot.IsListed && !Slot.Entry.IsDraining &&
+    bool IsUsable = Slot.IsListed && Slot.Entry.takesTasks() &&
                     Slot.Entry.hasCapacity() &&
                     Slot.MissedPolls <= MaxMissedPolls;
     if (IsUsable)
