Choose shards by the work of a job's own kind with a setting of its own

Cause: one setting switched the placement, moves and paces of fill tasks by measurement and the choice of shards; the first made fill jobs worse, the second helped short jobs.

--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -331,7 +331,7 @@
 
 int JobHost::chooseShardFor(const Job &Value) {
   ShardDemand Demand = demandOf(Value);
-  Demand.CountsOwnKind = m_options.MeasuredFill;
+  Demand.CountsOwnKind = m_options.ChoosesShardsByKind;
   std::vector<ShardCandidate> Choices = gangCandidates(Value);
   if (Choices.empty())
     Choices = unknownCandidates(Value);
@@ -342,7 +342,7 @@
 
 int JobHost::chooseTransferFor(int Shard, const Job &Value) {
   ShardDemand Demand = demandOf(Value);
-  Demand.CountsOwnKind = m_options.MeasuredFill;
+  Demand.CountsOwnKind = m_options.ChoosesShardsByKind;
   ShardCandidate Own{.Shard = Shard,
                      .Load = m_ownedShards.at(Shard)->currentLoad(),
                      .HasData = hasData(Shard, Value)};
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -40,8 +40,11 @@
   /// Whether queues whose short tasks wait are ordered by their shares of the
   /// resources.
   bool OrdersByShares = false;
-  /// As in JobShardOptions; also for the choice of shards.
+  /// As in JobShardOptions.
   bool MeasuredFill = false;
+  /// Whether the shard of a finite or fill job is chosen by the work of the
+  /// job's own kind.
+  bool ChoosesShardsByKind = false;
   /// Runs a function on the host's event loop after a delay.
   std::function<void(milliseconds, std::function<void()>)> RunAfter;
   /// Requests the current list of workers. The receiver calls setFleet() if the
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -440,6 +440,7 @@
           .RefusesJobs = m_options.RefusesJobs,
           .OrdersByShares = m_options.OrdersByShares,
           .MeasuredFill = m_options.MeasuredFill,
+          .ChoosesShardsByKind = m_options.MeasuredFill,
           .RunAfter = Deliver,
           .RefreshFleet =
               [this, Deliver, Index] {
