Do not hold a lock while a test sends a response

Cause: the next request may be handled on the thread that sends a response; the new test of a request ahead of a response waited for itself. Change: the test takes the responders before it answers. Conclusion: a fault of the test, not of the server.

--- a/src/libutil/httpserver_test.cpp
+++ b/src/libutil/httpserver_test.cpp
@@ -293,16 +293,17 @@
               "Connection: close\r\n\r\n" +
               std::string(65536, 'x'));
   std::this_thread::sleep_for(50ms);
-  for (size_t Index = 0; Index < 2; ++Index) {
-    while (true) {
-      std::unique_lock Guard(Lock);
-      if (Held.size() > Index)
-        break;
-      Guard.unlock();
-      std::this_thread::yield();
+  // The next request may be handled on the thread that sends the response.
+  for (int Answered = 0; Answered < 2;) {
+    std::vector<Responder> Taken;
+    {
+      std::lock_guard Guard(Lock);
+      Taken.swap(Held);
     }
-    std::lock_guard Guard(Lock);
-    Held[Index].send({.Body = "ok"});
+    for (Responder &Reply : Taken)
+      Reply.send({.Body = "ok"});
+    Answered += static_cast<int>(Taken.size());
+    std::this_thread::yield();
   }
   CHECK(countOf(Client.receive(), "HTTP/1.1 200") == 2);
 }
