--- a/src/libutil/httpconnection.cpp
+++ b/src/libutil/httpconnection.cpp
@@ -83,8 +83,11 @@
   if (m_isInputEnded || m_shouldClose)
     return discard(Input.size());
   m_input.append(Input);
-  // A caller may send one whole request ahead of a response.
-  size_t Limit = m_server.MaxHeadBytes + m_server.MaxBodyBytes;
+  // The response may be written, and answered with the next request, before
+  // its continuation is attached.
+  size_t Limit = m_server.MaxHeadBytes;
+  if (m_isAttaching)
+    Limit += m_server.MaxBodyBytes;
   if (canRead() || m_input.size() <= Limit)
     return;
   // The response in progress is still written.
@@ -250,12 +253,17 @@
   bool IsOver = report();
   // Read under the lock: the server may end after this connection has closed.
   TimePoint Now = m_server.Clock.now();
+  m_isAttaching |= Sent.has_value();
   Held.unlock();
-  if (Sent)
+  if (Sent) {
     Sent->then([Self = shared_from_this()](ssize_t) { Self->onWritten(); },
                [Self = shared_from_this()](const std::exception_ptr &) {
                  Self->onWriteFailed();
                });
+    Held.lock();
+    m_isAttaching = false;
+    Held.unlock();
+  }
   if (IsOver)
     m_budget->enforce(Now);
 }
--- a/src/libutil/httpconnection.h
+++ b/src/libutil/httpconnection.h
@@ -101,6 +101,8 @@
   size_t m_unwrittenBytes = 0;
   /// Result of a write whose continuation is not attached yet.
   std::optional<Pistache::Async::Promise<ssize_t>> m_write;
+  /// True while a continuation is being attached, without the lock.
+  bool m_isAttaching = false;
   /// Reason to be counted when the connection closes.
   CloseReason m_closeReason = CloseReason::Caller;
   /// True while processInput() runs.
--- a/src/libutil/inputbudget.h
+++ b/src/libutil/inputbudget.h
@@ -30,7 +30,7 @@
   Memory,
   /// There were too many connections.
   Connections,
-  /// More input than one request was sent ahead of a response.
+  /// More input than one head was sent ahead of a response.
   ReadAhead,
   ServerStopped
 };
