Keep a job running while another shard runs its long-running tasks

Cause: delegated tasks count as done in the home shard. When the finite step ended, allDone() held there, and the part in the other shard ended with the job. By the same count a step behind a delegated long-running one was ready to start.

Long-running tasks never end, so allDone() is false for a job that has any, and a step behind one is never ready.

--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -211,7 +211,8 @@
       static_cast<size_t>(Position / m_tasksPerOccurrence) * Spec.Steps.size();
   const std::vector<int> &After = stepOf(Position).Predecessors;
   return std::all_of(After.begin(), After.end(), [&](int Step) {
-    return m_tasksLeftInGroup[First + static_cast<size_t>(Step)] == 0;
+    return !Spec.Steps[static_cast<size_t>(Step)].LongRunning &&
+           m_tasksLeftInGroup[First + static_cast<size_t>(Step)] == 0;
   });
 }
 
@@ -309,6 +310,10 @@
   --m_tasksLeft;
 }
 
+bool JobEntry::allDone() const {
+  return m_tasksLeft == 0 && !HasLongRunningStep;
+}
+
 bool JobEntry::addFailedRun(int Position, int Run) {
   std::set<int> &Runs = Tasks[static_cast<size_t>(Position)].FailedRuns;
   bool IsNew = Runs.insert(Run).second;
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -167,7 +167,8 @@
   /// Returns the rank of a waiting task among those that go to other shards,
   /// lowest first: restarts, then by the time since which the task has waited.
   std::pair<bool, TimePoint> delegationRank(int Position) const;
-  /// Returns true if all tasks of all preceding steps are done.
+  /// Returns true if all tasks of all preceding steps are done, none of which
+  /// is long-running.
   bool isReady(int Position) const;
   /// Returns the position whose crash record counts for the task: its own, or
   /// that of the gang's first member.
@@ -217,8 +218,9 @@
   void reopen(const TaskProgress &Progress, TimePoint Now);
   /// Returns true if another shard runs long-running tasks of the job.
   bool hasDelegated() const;
-  /// Returns true if every task is done.
-  bool allDone() const { return m_tasksLeft == 0; }
+  /// Returns true if every task is done. Long-running tasks never are: those
+  /// that count as done here run in another shard.
+  bool allDone() const;
   /// Returns the duration of the critical path through all steps, by the
   /// submitter's estimates.
   milliseconds criticalPath() const;
--- a/src/libbasilchute/jobentry_test.cpp
+++ b/src/libbasilchute/jobentry_test.cpp
@@ -42,6 +42,21 @@
   }
 }
 
+// Guards against jobs of mixed steps that complete, or go on with the next
+// step, because long-running tasks count as done while another shard runs them.
+TEST_CASE("Long-running tasks that run elsewhere end neither job nor step") {
+  Job Spec{.Id = "job"};
+  Spec.Steps = {JobStep{.Count = 1}, JobStep{.Count = 2, .LongRunning = true},
+                JobStep{.Count = 1, .Predecessors = {1}}};
+  JobEntry Entry(Spec, 1, TimePoint{});
+  CHECK(Entry.HasLongRunningStep);
+  for (int Position : {0, 1, 2})
+    Entry.finish(Position);
+  CHECK(!Entry.isReady(3));
+  Entry.finish(3);
+  CHECK(!Entry.allDone());
+}
+
 // Guards against two runs of a task with one number: the second owner of a job
 // skips some numbers, and the owner of the shard to which the job is
 // transferred then begins below them.
--- a/src/libjobhost/mixedjob_test.cpp
+++ b/src/libjobhost/mixedjob_test.cpp
@@ -120,3 +120,37 @@
   CHECK(workerOf(Bed, Finite) >= 0);
   checkNoViolations(Bed);
 }
+
+// Guards against a job that is shown as completed, and whose tasks are stopped,
+// because its long-running tasks count as done in the home shard while another
+// shard runs them.
+TEST_CASE("A job whose long-running tasks run in another shard does not "
+          "complete with its finite step") {
+  JobTestBed Bed({.Workers = 6, .MinShards = 2, .WorkerCapacity = TwoTasks});
+  Bed.run(6s);
+  // Together the jobs fill the first shard. They go through different hosts,
+  // none of which knows yet what the others have sent.
+  constexpr int64_t WholeWorker = TwoTasks.Millicores;
+  for (int Host : {0, 2})
+    REQUIRE(
+        Bed.submit(Host, withIdForShard(longJob("other-" + std::to_string(Host),
+                                                1, WholeWorker),
+                                        0))
+            .has_value());
+  Job Mixed = longJob("mixed", 1, WholeWorker);
+  Mixed.Steps.push_back({.Count = 1, .EstimatedRunTime = 40s});
+  Mixed = withIdForShard(Mixed, 0);
+  REQUIRE(Bed.submit(1, Mixed).has_value());
+  REQUIRE(allRunWithin(Bed, 4, 8s));
+  REQUIRE(shardOf(Bed, taskOf(Mixed.Id)) == 0);
+  Bed.run(7s);
+  loseWorker(Bed, workerOf(Bed, taskOf(Mixed.Id)));
+  CHECK(Bed.runUntil([&] { return shardOf(Bed, taskOf(Mixed.Id)) == 1; }, 9s));
+  CHECK(Bed.LogLines["tasks_delegated"] == 1);
+  Bed.run(60s);
+  CHECK(Bed.Oracle.running() == 3);
+  Result<JobState> State = Bed.state(1, Mixed.Id);
+  REQUIRE(State.has_value());
+  CHECK(State.value() == JobState::Running);
+  checkNoViolations(Bed);
+}
