--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -44,6 +44,8 @@
   std::string HostId;
   /// Capacity relative to the other hosts.
   int Weight = 1;
+  /// Memory in bytes that the host can spare for jobs; zero for no limit.
+  size_t MaxJobBytes = 0;
   /// How the number of shards is derived from the fleet; must be the same on
   /// all hosts.
   ShardCountOptions ShardCount;
@@ -162,6 +164,9 @@
   uint64_t reportNumber(int Shard) const;
   /// Returns the number of live hosts.
   size_t liveHosts() const;
+  /// Returns the least memory that any host with a row can spare for jobs, zero
+  /// if none has a limit.
+  size_t leastJobBytes() const;
   /// Returns the number of shards that this host owns.
   int owned() const;
   /// Returns true if this host owns no shard and is not about to get one, has
--- a/src/include/basilchute/jobshard.h
+++ b/src/include/basilchute/jobshard.h
@@ -75,6 +75,8 @@
   /// has owned the shard under this epoch before.
   uint64_t HandoverVersion = 0;
   PlacementOptions Placement;
+  /// Memory in bytes that this host can spare for jobs; zero for no limit.
+  size_t MaxJobBytes = 0;
   /// Returns whether this host may still send orders; called before each order.
   std::function<bool()> CanSendOrders;
   /// Returns whether no other host can own the shard. Called before the first
@@ -237,6 +239,8 @@
   ShardLoad currentLoad();
   /// Returns the same with what the admission of new jobs depends on.
   ShardLoad reportedLoad();
+  /// Returns the memory in bytes that the shard's jobs need in this process.
+  size_t jobBytes() const;
   /// Returns the weighted dominant share of each queue that has finite runs.
   std::map<std::string, double> queueShares();
   /// Returns true once all rows are read.
--- a/src/libbasilchute/admissionload.cpp
+++ b/src/libbasilchute/admissionload.cpp
@@ -43,16 +43,16 @@
 }
 
 void addWaitingTask(ShardLoad &Load, const JobStep &Step, int Priority,
-                    bool HasValue) {
+                    bool HasValue, int Count) {
   if (Step.IsFill)
     return;
   if (Step.LongRunning) {
-    Load.WaitingLongRunningMillicores += Step.Demand.Millicores;
+    Load.WaitingLongRunningMillicores += Count * Step.Demand.Millicores;
     return;
   }
-  Load.FiniteDemandMillicores += Step.Demand.Millicores;
+  Load.FiniteDemandMillicores += Count * Step.Demand.Millicores;
   if (HasValue)
-    Load.WaitingWorkByPriority[Priority] += taskWork(Step);
+    Load.WaitingWorkByPriority[Priority] += Count * taskWork(Step);
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/admissionload.h
+++ b/src/libbasilchute/admissionload.h
@@ -24,6 +24,6 @@
 /// Adds a ready task of \p Step without a run, of a queue of \p Priority.
 /// \p HasValue tells whether its job can still end with value.
 void addWaitingTask(ShardLoad &Load, const JobStep &Step, int Priority,
-                    bool HasValue);
+                    bool HasValue, int Count = 1);
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -179,6 +179,9 @@
   }
 
   size_t liveHosts() const { return m_hosts->liveHosts().size(); }
+  size_t leastJobBytes() const {
+    return m_hosts->leastJobBytes(m_options.MaxJobBytes);
+  }
 
   int owned() const {
     return static_cast<int>(std::count_if(
@@ -247,7 +250,8 @@
                       .RenewInterval = renewInterval(),
                       .IsLeaving = m_isLeaving,
                       .BoundsLeases = m_options.CanSpanPartitions,
-                      .HasStoredEvidence = true};
+                      .HasStoredEvidence = true,
+                      .MaxJobBytes = m_options.MaxJobBytes};
     if (m_options.Report)
       Record.Shards = m_options.Report();
     m_published.onSent(Now, Record.Shards);
@@ -673,6 +677,7 @@
   return m_impl->reportNumber(Shard);
 }
 size_t HostCluster::liveHosts() const { return m_impl->liveHosts(); }
+size_t HostCluster::leastJobBytes() const { return m_impl->leastJobBytes(); }
 int HostCluster::owned() const { return m_impl->owned(); }
 bool HostCluster::isIdle() const { return m_impl->isIdle(); }
 
--- a/src/libbasilchute/hostregistry.cpp
+++ b/src/libbasilchute/hostregistry.cpp
@@ -59,6 +59,14 @@
   return Out;
 }
 
+size_t HostRegistry::leastJobBytes(size_t Own) const {
+  size_t Out = Own;
+  for (const auto &[Id, Host] : m_hosts)
+    if (size_t Max = Host.Record.MaxJobBytes)
+      Out = Out == 0 ? Max : std::min(Out, Max);
+  return Out;
+}
+
 uint64_t HostRegistry::rowVersion(const std::string &Id) const {
   auto Refused = m_refused.find(Id);
   if (Refused != m_refused.end())
--- a/src/libbasilchute/hostregistry.h
+++ b/src/libbasilchute/hostregistry.h
@@ -61,6 +61,9 @@
   bool isEmpty() const { return m_hosts.empty(); }
   /// Returns all live hosts, in the order of their ids.
   std::vector<PlanHost> liveHosts() const;
+  /// Returns the least memory for jobs, of \p Own and of all hosts with a row,
+  /// where zero is no limit. Hosts that are down may come back.
+  size_t leastJobBytes(size_t Own) const;
   /// Returns the version of the row of host \p Id as last read, zero if there
   /// was none.
   uint64_t rowVersion(const std::string &Id) const;
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -1,9 +1,11 @@
 #include "libbasilchute/jobentry.h"
 
 #include "libbasilchute/jobestimate.h"
+#include "libbasilchute/jobmemory.h"
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 BASILCHUTE_NAMESPACE_BEGIN
 
@@ -17,6 +19,8 @@
 /// Upper bound on a wait as computed from wall clocks. A larger value is taken
 /// to be a difference between the clocks of two hosts.
 constexpr milliseconds MaxRestoredWait{600000};
+/// A job of more tasks stores entries only for tasks that were changed.
+constexpr size_t MaxListedTasks = 4096;
 /// Where the stored numbers are higher, they advance by the age, up to this.
 constexpr int MaxRunAdvance = 4096;
 
@@ -26,20 +30,17 @@
     : Spec(std::move(Spec)),
       HasLongRunningStep(this->Spec.hasLongRunningStep()), RowVersion(Version),
       ArrivedAt(SubmittedAt) {
-  for (size_t Step = 0; Step < this->Spec.Steps.size(); ++Step) {
+  for (const JobStep &Step : this->Spec.Steps) {
     m_firstTaskOfStep.push_back(m_tasksPerOccurrence);
-    int Count = this->Spec.Steps[Step].Count;
-    m_stepOfTask.insert(m_stepOfTask.end(), static_cast<size_t>(Count),
-                        static_cast<int>(Step));
-    m_tasksPerOccurrence += Count;
+    m_tasksPerOccurrence += Step.Count;
   }
   int Occurrences = this->Spec.occurrences();
   m_tasksLeft = m_tasksPerOccurrence * Occurrences;
   Tasks.resize(static_cast<size_t>(m_tasksLeft));
-  for (int Occurrence = 0; Occurrence < Occurrences; ++Occurrence)
-    for (const JobStep &Step : this->Spec.Steps)
-      m_tasksLeftInGroup.push_back(Step.Count);
-  TotalWork = remainingWork();
+  m_left = OccurrenceCounts(this->Spec);
+  m_dueOccurrences = this->Spec.Repetitions > 0 ? 0 : 1;
+  TotalWork = m_left.remainingWork(1);
+  m_fixedBytes = bytesOfSpec(this->Spec) + sizeof(JobEntry);
 }
 
 int JobEntry::lowestRunNumber(milliseconds WallTime) const {
@@ -57,8 +58,7 @@
   StoredState = Stored.State;
   int Advance = std::min(LowestRun, MaxRunAdvance);
   m_firstRun = std::max(Stored.HighestRun + Advance, LowestRun) + RunGap;
-  for (TaskState &Task : Tasks)
-    Task.LastRun = m_firstRun;
+  Tasks.setFirstRun(m_firstRun);
   for (const TaskProgress &Progress : Stored.Tasks) {
     if (Progress.Position < 0 ||
         Progress.Position >= static_cast<int>(Tasks.size()))
@@ -79,26 +79,39 @@
 
 void JobEntry::skipRunNumbers(int RunGap, milliseconds WallTime) {
   m_firstRun = lowestRunNumber(WallTime) + RunGap;
-  for (TaskState &Task : Tasks)
-    Task.LastRun = m_firstRun;
+  Tasks.setFirstRun(m_firstRun);
 }
 
+TaskProgress JobEntry::progressOf(int Position) const {
+  const TaskState &Task = Tasks[static_cast<size_t>(Position)];
+  bool IsDone = Task.Phase == TaskPhase::Done;
+  return {.Position = Position,
+          .Run = isUntried(Position) ? 0 : Task.LastRun,
+          .FailedRuns = {Task.FailedRuns.begin(), Task.FailedRuns.end()},
+          .Done = IsDone,
+          .Checkpoint = Task.Checkpoint,
+          .Place = IsDone ? std::nullopt : Task.Place,
+          .Crash = Task.Crash,
+          .WaitingSince = storedWait(Position)};
+}
+
+// The row of a large job has one run number for all tasks without an entry.
 JobProgress JobEntry::progress() const {
   JobProgress Out{.State = State, .WasDelegated = WasDelegated};
+  bool IsLarge = Tasks.size() > MaxListedTasks;
+  if (IsLarge)
+    Out.HighestRun = std::max(m_firstRun, Tasks.highestDoneRun());
   for (size_t Position = 0; Position < Tasks.size(); ++Position) {
-    const TaskState &Task = Tasks[Position];
-    bool IsDone = Task.Phase == TaskPhase::Done;
-    if (Task.LastRun == 0 && !Task.Place)
+    if (IsLarge && Tasks.isUntouched(Position))
+      continue;
+    if (IsLarge && Tasks.isCompact(Position)) {
+      Out.DoneTasks.resize(Position + 1);
+      Out.DoneTasks[Position] = true;
       continue;
-    Out.Tasks.push_back(
-        {.Position = static_cast<int>(Position),
-         .Run = isUntried(static_cast<int>(Position)) ? 0 : Task.LastRun,
-         .FailedRuns = {Task.FailedRuns.begin(), Task.FailedRuns.end()},
-         .Done = IsDone,
-         .Checkpoint = Task.Checkpoint,
-         .Place = IsDone ? std::nullopt : Task.Place,
-         .Crash = Task.Crash,
-         .WaitingSince = storedWait(static_cast<int>(Position))});
+    }
+    const TaskState &Task = Tasks[Position];
+    if (Task.LastRun != 0 || Task.Place)
+      Out.Tasks.push_back(progressOf(static_cast<int>(Position)));
   }
   return Out;
 }
@@ -177,12 +190,19 @@
 }
 
 TaskName JobEntry::nameOf(int Position) const {
-  int Within = Position % m_tasksPerOccurrence;
-  int Step = m_stepOfTask[static_cast<size_t>(Within)];
+  int Step = stepIndex(Position);
   return {.Job = Spec.Id,
-          .Occurrence = Position / m_tasksPerOccurrence,
+          .Occurrence = occurrenceOf(Position),
           .Step = Step,
-          .Index = Within - m_firstTaskOfStep[static_cast<size_t>(Step)]};
+          .Index = Position % m_tasksPerOccurrence -
+                   m_firstTaskOfStep[static_cast<size_t>(Step)]};
+}
+
+int JobEntry::stepIndex(int Position) const {
+  auto Next =
+      std::upper_bound(m_firstTaskOfStep.begin(), m_firstTaskOfStep.end(),
+                       Position % m_tasksPerOccurrence);
+  return static_cast<int>(Next - m_firstTaskOfStep.begin()) - 1;
 }
 
 StepName JobEntry::stepName(int Position) const {
@@ -195,41 +215,79 @@
 }
 
 const JobStep &JobEntry::stepOf(int Position) const {
-  int Step = m_stepOfTask[static_cast<size_t>(Position % m_tasksPerOccurrence)];
-  return Spec.Steps[static_cast<size_t>(Step)];
+  return Spec.Steps[static_cast<size_t>(stepIndex(Position))];
 }
 
-size_t JobEntry::groupIndex(int Position) const {
-  int Step = m_stepOfTask[static_cast<size_t>(Position % m_tasksPerOccurrence)];
-  return static_cast<size_t>(Position / m_tasksPerOccurrence) *
-             Spec.Steps.size() +
-         static_cast<size_t>(Step);
+bool JobEntry::isReady(int Occurrence, int Step) const {
+  const std::vector<int> &After =
+      Spec.Steps[static_cast<size_t>(Step)].Predecessors;
+  return std::all_of(After.begin(), After.end(), [&](int Earlier) {
+    return !Spec.Steps[static_cast<size_t>(Earlier)].LongRunning &&
+           m_left.left(Occurrence, Earlier) == 0;
+  });
 }
 
 bool JobEntry::isReady(int Position) const {
-  size_t First =
-      static_cast<size_t>(Position / m_tasksPerOccurrence) * Spec.Steps.size();
-  const std::vector<int> &After = stepOf(Position).Predecessors;
-  return std::all_of(After.begin(), After.end(), [&](int Step) {
-    return !Spec.Steps[static_cast<size_t>(Step)].LongRunning &&
-           m_tasksLeftInGroup[First + static_cast<size_t>(Step)] == 0;
-  });
+  return isReady(occurrenceOf(Position), stepIndex(Position));
+}
+
+bool JobEntry::addWaiting(int Occurrence, int Step, size_t Limit,
+                          std::vector<int> &Out) const {
+  auto Index = static_cast<size_t>(Step);
+  int First = Occurrence * m_tasksPerOccurrence + m_firstTaskOfStep[Index];
+  int End = First + Spec.Steps[Index].Count;
+  for (int Position = First; Position < End; ++Position) {
+    if (Tasks.isCompact(static_cast<size_t>(Position)) ||
+        Tasks[static_cast<size_t>(Position)].Phase != TaskPhase::Waiting)
+      continue;
+    if (Out.size() == Limit)
+      return false;
+    Out.push_back(Position);
+  }
+  return true;
+}
+
+ReadyTasks JobEntry::readyTasks(milliseconds WallTime, size_t Limit) {
+  ReadyTasks Out;
+  int Steps = static_cast<int>(Spec.Steps.size());
+  int Occurrence = m_left.first();
+  for (; Occurrence < Spec.occurrences(); ++Occurrence) {
+    milliseconds Due = dueAt(Occurrence * m_tasksPerOccurrence);
+    if (Due > WallTime) {
+      Out.NextDue = Due;
+      break;
+    }
+    for (int Step = 0; Step < Steps && !Out.HasMore; ++Step)
+      Out.HasMore = m_left.left(Occurrence, Step) > 0 &&
+                    isReady(Occurrence, Step) &&
+                    !addWaiting(Occurrence, Step, Limit, Out.Positions);
+    if (Out.HasMore)
+      break;
+  }
+  m_dueOccurrences =
+      std::max(m_dueOccurrences, Out.HasMore ? Occurrence + 1 : Occurrence);
+  return Out;
+}
+
+int JobEntry::tasksLeftBeside(int Position) const {
+  return m_left.left(occurrenceOf(Position), stepIndex(Position));
+}
+
+size_t JobEntry::bytes() const {
+  return m_fixedBytes + Tasks.bytes() + m_left.bytes();
 }
 
 int JobEntry::crashPosition(int Position) const {
-  int Within = Position % m_tasksPerOccurrence;
-  int Step = m_stepOfTask[static_cast<size_t>(Within)];
-  if (!Spec.Steps[static_cast<size_t>(Step)].Gang)
+  if (!stepOf(Position).Gang)
     return Position;
-  return Position - Within + m_firstTaskOfStep[static_cast<size_t>(Step)];
+  return Position - Position % m_tasksPerOccurrence +
+         m_firstTaskOfStep[static_cast<size_t>(stepIndex(Position))];
 }
 
 std::vector<int> JobEntry::groupPositions(int Position) const {
-  int Within = Position % m_tasksPerOccurrence;
-  int Step = m_stepOfTask[static_cast<size_t>(Within)];
-  int First = Position - Within + m_firstTaskOfStep[static_cast<size_t>(Step)];
-  std::vector<int> Out(
-      static_cast<size_t>(Spec.Steps[static_cast<size_t>(Step)].Count));
+  int First = Position - Position % m_tasksPerOccurrence +
+              m_firstTaskOfStep[static_cast<size_t>(stepIndex(Position))];
+  std::vector<int> Out(static_cast<size_t>(stepOf(Position).Count));
   std::iota(Out.begin(), Out.end(), First);
   return Out;
 }
@@ -241,9 +299,11 @@
 }
 
 bool JobEntry::hasPlaced() const {
-  return std::any_of(Tasks.begin(), Tasks.end(), [](const TaskState &Task) {
-    return Task.Phase == TaskPhase::Placed;
+  bool Out = false;
+  Tasks.forEach([&Out](int, const TaskState &Task) {
+    Out = Out || Task.Phase == TaskPhase::Placed;
   });
+  return Out;
 }
 
 milliseconds JobEntry::criticalPath() const {
@@ -251,17 +311,13 @@
 }
 
 milliseconds JobEntry::remainingCriticalPath() const {
-  return basilchute::criticalPath(
-      Spec.Steps, [this](size_t Step) { return m_tasksLeftInGroup[Step] > 0; });
+  return basilchute::criticalPath(Spec.Steps, [this](size_t Step) {
+    return m_left.left(0, static_cast<int>(Step)) > 0;
+  });
 }
 
 double JobEntry::remainingWork() const {
-  double Out = 0;
-  for (size_t Group = 0; Group < m_tasksLeftInGroup.size(); ++Group) {
-    const JobStep &Step = Spec.Steps[Group % Spec.Steps.size()];
-    Out += static_cast<double>(m_tasksLeftInGroup[Group]) * taskWork(Step);
-  }
-  return Out;
+  return m_left.remainingWork(m_dueOccurrences);
 }
 
 bool JobEntry::storesPlace(int Position) const {
@@ -302,12 +358,16 @@
 }
 
 void JobEntry::finish(int Position) {
-  TaskState &Task = Tasks[static_cast<size_t>(Position)];
-  if (Task.Phase == TaskPhase::Done)
+  auto Index = static_cast<size_t>(Position);
+  if (std::as_const(Tasks)[Index].Phase == TaskPhase::Done)
     return;
-  Task.Phase = TaskPhase::Done;
-  --m_tasksLeftInGroup[groupIndex(Position)];
+  Tasks[Index].Phase = TaskPhase::Done;
+  m_left.add(occurrenceOf(Position), stepIndex(Position), -1);
   --m_tasksLeft;
+  // Tasks that are read from a row, or that another shard runs, are finished in
+  // the order of their positions.
+  if (Index % TaskPages::PageSize == TaskPages::PageSize - 1)
+    Tasks.compact(Index);
 }
 
 bool JobEntry::allDone() const {
@@ -325,7 +385,8 @@
 void JobEntry::reopen(const TaskProgress &Progress, TimePoint Now) {
   TaskState &Task = Tasks[static_cast<size_t>(Progress.Position)];
   if (Task.Phase == TaskPhase::Done) {
-    ++m_tasksLeftInGroup[groupIndex(Progress.Position)];
+    m_left.add(occurrenceOf(Progress.Position), stepIndex(Progress.Position),
+               1);
     ++m_tasksLeft;
   }
   Task.Phase = TaskPhase::Waiting;
@@ -342,9 +403,9 @@
 }
 
 void JobEntry::finishAllBut(const std::vector<int> &Positions) {
+  std::set<int> Kept(Positions.begin(), Positions.end());
   for (int Position = 0; Position < static_cast<int>(Tasks.size()); ++Position)
-    if (std::find(Positions.begin(), Positions.end(), Position) ==
-        Positions.end())
+    if (!Kept.count(Position))
       finish(Position);
 }
 
@@ -360,7 +421,7 @@
 }
 
 bool JobEntry::hasDelegated() const {
-  if (HomeShard)
+  if (HomeShard || !HasLongRunningStep)
     return false;
   for (int Position = 0; Position < static_cast<int>(Tasks.size()); ++Position)
     if (stepOf(Position).LongRunning &&
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -6,9 +6,10 @@
 #include "basilchute/clock.h"
 #include "basilchute/job.h"
 #include "basilchute/taskworker.h"
-#include "libbasilchute/crashhistory.h"
 #include "libbasilchute/jobrows.h"
+#include "libbasilchute/occurrencecounts.h"
 #include "libbasilchute/runtimes.h"
+#include "libbasilchute/taskpages.h"
 
 #include <optional>
 #include <set>
@@ -17,49 +18,14 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
-/// Phase of a task: without a run, with a run on a worker, or completed
-/// successfully.
-enum class TaskPhase { Waiting, Placed, Done };
-
-/// One task of a job.
-struct TaskState {
-  TaskPhase Phase = TaskPhase::Waiting;
-  /// Highest run number that was used.
-  int LastRun = 0;
-  /// Numbers of the runs that failed. A set, because a completion can be
-  /// processed twice, by two owners, and the completions of two workers arrive
-  /// in any order.
-  std::set<int> FailedRuns;
-  /// Newest checkpoint of any run; empty for none.
-  std::string Checkpoint;
-  /// Worker of the current run, or of the last one.
-  std::string Worker;
-  /// The task is not started before this time.
-  TimePoint EarliestStart{};
-  /// The last run was ordered but certainly never began.
-  bool LastRunNeverBegan = false;
-  /// Duration of the run that succeeded; zero if unknown.
-  milliseconds Duration{0};
-  /// Run number in the progress row when this owner read it; zero if none.
-  int StoredRun = 0;
-  /// The only worker on which a run may be, as it is to be stored; empty if
-  /// there is certainly no run, no value if that is not known. Only for tasks
-  /// that JobEntry::storesPlace().
-  std::optional<std::string> Place;
-  /// Number of runs that were stopped because they lagged.
-  int SlowStops = 0;
-  /// Number of fill runs that were stopped to go on on another worker.
-  int FillMoves = 0;
-  /// Crashes of workers under the task. For a member of a gang only the worker
-  /// and incarnation are its own.
-  CrashRecord Crash;
-  /// When the task became ready, or ready again after a run ended. Also in
-  /// another shard or under another owner.
-  TimePoint WaitingSince{};
-  /// Since when this owner has the task, if it has waited elsewhere before.
-  TimePoint HereSince{};
-  /// The present wait was reported as overdue.
-  bool IsOverdue = false;
+/// Tasks of a job whose turn has come.
+struct ReadyTasks {
+  std::vector<int> Positions;
+  /// More tasks are ready than were asked for.
+  bool HasMore = false;
+  /// When the next occurrence is due, since the Unix epoch; none if no more
+  /// follow.
+  std::optional<milliseconds> NextDue;
 };
 
 /// A job and its tasks. The position of a task is its index over all steps of
@@ -119,7 +85,7 @@
   /// The job may have been cancelled in its home shard before this owner took
   /// over. No task is started until that is known.
   bool MayBeCancelledAtHome = false;
-  std::vector<TaskState> Tasks;
+  TaskPages Tasks;
   /// By step: kind of its tasks.
   std::vector<int> Kinds;
   /// By step: class of its tasks.
@@ -128,8 +94,8 @@
   std::vector<int> Groups;
   /// Weight of the job's fill tasks in the division of processor time.
   double FillWeight = 1;
-  /// Work of the whole job in millicores times seconds, by the submitter's
-  /// estimates.
+  /// Work of one occurrence of the job in millicores times seconds, by the
+  /// submitter's estimates.
   double TotalWork = 0;
 
   /// Restores the stored progress; unknown positions are ignored. Run numbers
@@ -170,6 +136,15 @@
   /// Returns true if all tasks of all preceding steps are done, none of which
   /// is long-running.
   bool isReady(int Position) const;
+  /// Returns the first tasks in phase Waiting that are ready in occurrences due
+  /// at \p WallTime since the Unix epoch, at most \p Limit. The remaining work
+  /// counts these occurrences from then on.
+  ReadyTasks readyTasks(milliseconds WallTime, size_t Limit);
+  /// Returns the number of tasks of the task's step and occurrence that are not
+  /// done.
+  int tasksLeftBeside(int Position) const;
+  /// Returns the memory that the owner needs for the job, in bytes.
+  size_t bytes() const;
   /// Returns the position whose crash record counts for the task: its own, or
   /// that of the gang's first member.
   int crashPosition(int Position) const;
@@ -228,29 +203,40 @@
   /// occurrence that are not done.
   milliseconds remainingCriticalPath() const;
   /// Returns the work of the tasks that are not done in millicores times
-  /// seconds, by the submitter's estimates.
+  /// seconds, by the submitter's estimates; of a schedule in the occurrences
+  /// that were due at the last call of readyTasks().
   double remainingWork() const;
   /// Returns true once any task has been started.
   bool hasStarted() const { return m_hasStarted; }
   void markStarted() { m_hasStarted = true; }
 
 private:
+  TaskProgress progressOf(int Position) const;
   /// Returns a run number that grows with the age of the job.
   int lowestRunNumber(milliseconds WallTime) const;
   /// Returns the time since 1970 since which a restart waits that surely runs
   /// nowhere; zero for other tasks.
   milliseconds storedWait(int Position) const;
-  size_t groupIndex(int Position) const;
+  int occurrenceOf(int Position) const {
+    return Position / m_tasksPerOccurrence;
+  }
+  int stepIndex(int Position) const;
+  bool isReady(int Occurrence, int Step) const;
+  /// Appends the waiting tasks of a step. Returns false if there are more than
+  /// \p Limit.
+  bool addWaiting(int Occurrence, int Step, size_t Limit,
+                  std::vector<int> &Out) const;
   /// Returns true if no run of the task is known, from any owner.
   bool isUntried(int Position) const;
 
   int m_tasksPerOccurrence = 0;
-  /// By position within an occurrence: the step.
-  std::vector<int> m_stepOfTask;
   /// By step: position of its first task within an occurrence.
   std::vector<int> m_firstTaskOfStep;
-  /// By group: number of tasks that are not done.
-  std::vector<int> m_tasksLeftInGroup;
+  /// Memory that does not depend on the states of the tasks.
+  size_t m_fixedBytes = 0;
+  OccurrenceCounts m_left;
+  /// End of the occurrences whose tasks count as remaining work.
+  int m_dueOccurrences = 0;
   /// Number of all tasks that are not done.
   int m_tasksLeft = 0;
   bool m_hasStarted = false;
--- a/src/libbasilchute/jobrows.cpp
+++ b/src/libbasilchute/jobrows.cpp
@@ -307,6 +307,7 @@
   To.set_finished_work_per_second(Load.FinishedWorkPerSecond);
   To.set_remaining_fill_work(Load.RemainingFillWork);
   To.set_finished_fill_work_per_second(Load.FinishedFillWorkPerSecond);
+  To.set_job_bytes(Load.JobBytes);
 }
 
 void decodeAdmissionLoad(const v1::StoredShardCount &From, ShardLoad &Load) {
@@ -325,6 +326,7 @@
   Load.RemainingFillWork = positiveOrZero(From.remaining_fill_work());
   Load.FinishedFillWorkPerSecond =
       positiveOrZero(From.finished_fill_work_per_second());
+  Load.JobBytes = From.job_bytes();
 }
 
 } // namespace
@@ -337,6 +339,7 @@
   Out.set_bounds_leases(Value.BoundsLeases);
   setExtraField(Out, StoredEvidenceField, Value.HasStoredEvidence ? 1 : 0);
   Out.set_renew_ms(Value.RenewInterval.count());
+  Out.set_max_job_bytes(Value.MaxJobBytes);
   for (const auto &[Shard, Report] : Value.Shards) {
     v1::StoredShardCount &To = *Out.add_shards();
     To.set_shard(Shard);
@@ -382,7 +385,8 @@
       .RenewInterval = boundedTime(From.renew_ms(), MaxRenewInterval),
       .IsLeaving = From.leaving(),
       .BoundsLeases = From.bounds_leases(),
-      .HasStoredEvidence = extraField(From, StoredEvidenceField) != 0};
+      .HasStoredEvidence = extraField(From, StoredEvidenceField) != 0,
+      .MaxJobBytes = From.max_job_bytes()};
   for (const v1::StoredShardCount &Shard : From.shards()) {
     ShardReport &Report = Out.Shards[Shard.shard()];
     Report.Epoch = Shard.epoch();
--- a/src/libbasilchute/jobrows.h
+++ b/src/libbasilchute/jobrows.h
@@ -42,6 +42,9 @@
   std::vector<TaskProgress> Tasks;
   /// The shard that holds the job has delegated tasks of it, see JobEntry.
   bool WasDelegated = false;
+  /// By position: tasks that are done beside those of Tasks. A row that was
+  /// read has these in Tasks.
+  std::vector<bool> DoneTasks;
   /// No run of a task that Tasks lacks has a higher number.
   int HighestRun = 0;
 };
@@ -83,6 +86,8 @@
   /// The host takes only answers of workers that UsedWorkers has stored as
   /// evidence. Hosts of earlier versions take those of others too.
   bool HasStoredEvidence = false;
+  /// Memory that the host can spare for jobs; zero for no limit.
+  size_t MaxJobBytes = 0;
   /// Reports on the shards that the host owns and whose rows it has read.
   std::map<int, ShardReport> Shards;
 };
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -192,6 +192,10 @@
   if (std::optional<std::string> JobId = parseAddedTasksKey(Row.Address.Key))
     return onAddedTasksRow(*JobId, Row);
   auto [Id, IsCancel] = parseJobKey(Row.Address.Key);
+  // The rows of ended jobs are read again after the history of the feed is
+  // lost.
+  if (m_held.isReleased(Id))
+    return;
   if (IsCancel) {
     m_cancelled.insert(Id);
     cancelJob(Id);
@@ -234,11 +238,22 @@
                                Spec.Id, Progress.error().Message));
     return;
   }
+  if (isFinal(Progress.value().State)) {
+    m_held.release(Spec.Id, m_parts.erase(Spec.Id) > 0
+                                ? std::nullopt
+                                : std::optional(Progress.value().State));
+    return learnMeanWork(Spec.Queue, OccurrenceCounts(Spec).remainingWork(1));
+  }
   addJob(Spec, Row.Version, &Progress.value());
   if (m_cancelled.count(Spec.Id))
     cancelJob(Spec.Id);
 }
 
+void JobShard::Impl::learnMeanWork(const std::string &Queue, double Work) {
+  double &Mean = m_meanWork.try_emplace(Queue, Work).first->second;
+  Mean += (Work - Mean) * MeanWorkGain;
+}
+
 void JobShard::Impl::addJob(const Job &Spec, uint64_t Version,
                             const JobProgress *Stored) {
   auto Added = m_jobs.try_emplace(Spec.Id, Spec, Version, m_time.now()).first;
@@ -252,19 +267,16 @@
     Entry.Classes.push_back(classOf(Spec.Queue, Step.Image));
     Entry.Groups.push_back(m_nextGroup++);
   }
-  auto Mean = m_meanWork.try_emplace(Spec.Queue, Entry.TotalWork).first;
-  Mean->second += (Entry.TotalWork - Mean->second) * MeanWorkGain;
+  learnMeanWork(Spec.Queue, Entry.TotalWork);
   if (m_isLoaded && Entry.HasLongRunningStep)
     m_rates.addLongRunning(demandOf(Spec).Amount);
   if (Stored) {
     Entry.restore(*Stored, RunNumberGap,
                   m_options.WallTime ? m_options.WallTime() : milliseconds(0));
-    for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
-         ++Position) {
-      const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
+    Entry.Tasks.forEach([&](int Position, const TaskState &Task) {
       if (Task.Place && Task.Phase == TaskPhase::Waiting)
         m_previousRuns.setPlace(Entry.nameOf(Position), *Task.Place);
-    }
+    });
     for (const TaskProgress &Task : Stored->Tasks)
       Entry.restoreWait(Task, m_time.now(),
                         m_options.WallTime ? m_options.WallTime()
@@ -283,8 +295,10 @@
     Entry.HomeShard = Part->second.HomeShard;
     Entry.finishAllBut(Part->second.Positions);
   }
-  if (isFinal(Entry.State))
+  if (isFinal(Entry.State)) {
+    m_held.Ended.insert(Spec.Id);
     return;
+  }
   if (Stored)
     restoreCrashes(Entry);
   if (!Stored)
@@ -292,6 +306,7 @@
         fmt::format("job={} queue={} shard={} tasks={}", Spec.Id, Spec.Queue,
                     m_options.Shard, Entry.Tasks.size()));
   queueReady(Entry);
+  m_held.Bytes += Entry.bytes();
 }
 
 TaskClass JobShard::Impl::classOf(const std::string &Queue,
@@ -312,6 +327,7 @@
   Entry.State = State;
   markDirty(Entry);
   m_waiting.erase(Entry.Spec.Id);
+  m_held.Ended.insert(Entry.Spec.Id);
   m_approvals.forget(Entry.Spec.Id);
   endTrialsOf(Entry.Spec.Id);
   for (int Group : Entry.Groups)
@@ -393,6 +409,8 @@
   readHomesOfParts();
   storeWaits();
   sendStoredStarts();
+  countJobBytes();
+  queueMore();
   m_plan.update(m_slots, m_time.now());
   place();
   logTakeover();
@@ -403,7 +421,9 @@
 
 std::optional<JobState> JobShard::Impl::state(const std::string &Job) const {
   auto It = m_jobs.find(Job);
-  if (It == m_jobs.end() || It->second.HomeShard)
+  if (It == m_jobs.end())
+    return m_held.releasedState(Job);
+  if (It->second.HomeShard)
     return std::nullopt;
   return It->second.StoredState;
 }
@@ -456,6 +476,7 @@
   return m_impl->heldShares().shares();
 }
 ShardLoad JobShard::reportedLoad() { return m_impl->reportedLoad(); }
+size_t JobShard::jobBytes() const { return m_impl->jobBytes(); }
 bool JobShard::isLoaded() const { return m_impl->isLoaded(); }
 size_t JobShard::listedWorkers() const { return m_impl->listedWorkers(); }
 uint64_t JobShard::epoch() const { return m_impl->epoch(); }
--- a/src/libbasilchute/jobshard_commit.cpp
+++ b/src/libbasilchute/jobshard_commit.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds RetryDelay{150};
 /// Each job in a commit needs a condition and a write.
 constexpr size_t RowsPerJob = 2;
+/// Time between two counts of the memory of all jobs.
+constexpr milliseconds CountInterval{1000};
 /// Delays before a job is committed again whose row was refused.
 constexpr milliseconds FirstRefusedDelay{500};
 constexpr milliseconds MaxRefusedDelay{5000};
@@ -225,4 +227,46 @@
       });
 }
 
+void JobShard::Impl::countJobBytes() {
+  if (m_time.now() < m_held.NextCount)
+    return;
+  m_held.NextCount = m_time.now() + CountInterval;
+  releaseEnded();
+  m_held.Bytes = m_held.releasedBytes();
+  for (auto &[Id, Entry] : m_jobs) {
+    Entry.Tasks.compact();
+    m_held.Bytes += Entry.bytes();
+  }
+}
+
+// A job is needed until its end is stored and nothing of it runs. After that
+// only its state is asked for, and runs of it that turn up are stopped.
+void JobShard::Impl::releaseEnded() {
+  if (m_isCommitting || m_held.Ended.empty())
+    return;
+  std::set<std::string> Running;
+  for (const auto &[Id, Slot] : m_slots)
+    for (const auto &[Key, Run] : Slot.Runs)
+      Running.insert(Key.first.Job);
+  const std::set<std::string> Ended = m_held.Ended;
+  for (const std::string &Id : Ended) {
+    const JobEntry *Entry = find(Id);
+    if (!Entry) {
+      m_held.Ended.erase(Id);
+      continue;
+    }
+    bool IsNeeded = Entry->State != Entry->StoredState ||
+                    Entry->IsTransferring || Entry->IsReadingHome ||
+                    m_dirty.count(Id) || Running.count(Id);
+    if (IsNeeded)
+      continue;
+    m_held.release(Id, Entry->HomeShard ? std::nullopt
+                                        : std::optional(Entry->StoredState));
+    m_cancelled.erase(Id);
+    m_refusedRows.erase(Id);
+    m_parts.erase(Id);
+    m_jobs.erase(Id);
+  }
+}
+
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_crash.cpp
+++ b/src/libbasilchute/jobshard_crash.cpp
@@ -156,13 +156,14 @@
   if (isFinal(Entry.State))
     return;
   int Worst = 0;
-  for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
-       ++Position)
-    if (crashRecord(Entry, Position).Crashes >
-        crashRecord(Entry, Worst).Crashes)
-      Worst = Position;
+  int Crashes = 0;
+  Entry.Tasks.forEach([&](int Position, const TaskState &State) {
+    if (State.Crash.Crashes <= Crashes)
+      return;
+    Worst = Position;
+    Crashes = State.Crash.Crashes;
+  });
   TaskName Task = Entry.nameOf(Worst);
-  int Crashes = crashRecord(Entry, Worst).Crashes;
   ++m_counts.CrashJobsGivenUp;
   log("task_given_up", fmt::format("job={} step={} index={} crashes={}",
                                    Task.Job, Task.Step, Task.Index, Crashes));
@@ -376,16 +377,15 @@
 }
 
 void JobShard::Impl::restoreCrashes(JobEntry &Entry) {
-  for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
-       ++Position) {
-    CrashRecord &Record = Entry.Tasks[static_cast<size_t>(Position)].Crash;
+  Entry.Tasks.forEach([&](int Position, TaskState &Task) {
+    CrashRecord &Record = Task.Crash;
     Record.HasTrace =
         Record.IsSuspect || Record.Crashes > 0 || !Record.Worker.empty();
     if (Record.IsSuspect)
       m_suspects.insert(Entry.nameOf(Position));
     if (!Record.Worker.empty())
       m_exposed[Record.Worker].insert(Entry.nameOf(Position));
-  }
+  });
 }
 
 void JobShard::Impl::onStartSeen(WorkerSlot &Slot, ReservedRun &Run,
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -28,6 +28,7 @@
 #include "basilchute/jobshard.h"
 #include "libbasilchute/crashhistory.h"
 #include "libbasilchute/handover.h"
+#include "libbasilchute/heldjobs.h"
 #include "libbasilchute/jobentry.h"
 #include "libbasilchute/leaseevidence.h"
 #include "libbasilchute/modelexchange.h"
@@ -71,6 +72,7 @@
   ShardLoad load();
   ShardLoad reportedLoad();
   QueueShares heldShares();
+  size_t jobBytes() const { return m_held.Bytes; }
   bool isLoaded() const { return m_isLoaded; }
   uint64_t epoch() const { return m_options.Epoch; }
   bool isTakeoverComplete() const;
@@ -88,6 +90,10 @@
   void onJobRow(const StoredRow &Row);
   void addJob(const Job &Spec, uint64_t Version, const JobProgress *Stored);
   void addStored(const Job &Spec, const StoredRow &Row);
+  void learnMeanWork(const std::string &Queue, double Work);
+  /// Counts the memory of the jobs and releases those that have ended.
+  void countJobBytes();
+  void releaseEnded();
   TaskClass classOf(const std::string &Queue, const std::string &Image);
   void cancelJob(const std::string &Id);
   void endJob(JobEntry &Entry, JobState State, std::string_view Why);
@@ -513,6 +519,8 @@
   void stopAll(const JobEntry &Entry);
   void setWaiting(JobEntry &Entry, int Position, milliseconds Delay);
   void queueReady(JobEntry &Entry);
+  /// Queues occurrences that have become due, and more tasks of large jobs.
+  void queueMore();
   void removeWaiting(const JobEntry &Entry, int Position);
   const JobStep &waitingStepOf(const JobEntry &Entry) const;
   QueueRank rankOf(const JobEntry &Entry) const;
@@ -568,6 +576,7 @@
   const Clock &m_time;
   JobShardCounts m_counts;
   std::unordered_map<std::string, JobEntry> m_jobs;
+  HeldJobs m_held;
   /// Job rows that were read, kept until loading is complete.
   std::vector<StoredRow> m_loadedJobs;
   std::set<std::string> m_cancelled;
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -177,12 +177,14 @@
     if (!HasOthers)
       continue;
     Out.push_back({.Rank = rankOf(Entry), .Id = Id, .Queue = Entry.Spec.Queue});
-    for (int Position : Positions)
-      Out.back().Demand += Entry.stepOf(Position).reservation();
   }
   std::sort(Out.begin(), Out.end());
-  if (m_options.OrdersByShares && QueueShares::areNeeded(Out))
-    heldShares().order(Out);
+  if (!m_options.OrdersByShares || !QueueShares::areNeeded(Out))
+    return Out;
+  for (RankedJob &Job : Out)
+    for (int Position : m_waiting.at(Job.Id))
+      Job.Demand += find(Job.Id)->stepOf(Position).reservation();
+  heldShares().order(Out);
   return Out;
 }
 
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -1,3 +1,4 @@
+#include "libbasilchute/jobmemory.h"
 #include "libbasilchute/jobshard_impl.h"
 #include "libbasilchute/roundfields.h"
 
@@ -12,6 +13,8 @@
 /// Least objective of a job, so that its lateness is finite.
 constexpr std::chrono::duration<double> MinObjective{1e-9};
 constexpr milliseconds StateLogInterval{1000};
+/// Tasks of a schedule are queued this long before they are due.
+constexpr milliseconds QueueLead{1000};
 
 } // namespace
 
@@ -82,15 +85,25 @@
        .RemainingWork = Entry.remainingWork()});
 }
 
+// A bounded number of tasks of each job is queued, and none of an occurrence
+// that is not due soon.
 void JobShard::Impl::queueReady(JobEntry &Entry) {
   if (isFinal(Entry.State) || Entry.IsTransferring)
     return;
-  for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
-       ++Position) {
+  const std::string &Id = Entry.Spec.Id;
+  milliseconds WallTime =
+      m_options.WallTime ? m_options.WallTime() : milliseconds(0);
+  ReadyTasks Ready = Entry.readyTasks(
+      WallTime + QueueLead, queueLimit(m_held.Bytes, m_options.MaxJobBytes));
+  if (Ready.NextDue)
+    m_held.addLater(Id, *Ready.NextDue - QueueLead);
+  if (Ready.HasMore)
+    m_held.PartlyQueued.insert(Id);
+  else
+    m_held.PartlyQueued.erase(Id);
+  for (int Position : Ready.Positions) {
     TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
-    if (Task.Phase != TaskPhase::Waiting || !Entry.isReady(Position))
-      continue;
-    m_waiting[Entry.Spec.Id].insert(Position);
+    m_waiting[Id].insert(Position);
     // A task that was taken out of the queue for a commit keeps its place.
     if (Task.WaitingSince == TimePoint{}) {
       Task.WaitingSince = m_time.now();
@@ -100,6 +113,24 @@
   }
 }
 
+void JobShard::Impl::queueMore() {
+  if (m_options.WallTime)
+    for (const std::string &Id : m_held.takeDue(m_options.WallTime()))
+      if (JobEntry *Entry = find(Id))
+        queueReady(*Entry);
+  size_t Limit = queueLimit(m_held.Bytes, m_options.MaxJobBytes);
+  const std::set<std::string> PartlyQueued = m_held.PartlyQueued;
+  for (const std::string &Id : PartlyQueued) {
+    JobEntry *Entry = find(Id);
+    auto Waiting = m_waiting.find(Id);
+    size_t Queued = Waiting == m_waiting.end() ? 0 : Waiting->second.size();
+    if (!Entry || isFinal(Entry->State))
+      m_held.PartlyQueued.erase(Id);
+    else if (Queued < Limit / 2)
+      queueReady(*Entry);
+  }
+}
+
 void JobShard::Impl::setWaiting(JobEntry &Entry, int Position,
                                 milliseconds Delay) {
   TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
@@ -185,7 +216,7 @@
           "free_gib={} most_gib={} waiting_short={} waiting_long={} "
           "waiting_fill={} held_back={} fill_cores={} fill_left_cores={:.0f} "
           "fill_moves={} long_cores={} "
-          "most_eventual_cores={} over_target={} {} {}",
+          "most_eventual_cores={} over_target={} jobs={} jobs_kb={} {} {}",
           m_options.Shard, m_slots.size(), Candidates.size(),
           Free.Millicores / 1000, Largest.Millicores / 1000,
           Free.MemoryMib / 1024, Largest.MemoryMib / 1024, WaitingTasks[0],
@@ -193,8 +224,8 @@
           isTakeoverComplete() ? 0 : countHeldBackTasks(),
           FillMillicores / 1000, m_options.MeasuredFill ? FillLeft / 1000 : 0,
           m_counts.FillMoves, LongRunningMillicores / 1000,
-          MostEventualMillicores / 1000, RunsOverTarget,
-          fillWaitReasons(Candidates),
+          MostEventualMillicores / 1000, RunsOverTarget, m_jobs.size(),
+          m_held.Bytes / 1000, fillWaitReasons(Candidates),
           roundFields(counts(), m_loggedCounts, m_startWindow.limit())));
   m_loggedCounts = counts();
   if (m_plan.isOn())
--- a/src/libbasilchute/jobshard_takeover.cpp
+++ b/src/libbasilchute/jobshard_takeover.cpp
@@ -233,6 +233,8 @@
 }
 
 bool JobShard::Impl::mayHavePreviousRuns(const JobEntry &Entry) const {
+  if (m_previousRuns.isResolved(m_time.now()))
+    return false;
   for (int Position = 0; Position < static_cast<int>(Entry.Tasks.size());
        ++Position)
     if (mayHavePreviousRun(Entry, Position))
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -77,6 +77,7 @@
     addRoomyWorker(Out, Room);
   }
   Out.WaitingRestarts = overdueRestarts();
+  Out.JobBytes = m_held.Bytes;
   for (const auto &[Id, Entry] : m_jobs) {
     if (isFinal(Entry.State))
       continue;
@@ -100,9 +101,14 @@
     const JobEntry &Entry = m_jobs.at(Id);
     const JobQueue *Queue = queueOf(Entry);
     bool HasValue = latenessOf(Entry) < 2;
+    int Priority = Queue ? Queue->Priority : 0;
     for (int Position : Positions)
-      addWaitingTask(Out, Entry.stepOf(Position), Queue ? Queue->Priority : 0,
-                     HasValue);
+      addWaitingTask(Out, Entry.stepOf(Position), Priority, HasValue);
+    // The rest of a step that is queued in part.
+    int Last = *Positions.rbegin();
+    int Rest = Entry.tasksLeftBeside(Last) - static_cast<int>(Positions.size());
+    if (m_held.PartlyQueued.count(Id) && Rest > 0)
+      addWaitingTask(Out, Entry.stepOf(Last), Priority, HasValue, Rest);
   }
   bool HasFillWork =
       std::any_of(m_jobs.begin(), m_jobs.end(), [](const auto &Job) {
--- a/src/libbasilchute/progressrows.cpp
+++ b/src/libbasilchute/progressrows.cpp
@@ -117,16 +117,22 @@
   void storeSharedEntry() {
     int HighestRun = m_value.HighestRun;
     std::string Done;
-    for (const TaskProgress &Task : m_value.Tasks) {
-      HighestRun = std::max(HighestRun, Task.Run);
-      auto Position = static_cast<size_t>(Task.Position);
-      if (!Task.Done || Position >= MaxLargeRowTasks)
-        continue;
+    auto AddDone = [&Done](size_t Position) {
+      if (Position >= MaxLargeRowTasks)
+        return;
       Done.resize(std::max(Done.size(), Position / 8 + 1));
       Done[Position / 8] =
           static_cast<char>(static_cast<unsigned char>(Done[Position / 8]) |
                             (1U << (Position % 8)));
+    };
+    for (const TaskProgress &Task : m_value.Tasks) {
+      HighestRun = std::max(HighestRun, Task.Run);
+      if (Task.Done)
+        AddDone(static_cast<size_t>(Task.Position));
     }
+    for (size_t Position = 0; Position < m_value.DoneTasks.size(); ++Position)
+      if (m_value.DoneTasks[Position])
+        AddDone(Position);
     v1::StoredTask &Shared = *m_row.add_tasks();
     Shared.set_position(SharedEntry);
     Shared.set_run(HighestRun);
@@ -239,6 +245,9 @@
 }
 
 std::string encodeProgress(const JobProgress &Value) {
+  // A plain row has no highest run number.
+  if (Value.HighestRun > 0 || !Value.DoneTasks.empty())
+    return LargeProgress(Value).encode();
   v1::StoredProgress Out;
   storeProgress(Value, Out);
   if (Out.ByteSizeLong() <= MaxPlainProgressBytes)
--- a/src/libjobhost/jobhost.cpp
+++ b/src/libjobhost/jobhost.cpp
@@ -32,7 +32,6 @@
 constexpr milliseconds MaxStartHold{2000};
 /// Log lines a second about refused jobs.
 constexpr int MaxRefusalLines = 10;
-constexpr milliseconds AdmissionLogInterval{1000};
 
 } // namespace
 
@@ -46,7 +45,7 @@
       m_frontend(
           {.ChooseShard =
                [this](const Job &Value) { return chooseShardFor(Value); },
-           .CheckRoom = [this](const Job &Value) { return checkGangs(Value); },
+           .CheckRoom = [this](const Job &Value) { return checkRoom(Value); },
            .Admit = [this](const Job &Value) { return admit(Value); },
            .KnownVersion = [this] { return knownVersion(); },
            .CanSpanPartitions = m_options.CanSpanPartitions,
@@ -63,6 +62,7 @@
   return {.HostName = m_options.HostName,
           .HostId = m_options.HostName + HostIdSeparator + m_options.StartId,
           .Weight = m_options.Weight,
+          .MaxJobBytes = m_options.MaxJobBytes,
           .ShardCount = ShardCount,
           .CanSpanPartitions = m_options.CanSpanPartitions,
           .OnAcquired =
@@ -87,6 +87,7 @@
     Options.HandoverVersion = ReleaseVersion != 0 ? ReleaseVersion : Epoch;
   Options.MaxWorkerLease = m_options.MaxWorkerLease;
   Options.Placement = m_options.Placement;
+  Options.MaxJobBytes = m_options.MaxJobBytes;
   Options.MeasuredFill = m_options.MeasuredFill;
   LeaseTimes &Leases = Options.Leases;
   Leases.Sole = std::min(m_options.MaxWorkerLease, Leases.Sole);
@@ -443,75 +444,6 @@
                   Room - std::min(Room, SentTasks));
 }
 
-void JobHost::updateAdmission() {
-  for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
-    if (const ShardReport *Report = m_cluster.report(Shard))
-      m_admission.setReport(Shard, Report->Epoch, m_cluster.reportNumber(Shard),
-                            Report->Load, m_time.now());
-}
-
-Status JobHost::admit(const Job &Value) {
-  auto Queue = m_queues->find(Value.Queue);
-  if (!m_options.RefusesJobs || Queue == m_queues->end())
-    return okStatus();
-  updateAdmission();
-  std::vector<int> Shards;
-  for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
-    if (canRun(Shard, Value))
-      Shards.push_back(Shard);
-  AdmissionDemand Demand = admissionDemandOf(Value, Queue->second);
-  TimePoint Now = m_time.now();
-  std::optional<Refusal> Refused =
-      m_admission.check(Demand, Shards, m_cluster.liveHosts(), Now);
-  if (!Refused) {
-    m_admission.recordAccepted(Demand, Now);
-    return okStatus();
-  }
-  m_admission.recordRefused(Demand, *Refused);
-  if (m_options.Log && m_refusalLines.take(Now))
-    m_options.Log("job_refused",
-                  fmt::format("job={} queue={} reason={} retry_after_s={} {}{}",
-                              Value.Id, Value.Queue, Refused->Reason,
-                              Refused->RetryAfter.count(), Refused->Fields,
-                              m_refusalLines.leftOutField()));
-  return Error{.Code = ResultCode::Overloaded,
-               .Message = fmt::format("no room for the job at present ({})",
-                                      Refused->Reason),
-               .RetryAfter = Refused->RetryAfter};
-}
-
-std::map<std::pair<int, std::string>, double> JobHost::queueShares() const {
-  std::map<std::pair<int, std::string>, double> Out;
-  for (const auto &[Shard, Owner] : m_ownedShards)
-    for (const auto &[Queue, Share] : Owner->queueShares())
-      Out[{Shard, Queue}] = Share;
-  return Out;
-}
-
-void JobHost::logAdmission() {
-  if (m_time.now() < m_nextAdmissionLog || m_ownedShards.empty() ||
-      !m_options.Log)
-    return;
-  m_nextAdmissionLog = m_time.now() + AdmissionLogInterval;
-  std::string Shares;
-  for (const auto &[Key, Share] : queueShares())
-    Shares += fmt::format(" share_{}_{}={:.3f}", Key.first, Key.second, Share);
-  uint64_t Refused = 0;
-  for (const auto &[Key, Count] : m_admission.refusals())
-    Refused += Count;
-  m_options.Log("admission_state",
-                fmt::format("finite_room_cores={} refused={}{}",
-                            m_admission.roomForFiniteWork() / 1000, Refused,
-                            Shares));
-}
-
-uint64_t JobHost::knownVersion() const {
-  uint64_t Out = 0;
-  for (int Shard = 0; Shard < m_cluster.shards(); ++Shard)
-    Out = std::max(Out, m_cluster.reportNumber(Shard));
-  return Out;
-}
-
 void JobHost::tick() {
   holdStartsAfterPause();
   m_cluster.tick();
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -7,6 +7,7 @@
 #include "basilchute/hostcluster.h"
 #include "basilchute/jobfrontend.h"
 #include "basilchute/jobshard.h"
+#include "libbasilchute/jobmemory.h"
 #include "libbasilchute/linelimit.h"
 
 #include <algorithm>
@@ -26,6 +27,8 @@
   std::string StartId;
   /// Capacity relative to the other hosts.
   int Weight = 1;
+  /// Memory in bytes that this host can spare for jobs; zero for no limit.
+  size_t MaxJobBytes = 0;
   /// How the number of shards is derived from the fleet.
   ShardCountOptions ShardCount;
   /// Whether transactions of the store may span partitions. If not, there is
@@ -104,6 +107,8 @@
   /// Returns the numbers of jobs that this host has refused, and the room for
   /// finite work by the last reports.
   const Admission &admission() const { return m_admission; }
+  /// Returns the memory for jobs over all shards.
+  JobMemoryState jobMemory() const;
   /// Returns the shares of the queues in the owned shards.
   std::map<std::pair<int, std::string>, double> queueShares() const;
   /// Returns the sums of the counters of all shards that this host owns now.
@@ -159,8 +164,14 @@
   largestWorkers(const std::string &Service) const;
   /// Fails if the gangs of \p Value fit on the fleet, but not within a shard.
   Status checkGangs(const Job &Value) const;
-  /// Fails with Overloaded if the job is refused for the load of the shards.
+  /// Fails with TooLarge if no wait makes room for the job in the hosts'
+  /// memory, and as checkGangs().
+  Status checkRoom(const Job &Value) const;
+  /// Fails with Overloaded if the job is refused for the memory of the hosts or
+  /// the load of the shards.
   Status admit(const Job &Value);
+  std::optional<Refusal> checkLoad(const Job &Value,
+                                   const AdmissionDemand &Demand);
   /// Returns a version that the store had reached when a shard's owner wrote
   /// its last report.
   uint64_t knownVersion() const;
@@ -226,6 +237,7 @@
   std::map<int, std::vector<WorkerEntry>> m_workersByShard;
   std::deque<SentWork> m_sentWork;
   Admission m_admission;
+  JobMemory m_jobMemory;
   LineLimit m_refusalLines;
   TimePoint m_nextAdmissionLog{};
   std::shared_ptr<const JobQueues> m_queues;
--- a/src/testing/jobtestbed.cpp
+++ b/src/testing/jobtestbed.cpp
@@ -432,6 +432,7 @@
           .HostName = fmt::format("host-{}", Index),
           .StartId = fmt::format("{}", Target.Incarnation),
           .Weight = m_options.HostWeight,
+          .MaxJobBytes = m_options.MaxJobBytes,
           .ShardCount = {.WorkersPerWeight = m_options.WorkersPerWeight,
                          .MinShards = m_options.MinShards},
           .CanSpanPartitions = m_options.CanSpanPartitions,
@@ -453,11 +454,7 @@
           .RefreshEvacuated = m_options.HasEvacuations
                                   ? [this, Index] { readEvacuated(Index); }
                                   : std::function<void()>(),
-          .WallTime =
-              [this] {
-                return std::chrono::duration_cast<milliseconds>(
-                    now().time_since_epoch());
-              },
+          .WallTime = [this] { return wallTime(); },
           .Log =
               [this, Index](std::string_view Event, std::string_view Fields) {
                 trace(Index, Event, Fields);
--- a/src/testing/jobtestbed.h
+++ b/src/testing/jobtestbed.h
@@ -49,6 +49,8 @@
   /// Weight of each host, and number of workers that a host of weight 1 can
   /// serve; zero if hosts do not limit the size of shards.
   int HostWeight = 1;
+  /// Memory that each host can spare for jobs; zero for no limit.
+  size_t MaxJobBytes = 0;
   double WorkersPerWeight = 0;
   Resources WorkerCapacity{.Millicores = 8000, .MemoryMib = 16000};
   int FailPercent = 0;
@@ -316,6 +318,12 @@
   void deliver(int Host, nanoseconds Delay, std::function<void()> Action);
   void later(nanoseconds Delay, std::function<void()> Action);
   TimePoint now() const { return m_clock.now(); }
+  /// Time since the Unix epoch on the hosts' clocks.
+  milliseconds wallTime() const {
+    return std::chrono::duration_cast<milliseconds>(now().time_since_epoch());
+  }
+  /// Sets the memory that hosts which start from now on can spare for jobs.
+  void setMaxJobBytes(size_t Bytes) { m_options.MaxJobBytes = Bytes; }
   const JobTestBedOptions &options() const { return m_options; }
 
   JobOracle Oracle;
