Let accepted jobs wait for workers that are away

Cause: an owner ended a job 300 ms after its arrival if none of the workers that were listed at that moment could hold a task of it. Workers that had left the list were remembered for 10 minutes, but not asked, and were forgotten at once if the list had not changed for that long before they left.

An accepted job waits. A job is refused when it is handed in if no worker that was listed within 10 minutes can hold one of its steps, and the host knows all workers that may come back. Tasks without a worker take no turn, reservation or room, and no part of the load that admission sees. worker_missing names them.

--- a/src/include/basilchute/hostcluster.h
+++ b/src/include/basilchute/hostcluster.h
@@ -19,6 +19,8 @@
 
 BASILCHUTE_NAMESPACE_BEGIN
 
+class ShardLayout;
+
 /// State of a shard as published by its owner.
 struct ShardReport {
   /// Epoch under which the host owns the shard.
@@ -156,6 +158,8 @@
   /// Returns the listed workers with the largest capacity that each is known to
   /// have had; none before the stored capacities were read.
   std::vector<WorkerEntry> largestWorkers() const;
+  /// Returns the layout with the workers that are known; null before start().
+  const ShardLayout *layout() const;
   /// Returns the last report on \p Shard by its owner. Returns null if the
   /// shard has no live owner, or if the owner has not loaded the shard yet.
   const ShardReport *report(int Shard) const;
--- a/src/libbasilchute/hostcluster.cpp
+++ b/src/libbasilchute/hostcluster.cpp
@@ -159,6 +159,8 @@
     return m_layout ? m_layout->largestWorkers() : std::vector<WorkerEntry>();
   }
 
+  const ShardLayout *layout() const { return m_layout.get(); }
+
   const ShardReport *report(int Shard) const {
     if (Shard < 0 || Shard >= shards())
       return nullptr;
@@ -670,6 +672,7 @@
 std::vector<WorkerEntry> HostCluster::largestWorkers() const {
   return m_impl->largestWorkers();
 }
+const ShardLayout *HostCluster::layout() const { return m_impl->layout(); }
 const ShardReport *HostCluster::report(int Shard) const {
   return m_impl->report(Shard);
 }
--- a/src/libbasilchute/jobentry.cpp
+++ b/src/libbasilchute/jobentry.cpp
@@ -39,6 +39,7 @@
   Tasks.resize(static_cast<size_t>(m_tasksLeft));
   m_left = OccurrenceCounts(this->Spec);
   m_dueOccurrences = this->Spec.Repetitions > 0 ? 0 : 1;
+  Fits.resize(this->Spec.Steps.size());
   TotalWork = m_left.remainingWork(1);
   m_fixedBytes = bytesOfSpec(this->Spec) + sizeof(JobEntry);
 }
--- a/src/libbasilchute/jobentry.h
+++ b/src/libbasilchute/jobentry.h
@@ -10,6 +10,7 @@
 #include "libbasilchute/occurrencecounts.h"
 #include "libbasilchute/runtimes.h"
 #include "libbasilchute/taskpages.h"
+#include "libbasilchute/workerfit.h"
 
 #include <optional>
 #include <set>
@@ -92,6 +93,8 @@
   std::vector<int> Classes;
   /// By step: load group of its tasks.
   std::vector<int> Groups;
+  /// By step: where its tasks fit, as last found.
+  mutable std::vector<KnownStepFit> Fits;
   /// Weight of the job's fill tasks in the division of processor time.
   double FillWeight = 1;
   /// Work of one occurrence of the job in millicores times seconds, by the
--- a/src/libbasilchute/jobshard.cpp
+++ b/src/libbasilchute/jobshard.cpp
@@ -360,6 +360,7 @@
 void JobShard::Impl::setQueues(std::shared_ptr<const JobQueues> Queues) {
   for (const auto &[Name, Queue] : *Queues)
     m_queues[Name] = Queue;
+  ++m_workerList;
   for (auto &[Id, Entry] : m_jobs)
     queueReady(Entry);
   place();
@@ -368,6 +369,7 @@
 void JobShard::Impl::setWorkers(std::vector<WorkerEntry> Own,
                                 std::vector<WorkerEntry> Fleet) {
   m_fleet = std::move(Fleet);
+  ++m_workerList;
   for (auto &[Id, Slot] : m_slots) {
     if (Slot.IsListed)
       Slot.UnlistedSince = m_time.now();
--- a/src/libbasilchute/jobshard_delegate.cpp
+++ b/src/libbasilchute/jobshard_delegate.cpp
@@ -79,6 +79,7 @@
     const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
     const JobStep &Step = Entry.stepOf(Position);
     if (Step.LongRunning && !Step.Gang && !Task.Crash.IsSuspect &&
+        fitOf(Entry, Position) != StepFit::Nowhere &&
         Entry.hasWaitedHere(Position, Wait, Now) &&
         !hasRunsOf(Entry.nameOf(Position)) &&
         !mayHavePreviousRun(Entry, Position))
--- a/src/libbasilchute/jobshard_gang.cpp
+++ b/src/libbasilchute/jobshard_gang.cpp
@@ -19,10 +19,8 @@
     Run = std::max(Run, Task.LastRun);
     PlacementCandidate *Best =
         cheapest(TrialCandidates, Entry, Member, Workers);
-    if (!Best) {
-      failIfUnplaceable(Entry, Member);
+    if (!Best)
       return false;
-    }
     reserveFor(*Best, Entry, Member);
     Workers.push_back(Best->Slot);
   }
--- a/src/libbasilchute/jobshard_impl.h
+++ b/src/libbasilchute/jobshard_impl.h
@@ -40,6 +40,7 @@
 #include "libbasilchute/queueshares.h"
 #include "libbasilchute/unplacedsteps.h"
 #include "libbasilchute/usedworkers.h"
+#include "libbasilchute/workerfit.h"
 #include "libbasilchute/workerslot.h"
 #include "libbasilchute/workrates.h"
 
@@ -446,7 +447,6 @@
   PlacementCandidate *cheapest(std::vector<PlacementCandidate> &Candidates,
                                const JobEntry &Entry, int Position,
                                const std::vector<WorkerSlot *> &GangWorkers);
-  void failIfUnplaceable(JobEntry &Entry, int Position);
   bool isAllowed(const PlacementCandidate &Candidate, const JobEntry &Entry,
                  int Position) const;
   /// Checks everything that isAllowed() checks but the approval that the queue
@@ -458,7 +458,9 @@
                   int Position) const;
   void requestApproval(const std::vector<PlacementCandidate> &Candidates,
                        const JobEntry &Entry, int Position, size_t Tasks);
-  bool canEverFit(const JobEntry &Entry, int Position) const;
+  /// Returns where a listed worker can hold the task.
+  StepFit fitOf(const JobEntry &Entry, int Position) const;
+  bool mayFitHere(const JobEntry &Entry, int Position);
   int countOnWorker(const WorkerSlot &Slot, const JobEntry &Entry,
                     int Position) const;
   FillTask fillTask(const JobEntry &Entry, int Position) const;
@@ -540,6 +542,8 @@
                         int64_t MostMillicores);
   /// Reports tasks that would fit only on evacuated workers.
   void logEvacuationWaits() const;
+  /// Reports tasks that no listed worker can hold.
+  void logMissingWorkers() const;
   bool needsEvacuated(const JobEntry &Entry, int Position) const;
   std::vector<const WorkerEntry *> listedEntries() const;
   /// Reports once for each wait that a task is overdue.
@@ -586,6 +590,8 @@
   /// All workers with the largest capacity that each has had: a worker that has
   /// shrunk may grow again.
   std::vector<WorkerEntry> m_fleet;
+  /// Number of the last list of workers or queues.
+  uint64_t m_workerList = 1;
   /// All queues that were ever configured, since jobs outlive their queue.
   JobQueues m_queues;
   PlacementPlan m_plan;
--- a/src/libbasilchute/jobshard_keep.cpp
+++ b/src/libbasilchute/jobshard_keep.cpp
@@ -69,6 +69,7 @@
     for (int Position : Positions) {
       const TaskState &Task = Entry.Tasks[static_cast<size_t>(Position)];
       if (Entry.isRestart(Position) && !isSuspect(Entry, Position) &&
+          fitOf(Entry, Position) != StepFit::Nowhere &&
           Task.WaitingSince < Limit &&
           Task.WaitingSince + MaxKeptElsewhere > m_time.now() &&
           Task.EarliestStart <= m_time.now() &&
--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -22,9 +22,6 @@
 constexpr TaskKind AnyNonFillKind = -1;
 /// Room is reserved for a task that has waited for this long.
 constexpr milliseconds ReserveRoomAfter{800};
-/// A job that fits no worker is failed only after this time, since the list of
-/// workers may arrive late.
-constexpr milliseconds FailUnplaceableAfter{300};
 /// Cost of a gang member on another rack than the first one, in units of a
 /// worker's load.
 constexpr double RemoteRackCost = 1.0;
@@ -123,7 +120,8 @@
        m_plan.beginRound(Current.Candidates, m_time.now())) {
     JobEntry *Entry = find(Task.Job);
     if (!Entry || !isWaiting(*Entry, Task.Position) || !canStart(*Entry) ||
-        isSuspect(*Entry, Task.Position))
+        isSuspect(*Entry, Task.Position) ||
+        fitOf(*Entry, Task.Position) != StepFit::ThisShard)
       continue;
     if (m_startWindow.isOpen())
       placeTask(Current, *Entry, Task.Position);
@@ -151,7 +149,8 @@
     if (!Entry.HasLongRunningStep || !canStart(Entry))
       continue;
     for (int Position : Positions) {
-      if (!Entry.isRestart(Position) || isSuspect(Entry, Position))
+      if (!Entry.isRestart(Position) || isSuspect(Entry, Position) ||
+          fitOf(Entry, Position) != StepFit::ThisShard)
         continue;
       TimePoint Since = Entry.Tasks[static_cast<size_t>(Position)].WaitingSince;
       Out.emplace_back(Since.time_since_epoch() / SameTime,
@@ -167,13 +166,15 @@
   std::vector<RankedJob> Out;
   for (const auto &[Id, Positions] : m_waiting) {
     JobEntry &Entry = *find(Id);
-    bool HasOthers = canStart(Entry) &&
-                     std::any_of(Positions.begin(), Positions.end(),
-                                 [&, &Entry = Entry](int Position) {
-                                   return !Entry.isRestart(Position) &&
-                                          !isSuspect(Entry, Position) &&
-                                          !mayHavePreviousRun(Entry, Position);
-                                 });
+    bool HasOthers =
+        canStart(Entry) &&
+        std::any_of(Positions.begin(), Positions.end(),
+                    [&, &Entry = Entry](int Position) {
+                      return !Entry.isRestart(Position) &&
+                             !isSuspect(Entry, Position) &&
+                             !mayHavePreviousRun(Entry, Position) &&
+                             mayFitHere(Entry, Position);
+                    });
     if (!HasOthers)
       continue;
     Out.push_back({.Rank = rankOf(Entry), .Id = Id, .Queue = Entry.Spec.Queue});
@@ -188,6 +189,14 @@
   return Out;
 }
 
+// Tasks that no worker of this shard can hold wait for one without a turn.
+bool JobShard::Impl::mayFitHere(const JobEntry &Entry, int Position) {
+  if (fitOf(Entry, Position) == StepFit::ThisShard)
+    return true;
+  m_unplacedSteps.addWithoutWorker();
+  return false;
+}
+
 // Returns what the finite runs of each queue hold.
 QueueShares JobShard::Impl::heldShares() {
   Resources Capacity;
@@ -223,7 +232,8 @@
     return;
   std::set<int> Positions = Waiting->second;
   std::erase_if(Positions, [&](int Position) {
-    return isSuspect(Entry, Position) || Entry.isRestart(Position);
+    return isSuspect(Entry, Position) || Entry.isRestart(Position) ||
+           fitOf(Entry, Position) != StepFit::ThisShard;
   });
   if (Positions.empty())
     return;
@@ -353,7 +363,6 @@
     start(*Best->Slot, Entry, Position);
     return true;
   }
-  failIfUnplaceable(Entry, Position);
   return false;
 }
 
@@ -388,13 +397,6 @@
   return Best;
 }
 
-void JobShard::Impl::failIfUnplaceable(JobEntry &Entry, int Position) {
-  bool IsOldEnough = m_time.now() > Entry.ArrivedAt + FailUnplaceableAfter;
-  if (IsOldEnough && !Entry.HomeShard && queueOf(Entry) && !m_fleet.empty() &&
-      !canEverFit(Entry, Position))
-    endJob(Entry, JobState::Failed, "fits_no_worker");
-}
-
 // Accounts for the task in the candidate's room, load and headroom, for tasks
 // that are placed later in the round.
 void JobShard::Impl::reserveFor(PlacementCandidate &Candidate,
@@ -484,16 +486,28 @@
       }));
 }
 
-bool JobShard::Impl::canEverFit(const JobEntry &Entry, int Position) const {
+StepFit JobShard::Impl::fitOf(const JobEntry &Entry, int Position) const {
   const JobQueue *Queue = queueOf(Entry);
+  if (!Queue)
+    return StepFit::ThisShard;
+  KnownStepFit &Known =
+      Entry.Fits[static_cast<size_t>(Entry.nameOf(Position).Step)];
+  if (Known.List == m_workerList)
+    return Known.Fit;
   const JobStep &Step = Entry.stepOf(Position);
-  return std::any_of(m_fleet.begin(), m_fleet.end(),
-                     [&](const WorkerEntry &Worker) {
-                       bool HasLabel = Step.RequiredLabel.empty() ||
-                                       Worker.hasLabel(Step.RequiredLabel);
-                       return Worker.Service == Queue->Service && HasLabel &&
-                              Worker.canHold(Step);
-                     });
+  auto CanRun = [&](const WorkerEntry &Worker) {
+    return canRunOn(Worker, Step, Queue->Service);
+  };
+  bool IsHere = std::any_of(m_slots.begin(), m_slots.end(), [&](auto &Slot) {
+    return Slot.second.IsListed && CanRun(Slot.second.Entry);
+  });
+  bool IsAnywhere =
+      IsHere || std::any_of(m_fleet.begin(), m_fleet.end(), CanRun);
+  Known = {.List = m_workerList,
+           .Fit = IsHere       ? StepFit::ThisShard
+                  : IsAnywhere ? StepFit::OtherShard
+                               : StepFit::Nowhere};
+  return Known.Fit;
 }
 
 FillTask JobShard::Impl::fillTask(const JobEntry &Entry, int Position) const {
--- a/src/libbasilchute/jobshard_rank.cpp
+++ b/src/libbasilchute/jobshard_rank.cpp
@@ -233,6 +233,7 @@
         fmt::format("shard={} {}", m_options.Shard, m_plan.fields()));
   logLongTaskWaits(Candidates, Largest.Millicores);
   logEvacuationWaits();
+  logMissingWorkers();
 }
 
 BASILCHUTE_NAMESPACE_END
--- a/src/libbasilchute/jobshard_transfer.cpp
+++ b/src/libbasilchute/jobshard_transfer.cpp
@@ -103,11 +103,13 @@
     bool HasValue = latenessOf(Entry) < 2;
     int Priority = Queue ? Queue->Priority : 0;
     for (int Position : Positions)
-      addWaitingTask(Out, Entry.stepOf(Position), Priority, HasValue);
+      if (fitOf(Entry, Position) != StepFit::Nowhere)
+        addWaitingTask(Out, Entry.stepOf(Position), Priority, HasValue);
     // The rest of a step that is queued in part.
     int Last = *Positions.rbegin();
     int Rest = Entry.tasksLeftBeside(Last) - static_cast<int>(Positions.size());
-    if (m_held.PartlyQueued.count(Id) && Rest > 0)
+    if (m_held.PartlyQueued.count(Id) && Rest > 0 &&
+        fitOf(Entry, Last) != StepFit::Nowhere)
       addWaitingTask(Out, Entry.stepOf(Last), Priority, HasValue, Rest);
   }
   bool HasFillWork =
@@ -130,6 +132,8 @@
       m_dirty.count(Entry.Spec.Id) || Entry.Spec.Repetitions > 0 ||
       Entry.hasPlaced() || m_crashes.isTried(Entry.Spec.Id))
     return false;
+  if (fitOf(Entry, *m_waiting.at(Entry.Spec.Id).begin()) == StepFit::Nowhere)
+    return false;
   // The owner of a delegated task looks for the cancellation in the job's
   // present shard.
   if (Entry.HomeShard || Entry.WasDelegated || Entry.hasDelegated())
--- a/src/libbasilchute/jobshard_waits.cpp
+++ b/src/libbasilchute/jobshard_waits.cpp
@@ -57,7 +57,9 @@
     return "trial";
   if (!queueOf(Entry))
     return "no_queue";
-  return needsEvacuated(Entry, Position) ? "evacuated" : "room";
+  if (needsEvacuated(Entry, Position))
+    return "evacuated";
+  return fitOf(Entry, Position) == StepFit::Nowhere ? "no_worker" : "room";
 }
 
 std::vector<const WorkerEntry *> JobShard::Impl::listedEntries() const {
@@ -115,6 +117,35 @@
                   std::min(Checked, MaxStepsChecked)));
 }
 
+void JobShard::Impl::logMissingWorkers() const {
+  size_t Jobs = 0;
+  const JobEntry *First = nullptr;
+  int FirstPosition = 0;
+  for (const auto &[Id, Positions] : m_waiting) {
+    const JobEntry &Entry = m_jobs.at(Id);
+    int Position = *Positions.begin();
+    if (fitOf(Entry, Position) != StepFit::Nowhere)
+      continue;
+    ++Jobs;
+    if (First)
+      continue;
+    First = &Entry;
+    FirstPosition = Position;
+  }
+  if (!First)
+    return;
+  TaskName Task = First->nameOf(FirstPosition);
+  const JobStep &Step = First->stepOf(FirstPosition);
+  log("worker_missing",
+      fmt::format("shard={} jobs={} job={} step={} needs_cores={:.1f} "
+                  "needs_gib={:.1f} label={:?} message=\"no listed worker can "
+                  "hold the tasks\"",
+                  m_options.Shard, Jobs, Task.Job, Task.Step,
+                  inCores(Step.reservation().Millicores),
+                  static_cast<double>(Step.Demand.MemoryMib) / 1024,
+                  Step.RequiredLabel));
+}
+
 bool JobShard::Impl::isOfKind(const WorkerSlot &Slot, const JobEntry &Entry,
                               int Position) const {
   const JobQueue *Queue = queueOf(Entry);
--- a/src/libbasilchute/largestcapacities.cpp
+++ b/src/libbasilchute/largestcapacities.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-/// A worker that left the list longer ago does not come back as it was.
-constexpr milliseconds Retention{600000};
 /// Capacity of a worker that was never listed with any: it has shrunk before it
 /// was first seen, and nothing tells from what.
 constexpr Resources UnknownCapacity{.Millicores = MaxMillicores,
@@ -84,8 +82,11 @@
 
 void LargestCapacities::setFleet(const std::vector<WorkerEntry> &Fleet) {
   TimePoint Now = m_time.now();
-  for (auto &[Id, Worker] : m_workers)
+  for (auto &[Id, Worker] : m_workers) {
+    if (Worker.IsListed)
+      Worker.LeftAt = Now;
     Worker.IsListed = false;
+  }
   for (const WorkerEntry &Entry : Fleet) {
     KnownWorker &Worker = m_workers[Entry.Id];
     Resources Capacity = Entry.Capacity;
@@ -94,14 +95,13 @@
     Worker.Largest = Entry;
     Worker.Largest.Capacity = Capacity;
     Worker.Current = Entry.Capacity;
-    Worker.ListedAt = Now;
     Worker.IsListed = true;
     enlarge(Worker);
     if (!isMissing(Worker))
       Worker.MissingSince = Now;
   }
   std::erase_if(m_workers, [Now](const auto &Worker) {
-    return !Worker.second.IsListed && Now > Worker.second.ListedAt + Retention;
+    return !Worker.second.IsListed && Now > Worker.second.LeftAt + Retention;
   });
 }
 
@@ -130,20 +130,36 @@
   return true;
 }
 
+WorkerEntry LargestCapacities::largest(const KnownWorker &Worker) {
+  WorkerEntry Out = Worker.Largest;
+  if (!Out.hasCapacity())
+    Out.Capacity = UnknownCapacity;
+  return Out;
+}
+
 std::vector<WorkerEntry> LargestCapacities::workers() const {
   std::vector<WorkerEntry> Out;
   if (!m_isComplete)
     return Out;
-  for (const auto &[Id, Worker] : m_workers) {
-    if (!Worker.IsListed)
-      continue;
-    Out.push_back(Worker.Largest);
-    if (!Worker.Largest.hasCapacity())
-      Out.back().Capacity = UnknownCapacity;
-  }
+  for (const auto &[Id, Worker] : m_workers)
+    if (Worker.IsListed)
+      Out.push_back(largest(Worker));
   return Out;
 }
 
+bool LargestCapacities::anyKnown(
+    const std::function<bool(const WorkerEntry &)> &Test) const {
+  TimePoint Now = m_time.now();
+  return std::any_of(
+      m_workers.begin(), m_workers.end(), [&](const auto &Known) {
+        const KnownWorker &Worker = Known.second;
+        if (!Worker.IsListed && Now > Worker.LeftAt + Retention)
+          return false;
+        return Worker.Largest.hasCapacity() ? Test(Worker.Largest)
+                                            : Test(largest(Worker));
+      });
+}
+
 bool LargestCapacities::isMissing(const KnownWorker &Worker) const {
   if (!Worker.IsListed || Worker.Current == Worker.Largest.Capacity)
     return false;
--- a/src/libbasilchute/largestcapacities.h
+++ b/src/libbasilchute/largestcapacities.h
@@ -40,6 +40,16 @@
   /// setComplete(), since the workers may be larger than this process knows. A
   /// worker that never had any capacity may have been of any size.
   std::vector<WorkerEntry> workers() const;
+  /// Returns true if \p Test holds for any worker that is listed or has left
+  /// the list within Retention, with its largest capacity.
+  bool anyKnown(const std::function<bool(const WorkerEntry &)> &Test) const;
+  /// Returns true if the worker is one of these.
+  bool isKnown(const std::string &Worker) const {
+    return m_workers.count(Worker) > 0;
+  }
+  bool isComplete() const { return m_isComplete; }
+  /// A worker that left the list longer ago does not come back as it was.
+  static constexpr milliseconds Retention{600000};
   /// Stores what is missing, and removes rows of workers that have left. Must
   /// be called regularly. \p IsManager is true on one host; others store what
   /// this one has left out for some time, since only they may know it.
@@ -50,7 +60,8 @@
     WorkerEntry Largest;
     /// Capacity with which the worker is listed.
     Resources Current;
-    TimePoint ListedAt{};
+    /// When the worker left the list.
+    TimePoint LeftAt{};
     /// Since when the largest capacity has not been stored.
     TimePoint MissingSince{};
     bool IsListed = false;
@@ -63,6 +74,7 @@
     TimePoint UsedAt{};
   };
 
+  static WorkerEntry largest(const KnownWorker &Worker);
   void enlarge(KnownWorker &Worker) const;
   bool isMissing(const KnownWorker &Worker) const;
   bool isOutdated(const std::string &Id, const StoredCapacity &Stored) const;
--- a/src/libbasilchute/shardlayout.cpp
+++ b/src/libbasilchute/shardlayout.cpp
@@ -224,6 +224,17 @@
   m_capacities->setFleet(Fleet);
 }
 
+bool ShardLayout::mayMissWorkers() const {
+  if (m_fleet.empty() || !m_areAssignmentsRead || !m_capacities->isComplete())
+    return true;
+  if (m_time.now() > m_firstWorkerAt + LargestCapacities::Retention)
+    return false;
+  return std::any_of(m_assignments.begin(), m_assignments.end(),
+                     [this](const auto &Assigned) {
+                       return !m_capacities->isKnown(Assigned.first);
+                     });
+}
+
 // The workers of a fleet that starts register over several seconds, and the
 // number of shards can't be mended later.
 bool ShardLayout::isFleetStarting() const {
--- a/src/libbasilchute/shardlayout.h
+++ b/src/libbasilchute/shardlayout.h
@@ -62,6 +62,16 @@
     return m_capacities->workers();
   }
 
+  /// See LargestCapacities::anyKnown().
+  bool
+  anyKnownWorker(const std::function<bool(const WorkerEntry &)> &Test) const {
+    return m_capacities->anyKnown(Test);
+  }
+  /// Returns true if workers may come back that this process has never seen:
+  /// it has read no list or not all rows, or a worker with a shard was not
+  /// listed since, and may have left before.
+  bool mayMissWorkers() const;
+
 private:
   int targetShards() const;
   bool isFleetStarting() const;
--- a/src/libbasilchute/unplacedsteps.h
+++ b/src/libbasilchute/unplacedsteps.h
@@ -39,6 +39,8 @@
     ++m_limitedInRound;
     m_tried.insert({Job, Step});
   }
+  /// Records a step whose tasks no worker can hold. It takes no turn.
+  void addWithoutWorker() { m_hasWithoutWorker = true; }
   /// Returns true if the round must end.
   bool isRoundOver() const { return m_plainInRound >= MaxPerRound; }
   /// Returns true if the round could not try all steps.
@@ -46,11 +48,14 @@
     return isRoundOver() || m_limitedInRound >= MaxPerRound;
   }
   /// Returns true if any step could not be placed in the round.
-  bool any() const { return m_plainInRound + m_limitedInRound > 0; }
+  bool any() const {
+    return m_plainInRound + m_limitedInRound > 0 || m_hasWithoutWorker;
+  }
 
 private:
   size_t m_plainInRound = 0;
   size_t m_limitedInRound = 0;
+  bool m_hasWithoutWorker = false;
   /// Steps of the second kind that have had their turn, by job.
   std::set<std::pair<std::string, int>> m_tried;
 };
--- a/src/libjobhost/jobhost.h
+++ b/src/libjobhost/jobhost.h
@@ -165,8 +165,10 @@
   /// Fails if the gangs of \p Value fit on the fleet, but not within a shard.
   Status checkGangs(const Job &Value) const;
   /// Fails with TooLarge if no wait makes room for the job in the hosts'
-  /// memory, and as checkGangs().
+  /// memory, and as checkWorkers() and checkGangs().
   Status checkRoom(const Job &Value) const;
+  /// Fails with NeverFits if no worker that may come back can hold a step.
+  Status checkWorkers(const Job &Value) const;
   /// Fails with Overloaded if the job is refused for the memory of the hosts or
   /// the load of the shards.
   Status admit(const Job &Value);
--- a/src/libjobhost/jobhost_admission.cpp
+++ b/src/libjobhost/jobhost_admission.cpp
@@ -1,5 +1,7 @@
 // Which new jobs a host accepts.
 
+#include "libbasilchute/shardlayout.h"
+#include "libbasilchute/workerfit.h"
 #include "libjobhost/jobhost.h"
 
 #include <fmt/format.h>
@@ -41,7 +43,33 @@
         fmt::format("the job needs {} bytes of memory, too much for hosts that "
                     "have {} for all jobs",
                     Bytes, Memory.MaxBytes));
-  return checkGangs(Value);
+  Status HasWorkers = checkWorkers(Value);
+  return HasWorkers.has_value() ? checkGangs(Value) : HasWorkers;
+}
+
+// Workers that are away for a while, or that this process has not seen yet, may
+// come back. A job that is accepted waits for them.
+Status JobHost::checkWorkers(const Job &Value) const {
+  auto Queue = m_queues->find(Value.Queue);
+  const ShardLayout *Layout = m_cluster.layout();
+  if (Queue == m_queues->end() || !Layout)
+    return okStatus();
+  std::optional<size_t> Unfit =
+      firstUnfitStep(Value, Queue->second.Service, [&](const auto &Test) {
+        return Layout->anyKnownWorker(Test);
+      });
+  if (!Unfit || Layout->mayMissWorkers())
+    return okStatus();
+  const JobStep &Step = Value.Steps[*Unfit];
+  return makeError(
+      ResultCode::NeverFits,
+      fmt::format("steps[{}]: no worker of {} that is there, or was within the "
+                  "last 10 minutes, has {:.1f} cores, {} MiB, {} accelerators "
+                  "and the label \"{}\"",
+                  *Unfit, Queue->second.Service,
+                  static_cast<double>(Step.reservation().Millicores) / 1000,
+                  Step.Demand.MemoryMib, Step.Demand.Accelerators,
+                  Step.RequiredLabel));
 }
 
 std::optional<Refusal> JobHost::checkLoad(const Job &Value,
