--- a/src/include/basilchute/shardchoice.h
+++ b/src/include/basilchute/shardchoice.h
@@ -80,8 +80,8 @@
   double FinishedWorkPerSecond = 0;
   double FinishedFillWorkPerSecond = 0;
 
-  /// Memory that the owner needs for the shard's jobs, in bytes; zero if it does
-  /// not report it.
+  /// Memory that the owner needs for the shard's jobs, in bytes; zero if it
+  /// does not report it.
   size_t JobBytes = 0;
 
   /// Returns the sum over all priorities of WaitingWorkByPriority.
