Do not copy a job's id to find a step's fit

fitOf() is called for each waiting task in each round, and nameOf() copies the id. The step's index follows from its address.

--- a/src/libbasilchute/jobshard_place.cpp
+++ b/src/libbasilchute/jobshard_place.cpp
@@ -490,11 +490,11 @@
   const JobQueue *Queue = queueOf(Entry);
   if (!Queue)
     return StepFit::ThisShard;
+  const JobStep &Step = Entry.stepOf(Position);
   KnownStepFit &Known =
-      Entry.Fits[static_cast<size_t>(Entry.nameOf(Position).Step)];
+      Entry.Fits[static_cast<size_t>(&Step - Entry.Spec.Steps.data())];
   if (Known.List == m_workerList)
     return Known.Fit;
-  const JobStep &Step = Entry.stepOf(Position);
   auto CanRun = [&](const WorkerEntry &Worker) {
     return canRunOn(Worker, Step, Queue->Service);
   };
