--- a/src/libbasilchute/heldjobs.h
+++ b/src/libbasilchute/heldjobs.h
@@ -1,6 +1,6 @@
 /// \file
-/// What the owner of a shard holds of its jobs: those whose tasks are queued in
-/// part, schedules that are not due, and jobs that have ended.
+/// State that the owner of a shard keeps on its jobs: those whose tasks are
+/// queued in part, schedules that are not due, and jobs that have ended.
 #pragma once
 
 #include "basilchute/clock.h"
--- a/src/libbasilchute/jobmemory.h
+++ b/src/libbasilchute/jobmemory.h
@@ -35,10 +35,10 @@
 
 /// Memory for jobs over all shards, as a host knows it.
 struct JobMemoryState {
-  /// What the owners need for the jobs of all shards. Any host may have to own
+  /// Need of the owners for the jobs of all shards. Any host may have to own
   /// all of them.
   size_t Bytes = 0;
-  /// What the host with the least memory can spare for jobs; zero for no limit.
+  /// Least memory that any host can spare for jobs; zero for no limit.
   size_t MaxBytes = 0;
   /// Number of hosts that accept jobs.
   size_t Hosts = 1;
